--- /dev/null
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/model/Assignment.kt
@@ -0,0 +1,42 @@
+package org.bramleyspur.core.model
+
+import kotlinx.collections.immutable.ImmutableList
+
+/** An instance of a replica and the `host:port` of its agent. */
+data class Member(val instance: InstanceName, val address: String)
+
+/**
+ * A replica's members and what they load. The first member answers requests.
+ *
+ * @property members at least one member, all in one fabric domain
+ */
+data class Assignment(
+    val replica: ReplicaId,
+    val fencingNumber: FencingNumber,
+    val service: String,
+    val model: String,
+    val version: String,
+    val adapters: ImmutableList<String>,
+    val members: ImmutableList<Member>,
+) {
+    /** The member whose agent receives requests. */
+    val first: Member get() = members.first()
+}
+
+/** State of an assignment on one instance, reported by its agent. */
+enum class AssignmentState {
+    /** The backend server is being ordered into the role. */
+    LOADING,
+
+    /** The instance is in its role. */
+    READY,
+
+    /** The first member serves; every member has confirmed. */
+    SERVING,
+
+    /** The assignment has ended on this instance. */
+    RELEASED,
+
+    /** The backend server refused or failed the order. */
+    FAILED,
+}
--- /dev/null
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/model/Identifiers.kt
@@ -0,0 +1,54 @@
+/*
+ * Identifiers of the domain model. Each wraps the plain value that crosses the wire, so that two kinds of
+ * identifier cannot be mixed up.
+ */
+package org.bramleyspur.core.model
+
+/** Name of an instance, unique in the deployment. */
+@JvmInline
+value class InstanceName(val value: String) : Comparable<InstanceName> {
+    override fun compareTo(other: InstanceName): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
+/** Random identity of one run of a process; a restarted process has another one. */
+@JvmInline
+value class Incarnation(val value: String) {
+    override fun toString(): String = value
+}
+
+/** Identity of a replica. */
+@JvmInline
+value class ReplicaId(val value: String) : Comparable<ReplicaId> {
+    override fun compareTo(other: ReplicaId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
+/** Log index of the assignment that created a replica; a later assignment has a higher number. */
+@JvmInline
+value class FencingNumber(val value: Long) : Comparable<FencingNumber> {
+    override fun compareTo(other: FencingNumber): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value.toString()
+}
+
+/** Log index of the last accepted configuration change; 0 before the first one. */
+@JvmInline
+value class Revision(val value: Long) : Comparable<Revision> {
+    override fun compareTo(other: Revision): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value.toString()
+
+    companion object {
+        /** The revision of an empty configuration. */
+        val NONE = Revision(0)
+    }
+}
+
+/** Identity of a caller's request, the same in all of its attempts. */
+@JvmInline
+value class RequestId(val value: String) {
+    override fun toString(): String = value
+}
--- /dev/null
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/model/Route.kt
@@ -0,0 +1,37 @@
+package org.bramleyspur.core.model
+
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.persistentListOf
+
+/**
+ * A place that requests of a service can be sent to.
+ *
+ * @property replica null for a plain backend server
+ * @property instance instance of the first member, or of the plain backend server
+ * @property incarnation run of the agent that the route is valid for
+ * @property address `host:port` of the agent
+ * @property slots requests that the backend server runs at once
+ */
+data class Route(
+    val service: String,
+    val replica: ReplicaId?,
+    val fencingNumber: FencingNumber,
+    val instance: InstanceName,
+    val incarnation: Incarnation,
+    val address: String,
+    val region: String,
+    val dataCentre: String,
+    val version: String = "",
+    val adapters: ImmutableList<String> = persistentListOf(),
+    val slots: Int = 1,
+)
+
+/** All routes, ordered by the leader's [term] and then by [sequence]; a holder takes only a later table. */
+data class RouteTable(
+    val term: Long = 0,
+    val sequence: Long = 0,
+    val routes: ImmutableList<Route> = persistentListOf(),
+) {
+    /** Whether this table replaces [other]. */
+    fun isLaterThan(other: RouteTable): Boolean = term > other.term || (term == other.term && sequence > other.sequence)
+}
--- /dev/null
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/time/TimerService.kt
@@ -0,0 +1,60 @@
+/*
+ * Time for all parts of a process. Parts subscribe to the timer service of their thread and never sleep or read the
+ * system clock themselves, so that tests can drive them with a manual clock.
+ */
+package org.bramleyspur.core.time
+
+import java.util.concurrent.ScheduledExecutorService
+import java.util.concurrent.TimeUnit
+
+/** A pending or recurring timer. */
+fun interface Subscription {
+    /** Cancels the timer; has no effect when it has already run. */
+    fun cancel()
+}
+
+/** Timers that run their actions on one thread. */
+interface TimerService {
+    /** Monotonic time in milliseconds since an arbitrary origin. */
+    fun nowMs(): Long
+
+    /** Runs [action] once after [delayMs] milliseconds. */
+    fun after(delayMs: Long, action: () -> Unit): Subscription
+
+    /** Runs [action] every [periodMs] milliseconds, first after one period. */
+    fun every(periodMs: Long, action: () -> Unit): Subscription
+}
+
+/**
+ * Timers on [executor], whose single thread runs all actions. A Netty event loop is such an executor.
+ *
+ * @property onFailure receives what an action throws; a recurring timer goes on afterwards
+ */
+class ExecutorTimerService(
+    private val executor: ScheduledExecutorService,
+    private val onFailure: (Throwable) -> Unit,
+) : TimerService {
+    override fun nowMs(): Long = monotonicMs()
+
+    override fun after(delayMs: Long, action: () -> Unit): Subscription {
+        val future = executor.schedule({ guarded(action) }, delayMs, TimeUnit.MILLISECONDS)
+        return Subscription { future.cancel(false) }
+    }
+
+    override fun every(periodMs: Long, action: () -> Unit): Subscription {
+        val future = executor.scheduleWithFixedDelay({ guarded(action) }, periodMs, periodMs, TimeUnit.MILLISECONDS)
+        return Subscription { future.cancel(false) }
+    }
+
+    @Suppress("TooGenericExceptionCaught") // An exception must not end a recurring timer.
+    private fun guarded(action: () -> Unit) {
+        try {
+            action()
+        } catch (e: Exception) {
+            onFailure(e)
+        }
+    }
+}
+
+/** Monotonic time in milliseconds. */
+fun monotonicMs(): Long = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
--- /dev/null
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/Placeholder.kt
@@ -0,0 +1,4 @@
+package org.bramleyspur.traffic
+
+/** Warm-up. */
+internal const val WARM_UP = 1
