--- /dev/null
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/telemetry/Logging.kt
@@ -0,0 +1,52 @@
+/*
+ * Log output of all programs: plain lines for people or one JSON object a line for collectors.
+ */
+package org.bramleyspur.core.telemetry
+
+import ch.qos.logback.classic.Level
+import ch.qos.logback.classic.LoggerContext
+import ch.qos.logback.classic.encoder.JsonEncoder
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.ConsoleAppender
+import ch.qos.logback.core.encoder.Encoder
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+
+/** Form of a log line. */
+enum class LogFormat {
+    PLAIN,
+    JSON,
+}
+
+/** Sends all log output to standard error in [format], from [level] upwards. */
+fun configureLogging(format: LogFormat, level: String) {
+    val context = LoggerFactory.getILoggerFactory() as LoggerContext
+    context.reset()
+    val appender = ConsoleAppender<ILoggingEvent>()
+    appender.context = context
+    appender.target = "System.err"
+    appender.encoder = encoder(context, format)
+    appender.start()
+    val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
+    root.level = Level.toLevel(level, Level.INFO)
+    root.addAppender(appender)
+    // gRPC and Netty log each refused connection; the callers of these libraries report what matters.
+    context.getLogger("io.grpc").level = Level.ERROR
+    context.getLogger("io.netty").level = Level.ERROR
+}
+
+private fun encoder(context: LoggerContext, format: LogFormat): Encoder<ILoggingEvent> = when (format) {
+    LogFormat.JSON ->
+        JsonEncoder().apply {
+            this.context = context
+            start()
+        }
+
+    LogFormat.PLAIN ->
+        PatternLayoutEncoder().apply {
+            this.context = context
+            pattern = "%d{ISO8601} %-5level %logger{0} %msg%replace( %kvp){'^ \$', ''}%n%ex"
+            start()
+        }
+}
