--- /dev/null
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/telemetry/LogFormat.kt
@@ -0,0 +1,7 @@
+package org.bramleyspur.core.telemetry
+
+/** Form of a log line. */
+enum class LogFormat {
+    PLAIN,
+    JSON,
+}
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/telemetry/Logging.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/telemetry/Logging.kt
@@ -13,12 +13,6 @@
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
-/** Form of a log line. */
-enum class LogFormat {
-    PLAIN,
-    JSON,
-}
-
 /** Sends all log output to standard error in [format], from [level] upwards. */
 fun configureLogging(format: LogFormat, level: String) {
     val context = LoggerFactory.getILoggerFactory() as LoggerContext
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/Placeholder.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package org.bramleyspur.daemon
-
-/** Warm-up. */
-internal const val WARM_UP = 1
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/platform/PlatformServer.kt
@@ -0,0 +1,96 @@
+/*
+ * What the platform asks of a process: liveness, readiness for the load balancer, and metrics.
+ */
+package org.bramleyspur.daemon.platform
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpVersion
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.bramleyspur.core.settings.Address
+import java.io.ByteArrayOutputStream
+
+private const val MAX_REQUEST_BYTES = 16 * 1024
+private const val TEXT_CONTENT_TYPE = "text/plain; charset=utf-8"
+
+/** Whether a process can take new work; [reason] says why not. */
+data class Readiness(val ready: Boolean, val reason: String)
+
+/** Serves `/livez`, `/readyz` and `/metrics`. */
+class PlatformServer(private val readiness: () -> Readiness, private val registry: PrometheusRegistry) :
+    AutoCloseable {
+    private var channel: Channel? = null
+
+    /** Starts to listen on [address] with the threads of [group]; returns the bound port. */
+    fun start(address: Address, group: EventLoopGroup): Int {
+        val bootstrap =
+            ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel::class.java)
+                .childHandler(Initializer())
+        val bound = bootstrap.bind(address.toSocketAddress()).sync().channel()
+        channel = bound
+        return (bound.localAddress() as java.net.InetSocketAddress).port
+    }
+
+    override fun close() {
+        channel?.close()
+    }
+
+    private fun respond(path: String): DefaultFullHttpResponse = when (path) {
+        "/livez" -> text(HttpResponseStatus.OK, "ok\n")
+        "/readyz" -> readyResponse()
+        "/metrics" -> metricsResponse()
+        else -> text(HttpResponseStatus.NOT_FOUND, "not found; use /livez, /readyz or /metrics\n")
+    }
+
+    private fun readyResponse(): DefaultFullHttpResponse {
+        val state = readiness()
+        val status = if (state.ready) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE
+        return text(status, state.reason + "\n")
+    }
+
+    private fun metricsResponse(): DefaultFullHttpResponse {
+        val writer = PrometheusTextFormatWriter.create()
+        val out = ByteArrayOutputStream()
+        writer.write(out, registry.scrape())
+        return response(HttpResponseStatus.OK, out.toByteArray(), writer.contentType)
+    }
+
+    private fun text(status: HttpResponseStatus, body: String) = response(status, body.toByteArray(), TEXT_CONTENT_TYPE)
+
+    private fun response(status: HttpResponseStatus, body: ByteArray, contentType: String): DefaultFullHttpResponse {
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body))
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
+        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        return response
+    }
+
+    private inner class Initializer : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAX_REQUEST_BYTES), Handler())
+        }
+    }
+
+    private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            val response = respond(request.uri().substringBefore('?'))
+            context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+        }
+    }
+}
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/Channels.kt
@@ -0,0 +1,51 @@
+package org.bramleyspur.daemon.process
+
+import io.grpc.ManagedChannel
+import io.grpc.Server
+import io.grpc.ServerServiceDefinition
+import io.grpc.netty.NettyChannelBuilder
+import io.grpc.netty.NettyServerBuilder
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import org.bramleyspur.core.settings.Address
+import java.util.concurrent.TimeUnit
+
+private const val KEEPALIVE_TIME_MS = 1_000L
+private const val KEEPALIVE_TIMEOUT_MS = 1_000L
+private const val MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+
+/**
+ * Opens a gRPC channel whose callbacks run on [group]. Retries and name resolution of gRPC are off, since these
+ * decisions are made by the routing and retry code. A dead peer is found within two seconds by keepalive.
+ */
+fun openChannel(address: Address, group: EventLoopGroup): ManagedChannel = NettyChannelBuilder
+    .forAddress(address.toSocketAddress())
+    .eventLoopGroup(group)
+    .channelType(NioSocketChannel::class.java)
+    .directExecutor()
+    .usePlaintext()
+    .disableRetry()
+    .disableServiceConfigLookUp()
+    .keepAliveTime(KEEPALIVE_TIME_MS, TimeUnit.MILLISECONDS)
+    .keepAliveTimeout(KEEPALIVE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+    .maxInboundMessageSize(MAX_MESSAGE_BYTES)
+    .build()
+
+/** Builds a gRPC server on [address] whose calls run on [group]. */
+fun buildServer(address: Address, group: EventLoopGroup, services: List<ServerServiceDefinition>): Server {
+    val builder =
+        NettyServerBuilder
+            .forAddress(address.toSocketAddress())
+            .bossEventLoopGroup(group)
+            .workerEventLoopGroup(group)
+            .channelType(NioServerSocketChannel::class.java)
+            .directExecutor()
+            .keepAliveTime(KEEPALIVE_TIME_MS, TimeUnit.MILLISECONDS)
+            .keepAliveTimeout(KEEPALIVE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+            .permitKeepAliveTime(KEEPALIVE_TIME_MS / 2, TimeUnit.MILLISECONDS)
+            .permitKeepAliveWithoutCalls(true)
+            .maxInboundMessageSize(MAX_MESSAGE_BYTES)
+    services.forEach { builder.addService(it) }
+    return builder.build()
+}
