--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/wire/RoutingWire.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/wire/RoutingWire.kt
@@ -34,7 +34,7 @@
     model = model,
     version = version,
     adapters = adaptersList.toImmutableList(),
-    members = membersList.map { Member(InstanceName(it.instance), it.address) }.toImmutableList(),
+    members = membersList.map { Member(InstanceName(it.instance), it.address, it.backendAddress) }.toImmutableList(),
 )
 
 private fun Member.toMessage(): MemberMessage = MemberMessage
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerServer.kt
@@ -0,0 +1,77 @@
+package org.bramleyspur.daemon.caller
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.group.DefaultChannelGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.ssl.SslContext
+import io.netty.util.concurrent.GlobalEventExecutor
+import org.bramleyspur.core.settings.Address
+import java.net.InetSocketAddress
+
+/** Listens for callers and hands their requests to [handler]. With [tls] all connections are encrypted. */
+class CallerServer(
+    private val handler: CallerRequestHandler,
+    private val limits: CallerLimits,
+    private val tls: SslContext?,
+) {
+    private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
+    private var listener: Channel? = null
+
+    @Volatile
+    private var closing = false
+
+    /** Starts to listen on [address]; returns the bound port. */
+    fun start(address: Address, group: EventLoopGroup): Int {
+        val bound =
+            ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel::class.java)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(Initializer())
+                .bind(address.toSocketAddress())
+                .sync()
+                .channel()
+        listener = bound
+        return (bound.localAddress() as InetSocketAddress).port
+    }
+
+    /** Makes each further response the last one on its connection; new connections are still taken. */
+    fun beginClose() {
+        closing = true
+    }
+
+    /** Closes the listener and idle connections; running requests go on. */
+    fun closeListener() {
+        closing = true
+        listener?.close()
+        connections.forEach { channel ->
+            channel.eventLoop().execute { channel.pipeline().get(CallerConnection::class.java)?.closeIfIdle() }
+        }
+    }
+
+    private inner class Initializer : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            connections.add(channel)
+            if (tls != null) channel.pipeline().addLast(tls.newHandler(channel.alloc()))
+            val config =
+                HttpDecoderConfig()
+                    .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+                    .setMaxHeaderSize(MAX_HEADER_BYTES)
+            channel.pipeline().addLast(HttpServerCodec(config), CallerConnection(handler, limits) { closing })
+        }
+    }
+
+    private companion object {
+        const val BACKLOG = 1_024
+        const val MAX_INITIAL_LINE_BYTES = 8 * 1024
+        const val MAX_HEADER_BYTES = 16 * 1024
+    }
+}
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/ModelRequest.kt
@@ -0,0 +1,103 @@
+package org.bramleyspur.daemon.caller
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.intOrNull
+
+/** Shape of a model request and of its answer. */
+enum class ModelEndpoint(val path: String) {
+    COMPLETIONS("/v1/completions"),
+    CHAT("/v1/chat/completions"),
+}
+
+/**
+ * A caller's request for a generation.
+ *
+ * @property service service name, the part of `model` before the colon
+ * @property adapter adapter name, the part of `model` after the colon; empty for none
+ * @property stream whether the caller wants server-sent events
+ * @property prompt text that prefix locality is decided on
+ * @property fields the request as the caller sent it
+ */
+data class ModelRequest(
+    val endpoint: ModelEndpoint,
+    val model: String,
+    val service: String,
+    val adapter: String,
+    val stream: Boolean,
+    val prompt: String,
+    val fields: JsonObject,
+) {
+    /** Body for an engine that serves [model], with the adapter of this request, continuing after [tokens]. */
+    fun engineBody(model: String, tokens: List<String>): String {
+        val name = if (adapter.isEmpty()) model else "$model:$adapter"
+        val changed = fields + mapOf("model" to JsonPrimitive(name), "stream" to JsonPrimitive(true))
+        val resume =
+            JsonObject(
+                mapOf(
+                    "position" to JsonPrimitive(tokens.size),
+                    "tokens" to JsonArray(tokens.map { JsonPrimitive(it) }),
+                ),
+            )
+        return JsonObject(if (tokens.isEmpty()) changed else changed + ("resume" to resume)).toString()
+    }
+
+    companion object {
+        /** Reads the [body] of a request to [endpoint]. */
+        fun parse(endpoint: ModelEndpoint, body: String): Result<ModelRequest, CallerError> {
+            val fields =
+                parseObject(body) ?: return Err(CallerError.invalid("the body is not a JSON object"))
+            val model =
+                fields.text("model") ?: return Err(CallerError.invalid("'model' is missing; name a service"))
+            val prompt =
+                promptOf(endpoint, fields) ?: return Err(CallerError.invalid(promptRemedy(endpoint)))
+            unsupported(fields)?.let { return Err(it) }
+            val stream = (fields["stream"] as? JsonPrimitive)?.booleanOrNull ?: false
+            val service = model.substringBefore(':')
+            return Ok(ModelRequest(endpoint, model, service, model.substringAfter(':', ""), stream, prompt, fields))
+        }
+
+        private fun parseObject(body: String): JsonObject? = try {
+            Json.parseToJsonElement(body) as? JsonObject
+        } catch (_: SerializationException) {
+            null
+        }
+
+        private fun JsonObject.text(name: String): String? =
+            (this[name] as? JsonPrimitive)?.takeIf { it.isString }?.contentOrNull
+
+        private fun promptOf(endpoint: ModelEndpoint, fields: JsonObject): String? {
+            if (endpoint == ModelEndpoint.COMPLETIONS) return fields.text("prompt")
+            val messages = fields["messages"] as? JsonArray ?: return null
+            if (messages.isEmpty()) return null
+            val texts = messages.map { messageText(it) ?: return null }
+            return texts.joinToString("\n")
+        }
+
+        private fun messageText(message: JsonElement): String? {
+            val fields = message as? JsonObject ?: return null
+            val role = fields.text("role") ?: return null
+            return "$role: ${fields["content"] ?: return null}"
+        }
+
+        private fun promptRemedy(endpoint: ModelEndpoint): String = when (endpoint) {
+            ModelEndpoint.COMPLETIONS -> "'prompt' is missing or not a string; send one prompt as a string"
+            ModelEndpoint.CHAT -> "'messages' is missing or malformed; send objects with 'role' and 'content'"
+        }
+
+        private fun unsupported(fields: JsonObject): CallerError? {
+            val count = fields["n"] as? JsonPrimitive ?: return null
+            if (count.intOrNull == 1) return null
+            return CallerError.invalid("'n' must be 1; send one request for each answer")
+        }
+    }
+}
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/OpenAiEngine.kt
@@ -0,0 +1,197 @@
+package org.bramleyspur.daemon.engine
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpVersion
+import kotlinx.serialization.SerializationException
+import org.bramleyspur.core.settings.Address
+import org.bramleyspur.daemon.http.HttpCall
+import org.bramleyspur.daemon.http.HttpCaller
+import org.bramleyspur.daemon.http.HttpFailure
+import org.bramleyspur.daemon.http.HttpListener
+import org.bramleyspur.daemon.http.SseParser
+
+private val logger = KotlinLogging.logger {}
+
+private const val OK = 200
+private const val CONFLICT = 409
+private const val TOO_MANY_REQUESTS = 429
+private const val REQUEST_TIMEOUT = 408
+private const val FIRST_SERVER_ERROR = 500
+private const val MAX_ERROR_BYTES = 16 * 1024
+
+/** Client of an engine with OpenAI shapes and the admin interfaces of docs/engine-api.md. */
+class OpenAiEngine(private val address: Address, private val http: HttpCaller) {
+    /** Runs [request]; this is an [EngineExecutor]. */
+    fun execute(request: EngineRequest, listener: EngineListener): EngineCall {
+        val head = post(request.path)
+        head.headers().set("X-Request-Id", request.id)
+        head.headers().set("X-Priority", request.priority)
+        head.headers().set("X-Timeout-Ms", request.timeoutMs)
+        head.headers().set("X-Replica", request.replica)
+        head.headers().set("X-Fencing-Number", request.fencingNumber)
+        if (request.traceparent.isNotEmpty()) head.headers().set("traceparent", request.traceparent)
+        val call = http(head, withBody(head, request.body), false, StreamReader(listener))
+        return EngineCall { cancel(request.id, call) }
+    }
+
+    /** Gives [order]; [onAnswer] gets the HTTP status, or null when the engine gave no answer. */
+    fun order(order: EngineOrder, onAnswer: (Int?) -> Unit) {
+        val head = post("/admin/orders")
+        val body = engineJson.encodeToString(EngineOrder.serializer(), order)
+        http(head, withBody(head, body), true, WholeBody { status, _ -> onAnswer(status) })
+    }
+
+    /** Asks for the state of the backend server; [onAnswer] gets null when it gave none. */
+    fun state(onAnswer: (BackendState?) -> Unit): HttpCall {
+        val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/admin/state")
+        head.headers().set(HttpHeaderNames.HOST, address.toString())
+        return http(head, Unpooled.EMPTY_BUFFER, false, WholeBody { status, body -> onAnswer(readState(status, body)) })
+    }
+
+    private fun cancel(requestId: String, call: HttpCall) {
+        call.cancel()
+        val head = post("/admin/cancel")
+        val body = """{"request":"$requestId"}"""
+        http(head, withBody(head, body), false, WholeBody { _, _ -> })
+    }
+
+    private fun readState(status: Int?, body: String): BackendState? = try {
+        if (status == OK) engineJson.decodeFromString(BackendState.serializer(), body) else null
+    } catch (e: SerializationException) {
+        logger.warn { "backend server $address reports a state that cannot be read: ${e.message}" }
+        null
+    }
+
+    private fun post(path: String): HttpRequest {
+        val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, path)
+        head.headers().set(HttpHeaderNames.HOST, address.toString())
+        head.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+        return head
+    }
+
+    private fun withBody(head: HttpRequest, body: String): ByteBuf {
+        val buffer = Unpooled.copiedBuffer(body, Charsets.UTF_8)
+        head.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, buffer.readableBytes())
+        return buffer
+    }
+}
+
+/** Collects a small response; gives a null status when there was none. */
+internal class WholeBody(private val onAnswer: (Int?, String) -> Unit) : HttpListener {
+    private val body = Unpooled.buffer()
+    private var status = 0
+
+    override fun onHead(status: Int, headers: HttpHeaders) {
+        this.status = status
+    }
+
+    override fun onData(data: ByteBuf) {
+        if (body.readableBytes() < MAX_ERROR_BYTES) body.writeBytes(data)
+    }
+
+    override fun onEnd() = onAnswer(status, body.toString(Charsets.UTF_8))
+
+    override fun onFailure(failure: HttpFailure, message: String) = onAnswer(null, message)
+}
+
+/** Reads the token stream of one engine call. */
+private class StreamReader(private val listener: EngineListener) : HttpListener {
+    private var status = 0
+    private var ended = false
+    private var begun = false
+    private val error = Unpooled.buffer()
+    private val events = SseParser(::onEvent)
+    private var finish: EngineChunk? = null
+
+    override fun onHead(status: Int, headers: HttpHeaders) {
+        this.status = status
+        if (status == OK) {
+            begun = true
+            listener.onBegun()
+        }
+    }
+
+    override fun onData(data: ByteBuf) {
+        if (status == OK) {
+            events.feed(data)
+        } else if (error.readableBytes() < MAX_ERROR_BYTES) {
+            error.writeBytes(data)
+        }
+    }
+
+    override fun onEnd() {
+        if (status != OK) {
+            end { refuse() }
+        } else {
+            end { listener.onBroken("the engine ended the stream before its finish", true) }
+        }
+    }
+
+    override fun onFailure(failure: HttpFailure, message: String) =
+        end { listener.onBroken(message, failure != HttpFailure.NOT_SENT) }
+
+    private fun onEvent(data: String) {
+        if (ended) return
+        if (data == "[DONE]") {
+            end { onDone() }
+            return
+        }
+        val chunk =
+            try {
+                engineJson.decodeFromString(EngineChunk.serializer(), data)
+            } catch (e: SerializationException) {
+                end { listener.onBroken("the engine sent an event that cannot be read: ${e.message}", true) }
+                return
+            }
+        val choice = chunk.choices.firstOrNull() ?: return
+        if (choice.finishReason != null) {
+            finish = chunk
+        } else {
+            listener.onToken(chunk.position, choice.delta?.content ?: choice.text)
+        }
+    }
+
+    private fun onDone() {
+        val last = finish
+        val reason = last?.choices?.first()?.finishReason
+        if (reason == null) {
+            listener.onBroken("the engine ended the stream without a finish reason", true)
+        } else {
+            listener.onEnd(reason, last.usage?.promptTokens ?: 0, last.usage?.completionTokens ?: 0)
+        }
+    }
+
+    private fun refuse() {
+        val message = errorMessage()
+        when (status) {
+            CONFLICT -> listener.onRefused(EngineRefusal.NOT_IN_ROLE, message)
+            TOO_MANY_REQUESTS -> listener.onRefused(EngineRefusal.NO_SLOT, message)
+            REQUEST_TIMEOUT -> listener.onRefused(EngineRefusal.EXPIRED, message)
+            in 0 until FIRST_SERVER_ERROR -> listener.onRejected(status, message)
+            else -> listener.onBroken("the engine failed with status $status: $message", true)
+        }
+    }
+
+    private fun errorMessage(): String {
+        val text = error.toString(Charsets.UTF_8)
+        return try {
+            engineJson.decodeFromString(EngineError.serializer(), text).error.message
+        } catch (_: SerializationException) {
+            text
+        }
+    }
+
+    private fun end(notify: () -> Unit) {
+        if (ended) return
+        ended = true
+        notify()
+    }
+}
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
@@ -0,0 +1,204 @@
+package org.bramleyspur.daemon.http
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.ByteBuf
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import org.bramleyspur.core.settings.Address
+
+/** HTTP client for one backend server; keeps idle connections for calls that allow it. */
+class HttpClient(private val address: Address, group: EventLoopGroup) : AutoCloseable {
+    private val idle = ArrayDeque<Channel>()
+    private var closed = false
+    private val bootstrap =
+        Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .handler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(channel: SocketChannel) {
+                        channel.pipeline().addLast(HttpClientCodec(), ConnectionHandler())
+                    }
+                },
+            )
+
+    /** Starts a call; see [HttpCaller]. */
+    fun call(request: HttpRequest, body: ByteBuf?, fresh: Boolean, listener: HttpListener): HttpCall {
+        val exchange = Exchange(request, body, listener)
+        val pooled = if (fresh) null else takeIdle()
+        if (pooled != null) {
+            exchange.attach(pooled)
+        } else {
+            bootstrap.connect(address.toSocketAddress()).addListener { future ->
+                val channel = (future as io.netty.channel.ChannelFuture).channel()
+                if (future.isSuccess) exchange.attach(channel) else exchange.connectFailed(future.cause())
+            }
+        }
+        return exchange
+    }
+
+    override fun close() {
+        closed = true
+        idle.forEach { it.close() }
+        idle.clear()
+    }
+
+    private fun takeIdle(): Channel? {
+        while (idle.isNotEmpty()) {
+            val channel = idle.removeLast()
+            if (channel.isActive) return channel
+        }
+        return null
+    }
+
+    private fun giveBack(channel: Channel) {
+        if (closed || idle.size >= MAX_IDLE || !channel.isActive) channel.close() else idle.addLast(channel)
+    }
+
+    /** One request and its response. */
+    private inner class Exchange(
+        private val request: HttpRequest,
+        private val body: ByteBuf?,
+        private val listener: HttpListener,
+    ) : HttpCall {
+        private var channel: Channel? = null
+        private var done = false
+        private var keepAlive = false
+        private var requestComplete = false
+        private val pending = ArrayDeque<HttpContent>()
+
+        override val writable: Boolean get() = channel?.isWritable == true
+
+        fun attach(connection: Channel) {
+            if (done) {
+                giveBack(connection)
+                return
+            }
+            channel = connection
+            connection.pipeline().get(ConnectionHandler::class.java).exchange = this
+            connection.write(request)
+            if (body != null) {
+                requestComplete = true
+                connection.write(DefaultLastHttpContent(body))
+            }
+            pending.forEach { connection.write(it) }
+            pending.clear()
+            connection.flush()
+            if (body == null) listener.onWritable(connection.isWritable)
+        }
+
+        fun connectFailed(cause: Throwable) {
+            releasePending()
+            body?.release()
+            finish { listener.onFailure(HttpFailure.NOT_SENT, "cannot connect to $address: ${cause.message}") }
+        }
+
+        override fun send(data: ByteBuf, last: Boolean) {
+            val content = if (last) DefaultLastHttpContent(data) else DefaultHttpContent(data)
+            if (last) requestComplete = true
+            val connection = channel
+            when {
+                done -> content.release()
+                connection == null -> pending.addLast(content)
+                else -> connection.writeAndFlush(content)
+            }
+        }
+
+        override fun pauseReading(paused: Boolean) {
+            channel?.config()?.isAutoRead = !paused
+        }
+
+        override fun cancel() {
+            if (done) return
+            done = true
+            releasePending()
+            channel?.close()
+        }
+
+        fun onWritable(writable: Boolean) {
+            if (!done) listener.onWritable(writable)
+        }
+
+        fun read(message: Any) {
+            if (done) return
+            if (message is HttpResponse) {
+                keepAlive = HttpUtil.isKeepAlive(message)
+                listener.onHead(message.status().code(), message.headers())
+            }
+            if (message is HttpContent && !done) {
+                if (message.content().isReadable) listener.onData(message.content())
+                if (message is LastHttpContent && !done) complete()
+            }
+        }
+
+        fun disconnected() = finish { listener.onFailure(HttpFailure.BROKEN, "connection to $address closed") }
+
+        private fun complete() {
+            val connection = channel
+            connection?.pipeline()?.get(ConnectionHandler::class.java)?.exchange = null
+            connection?.config()?.isAutoRead = true
+            if (keepAlive && requestComplete && connection != null) giveBack(connection) else connection?.close()
+            finish { listener.onEnd() }
+        }
+
+        private fun finish(notify: () -> Unit) {
+            if (done) return
+            done = true
+            notify()
+        }
+
+        private fun releasePending() {
+            pending.forEach { it.release() }
+            pending.clear()
+        }
+    }
+
+    /** Connects a channel to the exchange that uses it now. */
+    private class ConnectionHandler : ChannelInboundHandlerAdapter() {
+        var exchange: HttpClient.Exchange? = null
+
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            try {
+                exchange?.read(message) ?: context.close()
+            } finally {
+                ReferenceCountUtil.release(message)
+            }
+        }
+
+        override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+            exchange?.onWritable(context.channel().isWritable)
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) {
+            exchange?.disconnected()
+            exchange = null
+        }
+
+        @Deprecated("Deprecated in Netty's handler interface, which still calls it.")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.close()
+        }
+    }
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MS = 1_000
+        const val MAX_IDLE = 32
+    }
+}
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ConfirmReply.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ConfirmReply.java
@@ -101,6 +101,21 @@
     }
   }
 
+  public static final int LEAVING_FIELD_NUMBER = 4;
+  private boolean leaving_ = false;
+  /**
+   * <pre>
+   * True when the member confirms only so that running requests finish.
+   * </pre>
+   *
+   * <code>bool leaving = 4;</code>
+   * @return The leaving.
+   */
+  @java.lang.Override
+  public boolean getLeaving() {
+    return leaving_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -124,6 +139,9 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(reason_)) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 3, reason_);
     }
+    if (leaving_ != false) {
+      output.writeBool(4, leaving_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -144,6 +162,10 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(reason_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(3, reason_);
     }
+    if (leaving_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(4, leaving_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -165,6 +187,8 @@
         != other.getSequence()) return false;
     if (!getReason()
         .equals(other.getReason())) return false;
+    if (getLeaving()
+        != other.getLeaving()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -184,6 +208,9 @@
         getSequence());
     hash = (37 * hash) + REASON_FIELD_NUMBER;
     hash = (53 * hash) + getReason().hashCode();
+    hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getLeaving());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -318,6 +345,7 @@
       confirmed_ = false;
       sequence_ = 0L;
       reason_ = "";
+      leaving_ = false;
       return this;
     }
 
@@ -360,6 +388,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.reason_ = reason_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.leaving_ = leaving_;
+      }
     }
 
     @java.lang.Override
@@ -417,6 +448,9 @@
         bitField0_ |= 0x00000004;
         onChanged();
       }
+      if (other.getLeaving() != false) {
+        setLeaving(other.getLeaving());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -458,6 +492,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 32: {
+              leaving_ = input.readBool();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -610,6 +649,50 @@
       onChanged();
       return this;
     }
+
+    private boolean leaving_ ;
+    /**
+     * <pre>
+     * True when the member confirms only so that running requests finish.
+     * </pre>
+     *
+     * <code>bool leaving = 4;</code>
+     * @return The leaving.
+     */
+    @java.lang.Override
+    public boolean getLeaving() {
+      return leaving_;
+    }
+    /**
+     * <pre>
+     * True when the member confirms only so that running requests finish.
+     * </pre>
+     *
+     * <code>bool leaving = 4;</code>
+     * @param value The leaving to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeaving(boolean value) {
+
+      leaving_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * True when the member confirms only so that running requests finish.
+     * </pre>
+     *
+     * <code>bool leaving = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeaving() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      leaving_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ConfirmReplyOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ConfirmReplyOrBuilder.java
@@ -31,4 +31,14 @@
    */
   com.google.protobuf.ByteString
       getReasonBytes();
+
+  /**
+   * <pre>
+   * True when the member confirms only so that running requests finish.
+   * </pre>
+   *
+   * <code>bool leaving = 4;</code>
+   * @return The leaving.
+   */
+  boolean getLeaving();
 }
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Execute.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Execute.java
@@ -65,6 +65,11 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_bramleyspur_Piece_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramleyspur_Rejected_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_bramleyspur_Rejected_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bramleyspur_End_descriptor;
   static final 
@@ -138,34 +143,37 @@
       "\013\n\007LEAVING\020\004\022\r\n\tCANCELLED\020\005\022\r\n\tDUPLICATE" +
       "\020\006\"\007\n\005Begun\"<\n\004Head\022\016\n\006status\030\001 \001(\r\022$\n\007h" +
       "eaders\030\002 \003(\0132\023.bramleyspur.Header\"(\n\005Pie" +
-      "ce\022\020\n\010position\030\001 \001(\r\022\r\n\005token\030\002 \001(\t\"N\n\003E" +
-      "nd\022\025\n\rfinish_reason\030\001 \001(\t\022\025\n\rprompt_toke" +
-      "ns\030\002 \001(\r\022\031\n\021completion_tokens\030\003 \001(\r\")\n\006B" +
-      "roken\022\017\n\007message\030\001 \001(\t\022\016\n\006failed\030\002 \001(\010\"\323" +
-      "\002\n\014ExecuteEvent\022\017\n\007attempt\030\001 \001(\r\022%\n\004load" +
-      "\030\002 \001(\0132\027.bramleyspur.LoadReport\022\'\n\007refus" +
-      "ed\030\003 \001(\0132\024.bramleyspur.RefusedH\000\022#\n\005begu" +
-      "n\030\004 \001(\0132\022.bramleyspur.BegunH\000\022!\n\004head\030\005 " +
-      "\001(\0132\021.bramleyspur.HeadH\000\022#\n\005piece\030\006 \001(\0132" +
-      "\022.bramleyspur.PieceH\000\022%\n\004body\030\007 \001(\0132\025.br" +
-      "amleyspur.BodyPartH\000\022\037\n\003end\030\010 \001(\0132\020.bram" +
-      "leyspur.EndH\000\022%\n\006broken\030\t \001(\0132\023.bramleys" +
-      "pur.BrokenH\000B\006\n\004kind\"A\n\rLookupRequest\022\017\n" +
-      "\007request\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\016\n\006cance" +
-      "l\030\003 \001(\010\"\201\001\n\013LookupReply\022-\n\005state\030\001 \001(\0162\036" +
-      ".bramleyspur.LookupReply.State\022\023\n\013incarn" +
-      "ation\030\002 \001(\t\".\n\005State\022\r\n\tNOT_BEGUN\020\000\022\013\n\007R" +
-      "UNNING\020\001\022\t\n\005ENDED\020\002\"]\n\016ConfirmRequest\022\017\n" +
-      "\007replica\030\001 \001(\t\022\026\n\016fencing_number\030\002 \001(\004\022\020" +
-      "\n\010sequence\030\003 \001(\004\022\020\n\010grant_ms\030\004 \001(\r\"C\n\014Co" +
-      "nfirmReply\022\021\n\tconfirmed\030\001 \001(\010\022\020\n\010sequenc" +
-      "e\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t2\330\001\n\014AgentService" +
-      "\022E\n\007Execute\022\033.bramleyspur.ExecuteRequest" +
-      "\032\031.bramleyspur.ExecuteEvent(\0010\001\022>\n\006Looku" +
-      "p\022\032.bramleyspur.LookupRequest\032\030.bramleys" +
-      "pur.LookupReply\022A\n\007Confirm\022\033.bramleyspur" +
-      ".ConfirmRequest\032\031.bramleyspur.ConfirmRep" +
-      "lyB\034\n\030org.bramleyspur.protocolP\001b\006proto3"
+      "ce\022\020\n\010position\030\001 \001(\r\022\r\n\005token\030\002 \001(\t\"+\n\010R" +
+      "ejected\022\016\n\006status\030\001 \001(\r\022\017\n\007message\030\002 \001(\t" +
+      "\"N\n\003End\022\025\n\rfinish_reason\030\001 \001(\t\022\025\n\rprompt" +
+      "_tokens\030\002 \001(\r\022\031\n\021completion_tokens\030\003 \001(\r" +
+      "\")\n\006Broken\022\017\n\007message\030\001 \001(\t\022\016\n\006failed\030\002 " +
+      "\001(\010\"\376\002\n\014ExecuteEvent\022\017\n\007attempt\030\001 \001(\r\022%\n" +
+      "\004load\030\002 \001(\0132\027.bramleyspur.LoadReport\022\'\n\007" +
+      "refused\030\003 \001(\0132\024.bramleyspur.RefusedH\000\022#\n" +
+      "\005begun\030\004 \001(\0132\022.bramleyspur.BegunH\000\022!\n\004he" +
+      "ad\030\005 \001(\0132\021.bramleyspur.HeadH\000\022#\n\005piece\030\006" +
+      " \001(\0132\022.bramleyspur.PieceH\000\022%\n\004body\030\007 \001(\013" +
+      "2\025.bramleyspur.BodyPartH\000\022\037\n\003end\030\010 \001(\0132\020" +
+      ".bramleyspur.EndH\000\022%\n\006broken\030\t \001(\0132\023.bra" +
+      "mleyspur.BrokenH\000\022)\n\010rejected\030\n \001(\0132\025.br" +
+      "amleyspur.RejectedH\000B\006\n\004kind\"A\n\rLookupRe" +
+      "quest\022\017\n\007request\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022" +
+      "\016\n\006cancel\030\003 \001(\010\"\201\001\n\013LookupReply\022-\n\005state" +
+      "\030\001 \001(\0162\036.bramleyspur.LookupReply.State\022\023" +
+      "\n\013incarnation\030\002 \001(\t\".\n\005State\022\r\n\tNOT_BEGU" +
+      "N\020\000\022\013\n\007RUNNING\020\001\022\t\n\005ENDED\020\002\"]\n\016ConfirmRe" +
+      "quest\022\017\n\007replica\030\001 \001(\t\022\026\n\016fencing_number" +
+      "\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\020\n\010grant_ms\030\004 \001" +
+      "(\r\"T\n\014ConfirmReply\022\021\n\tconfirmed\030\001 \001(\010\022\020\n" +
+      "\010sequence\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t\022\017\n\007leavi" +
+      "ng\030\004 \001(\0102\330\001\n\014AgentService\022E\n\007Execute\022\033.b" +
+      "ramleyspur.ExecuteRequest\032\031.bramleyspur." +
+      "ExecuteEvent(\0010\001\022>\n\006Lookup\022\032.bramleyspur" +
+      ".LookupRequest\032\030.bramleyspur.LookupReply" +
+      "\022A\n\007Confirm\022\033.bramleyspur.ConfirmRequest" +
+      "\032\031.bramleyspur.ConfirmReplyB\034\n\030org.braml" +
+      "eyspur.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -231,48 +239,54 @@
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_Piece_descriptor,
         new java.lang.String[] { "Position", "Token", });
-    internal_static_bramleyspur_End_descriptor =
+    internal_static_bramleyspur_Rejected_descriptor =
       getDescriptor().getMessageTypes().get(10);
+    internal_static_bramleyspur_Rejected_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_bramleyspur_Rejected_descriptor,
+        new java.lang.String[] { "Status", "Message", });
+    internal_static_bramleyspur_End_descriptor =
+      getDescriptor().getMessageTypes().get(11);
     internal_static_bramleyspur_End_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_End_descriptor,
         new java.lang.String[] { "FinishReason", "PromptTokens", "CompletionTokens", });
     internal_static_bramleyspur_Broken_descriptor =
-      getDescriptor().getMessageTypes().get(11);
+      getDescriptor().getMessageTypes().get(12);
     internal_static_bramleyspur_Broken_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_Broken_descriptor,
         new java.lang.String[] { "Message", "Failed", });
     internal_static_bramleyspur_ExecuteEvent_descriptor =
-      getDescriptor().getMessageTypes().get(12);
+      getDescriptor().getMessageTypes().get(13);
     internal_static_bramleyspur_ExecuteEvent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_ExecuteEvent_descriptor,
-        new java.lang.String[] { "Attempt", "Load", "Refused", "Begun", "Head", "Piece", "Body", "End", "Broken", "Kind", });
+        new java.lang.String[] { "Attempt", "Load", "Refused", "Begun", "Head", "Piece", "Body", "End", "Broken", "Rejected", "Kind", });
     internal_static_bramleyspur_LookupRequest_descriptor =
-      getDescriptor().getMessageTypes().get(13);
+      getDescriptor().getMessageTypes().get(14);
     internal_static_bramleyspur_LookupRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_LookupRequest_descriptor,
         new java.lang.String[] { "Request", "Attempt", "Cancel", });
     internal_static_bramleyspur_LookupReply_descriptor =
-      getDescriptor().getMessageTypes().get(14);
+      getDescriptor().getMessageTypes().get(15);
     internal_static_bramleyspur_LookupReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_LookupReply_descriptor,
         new java.lang.String[] { "State", "Incarnation", });
     internal_static_bramleyspur_ConfirmRequest_descriptor =
-      getDescriptor().getMessageTypes().get(15);
+      getDescriptor().getMessageTypes().get(16);
     internal_static_bramleyspur_ConfirmRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_ConfirmRequest_descriptor,
         new java.lang.String[] { "Replica", "FencingNumber", "Sequence", "GrantMs", });
     internal_static_bramleyspur_ConfirmReply_descriptor =
-      getDescriptor().getMessageTypes().get(16);
+      getDescriptor().getMessageTypes().get(17);
     internal_static_bramleyspur_ConfirmReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_ConfirmReply_descriptor,
-        new java.lang.String[] { "Confirmed", "Sequence", "Reason", });
+        new java.lang.String[] { "Confirmed", "Sequence", "Reason", "Leaving", });
   }
 
   // @@protoc_insertion_point(outer_class_scope)
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ExecuteEvent.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ExecuteEvent.java
@@ -53,6 +53,7 @@
     BODY(7),
     END(8),
     BROKEN(9),
+    REJECTED(10),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -77,6 +78,7 @@
         case 7: return BODY;
         case 8: return END;
         case 9: return BROKEN;
+        case 10: return REJECTED;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -346,6 +348,37 @@
     return org.bramleyspur.protocol.Broken.getDefaultInstance();
   }
 
+  public static final int REJECTED_FIELD_NUMBER = 10;
+  /**
+   * <code>.bramleyspur.Rejected rejected = 10;</code>
+   * @return Whether the rejected field is set.
+   */
+  @java.lang.Override
+  public boolean hasRejected() {
+    return kindCase_ == 10;
+  }
+  /**
+   * <code>.bramleyspur.Rejected rejected = 10;</code>
+   * @return The rejected.
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.Rejected getRejected() {
+    if (kindCase_ == 10) {
+       return (org.bramleyspur.protocol.Rejected) kind_;
+    }
+    return org.bramleyspur.protocol.Rejected.getDefaultInstance();
+  }
+  /**
+   * <code>.bramleyspur.Rejected rejected = 10;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.RejectedOrBuilder getRejectedOrBuilder() {
+    if (kindCase_ == 10) {
+       return (org.bramleyspur.protocol.Rejected) kind_;
+    }
+    return org.bramleyspur.protocol.Rejected.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -387,6 +420,9 @@
     if (kindCase_ == 9) {
       output.writeMessage(9, (org.bramleyspur.protocol.Broken) kind_);
     }
+    if (kindCase_ == 10) {
+      output.writeMessage(10, (org.bramleyspur.protocol.Rejected) kind_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -432,6 +468,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(9, (org.bramleyspur.protocol.Broken) kind_);
     }
+    if (kindCase_ == 10) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, (org.bramleyspur.protocol.Rejected) kind_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -484,6 +524,10 @@
         if (!getBroken()
             .equals(other.getBroken())) return false;
         break;
+      case 10:
+        if (!getRejected()
+            .equals(other.getRejected())) return false;
+        break;
       case 0:
       default:
     }
@@ -533,6 +577,10 @@
         hash = (37 * hash) + BROKEN_FIELD_NUMBER;
         hash = (53 * hash) + getBroken().hashCode();
         break;
+      case 10:
+        hash = (37 * hash) + REJECTED_FIELD_NUMBER;
+        hash = (53 * hash) + getRejected().hashCode();
+        break;
       case 0:
       default:
     }
@@ -700,6 +748,9 @@
       if (brokenBuilder_ != null) {
         brokenBuilder_.clear();
       }
+      if (rejectedBuilder_ != null) {
+        rejectedBuilder_.clear();
+      }
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -780,6 +831,10 @@
           brokenBuilder_ != null) {
         result.kind_ = brokenBuilder_.build();
       }
+      if (kindCase_ == 10 &&
+          rejectedBuilder_ != null) {
+        result.kind_ = rejectedBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -861,6 +916,10 @@
           mergeBroken(other.getBroken());
           break;
         }
+        case REJECTED: {
+          mergeRejected(other.getRejected());
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -952,6 +1011,13 @@
               kindCase_ = 9;
               break;
             } // case 74
+            case 82: {
+              input.readMessage(
+                  getRejectedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 10;
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2130,6 +2196,148 @@
       onChanged();
       return brokenBuilder_;
     }
+
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.bramleyspur.protocol.Rejected, org.bramleyspur.protocol.Rejected.Builder, org.bramleyspur.protocol.RejectedOrBuilder> rejectedBuilder_;
+    /**
+     * <code>.bramleyspur.Rejected rejected = 10;</code>
+     * @return Whether the rejected field is set.
+     */
+    @java.lang.Override
+    public boolean hasRejected() {
+      return kindCase_ == 10;
+    }
+    /**
+     * <code>.bramleyspur.Rejected rejected = 10;</code>
+     * @return The rejected.
+     */
+    @java.lang.Override
+    public org.bramleyspur.protocol.Rejected getRejected() {
+      if (rejectedBuilder_ == null) {
+        if (kindCase_ == 10) {
+          return (org.bramleyspur.protocol.Rejected) kind_;
+        }
+        return org.bramleyspur.protocol.Rejected.getDefaultInstance();
+      } else {
+        if (kindCase_ == 10) {
+          return rejectedBuilder_.getMessage();
+        }
+        return org.bramleyspur.protocol.Rejected.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramleyspur.Rejected rejected = 10;</code>
+     */
+    public Builder setRejected(org.bramleyspur.protocol.Rejected value) {
+      if (rejectedBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        rejectedBuilder_.setMessage(value);
+      }
+      kindCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.bramleyspur.Rejected rejected = 10;</code>
+     */
+    public Builder setRejected(
+        org.bramleyspur.protocol.Rejected.Builder builderForValue) {
+      if (rejectedBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        rejectedBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.bramleyspur.Rejected rejected = 10;</code>
+     */
+    public Builder mergeRejected(org.bramleyspur.protocol.Rejected value) {
+      if (rejectedBuilder_ == null) {
+        if (kindCase_ == 10 &&
+            kind_ != org.bramleyspur.protocol.Rejected.getDefaultInstance()) {
+          kind_ = org.bramleyspur.protocol.Rejected.newBuilder((org.bramleyspur.protocol.Rejected) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 10) {
+          rejectedBuilder_.mergeFrom(value);
+        } else {
+          rejectedBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.bramleyspur.Rejected rejected = 10;</code>
+     */
+    public Builder clearRejected() {
+      if (rejectedBuilder_ == null) {
+        if (kindCase_ == 10) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 10) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        rejectedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramleyspur.Rejected rejected = 10;</code>
+     */
+    public org.bramleyspur.protocol.Rejected.Builder getRejectedBuilder() {
+      return getRejectedFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramleyspur.Rejected rejected = 10;</code>
+     */
+    @java.lang.Override
+    public org.bramleyspur.protocol.RejectedOrBuilder getRejectedOrBuilder() {
+      if ((kindCase_ == 10) && (rejectedBuilder_ != null)) {
+        return rejectedBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 10) {
+          return (org.bramleyspur.protocol.Rejected) kind_;
+        }
+        return org.bramleyspur.protocol.Rejected.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramleyspur.Rejected rejected = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.bramleyspur.protocol.Rejected, org.bramleyspur.protocol.Rejected.Builder, org.bramleyspur.protocol.RejectedOrBuilder> 
+        getRejectedFieldBuilder() {
+      if (rejectedBuilder_ == null) {
+        if (!(kindCase_ == 10)) {
+          kind_ = org.bramleyspur.protocol.Rejected.getDefaultInstance();
+        }
+        rejectedBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.bramleyspur.protocol.Rejected, org.bramleyspur.protocol.Rejected.Builder, org.bramleyspur.protocol.RejectedOrBuilder>(
+                (org.bramleyspur.protocol.Rejected) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 10;
+      onChanged();
+      return rejectedBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ExecuteEventOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ExecuteEventOrBuilder.java
@@ -134,5 +134,20 @@
    */
   org.bramleyspur.protocol.BrokenOrBuilder getBrokenOrBuilder();
 
+  /**
+   * <code>.bramleyspur.Rejected rejected = 10;</code>
+   * @return Whether the rejected field is set.
+   */
+  boolean hasRejected();
+  /**
+   * <code>.bramleyspur.Rejected rejected = 10;</code>
+   * @return The rejected.
+   */
+  org.bramleyspur.protocol.Rejected getRejected();
+  /**
+   * <code>.bramleyspur.Rejected rejected = 10;</code>
+   */
+  org.bramleyspur.protocol.RejectedOrBuilder getRejectedOrBuilder();
+
   org.bramleyspur.protocol.ExecuteEvent.KindCase getKindCase();
 }
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Hello.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Hello.java
@@ -26,6 +26,7 @@
     fabricDomain_ = "";
     backendKind_ = 0;
     plainService_ = "";
+    backendAddress_ = "";
   }
 
   @java.lang.Override
@@ -538,6 +539,53 @@
     return leaseMs_;
   }
 
+  public static final int BACKEND_ADDRESS_FIELD_NUMBER = 13;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object backendAddress_ = "";
+  /**
+   * <pre>
+   * Address of the backend server; empty for an entry.
+   * </pre>
+   *
+   * <code>string backend_address = 13;</code>
+   * @return The backendAddress.
+   */
+  @java.lang.Override
+  public java.lang.String getBackendAddress() {
+    java.lang.Object ref = backendAddress_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      backendAddress_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Address of the backend server; empty for an entry.
+   * </pre>
+   *
+   * <code>string backend_address = 13;</code>
+   * @return The bytes for backendAddress.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getBackendAddressBytes() {
+    java.lang.Object ref = backendAddress_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      backendAddress_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -588,6 +636,9 @@
     if (leaseMs_ != 0) {
       output.writeUInt32(12, leaseMs_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(backendAddress_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 13, backendAddress_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -638,6 +689,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(12, leaseMs_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(backendAddress_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(13, backendAddress_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -675,6 +729,8 @@
         != other.getRevision()) return false;
     if (getLeaseMs()
         != other.getLeaseMs()) return false;
+    if (!getBackendAddress()
+        .equals(other.getBackendAddress())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -711,6 +767,8 @@
         getRevision());
     hash = (37 * hash) + LEASE_MS_FIELD_NUMBER;
     hash = (53 * hash) + getLeaseMs();
+    hash = (37 * hash) + BACKEND_ADDRESS_FIELD_NUMBER;
+    hash = (53 * hash) + getBackendAddress().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -854,6 +912,7 @@
       accelerators_ = 0;
       revision_ = 0L;
       leaseMs_ = 0;
+      backendAddress_ = "";
       return this;
     }
 
@@ -923,6 +982,9 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.leaseMs_ = leaseMs_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.backendAddress_ = backendAddress_;
+      }
     }
 
     @java.lang.Override
@@ -1019,6 +1081,11 @@
       if (other.getLeaseMs() != 0) {
         setLeaseMs(other.getLeaseMs());
       }
+      if (!other.getBackendAddress().isEmpty()) {
+        backendAddress_ = other.backendAddress_;
+        bitField0_ |= 0x00001000;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1105,6 +1172,11 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 96
+            case 106: {
+              backendAddress_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 106
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1931,6 +2003,98 @@
       onChanged();
       return this;
     }
+
+    private java.lang.Object backendAddress_ = "";
+    /**
+     * <pre>
+     * Address of the backend server; empty for an entry.
+     * </pre>
+     *
+     * <code>string backend_address = 13;</code>
+     * @return The backendAddress.
+     */
+    public java.lang.String getBackendAddress() {
+      java.lang.Object ref = backendAddress_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        backendAddress_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Address of the backend server; empty for an entry.
+     * </pre>
+     *
+     * <code>string backend_address = 13;</code>
+     * @return The bytes for backendAddress.
+     */
+    public com.google.protobuf.ByteString
+        getBackendAddressBytes() {
+      java.lang.Object ref = backendAddress_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        backendAddress_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Address of the backend server; empty for an entry.
+     * </pre>
+     *
+     * <code>string backend_address = 13;</code>
+     * @param value The backendAddress to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBackendAddress(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      backendAddress_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Address of the backend server; empty for an entry.
+     * </pre>
+     *
+     * <code>string backend_address = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBackendAddress() {
+      backendAddress_ = getDefaultInstance().getBackendAddress();
+      bitField0_ = (bitField0_ & ~0x00001000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Address of the backend server; empty for an entry.
+     * </pre>
+     *
+     * <code>string backend_address = 13;</code>
+     * @param value The bytes for backendAddress to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBackendAddressBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      backendAddress_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/HelloOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/HelloOrBuilder.java
@@ -171,4 +171,24 @@
    * @return The leaseMs.
    */
   int getLeaseMs();
+
+  /**
+   * <pre>
+   * Address of the backend server; empty for an entry.
+   * </pre>
+   *
+   * <code>string backend_address = 13;</code>
+   * @return The backendAddress.
+   */
+  java.lang.String getBackendAddress();
+  /**
+   * <pre>
+   * Address of the backend server; empty for an entry.
+   * </pre>
+   *
+   * <code>string backend_address = 13;</code>
+   * @return The bytes for backendAddress.
+   */
+  com.google.protobuf.ByteString
+      getBackendAddressBytes();
 }
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Member.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Member.java
@@ -19,6 +19,7 @@
   private Member() {
     instance_ = "";
     address_ = "";
+    backendAddress_ = "";
   }
 
   @java.lang.Override
@@ -84,6 +85,10 @@
   @SuppressWarnings("serial")
   private volatile java.lang.Object address_ = "";
   /**
+   * <pre>
+   * Address of the agent.
+   * </pre>
+   *
    * <code>string address = 2;</code>
    * @return The address.
    */
@@ -101,6 +106,10 @@
     }
   }
   /**
+   * <pre>
+   * Address of the agent.
+   * </pre>
+   *
    * <code>string address = 2;</code>
    * @return The bytes for address.
    */
@@ -119,6 +128,53 @@
     }
   }
 
+  public static final int BACKEND_ADDRESS_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object backendAddress_ = "";
+  /**
+   * <pre>
+   * Address of the backend server, for the traffic between the engines of a replica.
+   * </pre>
+   *
+   * <code>string backend_address = 3;</code>
+   * @return The backendAddress.
+   */
+  @java.lang.Override
+  public java.lang.String getBackendAddress() {
+    java.lang.Object ref = backendAddress_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      backendAddress_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Address of the backend server, for the traffic between the engines of a replica.
+   * </pre>
+   *
+   * <code>string backend_address = 3;</code>
+   * @return The bytes for backendAddress.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getBackendAddressBytes() {
+    java.lang.Object ref = backendAddress_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      backendAddress_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -139,6 +195,9 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(address_)) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 2, address_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(backendAddress_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 3, backendAddress_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -154,6 +213,9 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(address_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(2, address_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(backendAddress_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(3, backendAddress_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -173,6 +235,8 @@
         .equals(other.getInstance())) return false;
     if (!getAddress()
         .equals(other.getAddress())) return false;
+    if (!getBackendAddress()
+        .equals(other.getBackendAddress())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -188,6 +252,8 @@
     hash = (53 * hash) + getInstance().hashCode();
     hash = (37 * hash) + ADDRESS_FIELD_NUMBER;
     hash = (53 * hash) + getAddress().hashCode();
+    hash = (37 * hash) + BACKEND_ADDRESS_FIELD_NUMBER;
+    hash = (53 * hash) + getBackendAddress().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -321,6 +387,7 @@
       bitField0_ = 0;
       instance_ = "";
       address_ = "";
+      backendAddress_ = "";
       return this;
     }
 
@@ -360,6 +427,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.address_ = address_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.backendAddress_ = backendAddress_;
+      }
     }
 
     @java.lang.Override
@@ -416,6 +486,11 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
+      if (!other.getBackendAddress().isEmpty()) {
+        backendAddress_ = other.backendAddress_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -452,6 +527,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 26: {
+              backendAddress_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -543,6 +623,10 @@
 
     private java.lang.Object address_ = "";
     /**
+     * <pre>
+     * Address of the agent.
+     * </pre>
+     *
      * <code>string address = 2;</code>
      * @return The address.
      */
@@ -559,6 +643,10 @@
       }
     }
     /**
+     * <pre>
+     * Address of the agent.
+     * </pre>
+     *
      * <code>string address = 2;</code>
      * @return The bytes for address.
      */
@@ -576,6 +664,10 @@
       }
     }
     /**
+     * <pre>
+     * Address of the agent.
+     * </pre>
+     *
      * <code>string address = 2;</code>
      * @param value The address to set.
      * @return This builder for chaining.
@@ -589,6 +681,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Address of the agent.
+     * </pre>
+     *
      * <code>string address = 2;</code>
      * @return This builder for chaining.
      */
@@ -599,6 +695,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Address of the agent.
+     * </pre>
+     *
      * <code>string address = 2;</code>
      * @param value The bytes for address to set.
      * @return This builder for chaining.
@@ -612,6 +712,98 @@
       onChanged();
       return this;
     }
+
+    private java.lang.Object backendAddress_ = "";
+    /**
+     * <pre>
+     * Address of the backend server, for the traffic between the engines of a replica.
+     * </pre>
+     *
+     * <code>string backend_address = 3;</code>
+     * @return The backendAddress.
+     */
+    public java.lang.String getBackendAddress() {
+      java.lang.Object ref = backendAddress_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        backendAddress_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Address of the backend server, for the traffic between the engines of a replica.
+     * </pre>
+     *
+     * <code>string backend_address = 3;</code>
+     * @return The bytes for backendAddress.
+     */
+    public com.google.protobuf.ByteString
+        getBackendAddressBytes() {
+      java.lang.Object ref = backendAddress_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        backendAddress_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Address of the backend server, for the traffic between the engines of a replica.
+     * </pre>
+     *
+     * <code>string backend_address = 3;</code>
+     * @param value The backendAddress to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBackendAddress(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      backendAddress_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Address of the backend server, for the traffic between the engines of a replica.
+     * </pre>
+     *
+     * <code>string backend_address = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBackendAddress() {
+      backendAddress_ = getDefaultInstance().getBackendAddress();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Address of the backend server, for the traffic between the engines of a replica.
+     * </pre>
+     *
+     * <code>string backend_address = 3;</code>
+     * @param value The bytes for backendAddress to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBackendAddressBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      backendAddress_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/MemberOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/MemberOrBuilder.java
@@ -21,14 +21,42 @@
       getInstanceBytes();
 
   /**
+   * <pre>
+   * Address of the agent.
+   * </pre>
+   *
    * <code>string address = 2;</code>
    * @return The address.
    */
   java.lang.String getAddress();
   /**
+   * <pre>
+   * Address of the agent.
+   * </pre>
+   *
    * <code>string address = 2;</code>
    * @return The bytes for address.
    */
   com.google.protobuf.ByteString
       getAddressBytes();
+
+  /**
+   * <pre>
+   * Address of the backend server, for the traffic between the engines of a replica.
+   * </pre>
+   *
+   * <code>string backend_address = 3;</code>
+   * @return The backendAddress.
+   */
+  java.lang.String getBackendAddress();
+  /**
+   * <pre>
+   * Address of the backend server, for the traffic between the engines of a replica.
+   * </pre>
+   *
+   * <code>string backend_address = 3;</code>
+   * @return The bytes for backendAddress.
+   */
+  com.google.protobuf.ByteString
+      getBackendAddressBytes();
 }
