Add the agent's assignment state machine

An order with an unknown outcome blocks further orders for one order timeout, so engines that ignore fencing numbers are safe. Ruled out: refusing confirmation when told to leave, since it would interrupt running requests; a leaving member confirms as leaving and the first drains.

--- /dev/null
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/agent/AgentState.kt
@@ -0,0 +1,145 @@
+/*
+ * State of the machine that carries out assignments on one instance, and what it tells others. An instance is in at
+ * most one replica since the machine leaves one phase before it enters the next: it accepts an assignment only in
+ * [Phase.Idle], which it reaches only after the engine has accepted an order out of its role.
+ */
+package org.bramleyspur.traffic.agent
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.bramleyspur.core.model.Assignment
+import org.bramleyspur.core.model.AssignmentState
+import org.bramleyspur.core.model.FencingNumber
+import org.bramleyspur.core.model.InstanceName
+import org.bramleyspur.core.model.ReplicaId
+
+/** Whether a first member accepts requests. */
+internal enum class Service { CLOSED, OPEN, DRAINING }
+
+/** A confirmation that counts until [untilMs], given to the question sent at [sentAtMs]. */
+internal data class Grant(val sentAtMs: Long, val untilMs: Long)
+
+/** Confirmation questions that the first member has sent, by sequence number with their sending time in ms. */
+internal data class Confirmations(
+    val rounds: PersistentMap<Long, Long> = persistentMapOf(),
+    val grants: PersistentMap<InstanceName, Grant> = persistentMapOf(),
+    val askedAtMs: Long? = null,
+)
+
+internal sealed interface Phase {
+    /** A new incarnation waits until an order of its predecessor has ended, then orders the engine out of its role. */
+    data class Starting(val untilMs: Long) : Phase
+
+    /** The engine has no role. */
+    data object Idle : Phase
+
+    /** The engine is in its role or being ordered into it. */
+    data class Active(
+        val assignment: Assignment,
+        val state: AssignmentState = AssignmentState.LOADING,
+        val failure: String = "",
+        val service: Service = Service.CLOSED,
+        val confirmations: Confirmations = Confirmations(),
+        val endCause: String? = null,
+        val endSinceMs: Long? = null,
+        val memberLeaving: Boolean = false,
+    ) : Phase
+
+    /** The assignment ends: the last grant expires, then the engine is ordered out of its role. */
+    data class Ending(val assignment: Assignment, val reason: String) : Phase
+}
+
+/** State of an assignment on this instance, reported to the control leader. */
+data class AssignmentStatus(
+    val replica: ReplicaId,
+    val fencingNumber: FencingNumber,
+    val state: AssignmentState,
+    val reason: String = "",
+)
+
+/** Content of a heartbeat that concerns the engine and its assignment. */
+data class AgentReport(
+    val backendHealthy: Boolean,
+    val bootId: String,
+    val assignments: List<AssignmentStatus>,
+    val running: Int,
+    val leaving: Boolean,
+)
+
+/**
+ * Times until which traffic may work without hearing from the machine again, checked for each request, so that a
+ * process that was frozen does no work on resuming.
+ *
+ * @property newWorkUntilMs requests may begin before this time, null when none may
+ * @property runningUntilMs running requests may deliver before this time
+ */
+data class ServingPermit(val assignment: Assignment, val newWorkUntilMs: Long?, val runningUntilMs: Long)
+
+/** State of the assignment machine of one agent incarnation. */
+@ConsistentCopyVisibility
+data class AgentState internal constructor(
+    internal val self: InstanceName,
+    internal val timing: AgentTiming,
+    internal val phase: Phase,
+    internal val engine: EngineView = EngineView(),
+    internal val term: Long = 0,
+    internal val leaseUntilMs: Long = Long.MIN_VALUE,
+    internal val wanted: Assignment? = null,
+    internal val released: AssignmentStatus? = null,
+    internal val grantedUntilMs: Long = Long.MIN_VALUE,
+    internal val running: Int = 0,
+    internal val refusalApplied: Long = 0,
+    internal val refusal: Long = 0,
+    internal val leaving: Boolean = false,
+    internal val stopped: Boolean = false,
+    internal val sequence: Long = 0,
+) {
+    /** What the next heartbeat reports. An agent that does not know its engine's role reports it as unhealthy. */
+    fun report(nowMs: Long): AgentReport = AgentReport(
+        backendHealthy = engine.reachable(nowMs, timing) && phase !is Phase.Starting,
+        bootId = engine.last?.bootId.orEmpty(),
+        assignments = statuses(),
+        running = running,
+        leaving = leaving,
+    )
+
+    /** Permit for traffic, or null when this instance serves nothing as a first member. */
+    fun permit(): ServingPermit? {
+        val active = phase as? Phase.Active ?: return null
+        if (active.service == Service.CLOSED) return null
+        val runningUntilMs = completeUntilMs(active)
+        val newWorkUntilMs = minOf(runningUntilMs, leaseUntilMs).takeIf { active.service == Service.OPEN }
+        return ServingPermit(active.assignment, newWorkUntilMs, runningUntilMs)
+    }
+
+    /** Time in ms until which every member, this one included, is known to be in its role. */
+    internal fun completeUntilMs(active: Phase.Active): Long {
+        val probed = engine.lastSentAtMs + timing.probeValidMs
+        return active.assignment.members
+            .filter { it.instance != self }
+            .minOfOrNull { active.confirmations.grants[it.instance]?.untilMs ?: Long.MIN_VALUE }
+            ?.let { minOf(it, probed) } ?: probed
+    }
+
+    private fun statuses(): List<AssignmentStatus> = when (phase) {
+        is Phase.Active -> listOf(phase.status())
+
+        is Phase.Ending -> listOf(phase.assignment.status(AssignmentState.FAILED, phase.reason))
+
+        else -> listOfNotNull(released)
+    }
+
+    companion object {
+        /** State of a new incarnation on instance [self] that starts at [nowMs]. */
+        fun initial(self: InstanceName, nowMs: Long, timing: AgentTiming = AgentTiming()): AgentState =
+            AgentState(self, timing, Phase.Starting(nowMs + timing.orderTimeoutMs))
+    }
+}
+
+internal fun Assignment.status(state: AssignmentState, reason: String): AssignmentStatus =
+    AssignmentStatus(replica, fencingNumber, state, reason)
+
+private fun Phase.Active.status(): AssignmentStatus {
+    val shown = if (service == Service.OPEN) AssignmentState.SERVING else state
+    return assignment.status(shown, failure.ifEmpty { endCause.orEmpty() })
+}
