--- /dev/null
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/stream/RequestEffect.kt
@@ -0,0 +1,68 @@
+/*
+ * What the request state machine orders an entry to do. Exactly one ending is ordered for each request: Finish,
+ * Refuse, FailStream or Abandon.
+ */
+package org.bramleyspur.traffic.stream
+
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.PersistentSet
+import org.bramleyspur.core.model.Incarnation
+import org.bramleyspur.core.model.Refusal
+import org.bramleyspur.traffic.retry.RetryCause
+
+/** An output of the request state machine. */
+sealed interface RequestEffect
+
+/** The last effect of a request. */
+sealed interface RequestEnding : RequestEffect
+
+/**
+ * Choose a route and write the attempt, if [RequestState.mayWrite] still holds after [delayMs]; answer with
+ * [AttemptSent] or [AttemptNotStarted].
+ *
+ * @property cause null for the first attempt, else the budget that pays for the retry
+ * @property resumeTokens tokens that the caller has; generation continues at the position after them
+ * @property version version that must serve the attempt, null when any may
+ * @property excluded agents that failed for this request
+ */
+data class StartAttempt(
+    val attempt: Int,
+    val delayMs: Long,
+    val cause: RetryCause?,
+    val resumeTokens: ImmutableList<String>,
+    val version: String?,
+    val excluded: PersistentSet<Incarnation>,
+) : RequestEffect {
+    /** Position of the next token. */
+    val resumePosition: Int get() = resumeTokens.size
+}
+
+/** Send a cancel of the attempt to its agent and report the answer as [CancelConfirmed]. */
+data class CancelAttempt(val attempt: Int) : RequestEffect
+
+/** Ask the agent about the attempt after [delayMs], and have it refuse the attempt from then on if it has not begun. */
+data class LookupAttempt(val attempt: Int, val delayMs: Long) : RequestEffect
+
+/** Report [GraceEnded] after [delayMs]. */
+data class StartGrace(val delayMs: Long) : RequestEffect
+
+/** Deliver a token to the caller; tokens are ordered in position order without gaps. */
+data class DeliverToken(val position: Int, val token: String) : RequestEffect
+
+/** Forward the head that the event carried. */
+data class ForwardHead(val status: Int) : RequestEffect
+
+/** Forward the body part that the event carried. */
+data class ForwardBody(val last: Boolean) : RequestEffect
+
+/** The answer is complete; [finishReason] is null for a [RequestKind.CALL]. */
+data class Finish(val finishReason: String?, val promptTokens: Int, val completionTokens: Int) : RequestEnding
+
+/** Refuse the request; nothing of an answer has reached the caller. */
+data class Refuse(val kind: Refusal, val message: String, val retryAfterMs: Long) : RequestEnding
+
+/** End an answer that the caller has received in part with an explicit error, without `[DONE]`. */
+data class FailStream(val kind: Refusal, val message: String) : RequestEnding
+
+/** The caller has left; release everything that is held for the request. */
+data class Abandon(val kind: Refusal) : RequestEnding
--- /dev/null
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/stream/RequestEvent.kt
@@ -0,0 +1,86 @@
+/*
+ * What an entry observes about one request. Events of an attempt carry its number, since they can arrive after the
+ * entry has given the attempt up.
+ */
+package org.bramleyspur.traffic.stream
+
+import org.bramleyspur.core.model.Incarnation
+import org.bramleyspur.traffic.admission.LookupState
+import org.bramleyspur.traffic.admission.RefusalReason
+
+/** An input of the request state machine. */
+sealed interface RequestEvent
+
+/** An event of one attempt, named by its number. */
+sealed interface AttemptEvent : RequestEvent {
+    /** Number of the attempt, unique within the request. */
+    val attempt: Int
+}
+
+/** The attempt was handed to the connection to the agent [incarnation], which serves [version]. */
+data class AttemptSent(override val attempt: Int, val incarnation: Incarnation, val version: String = "") : AttemptEvent
+
+/** The attempt was not written to any connection; [retryAfterMs] is 0 when nothing is known. */
+data class AttemptNotStarted(override val attempt: Int, val reason: NotStartedReason, val retryAfterMs: Long = 0) :
+    AttemptEvent
+
+/** Why an attempt was not written. */
+enum class NotStartedReason {
+    /** No route fits; all have been excluded, are over their limit, or do not have the version or adapter. */
+    NO_ROUTE,
+
+    /** The retry budget is spent. */
+    NO_BUDGET,
+}
+
+/** The agent refused the attempt before it began. */
+data class AttemptRefused(override val attempt: Int, val reason: RefusalReason, val retryAfterMs: Long = 0) :
+    AttemptEvent
+
+/** The backend server has begun to run the attempt. */
+data class AttemptBegun(override val attempt: Int) : AttemptEvent
+
+/** The status line of the answer. */
+data class AttemptHead(override val attempt: Int, val status: Int) : AttemptEvent
+
+/** One token of a generation. */
+data class AttemptPiece(override val attempt: Int, val position: Int, val token: String) : AttemptEvent
+
+/** One part of a body; the entry keeps the bytes and forwards them when told to. */
+data class AttemptBody(override val attempt: Int, val last: Boolean) : AttemptEvent
+
+/** The engine's own finish of a generation; [completionTokens] counts from position 0, resumed tokens included. */
+data class AttemptEnd(
+    override val attempt: Int,
+    val finishReason: String,
+    val promptTokens: Int,
+    val completionTokens: Int,
+) : AttemptEvent
+
+/** The attempt ended without a whole answer; [failed] when the backend server itself reported a failed run. */
+data class AttemptBroken(override val attempt: Int, val failed: Boolean, val message: String = "") : AttemptEvent
+
+/** The connection ended or its keepalive was not answered; [written] when any byte of the attempt was written. */
+data class ConnectionLost(override val attempt: Int, val written: Boolean) : AttemptEvent
+
+/** The agent's answer to a cancel of the attempt. */
+data class CancelConfirmed(override val attempt: Int, val began: Boolean) : AttemptEvent
+
+/** The agent's answer to a lookup; [sameIncarnation] when it comes from the run the attempt was sent to. */
+data class LookupAnswered(override val attempt: Int, val state: LookupState, val sameIncarnation: Boolean) :
+    AttemptEvent
+
+/** A lookup got no answer. */
+data class LookupFailed(override val attempt: Int) : AttemptEvent
+
+/** The request's body is no longer held, so no further attempt can be sent. */
+data object BodyReleased : RequestEvent
+
+/** The request's deadline has passed. */
+data object DeadlinePassed : RequestEvent
+
+/** The time started by [StartGrace] has passed. */
+data object GraceEnded : RequestEvent
+
+/** The caller closed its connection. */
+data object CallerGone : RequestEvent
--- /dev/null
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/stream/RequestMachine.kt
@@ -0,0 +1,106 @@
+/*
+ * The entry's decisions for one request. The machine decides when an attempt starts, which tokens reach the caller, and
+ * how the request ends. It never orders a second begin of a non-idempotent request, delivers each position once and in
+ * order, and refuses as `not_run` only with a proof for every attempt.
+ */
+package org.bramleyspur.traffic.stream
+
+import kotlinx.collections.immutable.persistentListOf
+
+/** Accepts a request and orders its first attempt, which has the number [firstAttempt]. */
+fun acceptRequest(facts: RequestFacts, firstAttempt: Int = 1): Transition {
+    val state = RequestState(facts, persistentListOf(Attempt(firstAttempt, AttemptPhase.STARTING)))
+    return Transition(state, listOf(state.startOrder(delayMs = 0, cause = null)))
+}
+
+/** The transition that [event] causes. */
+fun RequestState.on(event: RequestEvent): Transition = when (event) {
+    is AttemptPiece -> onPiece(event)
+    is AttemptEvent -> find(event.attempt)?.let { onAttemptEvent(it, event) } ?: unchanged()
+    is BodyReleased -> copy(bodyHeld = false).unchanged()
+    is DeadlinePassed -> onDeadline()
+    is GraceEnded -> if (stage == RequestStage.CLOSING) end(DEADLINE_MESSAGE) else unchanged()
+    is CallerGone -> onCallerGone()
+}
+
+/** How the request ended, when [effect] ends it. */
+fun endingOf(effect: RequestEffect): RequestEnding? = effect as? RequestEnding
+
+private fun RequestState.onAttemptEvent(attempt: Attempt, event: AttemptEvent): Transition = when (event) {
+    is AttemptSent -> onSent(attempt, event)
+    is AttemptNotStarted -> onNotStarted(attempt, event)
+    is AttemptRefused -> onRefused(attempt, event)
+    is AttemptBegun -> onBegun(attempt)
+    is AttemptBroken -> onBroken(attempt, event)
+    is ConnectionLost -> onConnectionLost(attempt, event)
+    is CancelConfirmed -> onCancelConfirmed(attempt, event)
+    is LookupAnswered -> onLookupAnswered(attempt, event)
+    is LookupFailed -> onLookupFailed(attempt)
+    else -> onAnswerEvent(attempt, event)
+}
+
+private fun RequestState.onAnswerEvent(attempt: Attempt, event: AttemptEvent): Transition {
+    val begun = markBegun(attempt)
+    if (!begun.isAnswering(attempt.number)) return begun.followed()
+    return when (event) {
+        is AttemptHead -> begun.onHead(event)
+        is AttemptBody -> begun.onBody(event)
+        is AttemptEnd -> begun.onEnd(event)
+        else -> begun.unchanged()
+    }
+}
+
+private fun RequestState.onPiece(event: AttemptPiece): Transition {
+    if (!isAnswering(event.attempt)) {
+        val begun = find(event.attempt)?.let { markBegun(it) } ?: this
+        if (!begun.isAnswering(event.attempt)) return begun.followed()
+        return begun.onPiece(event)
+    }
+    val position = delivered.size
+    return when {
+        event.position < position -> unchanged()
+        event.position > position -> giveUpCurrent("token $position is missing from the stream")
+        headForwarded || facts.kind == RequestKind.CALL -> giveUpCurrent("a token arrived in an answer without tokens")
+        else -> deliver(event)
+    }
+}
+
+private fun RequestState.deliver(event: AttemptPiece): Transition {
+    val next = copy(
+        delivered = delivered.add(event.token),
+        version = version ?: current.version,
+        opened = opened || facts.streaming,
+    )
+    return Transition(next, listOf(DeliverToken(event.position, event.token)))
+}
+
+private fun RequestState.onHead(event: AttemptHead): Transition = when {
+    headForwarded -> unchanged()
+    facts.kind == RequestKind.GENERATION && event.status < FIRST_ERROR_STATUS -> unchanged()
+    delivered.isNotEmpty() -> giveUpCurrent("the backend server answered a resume with status ${event.status}")
+    else -> Transition(copy(opened = true, headForwarded = true), listOf(ForwardHead(event.status)))
+}
+
+private fun RequestState.onBody(event: AttemptBody): Transition = when {
+    !headForwarded -> giveUpCurrent("a body part arrived before the head of the answer")
+    event.last -> complete(ForwardBody(last = true), Finish(null, promptTokens = 0, completionTokens = 0))
+    else -> Transition(this, listOf(ForwardBody(last = false)))
+}
+
+private fun RequestState.onEnd(event: AttemptEnd): Transition {
+    val whole = facts.kind == RequestKind.GENERATION && !headForwarded && event.completionTokens == delivered.size
+    if (whole) return complete(Finish(event.finishReason, event.promptTokens, event.completionTokens))
+    return giveUpCurrent("the stream ended at token ${delivered.size} of ${event.completionTokens}")
+}
+
+private fun RequestState.complete(vararg effects: RequestEffect): Transition =
+    Transition(with(current, AttemptPhase.COMPLETE).copy(stage = RequestStage.ENDED), effects.asList())
+
+/** Whether [number] is the current attempt and its answer is awaited. */
+private fun RequestState.isAnswering(number: Int): Boolean = stage == RequestStage.RUNNING &&
+    current.number == number && current.phase == AttemptPhase.BEGUN
+
+internal fun RequestState.unchanged(): Transition = Transition(this, emptyList())
+
+private const val FIRST_ERROR_STATUS = 400
+internal const val DEADLINE_MESSAGE = "the deadline passed; allow more time or send the request when load is lower"
