--- a/bramleyspur-language/src/main/kotlin/org/bramleyspur/language/Statement.kt
+++ b/bramleyspur-language/src/main/kotlin/org/bramleyspur/language/Statement.kt
@@ -77,6 +77,9 @@
     ACCOUNTS,
     CHANGES,
     CONTROL,
+
+    /** Statements that recreate the configuration. */
+    CONFIGURATION,
 }
 
 /** Lists [subject], of one service when [service] is given. */
