Carry the backend server's address in replica members

Cause: the engines of a replica talk to each other at their own addresses. Change: Member and its wire form have the backend address.

--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/model/Assignment.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/model/Assignment.kt
@@ -2,8 +2,13 @@
 
 import kotlinx.collections.immutable.ImmutableList
 
-/** An instance of a replica and the `host:port` of its agent. */
-data class Member(val instance: InstanceName, val address: String)
+/**
+ * An instance of a replica.
+ *
+ * @property address `host:port` of the agent
+ * @property backendAddress `host:port` of the backend server
+ */
+data class Member(val instance: InstanceName, val address: String, val backendAddress: String = "")
 
 /**
  * A replica's members and what they load. The first member answers requests.
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/wire/RoutingWire.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/wire/RoutingWire.kt
@@ -41,6 +41,7 @@
     .newBuilder()
     .setInstance(instance.value)
     .setAddress(address)
+    .setBackendAddress(backendAddress)
     .build()
 
 /** Converts to the generated message. */
