Run the assignment machine against the engine and the other members

Cause: the agent needs a controller that carries out the decisions. A probe without an answer within its interval counts as missed.

--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/AssignmentController.kt
@@ -0,0 +1,227 @@
+/*
+ * Carries out the assignment machine of an agent on the control thread: probes the engine, gives it orders, asks the
+ * other members for confirmations, and tells the traffic thread when it may serve.
+ */
+package org.bramleyspur.daemon.engine
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.bramleyspur.core.model.Assignment
+import org.bramleyspur.core.model.FencingNumber
+import org.bramleyspur.core.model.InstanceName
+import org.bramleyspur.core.model.ReplicaId
+import org.bramleyspur.core.time.TimerService
+import org.bramleyspur.daemon.agent.ConfirmClient
+import org.bramleyspur.protocol.ConfirmReply
+import org.bramleyspur.protocol.ConfirmRequest
+import org.bramleyspur.traffic.agent.AgentEffect
+import org.bramleyspur.traffic.agent.AgentEvent
+import org.bramleyspur.traffic.agent.AgentReport
+import org.bramleyspur.traffic.agent.AgentState
+import org.bramleyspur.traffic.agent.ConfirmAnswer
+import org.bramleyspur.traffic.agent.EngineLoad
+import org.bramleyspur.traffic.agent.EngineState
+import org.bramleyspur.traffic.agent.OrderOutcome
+import org.bramleyspur.traffic.agent.ServingPermit
+import org.bramleyspur.traffic.agent.StopReason
+import org.bramleyspur.traffic.agent.handle
+import org.bramleyspur.traffic.agent.EngineRole as OrderedRole
+
+private val logger = KotlinLogging.logger {}
+
+/** What the assignment machine tells the rest of the agent; all calls come on the control thread. */
+interface AssignmentListener {
+    /** New work may begin, and running work go on, as [permit] says; null when nothing is served. */
+    fun onPermit(permit: ServingPermit?)
+
+    /** New work must be refused; [applied] is to be called on the control thread with the running requests. */
+    fun onRefuseNewWork(reason: String, applied: (running: Int) -> Unit)
+
+    /** Running requests must be ended as broken. */
+    fun onBroken()
+
+    /** The leader should hear of a changed report at once. */
+    fun onReportChanged()
+
+    /** The planned stop is complete. */
+    fun onStopComplete()
+}
+
+/** Runs the assignment machine of instance [self] for [engine]. */
+class AssignmentController(
+    private val self: InstanceName,
+    private val engine: OpenAiEngine,
+    private val confirmClient: ConfirmClient,
+    private val timers: TimerService,
+    private val running: () -> Int,
+    private val listener: AssignmentListener,
+) {
+    private var state = AgentState.initial(self, timers.nowMs())
+    private var permit: ServingPermit? = null
+    private var lastRefusal = 0L
+    private var nextQuestion = 0L
+    private val questions = HashMap<Long, (ConfirmAnswer) -> Unit>()
+    private val orders = HashMap<Long, () -> Unit>()
+
+    /** Slots that the engine reports. */
+    var slots = 1
+        private set
+
+    /** Starts probing the engine. */
+    fun start() {
+        timers.every(TICK_MS) { feed(AgentEvent.RunningReported(running(), lastRefusal)) }
+        timers.every(PROBE_MS) { probe() }
+        probe()
+    }
+
+    /** What the next heartbeat reports. */
+    fun report(): AgentReport = state.report(timers.nowMs())
+
+    /** Takes the leader's answer to a heartbeat sent at [sentAtMs]. */
+    fun onHeartbeatAnswered(term: Long, sentAtMs: Long, leaseMs: Long, wanted: List<Assignment>) =
+        feed(AgentEvent.HeartbeatAnswered(term, sentAtMs, leaseMs, wanted))
+
+    /** Answers the question of another agent. */
+    fun onConfirmAsked(request: ConfirmRequest, answer: (ConfirmAnswer) -> Unit) {
+        val question = nextQuestion++
+        questions[question] = answer
+        val replica = ReplicaId(request.replica)
+        val number = FencingNumber(request.fencingNumber)
+        feed(AgentEvent.ConfirmAsked(question, replica, number, request.grantMs.toLong()))
+    }
+
+    /** Begins the planned stop of this instance. */
+    fun stop() = feed(AgentEvent.PlannedStop)
+
+    private fun probe() {
+        val sentAtMs = timers.nowMs()
+        var answered = false
+        val onAnswer = { answer: BackendState? ->
+            answered = true
+            if (answer != null) slots = answer.slots
+            feed(AgentEvent.EngineProbed(sentAtMs, answer?.toEngineState()))
+        }
+        val call = engine.state(onAnswer)
+        timers.after(PROBE_MS) {
+            call.cancel()
+            if (!answered) onAnswer(null)
+        }
+    }
+
+    private fun feed(event: AgentEvent) {
+        val step = state.handle(event, timers.nowMs())
+        state = step.state
+        step.effects.forEach { execute(it) }
+        publishPermit()
+    }
+
+    private fun publishPermit() {
+        val current = state.permit()
+        if (current == permit) return
+        permit = current
+        listener.onPermit(current)
+    }
+
+    private fun execute(effect: AgentEffect) {
+        when (effect) {
+            is AgentEffect.OrderEngine -> order(effect)
+
+            is AgentEffect.AbortOrder -> orders.remove(effect.orderId)?.invoke()
+
+            is AgentEffect.AskConfirm -> ask(effect)
+
+            is AgentEffect.ReplyConfirm -> questions.remove(effect.question)?.invoke(effect.answer)
+
+            is AgentEffect.StartServing -> logger.info { "serving replica ${effect.assignment.replica}" }
+
+            is AgentEffect.RefuseNewWork -> refuseNewWork(effect)
+
+            is AgentEffect.StopServing -> stopServing(effect.reason)
+
+            AgentEffect.ReportStatus -> listener.onReportChanged()
+
+            AgentEffect.StopComplete -> listener.onStopComplete()
+        }
+    }
+
+    private fun refuseNewWork(effect: AgentEffect.RefuseNewWork) {
+        logger.info { "refusing new requests: ${effect.reason}" }
+        publishPermit()
+        listener.onRefuseNewWork(effect.reason) { running ->
+            lastRefusal = maxOf(lastRefusal, effect.number)
+            feed(AgentEvent.RunningReported(running, lastRefusal))
+        }
+    }
+
+    private fun stopServing(reason: StopReason) {
+        logger.info { "stopped serving: ${reason.name.lowercase()}" }
+        publishPermit()
+        if (reason == StopReason.BROKEN) listener.onBroken()
+    }
+
+    private fun order(effect: AgentEffect.OrderEngine) {
+        var open = true
+        val end = { outcome: OrderOutcome ->
+            if (open) {
+                open = false
+                orders.remove(effect.orderId)
+                feed(AgentEvent.OrderEnded(effect.orderId, outcome))
+            }
+        }
+        val call = engine.order(effect.toOrder()) { status, bootId -> end(outcomeOf(status, bootId)) }
+        orders[effect.orderId] = {
+            call.cancel()
+            end(OrderOutcome.Unknown)
+        }
+    }
+
+    private fun outcomeOf(status: Int?, bootId: String): OrderOutcome = when {
+        status == null -> OrderOutcome.Unknown
+        status == OK -> OrderOutcome.Accepted(bootId)
+        else -> OrderOutcome.Refused("the engine refused the order with status $status")
+    }
+
+    private fun AgentEffect.OrderEngine.toOrder(): EngineOrder {
+        val members = assignment?.members.orEmpty()
+        return EngineOrder(
+            orderId = "$self/$orderId",
+            fencingNumber = fencingNumber.value,
+            replica = assignment?.replica?.value.orEmpty(),
+            role = EngineRole.valueOf(role.name),
+            rank = members.indexOfFirst { it.instance == self }.coerceAtLeast(0),
+            model = assignment?.model.orEmpty(),
+            version = assignment?.version.orEmpty(),
+            adapters = assignment?.adapters.orEmpty(),
+            members = members.map { it.backendAddress },
+        )
+    }
+
+    private fun ask(effect: AgentEffect.AskConfirm) {
+        val request =
+            ConfirmRequest
+                .newBuilder()
+                .setReplica(effect.replica.value)
+                .setFencingNumber(effect.fencingNumber.value)
+                .setSequence(effect.sequence)
+                .setGrantMs(effect.grantMs.toInt())
+                .build()
+        confirmClient.ask(effect.member.address, request) { reply ->
+            feed(AgentEvent.ConfirmAnswered(effect.member.instance, reply.sequence, reply.toAnswer()))
+        }
+    }
+
+    private companion object {
+        const val TICK_MS = 50L
+        const val PROBE_MS = 250L
+        const val OK = 200
+    }
+}
+
+private fun ConfirmReply.toAnswer() = ConfirmAnswer(confirmed, leaving, reason)
+
+private fun BackendState.toEngineState() = EngineState(
+    bootId = bootId,
+    role = OrderedRole.valueOf(role.name),
+    load = EngineLoad.entries.firstOrNull { it.name.equals(state, ignoreCase = true) } ?: EngineLoad.IDLE,
+    replica = replica.ifEmpty { null }?.let { ReplicaId(it) },
+    fencingNumber = FencingNumber(fencingNumber),
+)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/OpenAiEngine.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/OpenAiEngine.kt
@@ -42,11 +42,11 @@
         return EngineCall { cancel(request.id, call) }
     }
 
-    /** Gives [order]; [onAnswer] gets the HTTP status, or null when the engine gave no answer. */
-    fun order(order: EngineOrder, onAnswer: (Int?) -> Unit) {
+    /** Gives [order]; [onAnswer] gets the HTTP status, null when there was no answer, and the engine's boot id. */
+    fun order(order: EngineOrder, onAnswer: (Int?, String) -> Unit): HttpCall {
         val head = post("/admin/orders")
         val body = engineJson.encodeToString(EngineOrder.serializer(), order)
-        http(head, withBody(head, body), true, WholeBody { status, _ -> onAnswer(status) })
+        return http(head, withBody(head, body), true, WholeBody { status, answer -> onAnswer(status, bootId(answer)) })
     }
 
     /** Asks for the state of the backend server; [onAnswer] gets null when it gave none. */
@@ -70,6 +70,12 @@
         null
     }
 
+    private fun bootId(body: String): String = try {
+        engineJson.decodeFromString(BackendState.serializer(), body).bootId
+    } catch (_: SerializationException) {
+        ""
+    }
+
     private fun post(path: String): HttpRequest {
         val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, path)
         head.headers().set(HttpHeaderNames.HOST, address.toString())
