--- /dev/null
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/StatusView.kt
@@ -0,0 +1,38 @@
+package org.bramleyspur.log
+
+import org.bramleyspur.log.consensus.Candidate
+import org.bramleyspur.log.consensus.ConsensusState
+import org.bramleyspur.log.consensus.Follower
+import org.bramleyspur.log.consensus.Leader
+import org.bramleyspur.log.consensus.Leading
+import org.bramleyspur.log.consensus.PreCandidate
+
+internal fun logStatus(state: ConsensusState, leader: Leader?, appliedIndex: Long) = LogStatus(
+    memberId = state.self,
+    term = state.term,
+    role = memberRole(state),
+    leader = leader,
+    lastIndex = state.log.lastIndex,
+    commitIndex = state.commit,
+    appliedIndex = appliedIndex,
+    snapshotIndex = state.snapshot?.index ?: 0,
+    members = members(state),
+)
+
+private fun memberRole(state: ConsensusState): MemberRole = when (state.role) {
+    is Leading -> MemberRole.LEADER
+    is Candidate, is PreCandidate -> MemberRole.CANDIDATE
+    is Follower -> if (state.self in state.membership.voters) MemberRole.FOLLOWER else MemberRole.LEARNER
+}
+
+private fun members(state: ConsensusState): List<MemberStatus> {
+    val membership = state.membership
+    val all = membership.voters + membership.learners
+    return all.map { (id, address) -> MemberStatus(id, address, id in membership.voters, lag(state, id)) }
+}
+
+private fun lag(state: ConsensusState, id: String): Long? {
+    val leading = state.role as? Leading ?: return null
+    val synced = if (id == state.self) state.syncedIndex else leading.progress[id]?.matchIndex
+    return synced?.let { state.log.lastIndex - it }
+}
--- /dev/null
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/StorageQueue.kt
@@ -0,0 +1,78 @@
+package org.bramleyspur.log
+
+import org.bramleyspur.log.consensus.Persist
+import org.bramleyspur.log.consensus.Snapshot
+import org.bramleyspur.log.storage.LogStorage
+import org.bramleyspur.log.storage.StorageError
+import org.bramleyspur.log.storage.StorageFailure
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.Executor
+
+private sealed interface StorageTask
+
+private class WriteTask(val write: Persist) : StorageTask
+
+private class SnapshotTask(val snapshot: Snapshot, val keepFrom: Long) : StorageTask
+
+/**
+ * Runs storage operations in order on the storage thread. Writes that have gathered while the thread was busy share
+ * one sync.
+ *
+ * @property onSynced receives the sequence up to which everything is synced, on the control thread
+ * @property onSnapshotSaved receives a synced snapshot, on the control thread
+ * @property onFailure receives the failure of the storage, on the control thread; nothing is written afterwards
+ */
+internal class StorageQueue(
+    private val storage: LogStorage,
+    private val storageThread: Executor,
+    private val control: Executor,
+    private val onSynced: (Long) -> Unit,
+    private val onSnapshotSaved: (Snapshot) -> Unit,
+    private val onFailure: (StorageError) -> Unit,
+) {
+    private val tasks = ConcurrentLinkedQueue<StorageTask>()
+    private var failed = false
+
+    fun write(write: Persist) = add(WriteTask(write))
+
+    fun saveSnapshot(snapshot: Snapshot, keepFrom: Long) = add(SnapshotTask(snapshot, keepFrom))
+
+    fun close() = storageThread.execute { storage.close() }
+
+    private fun add(task: StorageTask) {
+        tasks += task
+        storageThread.execute { runAll() }
+    }
+
+    private fun runAll() {
+        if (failed) return
+        try {
+            val writes = ArrayList<Persist>()
+            while (true) {
+                val task = tasks.poll() ?: break
+                if (task is WriteTask) writes += task.write
+                if (task is SnapshotTask) {
+                    flush(writes)
+                    save(task)
+                }
+            }
+            flush(writes)
+        } catch (e: StorageFailure) {
+            failed = true
+            control.execute { onFailure(e.error) }
+        }
+    }
+
+    private fun flush(writes: ArrayList<Persist>) {
+        if (writes.isEmpty()) return
+        storage.persist(writes)
+        val sequence = writes.last().sequence
+        writes.clear()
+        control.execute { onSynced(sequence) }
+    }
+
+    private fun save(task: SnapshotTask) {
+        storage.saveSnapshot(task.snapshot, task.keepFrom)
+        control.execute { onSnapshotSaved(task.snapshot) }
+    }
+}
--- /dev/null
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/ReplicatedLogTest.kt
@@ -0,0 +1,114 @@
+package org.bramleyspur.log
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
+import org.bramleyspur.log.consensus.MembershipChange
+import org.bramleyspur.log.consensus.ProposeError
+import org.bramleyspur.log.storage.FirstStart
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+/** Guards the ordinary life of a log: elections, commits, restarts, snapshots and changes of the membership. */
+class ReplicatedLogTest {
+    private fun Cluster.commit(count: Int) {
+        val target = rules.acknowledgedCount + count
+        repeat(count) { propose(awaitLeader(), "c$target-$it") }
+        runUntil("$count commits") { rules.acknowledgedCount >= target }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = [1, 3, 5, 7])
+    fun `commits on every member and keeps the entries over a restart of all`(size: Int) {
+        val cluster = Cluster(size, seed = 1)
+        cluster.commit(50)
+        cluster.nodes.forEach { it.crash(Tear.DROP, restartMs = 100) }
+        cluster.run(200)
+        cluster.commit(1)
+        cluster.run(500)
+        cluster.rules.checkConverged()
+        expectThat(cluster.nodes.map { it.log!!.memberId }).isEqualTo(List(size) { "m$it" })
+    }
+
+    @Test
+    fun `a follower refuses proposals and names the leader`() {
+        val cluster = Cluster(3, seed = 2)
+        val leader = cluster.awaitLeader()
+        cluster.run(200)
+        var result: Result<Long, ProposeError>? = null
+        cluster.nodes.first { it !== leader }.log!!.propose(ByteArray(1)) { result = it }
+        cluster.run(50)
+        expectThat(result!!.getError()).isA<ProposeError.NotLeader>().get { this.leader?.address }
+            .isEqualTo(leader.address)
+    }
+
+    @Test
+    fun `proposals of a leader that is cut off end as unknown`() {
+        val cluster = Cluster(3, seed = 3)
+        val leader = cluster.awaitLeader()
+        cluster.isolate(leader)
+        var result: Result<Long, ProposeError>? = null
+        leader.log!!.propose(ByteArray(1)) { result = it }
+        cluster.run(3_000)
+        expectThat(result!!.getError()).isEqualTo(ProposeError.OutcomeUnknown)
+        expectThat(cluster.awaitLeader()).isNotEqualTo(leader)
+    }
+
+    @Test
+    fun `a member that missed compacted entries gets the snapshot, and resumes when chunks are lost`() {
+        val cluster = Cluster(3, seed = 4)
+        val behind = cluster.nodes.first { it !== cluster.awaitLeader() }
+        behind.crash(Tear.DROP, restartMs = null)
+        cluster.commit(100)
+        cluster.links.lossPercent = 20
+        behind.start(FirstStart.Join)
+        cluster.runUntil("caught up", limitMs = 30_000) { behind.applied == cluster.leader()?.applied }
+        expectThat(behind.log!!.status().snapshotIndex >= 80).isTrue()
+    }
+
+    @Test
+    fun `an emptied disk comes back under a new id and replaces the old one`() {
+        val cluster = Cluster(3, seed = 5)
+        cluster.commit(60)
+        val emptied = cluster.nodes.first { it !== cluster.leader() }
+        val oldId = emptied.log!!.memberId
+        emptied.emptyDisk(restartMs = 100)
+        cluster.run(3_000)
+        expectThat(emptied.log!!.status().role).isEqualTo(MemberRole.LEARNER)
+        cluster.heal()
+        expectThat(emptied.log!!.memberId).isNotEqualTo(oldId)
+        cluster.commit(1)
+        cluster.run(500)
+        cluster.rules.checkConverged()
+    }
+
+    @Test
+    fun `membership changes are refused when they do not fit, and a removed leader hands over`() {
+        val cluster = Cluster(3, seed = 6)
+        val leader = cluster.awaitLeader()
+        val id = leader.log!!.memberId
+        val results = mutableListOf<ProposeError?>()
+        val changes = listOf(
+            MembershipChange.Promote("x"),
+            MembershipChange.Remove("x"),
+            MembershipChange.AddLearner(id, "h9:1"),
+            MembershipChange.AddLearner("a b", "h9:1"),
+            MembershipChange.AddLearner("x", "h9:1", replaces = "y"),
+            MembershipChange.Remove(id),
+            MembershipChange.AddLearner("x", "h9:1"),
+        )
+        changes.forEach { change -> leader.log!!.changeMembership(change) { results += it.getError() } }
+        cluster.run(1_500)
+        repeat(5) { expectThat(results[it]).isA<ProposeError.InvalidChange>() }
+        expectThat(results[5]).isEqualTo(ProposeError.ChangeInProgress)
+        expectThat(results[6]).isNull()
+        expectThat(cluster.awaitLeader()).isNotEqualTo(leader)
+        expectThat(cluster.awaitLeader().log!!.status().members.size).isEqualTo(2)
+    }
+}
