--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Execute.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Execute.java
@@ -116,7 +116,7 @@
     java.lang.String[] descriptorData = {
       "\n\031bramleyspur/execute.proto\022\013bramleyspur" +
       "\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"" +
-      "\321\003\n\005Start\022\017\n\007request\030\001 \001(\t\022\017\n\007attempt\030\002 " +
+      "\364\003\n\005Start\022\017\n\007request\030\001 \001(\t\022\017\n\007attempt\030\002 " +
       "\001(\r\022\017\n\007service\030\003 \001(\t\022\017\n\007replica\030\004 \001(\t\022\026\n" +
       "\016fencing_number\030\005 \001(\004\022\023\n\013incarnation\030\006 \001" +
       "(\t\022\017\n\007account\030\007 \001(\t\022\016\n\006weight\030\010 \001(\r\022\020\n\010p" +
@@ -127,53 +127,54 @@
       "der\022\014\n\004body\030\021 \001(\014\022\025\n\rbody_complete\030\022 \001(\010" +
       "\022\027\n\017resume_position\030\023 \001(\r\022\025\n\rresume_toke" +
       "ns\030\024 \003(\t\022\027\n\017idempotency_key\030\025 \001(\t\022\017\n\007ver" +
-      "sion\030\026 \001(\t\022\017\n\007adapter\030\027 \001(\t\"&\n\010BodyPart\022" +
-      "\014\n\004data\030\001 \001(\014\022\014\n\004last\030\002 \001(\010\"\030\n\006Cancel\022\016\n" +
-      "\006reason\030\001 \001(\t\"\213\001\n\016ExecuteRequest\022#\n\005star" +
-      "t\030\001 \001(\0132\022.bramleyspur.StartH\000\022%\n\004body\030\002 " +
-      "\001(\0132\025.bramleyspur.BodyPartH\000\022%\n\006cancel\030\003" +
-      " \001(\0132\023.bramleyspur.CancelH\000B\006\n\004kind\"i\n\nL" +
-      "oadReport\022\017\n\007running\030\001 \001(\r\022\016\n\006queued\030\002 \001" +
-      "(\r\022\r\n\005slots\030\003 \001(\r\022\031\n\021predicted_wait_ms\030\004" +
-      " \001(\r\022\020\n\010received\030\005 \001(\004\"\331\001\n\007Refused\022+\n\006re" +
-      "ason\030\001 \001(\0162\033.bramleyspur.Refused.Reason\022" +
-      "\026\n\016retry_after_ms\030\002 \001(\r\022\017\n\007message\030\003 \001(\t" +
-      "\"x\n\006Reason\022\017\n\013NOT_SERVING\020\000\022\016\n\nQUEUE_FUL" +
-      "L\020\001\022\013\n\007EXPIRED\020\002\022\025\n\021WRONG_INCARNATION\020\003\022" +
-      "\013\n\007LEAVING\020\004\022\r\n\tCANCELLED\020\005\022\r\n\tDUPLICATE" +
-      "\020\006\"\007\n\005Begun\"<\n\004Head\022\016\n\006status\030\001 \001(\r\022$\n\007h" +
-      "eaders\030\002 \003(\0132\023.bramleyspur.Header\"(\n\005Pie" +
-      "ce\022\020\n\010position\030\001 \001(\r\022\r\n\005token\030\002 \001(\t\"+\n\010R" +
-      "ejected\022\016\n\006status\030\001 \001(\r\022\017\n\007message\030\002 \001(\t" +
-      "\"N\n\003End\022\025\n\rfinish_reason\030\001 \001(\t\022\025\n\rprompt" +
-      "_tokens\030\002 \001(\r\022\031\n\021completion_tokens\030\003 \001(\r" +
-      "\")\n\006Broken\022\017\n\007message\030\001 \001(\t\022\016\n\006failed\030\002 " +
-      "\001(\010\"\376\002\n\014ExecuteEvent\022\017\n\007attempt\030\001 \001(\r\022%\n" +
-      "\004load\030\002 \001(\0132\027.bramleyspur.LoadReport\022\'\n\007" +
-      "refused\030\003 \001(\0132\024.bramleyspur.RefusedH\000\022#\n" +
-      "\005begun\030\004 \001(\0132\022.bramleyspur.BegunH\000\022!\n\004he" +
-      "ad\030\005 \001(\0132\021.bramleyspur.HeadH\000\022#\n\005piece\030\006" +
-      " \001(\0132\022.bramleyspur.PieceH\000\022%\n\004body\030\007 \001(\013" +
-      "2\025.bramleyspur.BodyPartH\000\022\037\n\003end\030\010 \001(\0132\020" +
-      ".bramleyspur.EndH\000\022%\n\006broken\030\t \001(\0132\023.bra" +
-      "mleyspur.BrokenH\000\022)\n\010rejected\030\n \001(\0132\025.br" +
-      "amleyspur.RejectedH\000B\006\n\004kind\"A\n\rLookupRe" +
-      "quest\022\017\n\007request\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022" +
-      "\016\n\006cancel\030\003 \001(\010\"\201\001\n\013LookupReply\022-\n\005state" +
-      "\030\001 \001(\0162\036.bramleyspur.LookupReply.State\022\023" +
-      "\n\013incarnation\030\002 \001(\t\".\n\005State\022\r\n\tNOT_BEGU" +
-      "N\020\000\022\013\n\007RUNNING\020\001\022\t\n\005ENDED\020\002\"]\n\016ConfirmRe" +
-      "quest\022\017\n\007replica\030\001 \001(\t\022\026\n\016fencing_number" +
-      "\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\020\n\010grant_ms\030\004 \001" +
-      "(\r\"T\n\014ConfirmReply\022\021\n\tconfirmed\030\001 \001(\010\022\020\n" +
-      "\010sequence\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t\022\017\n\007leavi" +
-      "ng\030\004 \001(\0102\330\001\n\014AgentService\022E\n\007Execute\022\033.b" +
-      "ramleyspur.ExecuteRequest\032\031.bramleyspur." +
-      "ExecuteEvent(\0010\001\022>\n\006Lookup\022\032.bramleyspur" +
-      ".LookupRequest\032\030.bramleyspur.LookupReply" +
-      "\022A\n\007Confirm\022\033.bramleyspur.ConfirmRequest" +
-      "\032\031.bramleyspur.ConfirmReplyB\034\n\030org.braml" +
-      "eyspur.protocolP\001b\006proto3"
+      "sion\030\026 \001(\t\022\017\n\007adapter\030\027 \001(\t\022\r\n\005entry\030\030 \001" +
+      "(\t\022\022\n\nsent_at_ms\030\031 \001(\004\"&\n\010BodyPart\022\014\n\004da" +
+      "ta\030\001 \001(\014\022\014\n\004last\030\002 \001(\010\"\030\n\006Cancel\022\016\n\006reas" +
+      "on\030\001 \001(\t\"\213\001\n\016ExecuteRequest\022#\n\005start\030\001 \001" +
+      "(\0132\022.bramleyspur.StartH\000\022%\n\004body\030\002 \001(\0132\025" +
+      ".bramleyspur.BodyPartH\000\022%\n\006cancel\030\003 \001(\0132" +
+      "\023.bramleyspur.CancelH\000B\006\n\004kind\"i\n\nLoadRe" +
+      "port\022\017\n\007running\030\001 \001(\r\022\016\n\006queued\030\002 \001(\r\022\r\n" +
+      "\005slots\030\003 \001(\r\022\031\n\021predicted_wait_ms\030\004 \001(\r\022" +
+      "\020\n\010received\030\005 \001(\004\"\331\001\n\007Refused\022+\n\006reason\030" +
+      "\001 \001(\0162\033.bramleyspur.Refused.Reason\022\026\n\016re" +
+      "try_after_ms\030\002 \001(\r\022\017\n\007message\030\003 \001(\t\"x\n\006R" +
+      "eason\022\017\n\013NOT_SERVING\020\000\022\016\n\nQUEUE_FULL\020\001\022\013" +
+      "\n\007EXPIRED\020\002\022\025\n\021WRONG_INCARNATION\020\003\022\013\n\007LE" +
+      "AVING\020\004\022\r\n\tCANCELLED\020\005\022\r\n\tDUPLICATE\020\006\"\007\n" +
+      "\005Begun\"<\n\004Head\022\016\n\006status\030\001 \001(\r\022$\n\007header" +
+      "s\030\002 \003(\0132\023.bramleyspur.Header\"(\n\005Piece\022\020\n" +
+      "\010position\030\001 \001(\r\022\r\n\005token\030\002 \001(\t\"+\n\010Reject" +
+      "ed\022\016\n\006status\030\001 \001(\r\022\017\n\007message\030\002 \001(\t\"N\n\003E" +
+      "nd\022\025\n\rfinish_reason\030\001 \001(\t\022\025\n\rprompt_toke" +
+      "ns\030\002 \001(\r\022\031\n\021completion_tokens\030\003 \001(\r\")\n\006B" +
+      "roken\022\017\n\007message\030\001 \001(\t\022\016\n\006failed\030\002 \001(\010\"\376" +
+      "\002\n\014ExecuteEvent\022\017\n\007attempt\030\001 \001(\r\022%\n\004load" +
+      "\030\002 \001(\0132\027.bramleyspur.LoadReport\022\'\n\007refus" +
+      "ed\030\003 \001(\0132\024.bramleyspur.RefusedH\000\022#\n\005begu" +
+      "n\030\004 \001(\0132\022.bramleyspur.BegunH\000\022!\n\004head\030\005 " +
+      "\001(\0132\021.bramleyspur.HeadH\000\022#\n\005piece\030\006 \001(\0132" +
+      "\022.bramleyspur.PieceH\000\022%\n\004body\030\007 \001(\0132\025.br" +
+      "amleyspur.BodyPartH\000\022\037\n\003end\030\010 \001(\0132\020.bram" +
+      "leyspur.EndH\000\022%\n\006broken\030\t \001(\0132\023.bramleys" +
+      "pur.BrokenH\000\022)\n\010rejected\030\n \001(\0132\025.bramley" +
+      "spur.RejectedH\000B\006\n\004kind\"A\n\rLookupRequest" +
+      "\022\017\n\007request\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\016\n\006ca" +
+      "ncel\030\003 \001(\010\"\201\001\n\013LookupReply\022-\n\005state\030\001 \001(" +
+      "\0162\036.bramleyspur.LookupReply.State\022\023\n\013inc" +
+      "arnation\030\002 \001(\t\".\n\005State\022\r\n\tNOT_BEGUN\020\000\022\013" +
+      "\n\007RUNNING\020\001\022\t\n\005ENDED\020\002\"]\n\016ConfirmRequest" +
+      "\022\017\n\007replica\030\001 \001(\t\022\026\n\016fencing_number\030\002 \001(" +
+      "\004\022\020\n\010sequence\030\003 \001(\004\022\020\n\010grant_ms\030\004 \001(\r\"T\n" +
+      "\014ConfirmReply\022\021\n\tconfirmed\030\001 \001(\010\022\020\n\010sequ" +
+      "ence\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t\022\017\n\007leaving\030\004 " +
+      "\001(\0102\330\001\n\014AgentService\022E\n\007Execute\022\033.bramle" +
+      "yspur.ExecuteRequest\032\031.bramleyspur.Execu" +
+      "teEvent(\0010\001\022>\n\006Lookup\022\032.bramleyspur.Look" +
+      "upRequest\032\030.bramleyspur.LookupReply\022A\n\007C" +
+      "onfirm\022\033.bramleyspur.ConfirmRequest\032\031.br" +
+      "amleyspur.ConfirmReplyB\034\n\030org.bramleyspu" +
+      "r.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -190,7 +191,7 @@
     internal_static_bramleyspur_Start_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_Start_descriptor,
-        new java.lang.String[] { "Request", "Attempt", "Service", "Replica", "FencingNumber", "Incarnation", "Account", "Weight", "Priority", "PatienceMs", "TimeoutMs", "Idempotent", "Traceparent", "Method", "Path", "Headers", "Body", "BodyComplete", "ResumePosition", "ResumeTokens", "IdempotencyKey", "Version", "Adapter", });
+        new java.lang.String[] { "Request", "Attempt", "Service", "Replica", "FencingNumber", "Incarnation", "Account", "Weight", "Priority", "PatienceMs", "TimeoutMs", "Idempotent", "Traceparent", "Method", "Path", "Headers", "Body", "BodyComplete", "ResumePosition", "ResumeTokens", "IdempotencyKey", "Version", "Adapter", "Entry", "SentAtMs", });
     internal_static_bramleyspur_BodyPart_descriptor =
       getDescriptor().getMessageTypes().get(2);
     internal_static_bramleyspur_BodyPart_fieldAccessorTable = new
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Start.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Start.java
@@ -32,6 +32,7 @@
     idempotencyKey_ = "";
     version_ = "";
     adapter_ = "";
+    entry_ = "";
   }
 
   @java.lang.Override
@@ -707,6 +708,66 @@
     }
   }
 
+  public static final int ENTRY_FIELD_NUMBER = 24;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object entry_ = "";
+  /**
+   * <pre>
+   * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
+   * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+   * </pre>
+   *
+   * <code>string entry = 24;</code>
+   * @return The entry.
+   */
+  @java.lang.Override
+  public java.lang.String getEntry() {
+    java.lang.Object ref = entry_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      entry_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
+   * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+   * </pre>
+   *
+   * <code>string entry = 24;</code>
+   * @return The bytes for entry.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getEntryBytes() {
+    java.lang.Object ref = entry_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      entry_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int SENT_AT_MS_FIELD_NUMBER = 25;
+  private long sentAtMs_ = 0L;
+  /**
+   * <code>uint64 sent_at_ms = 25;</code>
+   * @return The sentAtMs.
+   */
+  @java.lang.Override
+  public long getSentAtMs() {
+    return sentAtMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -790,6 +851,12 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(adapter_)) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 23, adapter_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(entry_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 24, entry_);
+    }
+    if (sentAtMs_ != 0L) {
+      output.writeUInt64(25, sentAtMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -884,6 +951,13 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(adapter_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(23, adapter_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(entry_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(24, entry_);
+    }
+    if (sentAtMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(25, sentAtMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -945,6 +1019,10 @@
         .equals(other.getVersion())) return false;
     if (!getAdapter()
         .equals(other.getAdapter())) return false;
+    if (!getEntry()
+        .equals(other.getEntry())) return false;
+    if (getSentAtMs()
+        != other.getSentAtMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1009,6 +1087,11 @@
     hash = (53 * hash) + getVersion().hashCode();
     hash = (37 * hash) + ADAPTER_FIELD_NUMBER;
     hash = (53 * hash) + getAdapter().hashCode();
+    hash = (37 * hash) + ENTRY_FIELD_NUMBER;
+    hash = (53 * hash) + getEntry().hashCode();
+    hash = (37 * hash) + SENT_AT_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSentAtMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1170,6 +1253,8 @@
       idempotencyKey_ = "";
       version_ = "";
       adapter_ = "";
+      entry_ = "";
+      sentAtMs_ = 0L;
       return this;
     }
 
@@ -1283,6 +1368,12 @@
       if (((from_bitField0_ & 0x00400000) != 0)) {
         result.adapter_ = adapter_;
       }
+      if (((from_bitField0_ & 0x00800000) != 0)) {
+        result.entry_ = entry_;
+      }
+      if (((from_bitField0_ & 0x01000000) != 0)) {
+        result.sentAtMs_ = sentAtMs_;
+      }
     }
 
     @java.lang.Override
@@ -1450,6 +1541,14 @@
         bitField0_ |= 0x00400000;
         onChanged();
       }
+      if (!other.getEntry().isEmpty()) {
+        entry_ = other.entry_;
+        bitField0_ |= 0x00800000;
+        onChanged();
+      }
+      if (other.getSentAtMs() != 0L) {
+        setSentAtMs(other.getSentAtMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1600,6 +1699,16 @@
               bitField0_ |= 0x00400000;
               break;
             } // case 186
+            case 194: {
+              entry_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00800000;
+              break;
+            } // case 194
+            case 200: {
+              sentAtMs_ = input.readUInt64();
+              bitField0_ |= 0x01000000;
+              break;
+            } // case 200
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3175,6 +3284,135 @@
       onChanged();
       return this;
     }
+
+    private java.lang.Object entry_ = "";
+    /**
+     * <pre>
+     * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
+     * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+     * </pre>
+     *
+     * <code>string entry = 24;</code>
+     * @return The entry.
+     */
+    public java.lang.String getEntry() {
+      java.lang.Object ref = entry_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        entry_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
+     * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+     * </pre>
+     *
+     * <code>string entry = 24;</code>
+     * @return The bytes for entry.
+     */
+    public com.google.protobuf.ByteString
+        getEntryBytes() {
+      java.lang.Object ref = entry_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        entry_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
+     * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+     * </pre>
+     *
+     * <code>string entry = 24;</code>
+     * @param value The entry to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntry(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      entry_ = value;
+      bitField0_ |= 0x00800000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
+     * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+     * </pre>
+     *
+     * <code>string entry = 24;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntry() {
+      entry_ = getDefaultInstance().getEntry();
+      bitField0_ = (bitField0_ & ~0x00800000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
+     * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+     * </pre>
+     *
+     * <code>string entry = 24;</code>
+     * @param value The bytes for entry to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntryBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      entry_ = value;
+      bitField0_ |= 0x00800000;
+      onChanged();
+      return this;
+    }
+
+    private long sentAtMs_ ;
+    /**
+     * <code>uint64 sent_at_ms = 25;</code>
+     * @return The sentAtMs.
+     */
+    @java.lang.Override
+    public long getSentAtMs() {
+      return sentAtMs_;
+    }
+    /**
+     * <code>uint64 sent_at_ms = 25;</code>
+     * @param value The sentAtMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentAtMs(long value) {
+
+      sentAtMs_ = value;
+      bitField0_ |= 0x01000000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 sent_at_ms = 25;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentAtMs() {
+      bitField0_ = (bitField0_ & ~0x01000000);
+      sentAtMs_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StartOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StartOrBuilder.java
@@ -284,4 +284,32 @@
    */
   com.google.protobuf.ByteString
       getAdapterBytes();
+
+  /**
+   * <pre>
+   * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
+   * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+   * </pre>
+   *
+   * <code>string entry = 24;</code>
+   * @return The entry.
+   */
+  java.lang.String getEntry();
+  /**
+   * <pre>
+   * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
+   * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+   * </pre>
+   *
+   * <code>string entry = 24;</code>
+   * @return The bytes for entry.
+   */
+  com.google.protobuf.ByteString
+      getEntryBytes();
+
+  /**
+   * <code>uint64 sent_at_ms = 25;</code>
+   * @return The sentAtMs.
+   */
+  long getSentAtMs();
 }
