--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryHandler.kt
@@ -0,0 +1,127 @@
+/*
+ * Admission of callers' requests: who calls, which service is meant, and whether the entry may take the request now.
+ */
+package org.bramleyspur.daemon.caller.request
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.bramleyspur.core.model.Account
+import org.bramleyspur.core.model.RequestId
+import org.bramleyspur.core.model.Service
+import org.bramleyspur.core.model.ServiceKind
+import org.bramleyspur.daemon.caller.AnsweredRequest
+import org.bramleyspur.daemon.caller.CallerError
+import org.bramleyspur.daemon.caller.CallerExchange
+import org.bramleyspur.daemon.caller.CallerHead
+import org.bramleyspur.daemon.caller.CallerRequest
+import org.bramleyspur.daemon.caller.ModelEndpoint
+import org.bramleyspur.daemon.caller.respond
+import java.util.UUID
+
+/** Begins the requests of callers; used by the traffic thread only. */
+class EntryHandler(private val entry: EntryServices, private val claims: ClaimClient) {
+    /** Limits of the accounts at this entry. */
+    val limiter = AccountLimiter()
+
+    /** Begins a request. */
+    fun begin(head: CallerHead, exchange: CallerExchange): CallerRequest {
+        val path = head.path.substringBefore('?')
+        val endpoint = ModelEndpoint.entries.firstOrNull { it.path == path }
+        return when {
+            path == "/v1/models" -> listModels(head, exchange)
+            endpoint != null -> beginModel(endpoint, head, exchange)
+            else -> beginPlain(path, head, exchange)
+        }
+    }
+
+    /** The account whose key [head] carries. */
+    internal fun accountOf(head: CallerHead): Result<Account, CallerError> {
+        val value = head.headers[HttpHeaderNames.AUTHORIZATION].orEmpty()
+        val key = if (value.startsWith(BEARER, ignoreCase = true)) value.substring(BEARER.length).trim() else ""
+        val account = entry.view().accountOf(key)
+        return if (account == null) Err(CallerError.unauthorized()) else Ok(account)
+    }
+
+    /** Admits a request of [account] for [service], or says why not; nothing has run when it is refused. */
+    internal fun admit(account: Account, service: Service, head: CallerHead): Result<RequestScope, CallerError> {
+        val view = entry.view()
+        if (account.name !in service.accounts) return Err(CallerError.forbidden(service.name))
+        if (entry.timers.nowMs() >= view.leaseUntilMs) return Err(unconfirmed())
+        if (!limiter.allows(account, view.shares[account.name])) {
+            return Err(CallerError.overLimit(LIMIT_RETRY_MS))
+        }
+        val id = RequestId(UUID.randomUUID().toString())
+        val span = entry.tracing.start("entry", head.headers["traceparent"].orEmpty())
+        span.attribute("bramleyspur.request", id.value)
+        span.attribute("bramleyspur.service", service.name)
+        return Ok(RequestScope(id, account, service, entry, limiter, span))
+    }
+
+    private fun unconfirmed(): CallerError = CallerError(
+        status = 503,
+        type = "overloaded_error",
+        code = "configuration_unconfirmed",
+        message = "this entry cannot confirm its configuration; send the request again, if possible to another entry",
+        retryAfterMs = LIMIT_RETRY_MS,
+    )
+
+    private fun beginModel(endpoint: ModelEndpoint, head: CallerHead, exchange: CallerExchange): CallerRequest {
+        if (head.method != HttpMethod.POST) {
+            val error = CallerError.invalid("${endpoint.path} takes POST only", METHOD_NOT_ALLOWED)
+            return answered(exchange, error)
+        }
+        val account = accountOf(head).getOrElse { return answered(exchange, it) }
+        return ModelCall(this, entry, claims, endpoint, head, account, exchange)
+    }
+
+    private fun beginPlain(path: String, head: CallerHead, exchange: CallerExchange): CallerRequest {
+        val account = accountOf(head).getOrElse { return answered(exchange, it) }
+        val name = path.removePrefix("/").substringBefore('/')
+        val service = entry.view().service(name)?.takeIf { it.kind == ServiceKind.PLAIN }
+            ?: return answered(exchange, CallerError.notFound("the path '/$name'"))
+        val scope = admit(account, service, head).getOrElse { return answered(exchange, it) }
+        return beginPlainCall(entry, claims, scope, head, exchange)
+    }
+
+    private fun listModels(head: CallerHead, exchange: CallerExchange): CallerRequest {
+        val account = accountOf(head).getOrElse { return answered(exchange, it) }
+        val services = entry.view().configuration.services.values
+            .filter { it.kind == ServiceKind.MODEL && account.name in it.accounts }
+            .sortedBy { it.name }
+        val names = services.flatMap { service ->
+            listOf(service.name) + service.adapters.map { "${service.name}:$it" }
+        }
+        val body = JsonObject(mapOf("object" to JsonPrimitive("list"), "data" to JsonArray(names.map { modelOf(it) })))
+        exchange.respond(OK, listOf("Content-Type" to "application/json"), body.toString().toByteArray())
+        return AnsweredRequest
+    }
+
+    private fun modelOf(name: String) = JsonObject(
+        mapOf(
+            "id" to JsonPrimitive(name),
+            "object" to JsonPrimitive("model"),
+            "created" to JsonPrimitive(0),
+            "owned_by" to JsonPrimitive("bramleyspur"),
+        ),
+    )
+
+    private companion object {
+        const val BEARER = "Bearer "
+        const val OK = 200
+        const val METHOD_NOT_ALLOWED = 405
+        const val LIMIT_RETRY_MS = 1_000L
+    }
+}
+
+/** Answers with [error] and ignores the rest of the request. */
+internal fun answered(exchange: CallerExchange, error: CallerError): CallerRequest {
+    exchange.respond(error)
+    return AnsweredRequest
+}
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryView.kt
@@ -0,0 +1,44 @@
+/*
+ * What an entry's traffic thread knows of the deployment. The control thread hands over immutable snapshots.
+ */
+package org.bramleyspur.daemon.caller.request
+
+import org.bramleyspur.core.model.Account
+import org.bramleyspur.core.model.Configuration
+import org.bramleyspur.core.model.Route
+import org.bramleyspur.core.model.RouteTable
+import org.bramleyspur.core.model.Service
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/**
+ * Configuration and routes as of one moment.
+ *
+ * @property leaseUntilMs monotonic time until which new requests may be admitted under [configuration]
+ * @property shares leased limits of concurrent requests for each account with a limit
+ * @property stopping whether the process is stopping
+ */
+data class EntryView(
+    val configuration: Configuration = Configuration(),
+    val routes: RouteTable = RouteTable(),
+    val leaseUntilMs: Long = Long.MIN_VALUE,
+    val shares: Map<String, Int> = emptyMap(),
+    val stopping: Boolean = false,
+) {
+    private val accountsByKey: Map<String, Account> by lazy {
+        configuration.accounts.values.associateBy { it.keyDigest }
+    }
+
+    /** Routes of [service]. */
+    fun routesOf(service: String): List<Route> = routes.routes.filter { it.service == service }
+
+    /** The service declared under [name]. */
+    fun service(name: String): Service? = configuration.services[name]
+
+    /** The account that owns an API key. */
+    fun accountOf(key: String): Account? = accountsByKey[digestOf(key)]
+}
+
+/** Lower-case hexadecimal SHA-256 digest of [text]. */
+fun digestOf(text: String): String =
+    HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.toByteArray()))
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/ModelCall.kt
@@ -0,0 +1,140 @@
+package org.bramleyspur.daemon.caller.request
+
+import com.github.michaelbull.result.getOrElse
+import com.google.protobuf.ByteString
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import org.bramleyspur.core.model.Account
+import org.bramleyspur.core.model.Service
+import org.bramleyspur.core.model.ServiceKind
+import org.bramleyspur.daemon.caller.CallerError
+import org.bramleyspur.daemon.caller.CallerExchange
+import org.bramleyspur.daemon.caller.CallerHead
+import org.bramleyspur.daemon.caller.CallerRequest
+import org.bramleyspur.daemon.caller.ModelEndpoint
+import org.bramleyspur.daemon.caller.ModelRequest
+import org.bramleyspur.daemon.caller.OpenAiAnswer
+import org.bramleyspur.daemon.caller.respond
+import org.bramleyspur.protocol.Start
+import org.bramleyspur.traffic.stream.RequestFacts
+import org.bramleyspur.traffic.stream.RequestKind
+import org.bramleyspur.traffic.stream.StartAttempt
+
+/** A caller's request for a generation. */
+internal class ModelCall(
+    private val handler: EntryHandler,
+    private val entry: EntryServices,
+    private val claims: ClaimClient,
+    private val endpoint: ModelEndpoint,
+    private val head: CallerHead,
+    private val account: Account,
+    private val exchange: CallerExchange,
+) : CallerRequest {
+    private val body: ByteBuf = Unpooled.buffer()
+    private var answered = false
+    private var running: RunningCall? = null
+
+    override fun onBody(data: ByteBuf) {
+        if (answered) return
+        if (body.readableBytes() + data.readableBytes() > MAX_BODY_BYTES) {
+            refuse(CallerError.invalid("the body is larger than $MAX_BODY_BYTES bytes", PAYLOAD_TOO_LARGE))
+        } else {
+            body.writeBytes(data)
+        }
+    }
+
+    override fun onBodyEnd() {
+        if (answered) return
+        val request = ModelRequest.parse(endpoint, body.toString(Charsets.UTF_8)).getOrElse { return refuse(it) }
+        val service = entry.view().service(request.service)?.takeIf { it.kind == ServiceKind.MODEL }
+            ?: return refuse(CallerError.notFound("the model '${request.model}'", "model_not_found"))
+        if (request.adapter.isNotEmpty() && request.adapter !in service.adapters) {
+            return refuse(CallerError.notFound("the adapter '${request.adapter}'", "model_not_found"))
+        }
+        val scope = handler.admit(account, service, head).getOrElse { return refuse(it) }
+        answered = true
+        run(request, service, scope)
+    }
+
+    override fun onCallerGone() {
+        answered = true
+        running?.callerGone()
+    }
+
+    override fun onWritable(writable: Boolean) {
+        if (writable) running?.resume()
+    }
+
+    private fun refuse(error: CallerError) {
+        answered = true
+        exchange.respond(error)
+    }
+
+    private fun run(request: ModelRequest, service: Service, scope: RequestScope) {
+        val createdS = System.currentTimeMillis() / MS_PER_SECOND
+        val answer = OpenAiAnswer(endpoint, "cmpl-${scope.id.value}", request.model, createdS)
+        val idempotent = head.headers[IDEMPOTENT_HEADER]?.lowercase() != "false" && !service.nonIdempotent
+        val key = head.headers[IDEMPOTENCY_KEY_HEADER].orEmpty()
+        val plan = CallPlan(
+            facts = RequestFacts(RequestKind.GENERATION, idempotent, streaming = request.stream),
+            query = { order -> order.toQuery(request, service) },
+            start = { order, route -> startOf(order, request, service, scope, route.version) },
+            digest = { digestOf("${head.method} ${head.path}\n${body.toString(Charsets.UTF_8)}") },
+            upload = null,
+        )
+        if (!idempotent && key.isNotEmpty()) {
+            val render = GenerationRecorder(answer, request.stream)
+            running = ClaimRunner(plan, key, entry, claims, scope, exchange, render).also { it.run() }
+        } else {
+            running = DirectCall(plan, entry, scope, sinkOf(request, answer, scope)).also { it.run() }
+        }
+    }
+
+    private fun sinkOf(request: ModelRequest, answer: OpenAiAnswer, scope: RequestScope): AnswerSink =
+        if (request.stream) {
+            EventStreamSink(exchange, answer, scope)
+        } else {
+            WholeAnswerSink(exchange, answer, scope)
+        }
+
+    private fun StartAttempt.toQuery(request: ModelRequest, service: Service) =
+        RouteQuery(service.name, version, request.adapter, request.prompt, excluded)
+
+    private fun startOf(
+        order: StartAttempt,
+        request: ModelRequest,
+        service: Service,
+        scope: RequestScope,
+        version: String,
+    ): Start.Builder = scope
+        .startBuilder()
+        .setMethod("POST")
+        .setPath(endpoint.path)
+        .setBody(ByteString.copyFromUtf8(request.engineBody(service.model, order.resumeTokens)))
+        .setBodyComplete(true)
+        .setResumePosition(order.resumePosition)
+        .setVersion(version)
+        .setAdapter(request.adapter)
+
+    private companion object {
+        const val MAX_BODY_BYTES = 4 * 1024 * 1024
+        const val PAYLOAD_TOO_LARGE = 413
+        const val MS_PER_SECOND = 1_000L
+    }
+}
+
+/** Header by which a caller marks a request as one that must not run twice. */
+internal const val IDEMPOTENT_HEADER = "Bramleyspur-Idempotent"
+
+/** Header that names a call, so that a resend gets the first answer. */
+internal const val IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+
+/** Fields of a start message that come from the request's scope. */
+internal fun RequestScope.startBuilder(): Start.Builder = Start
+    .newBuilder()
+    .setService(service.name)
+    .setAccount(account.name)
+    .setWeight(account.weight)
+    .setPriority(account.priority)
+    .setPatienceMs(account.patienceMs.toInt())
+    .setTraceparent(traceparent)
