Add the claim state machine for keyed non-idempotent calls

Cause: a keyed call must run at most once across entries, leader changes and agent restarts. Ruled out: one claim identity for all targets of a request. A delayed release of the first claim would remove the second one while it runs, so each target has its own claim identity. Change: claim, execute, record, then answer; a resend looks up the holder and releases its claim only after the agent barred the attempt.

--- /dev/null
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/claim/ClaimEffect.kt
@@ -0,0 +1,73 @@
+/*
+ * What the claim state machine orders an entry to do. Exactly one [ClaimEnding] is ordered for each call, unless the
+ * caller leaves first.
+ */
+package org.bramleyspur.traffic.claim
+
+import kotlinx.collections.immutable.PersistentSet
+import org.bramleyspur.core.model.Incarnation
+import org.bramleyspur.core.model.Refusal
+import org.bramleyspur.core.model.RequestId
+
+/** An output of the claim state machine. */
+sealed interface ClaimEffect
+
+/** What the caller is told; nothing is told to the caller before. */
+sealed interface ClaimEnding : ClaimEffect
+
+/** Choose a route outside [excluded]; answer with [TargetChosen] or [NoTarget]. */
+data class ChooseTarget(val excluded: PersistentSet<Incarnation>) : ClaimEffect
+
+/** Send the claim after [delayMs], in the name of [request]; answer with [ClaimAnswered]. */
+data class SendClaim(val order: Int, val request: RequestId, val target: ClaimTarget, val delayMs: Long) : ClaimEffect
+
+/**
+ * Run the call on [target] only, under the request id [request], as a request whose facts are non-idempotent with one
+ * attempt, number [CLAIMED_ATTEMPT], and that is finished without the caller. Hold the answer back and report
+ * [ExecutionEnded] or [AnswerTooLarge].
+ */
+data class Execute(val request: RequestId, val target: ClaimTarget) : ClaimEffect
+
+/** Number of the only attempt of a claimed call. */
+const val CLAIMED_ATTEMPT = 1
+
+/** Outcome that is recorded under a claim. */
+sealed interface RecordOutcome {
+    /** The call ran. */
+    data class Answered(val answer: RecordedAnswer) : RecordOutcome
+
+    /** The call did not run; the claim is removed. */
+    data object NotRun : RecordOutcome
+
+    /** The outcome is unknown for good. */
+    data object Unknown : RecordOutcome
+}
+
+/** Record the outcome of [request]'s claim after [delayMs]; answer with [RecordAnswered] or [RecordLost]. */
+data class SendRecord(val order: Int, val request: RequestId, val outcome: RecordOutcome, val delayMs: Long) :
+    ClaimEffect
+
+/**
+ * Ask the agent at the holder's target, after [delayMs], about attempt [CLAIMED_ATTEMPT] of the holder's request. With
+ * [cancel], have it refuse that attempt from then on if it has not begun. Answer with [HolderFound] or
+ * [HolderUnreachable].
+ */
+data class LookUpHolder(val holder: ClaimHolder, val cancel: Boolean, val delayMs: Long) : ClaimEffect
+
+/** Return the answer that was held back, which is recorded now, and pass on what follows. */
+data object ReturnAnswer : ClaimEnding
+
+/** Return the answer that was recorded for an earlier request with the key; the call ran before. */
+data class ReplayAnswer(val answer: RecordedAnswer) : ClaimEnding
+
+/** Refuse with status 409 and `Retry-After`: a request with the key is in progress; its outcome is `may_have_run`. */
+data class TellInProgress(val retryAfterMs: Long) : ClaimEnding
+
+/** Refuse with status 422: the key was used for a different call. */
+data object TellDigestMismatch : ClaimEnding
+
+/** Refuse the call. */
+data class RefuseCall(val kind: Refusal, val message: String, val retryAfterMs: Long) : ClaimEnding
+
+/** The caller left before the call began, so nothing is told. */
+data object AbandonCall : ClaimEnding
--- /dev/null
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/claim/ClaimEvent.kt
@@ -0,0 +1,97 @@
+/*
+ * What an entry observes about a keyed non-idempotent call. Replies carry the number of the order that they answer, so
+ * that a late reply to an earlier order is recognized.
+ */
+package org.bramleyspur.traffic.claim
+
+import org.bramleyspur.core.model.Incarnation
+import org.bramleyspur.core.model.RequestId
+import org.bramleyspur.traffic.admission.LookupState
+
+/** Agent run that is named in a claim. */
+data class ClaimTarget(val incarnation: Incarnation, val address: String)
+
+/** A claim that another request holds. */
+data class ClaimHolder(val request: RequestId, val target: ClaimTarget)
+
+/**
+ * An answer as the control log keeps it.
+ *
+ * @property body null when the answer was larger than [KEPT_BODY_BYTES]
+ * @property bodyBytes length of the whole body in bytes, or what was received when the record was made
+ */
+class RecordedAnswer(val status: Int, val contentType: String, val body: ByteArray?, val bodyBytes: Long) {
+    companion object {
+        /** Largest body in bytes that the control log keeps. */
+        const val KEPT_BODY_BYTES = 64 * 1024
+    }
+}
+
+/** Answer of the control leader to a claim. */
+sealed interface ClaimReply {
+    /** The request may run once, on the target that the claim names. */
+    data object Granted : ClaimReply
+
+    /** A request holds the claim; it may be this request, when an earlier reply was lost. */
+    data class InProgress(val holder: ClaimHolder) : ClaimReply
+
+    /** The call has run and its answer is recorded. */
+    data class Answered(val answer: RecordedAnswer) : ClaimReply
+
+    /** The key was used for another method, path or body. */
+    data object DigestMismatch : ClaimReply
+
+    /** The outcome of the run is unknown for good. */
+    data object UnknownOutcome : ClaimReply
+
+    /** No leader answered, or it changed before it answered; the claim may have been committed. */
+    data object Lost : ClaimReply
+}
+
+/** How the execution of the granted call ended, derived from the ending of its request state machine. */
+sealed interface ExecutionResult {
+    /** The whole answer, or a failure reported by the backend server as [failed], is ready to be recorded. */
+    data class Answered(val answer: RecordedAnswer, val failed: Boolean = false) : ExecutionResult
+
+    /** Proved not to have run. */
+    data class NotRun(val message: String, val retryAfterMs: Long) : ExecutionResult
+
+    /** The outcome cannot be learned. */
+    data class Unknown(val message: String) : ExecutionResult
+}
+
+/** An input of the claim state machine. */
+sealed interface ClaimEvent
+
+/** Routing chose [target]. */
+data class TargetChosen(val target: ClaimTarget) : ClaimEvent
+
+/** Routing has no target. */
+data class NoTarget(val retryAfterMs: Long) : ClaimEvent
+
+/** The reply to the [order]th claim of this request. */
+data class ClaimAnswered(val order: Int, val reply: ClaimReply) : ClaimEvent
+
+/** The execution ended. */
+data class ExecutionEnded(val result: ExecutionResult) : ClaimEvent
+
+/** The answer is larger than the log keeps; [answer] has its status and what was received, without the body. */
+data class AnswerTooLarge(val answer: RecordedAnswer) : ClaimEvent
+
+/** The control leader answered a record: [recorded] is false when the claim is no longer this request's. */
+data class RecordAnswered(val order: Int, val recorded: Boolean) : ClaimEvent
+
+/** A record got no answer, or the leader changed; it may have been committed. */
+data class RecordLost(val order: Int) : ClaimEvent
+
+/** The agent run [incarnation] answered [lookup]. */
+data class HolderFound(val lookup: LookUpHolder, val state: LookupState, val incarnation: Incarnation) : ClaimEvent
+
+/** The agent did not answer [lookup]. */
+data class HolderUnreachable(val lookup: LookUpHolder) : ClaimEvent
+
+/** The call's deadline has passed. */
+data object ClaimDeadline : ClaimEvent
+
+/** The caller closed its connection. */
+data object ClaimCallerGone : ClaimEvent
--- /dev/null
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/claim/ClaimWorld.kt
@@ -0,0 +1,202 @@
+/*
+ * Several requests with one idempotency key, through entries that can die, against a control log and agents that can
+ * restart. Messages are delayed, doubled and lost in an order that a seeded generator chooses.
+ */
+package org.bramleyspur.traffic.claim
+
+import org.bramleyspur.core.model.Incarnation
+import org.bramleyspur.core.model.Refusal
+import org.bramleyspur.core.model.RequestId
+import org.bramleyspur.traffic.admission.LookupState
+import kotlin.random.Random
+
+internal class ClaimWorld(private val random: Random, private val loss: Int) {
+    private class Call(val name: String) {
+        var state = ClaimState(RequestId(name))
+        var dead = false
+        var submitted = false
+        val endings = mutableListOf<ClaimEnding>()
+        val begun = mutableSetOf<RequestId>()
+        val sent = mutableSetOf<RequestId>()
+    }
+
+    private class Agent(var incarnation: Incarnation) {
+        val barred = mutableSetOf<RequestId>()
+        val running = mutableSetOf<RequestId>()
+        val ended = mutableSetOf<RequestId>()
+    }
+
+    private class LogRecord(val holder: ClaimHolder, var outcome: RecordOutcome? = null)
+
+    private val calls = List(3) { Call("r$it") }
+    private val agents = List(2) { Agent(Incarnation("agent-$it")) }
+    private val messages = mutableListOf<() -> Unit>()
+    private var record: LogRecord? = null
+    private val answer = RecordedAnswer(200, "text/plain", ByteArray(1), 1)
+    private var runs = 0
+
+    fun run(steps: Int) {
+        repeat(steps) { step() }
+        repeat(40) { round ->
+            while (messages.isNotEmpty()) messages.removeAt(0)()
+            if (round == 20) calls.forEach { expire(it) }
+        }
+    }
+
+    fun check() {
+        check(runs <= 1) { "$runs runs" }
+        calls.filter { !it.dead && it.submitted }.forEach { call ->
+            check(call.endings.size == 1) { "${call.name} ended ${call.endings.size} times: ${call.state}" }
+        }
+    }
+
+    private fun expire(call: Call) {
+        feed(call, ClaimDeadline)
+        feed(call, ExecutionEnded(ExecutionResult.Unknown("deadline")))
+    }
+
+    private fun step() {
+        when (random.nextInt(20)) {
+            0 -> calls.random(random).let { if (!it.submitted) submit(it) }
+            1 -> if (random.nextInt(100) < loss) fault()
+            else -> if (messages.isNotEmpty()) message()
+        }
+    }
+
+    private fun message() {
+        val index = random.nextInt(minOf(messages.size, if (random.nextInt(5) == 0) 8 else 1))
+        val message = messages[index]
+        if (random.nextInt(100) >= loss / 3) messages.removeAt(index)
+        message()
+    }
+
+    private fun fault() {
+        when (random.nextInt(8)) {
+            0 -> calls.random(random).dead = true
+            1 -> calls.random(random).let { feed(it, ClaimCallerGone) }
+            2 -> calls.random(random).let { feed(it, ClaimDeadline) }
+            3 -> agents.random(random).let { restart(it) }
+            else -> messages.randomOrNull(random)?.let { messages.remove(it) }
+        }
+    }
+
+    private fun restart(agent: Agent) {
+        agent.incarnation = Incarnation("${agent.incarnation.value}'")
+        agent.running.clear()
+        agent.ended.clear()
+        agent.barred.clear()
+    }
+
+    private fun submit(call: Call) {
+        call.submitted = true
+        val first = acceptCall(RequestId(call.name))
+        call.state = first.state
+        perform(call, first.effects)
+    }
+
+    private fun feed(call: Call, event: ClaimEvent) {
+        if (call.dead || !call.submitted) return
+        val next = call.state.on(event)
+        call.state = next.state
+        perform(call, next.effects)
+    }
+
+    private fun perform(call: Call, effects: List<ClaimEffect>) = effects.forEach { effect ->
+        when (effect) {
+            is ChooseTarget -> messages += { choose(call, effect) }
+            is SendClaim -> rpc(call, { claim(effect) }, { ClaimAnswered(effect.order, it ?: ClaimReply.Lost) })
+            is SendRecord -> rpc(call, { complete(effect) }, {
+                if (it == null) RecordLost(effect.order) else RecordAnswered(effect.order, it)
+            })
+
+            is LookUpHolder -> rpc(call, { lookup(effect) }, { it ?: HolderUnreachable(effect) })
+            is Execute -> messages += { execute(call, effect) }
+            is ClaimEnding -> end(call, effect)
+        }
+    }
+
+    private fun <T : Any> rpc(call: Call, serve: () -> T?, event: (T?) -> ClaimEvent) {
+        messages += {
+            val reply = if (random.nextInt(100) < loss / 2) null else serve()
+            val shown = reply.takeIf { random.nextInt(100) >= loss / 2 }
+            messages += { feed(call, event(shown)) }
+        }
+    }
+
+    private fun choose(call: Call, effect: ChooseTarget) {
+        val agent = agents.filter { it.incarnation !in effect.excluded }.randomOrNull(random)
+        feed(call, agent?.let { TargetChosen(ClaimTarget(it.incarnation, "${agents.indexOf(it)}")) } ?: NoTarget(10))
+    }
+
+    private fun claim(effect: SendClaim): ClaimReply {
+        val held = record ?: LogRecord(ClaimHolder(effect.request, effect.target)).also { record = it }
+        return when (val outcome = held.outcome) {
+            is RecordOutcome.Answered -> ClaimReply.Answered(outcome.answer)
+            is RecordOutcome.Unknown -> ClaimReply.UnknownOutcome
+            else -> if (held.holder == ClaimHolder(effect.request, effect.target) && random.nextBoolean()) {
+                ClaimReply.Granted
+            } else {
+                ClaimReply.InProgress(held.holder)
+            }
+        }
+    }
+
+    private fun complete(effect: SendRecord): Boolean {
+        val held = record?.takeIf { it.holder.request == effect.request } ?: return false
+        if (held.outcome != null) return held.outcome == effect.outcome
+        if (effect.outcome == RecordOutcome.NotRun) record = null else held.outcome = effect.outcome
+        return true
+    }
+
+    private fun lookup(effect: LookUpHolder): ClaimEvent {
+        val agent = agents[effect.holder.target.address.toInt()]
+        val request = effect.holder.request
+        val state = when (request) {
+            in agent.running -> LookupState.RUNNING
+            in agent.ended -> LookupState.ENDED
+            else -> LookupState.NOT_BEGUN
+        }
+        if (effect.cancel && state == LookupState.NOT_BEGUN) agent.barred += request
+        return HolderFound(effect, state, agent.incarnation)
+    }
+
+    private fun execute(call: Call, effect: Execute) {
+        val agent = agents[effect.target.address.toInt()]
+        val request = effect.request
+        if (!call.sent.add(request)) return // A stream delivers its start once.
+        val refused = agent.incarnation != effect.target.incarnation || request in agent.barred
+        val known = request in agent.running || request in agent.ended
+        if (refused || random.nextInt(6) == 0) {
+            if (!known) agent.barred += request
+            if (!known) feed(call, ExecutionEnded(ExecutionResult.NotRun("refused", 10)))
+            return
+        }
+        if (known) return
+        runs++
+        call.begun += request
+        agent.running += request
+        messages += { finish(call, agent, request) }
+    }
+
+    private fun finish(call: Call, agent: Agent, request: RequestId) {
+        agent.running -= request
+        agent.ended += request
+        val result = when (random.nextInt(4)) {
+            0 -> ExecutionResult.Unknown("lost")
+            else -> ExecutionResult.Answered(answer, failed = random.nextInt(4) == 0)
+        }
+        feed(call, ExecutionEnded(result))
+    }
+
+    private fun end(call: Call, ending: ClaimEnding) {
+        call.endings += ending
+        val answered = record?.outcome is RecordOutcome.Answered
+        if (ending is ReturnAnswer ||
+            ending is ReplayAnswer
+        ) {
+            check(answered && runs == 1) { "answer was not recorded, $runs runs" }
+        }
+        val notRun = ending is RefuseCall && ending.kind == Refusal.NOT_RUN
+        if (notRun) check(call.begun.isEmpty()) { "false not_run: ${call.state}" }
+    }
+}
