Add the control state machine

Decisions of the control log had no implementation. apply(state, index, command) is a pure function over immutable collections; statements of a command take effect together, the first answer of a command id is kept, and an idempotency claim is identified by the log index that granted it. Identifying it by the request was ruled out: a request can claim again after a not-run proof, and a late copy of the proof would release the second claim.

--- /dev/null
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/StateMachine.kt
@@ -0,0 +1,48 @@
+/*
+ * The control state machine: a pure function, so that every member that applies the same log has the same state.
+ */
+package org.bramleyspur.control.state
+
+import org.bramleyspur.core.model.Revision
+
+/**
+ * Applies the [command] at the log index [index] to [state].
+ *
+ * @throws IllegalArgumentException if the index was applied before; applying a command twice is a program error
+ */
+fun apply(state: ControlState, index: Long, command: ControlCommand): Applied {
+    require(index > state.appliedIndex) { "log index $index is not after the applied index ${state.appliedIndex}" }
+    val applied = state.transition(index, command)
+    return applied.copy(state = applied.state.copy(appliedIndex = index))
+}
+
+private fun ControlState.transition(index: Long, command: ControlCommand): Applied = when (command) {
+    is Submit -> submit(index, command)
+    is Assign -> assign(index, command)
+    is EndAssignment -> endAssignment(command)
+    is FinishRollOut -> finishRollOut(index, command)
+    is Claim -> withClaims(claims.claim(index, command))
+    is Complete -> withClaims(claims.complete(command))
+    is ExpireClaims -> withClaims(claims.expire(command.nowMs))
+}
+
+private fun ControlState.withClaims(result: Pair<ClaimTable, Answer>): Applied =
+    Applied(copy(claims = result.first), result.second)
+
+/** The version that served becomes the one that a roll back returns to. */
+private fun ControlState.finishRollOut(index: Long, command: FinishRollOut): Applied {
+    val service = configuration.services[command.service]
+    if (service == null || service.nextVersion != command.version) {
+        return Applied(this, RollOutFinished(finished = false, configuration.revision))
+    }
+    val moved = service.copy(version = command.version, nextVersion = null)
+    val revision = Revision(index)
+    val changed = copy(
+        configuration = configuration.copy(
+            revision = revision,
+            services = configuration.services.put(service.name, moved),
+        ),
+        previousVersions = previousVersions.put(service.name, service.version),
+    )
+    return Applied(changed, RollOutFinished(finished = true, revision))
+}
--- /dev/null
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/StoredResponse.kt
@@ -0,0 +1,42 @@
+package org.bramleyspur.control.state
+
+import com.google.protobuf.ByteString
+import java.nio.ByteBuffer
+import java.security.MessageDigest
+
+/** Largest response body that an idempotency record keeps, in bytes; bounds log entries and snapshots. */
+const val MAX_STORED_BODY_BYTES = 64 * 1024
+
+/**
+ * Response of a backend server to a claimed call.
+ *
+ * @property body null when the body was larger than [MAX_STORED_BODY_BYTES]
+ * @property bodyBytes length of the whole body
+ * @property bodyDigest SHA-256 digest of a body that was not kept, empty when it is kept or not known
+ */
+data class StoredResponse(
+    val status: Int,
+    val contentType: String,
+    val body: ByteString?,
+    val bodyBytes: Long,
+    val bodyDigest: ByteString = ByteString.EMPTY,
+) {
+    /** This response without its body if the body is larger than [MAX_STORED_BODY_BYTES]. */
+    fun bounded(): StoredResponse = when {
+        body == null || body.size() <= MAX_STORED_BODY_BYTES -> this
+        else -> copy(body = null, bodyDigest = sha256(body.asReadOnlyByteBufferList()))
+    }
+
+    companion object {
+        /** A response with the whole [body], which is left out if it is too large. */
+        fun of(status: Int, contentType: String, body: ByteString): StoredResponse =
+            StoredResponse(status, contentType, body, body.size().toLong()).bounded()
+    }
+}
+
+/** SHA-256 digest of [parts], one after the other. */
+internal fun sha256(parts: Iterable<ByteBuffer>): ByteString {
+    val digest = MessageDigest.getInstance("SHA-256")
+    parts.forEach { digest.update(it) }
+    return ByteString.copyFrom(digest.digest())
+}
--- /dev/null
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/Submission.kt
@@ -0,0 +1,114 @@
+/*
+ * Operators' commands: compare-and-set on the revision, all statements or none, and the first answer for every resend.
+ */
+package org.bramleyspur.control.state
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.mapError
+import org.bramleyspur.core.model.Revision
+import org.bramleyspur.language.Command
+import org.bramleyspur.language.Query
+import org.bramleyspur.language.Statement
+import org.bramleyspur.language.parse
+import org.bramleyspur.language.toText
+import java.nio.ByteBuffer
+
+/** Answers to at least this many commands are kept. */
+const val MIN_KEPT_COMMANDS = 10_000
+
+/** Answers are kept for at least this time in milliseconds: 24 h. */
+const val MIN_COMMAND_RETENTION_MS = 24L * 60 * 60 * 1000
+
+/** Longest command identity; a UUID has 36 characters. */
+private const val MAX_COMMAND_ID_LENGTH = 128
+
+/** Characters of the statements that lists of changes show. */
+private const val SUMMARY_LENGTH = 200
+
+/** Decides an operators' command, or repeats the first answer to it. */
+internal fun ControlState.submit(index: Long, command: Submit): Applied {
+    val id = command.commandId
+    if (id.isBlank() || id.length > MAX_COMMAND_ID_LENGTH) {
+        return Applied(this, refusal("the command id must have 1 to $MAX_COMMAND_ID_LENGTH characters"))
+    }
+    val recorded = commands[id] ?: return decide(index, command)
+    if (recorded.commandDigest == command.digest()) return Applied(this, recorded.repeatedAnswer())
+    return Applied(this, refusal("the command id $id was used for another command; choose a new one"))
+}
+
+private fun ControlState.decide(index: Long, command: Submit): Applied = changed(command).fold(
+    success = { draft ->
+        val revision = Revision(index)
+        val changed = copy(
+            configuration = draft.configuration.copy(revision = revision),
+            previousVersions = draft.previousVersions,
+        )
+        changed.recorded(command, SubmitAnswer(true, revision, "accepted as revision $revision"))
+    },
+    failure = { recorded(command, refusal(it)) },
+)
+
+private fun ControlState.refusal(message: String) = SubmitAnswer(false, configuration.revision, message.wellFormed())
+
+/** Replaces halves of surrogate pairs that cutting left over, since snapshots cannot hold them. */
+private fun String.wellFormed(): String = encodeToByteArray().decodeToString()
+
+private fun ControlState.changed(command: Submit): Result<ConfigurationDraft, String> {
+    val current = configuration.revision
+    if (command.expectedRevision != Revision.NONE && command.expectedRevision != current) {
+        return Err(
+            "the configuration is at revision $current, not ${command.expectedRevision}; " +
+                "look at the changes since and submit with the current revision",
+        )
+    }
+    return parse(command.statements)
+        .mapError { "line ${it.line}, column ${it.column}: ${it.message}" }
+        .andThen { commandsOf(it) }
+        .andThen { applyAll(it) }
+}
+
+private fun commandsOf(statements: List<Statement>): Result<List<Command>, String> {
+    val query = statements.filterIsInstance<Query>().firstOrNull()
+    return when {
+        query != null -> Err("\"${query.toText()}\" changes nothing; send it as a query")
+        statements.isEmpty() -> Err("the command holds no statement")
+        else -> Ok(statements.filterIsInstance<Command>())
+    }
+}
+
+private fun ControlState.applyAll(commands: List<Command>): Result<ConfigurationDraft, String> {
+    val initial: Result<ConfigurationDraft, String> = Ok(ConfigurationDraft(configuration, previousVersions))
+    return commands
+        .foldIndexed(initial) { position, draft, command ->
+            draft.andThen { d -> d.apply(command).mapError { "statement ${position + 1}: $it" } }
+        }.andThen { draft -> draft.configuration.problem()?.let { Err(it) } ?: Ok(draft) }
+}
+
+/** Records the first answer, and drops the oldest answers that need not be kept any longer. */
+private fun ControlState.recorded(command: Submit, answer: SubmitAnswer): Applied {
+    val record = CommandRecord(
+        accepted = answer.accepted,
+        revision = answer.revision,
+        message = answer.message,
+        submittedAtMs = command.submittedAtMs,
+        commandDigest = command.digest(),
+        summary = command.statements.trim().replace(Regex("\\s+"), " ").take(SUMMARY_LENGTH).wellFormed(),
+    )
+    var kept = commands.put(command.commandId, record)
+    while (kept.size > MIN_KEPT_COMMANDS) {
+        val oldest = kept.entries.first()
+        if (oldest.value.submittedAtMs > command.submittedAtMs - MIN_COMMAND_RETENTION_MS) break
+        kept = kept.remove(oldest.key)
+    }
+    return Applied(copy(commands = kept), answer)
+}
+
+private fun CommandRecord.repeatedAnswer() = SubmitAnswer(accepted, revision, message, repeated = true)
+
+private fun Submit.digest() = sha256(
+    listOf(ByteBuffer.wrap("${expectedRevision.value}\n".toByteArray()), ByteBuffer.wrap(statements.toByteArray())),
+)
--- /dev/null
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/state/AssignmentTransitionsTest.kt
@@ -0,0 +1,76 @@
+package org.bramleyspur.control.state
+
+import org.bramleyspur.core.model.FencingNumber
+import org.bramleyspur.core.model.ReplicaId
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+
+/** Guards against an instance in two replicas, partial replicas and decisions that a change has overtaken. */
+class AssignmentTransitionsTest {
+    class Case(val name: String, val command: Assign, val message: String) {
+        override fun toString() = name
+    }
+
+    private fun machine() = Machine.ready().apply {
+        accepted("create service small model sausage-7b version v1; drain instance i9")
+        apply(assign(assignment("r1", "i1", "i2")))
+    }
+
+    @ParameterizedTest
+    @MethodSource("refused")
+    fun `a wrong assignment is refused with all others of its command`(case: Case) {
+        val machine = machine()
+        val before = machine.state.assignments
+        val answer = machine.apply(case.command)
+        expectThat(answer).isA<AssignAnswer.Refused>().get { message }.contains(case.message)
+        expectThat(machine.state.assignments).isEqualTo(before)
+    }
+
+    @Test
+    fun `the log index becomes the fencing number of every assignment of the command`() {
+        val machine = machine()
+        machine.accepted("roll out recipes to v2")
+        val answer = machine.apply(assign(assignment("r2", "i3", "i4"), assignment("r3", "i5", "i6", version = "v2")))
+        expectThat(answer).isEqualTo(AssignAnswer.Assigned(FencingNumber(5)))
+        expectThat(machine.state.assignments.mapValues { it.value.fencingNumber.value })
+            .isEqualTo(mapOf(ReplicaId("r1") to 3L, ReplicaId("r2") to 5L, ReplicaId("r3") to 5L))
+    }
+
+    @Test
+    fun `only the end of the present assignment frees its instances`() {
+        val machine = machine()
+        expectThat(machine.apply(end("r1", 2))).isEqualTo(AssignmentEnded(false))
+        expectThat(machine.apply(assign(assignment("r1", "i1", "i2")))).isA<AssignAnswer.Refused>()
+        expectThat(machine.apply(end("r1", 3))).isEqualTo(AssignmentEnded(true))
+        expectThat(
+            machine.apply(assign(assignment("r1", "i1", "i2"))),
+        ).isEqualTo(AssignAnswer.Assigned(FencingNumber(7)))
+        expectThat(machine.apply(end("r1", 3))).isEqualTo(AssignmentEnded(false))
+    }
+
+    private companion object {
+        val right = assignment("r2", "i3", "i4")
+
+        @JvmStatic
+        fun refused() = listOf(
+            Case("empty", assign(), "no assignment"),
+            Case("replica assigned", assign(right, assignment("r1", "i5", "i6")), "r1 is already assigned"),
+            Case("replica twice", assign(right, assignment("r2", "i5", "i6")), "r2 is already assigned"),
+            Case("instance in use", assign(right, assignment("r3", "i5", "i1")), "i1 is in another replica"),
+            Case("instance twice", assign(right, assignment("r3", "i5", "i4")), "i4 is in another replica"),
+            Case("instance twice in a replica", assign(assignment("r3", "i5", "i5")), "i5 is in another replica"),
+            Case("drained", assign(right, assignment("r3", "i5", "i9")), "i9 is drained"),
+            Case("unknown service", assign(assignment("r3", "i5", "i6", service = "gone")), "gone does not exist"),
+            Case("plain service", assign(assignment("r3", "i5", "i6", service = "book")), "is plain"),
+            Case("other version", assign(assignment("r3", "i5", "i6", version = "v2")), "has no version v2"),
+            Case("other model", assign(right.copy(model = "other")), "have changed"),
+            Case("too few", assign(right, assignment("r3", "i5")), "has 2 instances, not 1"),
+            Case("too many", assign(assignment("r3", "i5", "i6", service = "small")), "has 1 instances, not 2"),
+        )
+    }
+}
--- /dev/null
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/state/WireTest.kt
@@ -0,0 +1,74 @@
+package org.bramleyspur.control.state
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import org.bramleyspur.core.model.Revision
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+
+/** Guards against commands and snapshots that are read back as something else. */
+class WireTest {
+    @ParameterizedTest
+    @MethodSource("commands")
+    fun `a command is read back`(command: ControlCommand) {
+        expectThat(decodeCommand(command.encode()).get()).isEqualTo(command)
+    }
+
+    @Test
+    fun `a state is read back from its snapshot, and equal states give equal bytes`() {
+        val machine = filled()
+        val bytes = machine.state.encodeSnapshot()
+        val restored = decodeSnapshot(bytes).get()
+        expectThat(restored).isEqualTo(machine.state)
+        expectThat(restored?.encodeSnapshot()?.toList()).isEqualTo(bytes.toList())
+    }
+
+    @Test
+    fun `the order of kept commands survives a snapshot`() {
+        val machine = filled()
+        val order = machine.state.commands.keys.toList()
+        machine.restart()
+        expectThat(machine.state.commands.keys.toList()).isEqualTo(order)
+    }
+
+    @Test
+    fun `damaged bytes give an error`() {
+        val damaged = byteArrayOf(0x0A, 0x7F, 1)
+        expectThat(decodeCommand(damaged).getError()).isNotNull().get { message }.contains("replace the member")
+        expectThat(decodeCommand(byteArrayOf()).getError()).isNotNull().get { message }.contains("unknown kind")
+        expectThat(decodeSnapshot(damaged).getError()).isNotNull().get { message }.contains("replace the member")
+    }
+
+    private fun filled() = Machine.ready().apply {
+        accepted("roll out recipes to v2; drain instance i9")
+        apply(FinishRollOut("recipes", "v2"))
+        submit("drop service none")
+        apply(assign(assignment("r1", "i1", "i2", version = "v2")))
+        repeat(40) { claim(claim("r$it", key = claimKey.copy(key = "k$it"))) }
+        complete(6, ClaimOutcome.Answered(response("saved")), claimKey.copy(key = "k0"))
+        complete(7, ClaimOutcome.Unknown, claimKey.copy(key = "k1"))
+        repeat(40) { submit("drain instance i$it", id = "z${it * 7 % 40}") }
+    }
+
+    private companion object {
+        @JvmStatic
+        fun commands() = listOf(
+            Submit("id", Revision(7), "drain instance i1", 99),
+            assign(assignment("r1", "i1", "i2"), assignment("r2", "i3")),
+            end("r1", 4),
+            FinishRollOut("recipes", "v2"),
+            claim("r1", atMs = 5),
+            Complete(claimKey, 3, ClaimOutcome.Answered(response("body"))),
+            Complete(claimKey, 3, ClaimOutcome.Answered(response("x".repeat(MAX_STORED_BODY_BYTES + 1)))),
+            Complete(claimKey, 3, ClaimOutcome.Answered(response(""))),
+            Complete(claimKey, 3, ClaimOutcome.NotRun),
+            Complete(claimKey, 3, ClaimOutcome.Unknown),
+            ExpireClaims(8),
+        )
+    }
+}
