--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/ClaimRunner.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/ClaimRunner.kt
@@ -173,17 +173,17 @@
             .setCancel(order.cancel)
             .build()
         entry.agents.lookup(order.holder.target.address, request) { reply ->
-            feed(if (reply == null) HolderUnreachable else reply.toEvent())
+            feed(if (reply == null) HolderUnreachable(order) else reply.toEvent(order))
         }
     }
 
-    private fun LookupReply.toEvent(): ClaimEvent {
+    private fun LookupReply.toEvent(order: LookUpHolder): ClaimEvent {
         val found = when (state) {
             LookupReply.State.NOT_BEGUN -> LookupState.NOT_BEGUN
             LookupReply.State.RUNNING -> LookupState.RUNNING
             else -> LookupState.ENDED
         }
-        return HolderFound(found, Incarnation(incarnation))
+        return HolderFound(order, found, Incarnation(incarnation))
     }
 
     private fun tell(ending: ClaimEnding) {
