--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/RequestScope.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/RequestScope.kt
@@ -76,6 +76,10 @@
     private val running = HashMap<String, Int>()
     private val refused = HashMap<String, Int>()
 
+    /** Requests in progress of all accounts. */
+    var total = 0
+        private set
+
     /** Whether [account] may start another request when this entry's share of its limit is [share]. */
     fun allows(account: Account, share: Int?): Boolean {
         if (account.maxConcurrent == 0) return true
@@ -95,10 +99,12 @@
 
     internal fun enter(account: Account) {
         running.merge(account.name, 1, Int::plus)
+        total += 1
     }
 
     internal fun leave(account: Account) {
         running.merge(account.name, -1, Int::plus)
+        total -= 1
     }
 }
 
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/entry/AgentService.kt
@@ -0,0 +1,76 @@
+package org.bramleyspur.daemon.entry
+
+import io.grpc.stub.ServerCallStreamObserver
+import io.grpc.stub.StreamObserver
+import org.bramleyspur.core.model.Incarnation
+import org.bramleyspur.core.model.RequestId
+import org.bramleyspur.protocol.AgentServiceGrpc
+import org.bramleyspur.protocol.ConfirmReply
+import org.bramleyspur.protocol.ConfirmRequest
+import org.bramleyspur.protocol.ExecuteEvent
+import org.bramleyspur.protocol.ExecuteRequest
+import org.bramleyspur.protocol.LookupReply
+import org.bramleyspur.protocol.LookupRequest
+import org.bramleyspur.traffic.admission.AttemptKey
+
+/**
+ * Serves entries and the agents of the same replica, on the traffic thread.
+ *
+ * @property onConfirm answers the question of another agent
+ */
+class AgentService(
+    private val incarnation: Incarnation,
+    private val board: AttemptBoard,
+    private val onConfirm: (ConfirmRequest, (ConfirmReply) -> Unit) -> Unit,
+) : AgentServiceGrpc.AgentServiceImplBase() {
+    override fun execute(events: StreamObserver<ExecuteEvent>): StreamObserver<ExecuteRequest> =
+        Incoming(events as ServerCallStreamObserver<ExecuteEvent>)
+
+    override fun lookup(request: LookupRequest, reply: StreamObserver<LookupReply>) {
+        val state = board.lookup(AttemptKey(RequestId(request.request), request.attempt), request.cancel)
+        val answer = LookupReply
+            .newBuilder()
+            .setState(LookupReply.State.valueOf(state.name))
+            .setIncarnation(incarnation.value)
+            .build()
+        reply.onNext(answer)
+        reply.onCompleted()
+    }
+
+    override fun confirm(request: ConfirmRequest, reply: StreamObserver<ConfirmReply>) {
+        onConfirm(request) { answer ->
+            reply.onNext(answer)
+            reply.onCompleted()
+        }
+    }
+
+    /** The messages of one attempt. */
+    private inner class Incoming(private val events: ServerCallStreamObserver<ExecuteEvent>) :
+        StreamObserver<ExecuteRequest> {
+        private var stream: AttemptStream? = null
+
+        init {
+            events.disableAutoRequest()
+            events.request(1)
+            events.setOnReadyHandler { stream?.onStreamReady() }
+            events.setOnCancelHandler { stream?.let { board.cancel(it, gone = true) } }
+        }
+
+        override fun onNext(message: ExecuteRequest) {
+            when (message.kindCase) {
+                ExecuteRequest.KindCase.START -> {
+                    // One more message may come at once, so that a cancel is read while nothing of the body is wanted.
+                    events.request(2)
+                    if (stream == null) stream = board.offer(message.start, events)
+                }
+                ExecuteRequest.KindCase.BODY -> stream?.takeBody(message.body)
+                ExecuteRequest.KindCase.CANCEL -> stream?.let { board.cancel(it, gone = false) }
+                else -> Unit
+            }
+        }
+
+        override fun onError(cause: Throwable) = Unit
+
+        override fun onCompleted() = Unit
+    }
+}
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/entry/AttemptStream.kt
@@ -0,0 +1,164 @@
+package org.bramleyspur.daemon.entry
+
+import com.google.protobuf.ByteString
+import io.grpc.stub.ServerCallStreamObserver
+import org.bramleyspur.core.model.RequestId
+import org.bramleyspur.core.telemetry.HopSpan
+import org.bramleyspur.protocol.Begun
+import org.bramleyspur.protocol.BodyPart
+import org.bramleyspur.protocol.Broken
+import org.bramleyspur.protocol.End
+import org.bramleyspur.protocol.ExecuteEvent
+import org.bramleyspur.protocol.Head
+import org.bramleyspur.protocol.Piece
+import org.bramleyspur.protocol.Refused
+import org.bramleyspur.protocol.Rejected
+import org.bramleyspur.protocol.Start
+import org.bramleyspur.traffic.admission.AttemptKey
+import org.bramleyspur.traffic.admission.RefusalReason
+
+/** One attempt at this agent: the entry's stream and, once begun, the run on the backend server. */
+internal class AttemptStream(
+    val start: Start,
+    val deadlineMs: Long,
+    private val board: AttemptBoard,
+    private val events: ServerCallStreamObserver<ExecuteEvent>,
+    private val agentSpan: HopSpan,
+    private var queueSpan: HopSpan?,
+) : BackendListener {
+    val key = AttemptKey(RequestId(start.request), start.attempt)
+    private var run: BackendRun? = null
+    private var backendSpan: HopSpan? = null
+    private var ended = false
+    private var heldBody = ArrayList<BodyPart>()
+
+    /** Whether a run is in progress. */
+    val isRunning: Boolean get() = run != null && !ended
+
+    /** Begins the run; called when the queue gave the attempt a slot. */
+    fun begin(runner: BackendRunner, nowMs: Long) {
+        queueSpan?.end()
+        queueSpan = null
+        val span = board.tracing.start("backend server", agentSpan.traceparent)
+        backendSpan = span
+        val attempt = BackendAttempt(start, (deadlineMs - nowMs).coerceAtLeast(1), span.traceparent)
+        run = runner(attempt, this)
+        val waiting = heldBody
+        heldBody = ArrayList()
+        waiting.forEach { run?.sendBody(it.data, it.last) }
+    }
+
+    /** Takes a part of the request's body. */
+    fun takeBody(part: BodyPart) {
+        val current = run
+        if (current == null) {
+            heldBody.add(part)
+        } else {
+            current.sendBody(part.data, part.last)
+            if (current.wantsBody) events.request(1)
+        }
+    }
+
+    /** The entry's stream takes more again. */
+    fun onStreamReady() {
+        run?.pauseReading(false)
+    }
+
+    /** Tells the entry that the attempt has not begun and never will. */
+    fun refuse(reason: RefusalReason, retryAfterMs: Long, message: String) {
+        val refused = Refused
+            .newBuilder()
+            .setReason(Refused.Reason.valueOf(reason.name))
+            .setRetryAfterMs(retryAfterMs.toInt())
+            .setMessage(message)
+        end("refused", ExecuteEvent.newBuilder().setRefused(refused), message)
+    }
+
+    /** Stops the run and tells the entry that the answer is incomplete. */
+    fun breakOff(message: String) {
+        if (ended) return
+        run?.cancel()
+        onBroken(message, false)
+    }
+
+    /** Stops the run of an entry that no longer listens. */
+    fun abandon() {
+        if (ended) return
+        run?.cancel()
+        ended = true
+        endSpans("the entry has left")
+        board.onRunEnded(this)
+    }
+
+    override fun onBegun() = send(ExecuteEvent.newBuilder().setBegun(Begun.getDefaultInstance()), withLoad = true)
+
+    override fun onNotBegun(reason: RefusalReason, message: String) {
+        if (!ended) board.onNotBegun(this, reason, message)
+    }
+
+    override fun onRejected(status: Int, message: String) {
+        val rejected = Rejected.newBuilder().setStatus(status).setMessage(message)
+        endRun("rejected", ExecuteEvent.newBuilder().setRejected(rejected), message)
+    }
+
+    override fun onToken(position: Int, token: String) {
+        if (!board.mayDeliver()) return breakOff("the replica is no longer complete")
+        send(ExecuteEvent.newBuilder().setPiece(Piece.newBuilder().setPosition(position).setToken(token)))
+    }
+
+    override fun onFinish(reason: String, promptTokens: Int, completionTokens: Int) {
+        val end = End
+            .newBuilder()
+            .setFinishReason(reason)
+            .setPromptTokens(promptTokens)
+            .setCompletionTokens(completionTokens)
+        endRun("finished", ExecuteEvent.newBuilder().setEnd(end), "")
+    }
+
+    override fun onHead(head: Head) = send(ExecuteEvent.newBuilder().setHead(head), withLoad = true)
+
+    override fun onBody(data: ByteString, last: Boolean) {
+        val event = ExecuteEvent.newBuilder().setBody(BodyPart.newBuilder().setData(data).setLast(last))
+        if (last) return endRun("finished", event, "")
+        send(event)
+        if (!events.isReady) run?.pauseReading(true)
+    }
+
+    override fun onBroken(message: String, failed: Boolean) {
+        val broken = Broken.newBuilder().setMessage(message).setFailed(failed)
+        endRun("broken", ExecuteEvent.newBuilder().setBroken(broken), message)
+    }
+
+    override fun onBodyWanted() {
+        if (!ended) events.request(1)
+    }
+
+    private fun send(event: ExecuteEvent.Builder, withLoad: Boolean = false) {
+        if (ended || events.isCancelled) return
+        if (withLoad) event.load = board.loadFor(start.entry)
+        events.onNext(event.setAttempt(start.attempt).build())
+    }
+
+    private fun endRun(outcome: String, event: ExecuteEvent.Builder, failure: String) {
+        if (ended) return
+        end(outcome, event, failure)
+        board.onRunEnded(this)
+    }
+
+    private fun end(outcome: String, event: ExecuteEvent.Builder, failure: String) {
+        if (ended) return
+        send(event, withLoad = true)
+        ended = true
+        if (!events.isCancelled) events.onCompleted()
+        endSpans(failure)
+        board.metrics.attempts.labelValues(outcome).inc()
+    }
+
+    private fun endSpans(failure: String) {
+        listOfNotNull(queueSpan, backendSpan, agentSpan).forEach {
+            if (failure.isEmpty()) it.end() else it.fail(failure)
+        }
+        queueSpan = null
+        backendSpan = null
+    }
+}
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
@@ -0,0 +1,177 @@
+package org.bramleyspur.daemon.process
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.handler.ssl.SslContext
+import io.netty.handler.ssl.SslContextBuilder
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.bramleyspur.core.model.Configuration
+import org.bramleyspur.core.model.Incarnation
+import org.bramleyspur.core.model.RouteTable
+import org.bramleyspur.core.settings.Settings
+import org.bramleyspur.daemon.agent.AgentClient
+import org.bramleyspur.daemon.caller.CallerLimits
+import org.bramleyspur.daemon.caller.CallerServer
+import org.bramleyspur.daemon.caller.request.AccountLoad
+import org.bramleyspur.daemon.caller.request.ClaimClient
+import org.bramleyspur.daemon.caller.request.EntryHandler
+import org.bramleyspur.daemon.caller.request.EntryMetrics
+import org.bramleyspur.daemon.caller.request.EntryServices
+import org.bramleyspur.daemon.caller.request.EntryView
+import org.bramleyspur.daemon.caller.request.Router
+import org.bramleyspur.daemon.control.ControlSession
+import org.bramleyspur.daemon.control.ControlSessionListener
+import org.bramleyspur.daemon.platform.PlatformServer
+import org.bramleyspur.daemon.platform.Readiness
+import org.bramleyspur.protocol.AccountDemand
+import org.bramleyspur.protocol.Heartbeat
+import org.bramleyspur.protocol.HeartbeatReply
+import org.bramleyspur.protocol.Hello
+import java.io.File
+import java.util.UUID
+
+private val logger = KotlinLogging.logger {}
+
+/** The entry role: takes callers' requests and runs them on agents. */
+class EntryProcess(private val settings: Settings) :
+    RoleProcess,
+    ControlSessionListener {
+    private val incarnation = Incarnation(UUID.randomUUID().toString())
+    private val loops = Loops()
+    private val tracing = settings.tracing("entry")
+    private val registry = PrometheusRegistry()
+    private val agents = AgentClient(loops.trafficGroup)
+    private val claims = ClaimClient(loops.trafficGroup)
+
+    /** Written by the control thread, read by all. */
+    @Volatile
+    private var view = EntryView()
+
+    @Volatile
+    private var demand: Map<String, AccountLoad> = emptyMap()
+
+    @Volatile
+    private var running = 0
+
+    private val services = EntryServices(
+        incarnation,
+        loops.trafficTimers,
+        agents,
+        Router(settings[CommonSettings.DATA_CENTRE]),
+        tracing,
+        EntryMetrics(registry),
+    ) { view }
+    private val handler = EntryHandler(services, claims)
+    private val callers = CallerServer(handler::begin, CallerLimits(), tls())
+    private val session = ControlSession(
+        settings[CommonSettings.CONTROL],
+        loops.controlGroup,
+        loops.controlTimers,
+        hello(),
+        this,
+    )
+    private val platform = PlatformServer(::readiness, registry)
+
+    /** Starts to serve. */
+    fun start() {
+        platform.start(settings[CommonSettings.PLATFORM_LISTEN], loops.controlGroup)
+        callers.start(settings[EntrySettings.CALLER_LISTEN], loops.trafficGroup)
+        loops.trafficTimers.every(DEMAND_MS) { demand = handler.limiter.takeDemand() }
+        loops.trafficTimers.every(RUNNING_POLL_MS) { running = handler.limiter.total }
+        loops.control.execute { session.start() }
+        logger.info { "entry ${settings[CommonSettings.INSTANCE]} runs as $incarnation" }
+    }
+
+    override fun heartbeat(): Heartbeat.Builder = Heartbeat
+        .newBuilder()
+        .setBackendHealthy(true)
+        .setRunning(running)
+        .setLeaving(view.stopping)
+        .addAllDemands(demand.map { (account, load) -> demandOf(account, load) })
+
+    override fun onConfiguration(configuration: Configuration) {
+        view = view.copy(configuration = configuration)
+    }
+
+    override fun onRoutes(routes: RouteTable) {
+        view = view.copy(routes = routes)
+        val addresses = routes.routes.map { it.address }.toSet()
+        loops.traffic.execute {
+            agents.keepOnly(addresses)
+            addresses.forEach { agents.warm(it) }
+        }
+    }
+
+    override fun onReply(reply: HeartbeatReply, sentAtMs: Long) {
+        val leaseUntilMs =
+            if (reply.leaseMs >
+                0
+            ) {
+                maxOf(view.leaseUntilMs, sentAtMs + reply.leaseMs * 100L / 101L)
+            } else {
+                view.leaseUntilMs
+            }
+        val shares = reply.sharesList.associate { it.account to it.maxConcurrent }
+        view = view.copy(leaseUntilMs = leaseUntilMs, shares = shares)
+        val leader = session.leader
+        loops.traffic.execute { claims.onLeader(leader) }
+    }
+
+    override fun beginStop() {
+        loops.control.submit {
+            view = view.copy(stopping = true)
+            session.beat()
+        }.get()
+        callers.beginClose()
+    }
+
+    override fun closeListeners() = callers.closeListener()
+
+    override fun isDrained(): Boolean = loops.traffic.submit<Boolean> { handler.limiter.total == 0 }.get()
+
+    override fun close() {
+        session.close()
+        agents.close()
+        claims.close()
+        platform.close()
+        loops.close()
+        tracing.close(TRACE_FLUSH_MS)
+    }
+
+    private fun readiness(): Readiness {
+        val now = view
+        return when {
+            now.stopping -> Readiness(false, "stopping")
+            loops.controlTimers.nowMs() >= now.leaseUntilMs -> Readiness(false, "the configuration lease has ended")
+            now.configuration.revision.value == 0L -> Readiness(false, "no configuration")
+            else -> Readiness(true, "ready")
+        }
+    }
+
+    private fun demandOf(account: String, load: AccountLoad): AccountDemand = AccountDemand
+        .newBuilder()
+        .setAccount(account)
+        .setInFlight(load.running)
+        .setRefused(load.refused)
+        .build()
+
+    private fun tls(): SslContext? {
+        val certificate = settings[EntrySettings.TLS_CERTIFICATE]
+        if (certificate.isEmpty()) return null
+        return SslContextBuilder.forServer(File(certificate), File(settings[EntrySettings.TLS_KEY])).build()
+    }
+
+    private fun hello(): Hello = Hello
+        .newBuilder()
+        .setRole(Hello.Role.ENTRY)
+        .setInstance(settings[CommonSettings.INSTANCE])
+        .setIncarnation(incarnation.value)
+        .setRegion(settings[CommonSettings.REGION])
+        .setDataCentre(settings[CommonSettings.DATA_CENTRE])
+        .build()
+
+    private companion object {
+        const val DEMAND_MS = 500L
+        const val RUNNING_POLL_MS = 20L
+        const val TRACE_FLUSH_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/PlannedStop.kt
@@ -0,0 +1,56 @@
+package org.bramleyspur.daemon.process
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+
+private val logger = KotlinLogging.logger {}
+
+/** A process in one role. */
+interface RoleProcess {
+    /** Fails readiness, so that the load balancer and the control leader send no new work. */
+    fun beginStop()
+
+    /** Closes the listeners for new work; running work goes on. */
+    fun closeListeners()
+
+    /** Whether nothing runs any more. */
+    fun isDrained(): Boolean
+
+    /** Releases everything. */
+    fun close()
+}
+
+/**
+ * Runs the planned stop of [role]: readiness fails first, the listeners close after [graceMs], and the process ends when
+ * everything has finished or after [drainTimeoutMs].
+ */
+internal fun runPlannedStop(role: RoleProcess, graceMs: Long, drainTimeoutMs: Long) {
+    logger.info { "planned stop: not ready any more, listeners close in $graceMs ms" }
+    role.beginStop()
+    Thread.sleep(graceMs)
+    role.closeListeners()
+    val endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(drainTimeoutMs)
+    while (!role.isDrained() && System.nanoTime() < endNs) Thread.sleep(DRAIN_POLL_MS)
+    if (!role.isDrained()) logger.warn { "requests still run after $drainTimeoutMs ms; they are cut off" }
+    role.close()
+    logger.info { "stopped" }
+}
+
+/** Waits for SIGTERM or SIGINT, runs the planned stop, and lets the process exit with status 0. */
+internal fun awaitPlannedStop(role: RoleProcess, graceMs: Long, drainTimeoutMs: Long) {
+    val requested = CountDownLatch(1)
+    val stopped = CountDownLatch(1)
+    val hook = Thread({
+        requested.countDown()
+        stopped.await()
+        // The JVM reports 128 + signal after a hook unless it is halted with a status of its own.
+        Runtime.getRuntime().halt(0)
+    }, "planned-stop")
+    Runtime.getRuntime().addShutdownHook(hook)
+    requested.await()
+    runPlannedStop(role, graceMs, drainTimeoutMs)
+    stopped.countDown()
+}
+
+private const val DRAIN_POLL_MS = 20L
