--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/ControlNode.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/ControlNode.kt
@@ -52,11 +52,11 @@
  * @property onFatal receives a storage failure, after which nothing is acknowledged any more
  */
 class ControlNode(
-    storage: LogStorage,
-    address: String,
-    control: Executor,
+    private val storage: LogStorage,
+    private val address: String,
+    private val control: Executor,
     private val timers: TimerService,
-    storageThread: Executor,
+    private val storageThread: Executor,
     private val transport: PeerTransport,
     private val listener: ControlNodeListener,
     private val onFatal: (StorageError) -> Unit,
@@ -68,15 +68,20 @@
     var state = ControlState()
         private set
 
-    private val log = ReplicatedLog(
-        storage = storage,
-        options = LogOptions(address, onFatal = onFatal),
-        threads = LogThreads(control, timers, storageThread),
-        transport = transport::send,
-        stateMachine = StateMachine(::applyEntry, { state.encodeSnapshot() }, ::restore),
-        listener = LeadershipListener(ready = ::onReady, lost = { onLost() }),
-        random = RandomGenerator.getDefault(),
-    )
+    private lateinit var log: ReplicatedLog
+
+    /** Starts the log; everything that listens must be ready before. */
+    fun start() {
+        log = ReplicatedLog(
+            storage = storage,
+            options = LogOptions(address, onFatal = onFatal),
+            threads = LogThreads(control, timers, storageThread),
+            transport = transport::send,
+            stateMachine = StateMachine(::applyEntry, { state.encodeSnapshot() }, ::restore),
+            listener = LeadershipListener(ready = ::onReady, lost = { onLost() }),
+            random = RandomGenerator.getDefault(),
+        )
+    }
 
     /** Term that this member leads with a valid lease, or null. */
     fun leadingTerm(): Long? = leadingTerm?.takeIf { log.leaseValid(timers.nowMs()) }
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/ControlProcess.kt
@@ -0,0 +1,171 @@
+package org.bramleyspur.daemon.process
+
+import com.github.michaelbull.result.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.grpc.stub.StreamObserver
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.bramleyspur.control.state.ControlState
+import org.bramleyspur.core.settings.Settings
+import org.bramleyspur.daemon.member.ControlNode
+import org.bramleyspur.daemon.member.ControlNodeListener
+import org.bramleyspur.daemon.member.PeerService
+import org.bramleyspur.daemon.member.PeerTransport
+import org.bramleyspur.daemon.operator.OperatorService
+import org.bramleyspur.daemon.platform.PlatformServer
+import org.bramleyspur.daemon.platform.Readiness
+import org.bramleyspur.daemon.session.ClaimService
+import org.bramleyspur.daemon.session.LiveQueries
+import org.bramleyspur.daemon.session.PlacementDriver
+import org.bramleyspur.daemon.session.SessionService
+import org.bramleyspur.log.storage.DiskFileSystem
+import org.bramleyspur.log.storage.FirstStart
+import org.bramleyspur.log.storage.LogStorage
+import org.bramleyspur.log.storage.StorageError
+import org.bramleyspur.protocol.ClaimReply
+import org.bramleyspur.protocol.ClaimRequest
+import org.bramleyspur.protocol.CompleteReply
+import org.bramleyspur.protocol.CompleteRequest
+import org.bramleyspur.protocol.ControlServiceGrpc
+import org.bramleyspur.protocol.QueryReply
+import org.bramleyspur.protocol.QueryRequest
+import org.bramleyspur.protocol.SessionDown
+import org.bramleyspur.protocol.SessionUp
+import org.bramleyspur.protocol.SubmitReply
+import org.bramleyspur.protocol.SubmitRequest
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.Executors
+import kotlin.system.exitProcess
+
+private val logger = KotlinLogging.logger {}
+
+/** Exit status after a failed write or sync, EX_IOERR of sysexits.h. */
+private const val EXIT_STORAGE = 74
+
+/** The control role: one member of the replicated log, and the leader's duties while it leads. */
+class ControlProcess(private val settings: Settings) :
+    RoleProcess,
+    ControlNodeListener {
+    private val loops = Loops()
+    private val storageThread = Executors.newSingleThreadExecutor { Thread(it, "log-storage") }
+    private val storage = openStorage(settings[ControlSettings.DATA_DIR], FirstStart.Join)
+    private val transport = PeerTransport(loops.controlGroup)
+    private val registry = PrometheusRegistry()
+    private val node = ControlNode(
+        storage,
+        settings[CommonSettings.LISTEN].toString(),
+        loops.control,
+        loops.controlTimers,
+        storageThread,
+        transport,
+        this,
+    ) { exitOnStorageFailure(it) }
+    private val sessions = SessionService(node, loops.controlTimers)
+    private val placement = PlacementDriver(node, sessions, loops.controlTimers, settings, registry)
+    private val queries = LiveQueries(node, sessions, loops.controlTimers)
+    private val claims = ClaimService(node, System::currentTimeMillis)
+    private val operators = OperatorService(node, System::currentTimeMillis, queries::answer)
+    private val server = buildServer(
+        settings[CommonSettings.LISTEN],
+        loops.controlGroup,
+        listOf(PeerService { node.receive(it) }.bindService(), Service().bindService()),
+    )
+    private val platform = PlatformServer(::readiness, registry)
+
+    @Volatile
+    private var stopping = false
+
+    /** Starts to serve. */
+    fun start() {
+        loops.control.submit {
+            sessions.start { placement.onSessionsChanged() }
+            placement.start()
+            node.start()
+        }.get()
+        server.start()
+        platform.start(settings[CommonSettings.PLATFORM_LISTEN], loops.controlGroup)
+        logger.info { "control member ${storage.memberId} runs" }
+    }
+
+    override fun onLeading(term: Long) {
+        sessions.onLeading(term, node.state)
+        placement.onLeading()
+    }
+
+    override fun onLeadershipLost() = sessions.onLeadershipLost()
+
+    override fun onStateChanged(before: ControlState, after: ControlState) {
+        if (before.configuration != after.configuration || before.assignments != after.assignments) {
+            sessions.onCommitted(after)
+        }
+    }
+
+    override fun beginStop() {
+        stopping = true
+    }
+
+    override fun closeListeners() = Unit
+
+    override fun isDrained() = true
+
+    override fun close() {
+        loops.control.submit { node.close() }.get()
+        server.shutdownNow()
+        transport.close()
+        platform.close()
+        storageThread.shutdown()
+        loops.close()
+    }
+
+    private fun readiness() = when {
+        stopping -> Readiness(false, "stopping")
+        node.leaderAddress().isEmpty() -> Readiness(false, "no leader is known")
+        else -> Readiness(true, "ready")
+    }
+
+    private inner class Service : ControlServiceGrpc.ControlServiceImplBase() {
+        override fun session(down: StreamObserver<SessionDown>): StreamObserver<SessionUp> = sessions.open(down)
+
+        override fun claim(request: ClaimRequest, reply: StreamObserver<ClaimReply>) = claims.claim(request, reply)
+
+        override fun complete(request: CompleteRequest, reply: StreamObserver<CompleteReply>) =
+            claims.complete(request, reply)
+
+        override fun submit(request: SubmitRequest, reply: StreamObserver<SubmitReply>) =
+            operators.submit(request, reply)
+
+        override fun query(request: QueryRequest, reply: StreamObserver<QueryReply>) = operators.query(request, reply)
+    }
+}
+
+private fun exitOnStorageFailure(error: StorageError): Nothing {
+    logger.error { error.message }
+    Runtime.getRuntime().halt(EXIT_STORAGE)
+    error("unreachable")
+}
+
+private fun openStorage(folder: String, firstStart: FirstStart): LogStorage {
+    val path = Path.of(folder)
+    Files.createDirectories(path)
+    return LogStorage.open(DiskFileSystem(path), firstStart).getOrElse { exitOnStorageFailure(it) }
+}
+
+/** Makes an empty data folder a first member of a new log. */
+internal fun initialize(settings: Settings) {
+    val folder = settings[ControlSettings.DATA_DIR]
+    val member = settings[InitializeSettings.MEMBER]
+    val voters = settings[InitializeSettings.VOTERS].mapValues { it.value.toString() }
+    val path = Path.of(folder)
+    val problem = when {
+        member !in voters -> "--member: '$member' is not one of --voters; give one of ${voters.keys.joinToString()}"
+        Files.exists(path) && Files.list(path).use { it.findAny().isPresent } ->
+            "--data-dir: '$folder' is not empty; an initialized member keeps its identity, so start it as it is"
+        else -> null
+    }
+    if (problem != null) {
+        System.err.println("bramleyspurd: $problem")
+        exitProcess(2)
+    }
+    openStorage(folder, FirstStart.Bootstrap(member, voters)).close()
+    println("initialized $folder as member $member")
+}
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
@@ -86,7 +86,7 @@
         .setBackendHealthy(true)
         .setRunning(running)
         .setLeaving(view.stopping)
-        .addAllDemands(demand.map { (account, load) -> demandOf(account, load) })
+        .addAllDemands((demand.keys + view.shares.keys).map { demandOf(it, demand[it] ?: AccountLoad(0, 0)) })
 
     override fun onConfiguration(configuration: Configuration) {
         view = view.copy(configuration = configuration)
@@ -152,6 +152,7 @@
         .setAccount(account)
         .setInFlight(load.running)
         .setRefused(load.refused)
+        .setShare(view.shares[account] ?: 0)
         .build()
 
     private fun tls(): SslContext? {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AccountDemand.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AccountDemand.java
@@ -101,6 +101,21 @@
     return refused_;
   }
 
+  public static final int SHARE_FIELD_NUMBER = 4;
+  private int share_ = 0;
+  /**
+   * <pre>
+   * Concurrent requests that the entry holds itself entitled to.
+   * </pre>
+   *
+   * <code>uint32 share = 4;</code>
+   * @return The share.
+   */
+  @java.lang.Override
+  public int getShare() {
+    return share_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -124,6 +139,9 @@
     if (refused_ != 0) {
       output.writeUInt32(3, refused_);
     }
+    if (share_ != 0) {
+      output.writeUInt32(4, share_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -144,6 +162,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(3, refused_);
     }
+    if (share_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(4, share_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -165,6 +187,8 @@
         != other.getInFlight()) return false;
     if (getRefused()
         != other.getRefused()) return false;
+    if (getShare()
+        != other.getShare()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -182,6 +206,8 @@
     hash = (53 * hash) + getInFlight();
     hash = (37 * hash) + REFUSED_FIELD_NUMBER;
     hash = (53 * hash) + getRefused();
+    hash = (37 * hash) + SHARE_FIELD_NUMBER;
+    hash = (53 * hash) + getShare();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -316,6 +342,7 @@
       account_ = "";
       inFlight_ = 0;
       refused_ = 0;
+      share_ = 0;
       return this;
     }
 
@@ -358,6 +385,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.refused_ = refused_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.share_ = share_;
+      }
     }
 
     @java.lang.Override
@@ -415,6 +445,9 @@
       if (other.getRefused() != 0) {
         setRefused(other.getRefused());
       }
+      if (other.getShare() != 0) {
+        setShare(other.getShare());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -456,6 +489,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              share_ = input.readUInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -608,6 +646,50 @@
       onChanged();
       return this;
     }
+
+    private int share_ ;
+    /**
+     * <pre>
+     * Concurrent requests that the entry holds itself entitled to.
+     * </pre>
+     *
+     * <code>uint32 share = 4;</code>
+     * @return The share.
+     */
+    @java.lang.Override
+    public int getShare() {
+      return share_;
+    }
+    /**
+     * <pre>
+     * Concurrent requests that the entry holds itself entitled to.
+     * </pre>
+     *
+     * <code>uint32 share = 4;</code>
+     * @param value The share to set.
+     * @return This builder for chaining.
+     */
+    public Builder setShare(int value) {
+
+      share_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Concurrent requests that the entry holds itself entitled to.
+     * </pre>
+     *
+     * <code>uint32 share = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearShare() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      share_ = 0;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AccountDemandOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AccountDemandOrBuilder.java
@@ -31,4 +31,14 @@
    * @return The refused.
    */
   int getRefused();
+
+  /**
+   * <pre>
+   * Concurrent requests that the entry holds itself entitled to.
+   * </pre>
+   *
+   * <code>uint32 share = 4;</code>
+   * @return The share.
+   */
+  int getShare();
 }
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Session.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Session.java
@@ -154,88 +154,89 @@
       "\002 \001(\004\0222\n\005state\030\003 \001(\0162#.bramleyspur.Assig" +
       "nmentStatus.State\022\016\n\006reason\030\004 \001(\t\"F\n\005Sta" +
       "te\022\013\n\007LOADING\020\000\022\t\n\005READY\020\001\022\013\n\007SERVING\020\002\022" +
-      "\014\n\010RELEASED\020\003\022\n\n\006FAILED\020\004\"D\n\rAccountDema" +
+      "\014\n\010RELEASED\020\003\022\n\n\006FAILED\020\004\"S\n\rAccountDema" +
       "nd\022\017\n\007account\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\r\022\017" +
-      "\n\007refused\030\003 \001(\r\"\363\001\n\tHeartbeat\022\020\n\010sequenc" +
-      "e\030\001 \001(\004\022\020\n\010revision\030\002 \001(\004\022\027\n\017backend_hea" +
-      "lthy\030\003 \001(\010\022\027\n\017backend_boot_id\030\004 \001(\t\0222\n\013a" +
-      "ssignments\030\005 \003(\0132\035.bramleyspur.Assignmen" +
-      "tStatus\022+\n\007demands\030\006 \003(\0132\032.bramleyspur.A" +
-      "ccountDemand\022\017\n\007running\030\007 \001(\r\022\r\n\005slots\030\010" +
-      " \001(\r\022\017\n\007leaving\030\t \001(\010\"e\n\tSessionUp\022#\n\005he" +
-      "llo\030\001 \001(\0132\022.bramleyspur.HelloH\000\022+\n\theart" +
-      "beat\030\002 \001(\0132\026.bramleyspur.HeartbeatH\000B\006\n\004" +
-      "kind\"D\n\006Member\022\020\n\010instance\030\001 \001(\t\022\017\n\007addr" +
-      "ess\030\002 \001(\t\022\027\n\017backend_address\030\003 \001(\t\"\236\001\n\nA" +
-      "ssignment\022\017\n\007replica\030\001 \001(\t\022\026\n\016fencing_nu" +
-      "mber\030\002 \001(\004\022\017\n\007service\030\003 \001(\t\022\r\n\005model\030\004 \001" +
-      "(\t\022\017\n\007version\030\005 \001(\t\022\020\n\010adapters\030\006 \003(\t\022$\n" +
-      "\007members\030\007 \003(\0132\023.bramleyspur.Member\"\320\001\n\005" +
-      "Route\022\017\n\007service\030\001 \001(\t\022\017\n\007replica\030\002 \001(\t\022" +
-      "\026\n\016fencing_number\030\003 \001(\004\022\020\n\010instance\030\004 \001(" +
-      "\t\022\023\n\013incarnation\030\005 \001(\t\022\017\n\007address\030\006 \001(\t\022" +
-      "\016\n\006region\030\007 \001(\t\022\023\n\013data_centre\030\010 \001(\t\022\017\n\007" +
-      "version\030\t \001(\t\022\020\n\010adapters\030\n \003(\t\022\r\n\005slots" +
-      "\030\013 \001(\r\"P\n\nRouteTable\022\014\n\004term\030\001 \001(\004\022\020\n\010se" +
-      "quence\030\002 \001(\004\022\"\n\006routes\030\003 \003(\0132\022.bramleysp" +
-      "ur.Route\"7\n\014AccountShare\022\017\n\007account\030\001 \001(" +
-      "\t\022\026\n\016max_concurrent\030\002 \001(\r\"\233\001\n\016HeartbeatR" +
-      "eply\022\020\n\010sequence\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\022\020\n\010" +
-      "lease_ms\030\003 \001(\r\022)\n\006shares\030\004 \003(\0132\031.bramley" +
-      "spur.AccountShare\022,\n\013assignments\030\005 \003(\0132\027" +
-      ".bramleyspur.Assignment\"\333\001\n\013SessionDown\022" +
-      "6\n\017heartbeat_reply\030\001 \001(\0132\033.bramleyspur.H" +
-      "eartbeatReplyH\000\0223\n\rconfiguration\030\002 \001(\0132\032" +
-      ".bramleyspur.ConfigurationH\000\022)\n\006routes\030\003" +
-      " \001(\0132\027.bramleyspur.RouteTableH\000\022,\n\nnot_l" +
-      "eader\030\004 \001(\0132\026.bramleyspur.NotLeaderH\000B\006\n" +
-      "\004kind\"\033\n\tNotLeader\022\016\n\006leader\030\001 \001(\t\"\240\001\n\014C" +
-      "laimRequest\022\017\n\007account\030\001 \001(\t\022\017\n\007service\030" +
-      "\002 \001(\t\022\013\n\003key\030\003 \001(\t\022\016\n\006digest\030\004 \001(\014\022\017\n\007re" +
-      "quest\030\005 \001(\t\022\023\n\013incarnation\030\006 \001(\t\022\025\n\ragen" +
-      "t_address\030\007 \001(\t\022\024\n\014retention_ms\030\010 \001(\004\"k\n" +
-      "\016RecordedAnswer\022\016\n\006status\030\001 \001(\r\022\024\n\014conte" +
-      "nt_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\021\n\tbody_kept" +
-      "\030\004 \001(\010\022\022\n\nbody_bytes\030\005 \001(\004\"\264\002\n\nClaimRepl" +
-      "y\022,\n\005state\030\001 \001(\0162\035.bramleyspur.ClaimRepl" +
-      "y.State\022+\n\006answer\030\002 \001(\0132\033.bramleyspur.Re" +
-      "cordedAnswer\022\017\n\007request\030\003 \001(\t\022\023\n\013incarna" +
-      "tion\030\004 \001(\t\022\025\n\ragent_address\030\005 \001(\t\022\016\n\006lea" +
-      "der\030\006 \001(\t\"~\n\005State\022\013\n\007GRANTED\020\000\022\017\n\013IN_PR" +
-      "OGRESS\020\001\022\014\n\010ANSWERED\020\002\022\023\n\017DIGEST_MISMATC" +
-      "H\020\003\022\023\n\017UNKNOWN_OUTCOME\020\004\022\016\n\nNOT_LEADER\020\005" +
-      "\022\017\n\013UNAVAILABLE\020\006\"\350\001\n\017CompleteRequest\022\017\n" +
-      "\007account\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\013\n\003key\030\003" +
-      " \001(\t\022\017\n\007request\030\004 \001(\t\0225\n\007outcome\030\005 \001(\0162$" +
-      ".bramleyspur.CompleteRequest.Outcome\022+\n\006" +
-      "answer\030\006 \001(\0132\033.bramleyspur.RecordedAnswe" +
-      "r\"1\n\007Outcome\022\014\n\010ANSWERED\020\000\022\013\n\007NOT_RUN\020\001\022" +
-      "\013\n\007UNKNOWN\020\002\"1\n\rCompleteReply\022\020\n\010recorde" +
-      "d\030\001 \001(\010\022\016\n\006leader\030\002 \001(\t\"R\n\rSubmitRequest" +
-      "\022\022\n\nstatements\030\001 \001(\t\022\022\n\ncommand_id\030\002 \001(\t" +
-      "\022\031\n\021expected_revision\030\003 \001(\004\"\314\001\n\013SubmitRe" +
-      "ply\0221\n\007outcome\030\001 \001(\0162 .bramleyspur.Submi" +
-      "tReply.Outcome\022\020\n\010revision\030\002 \001(\004\022\017\n\007mess" +
-      "age\030\003 \001(\t\022\016\n\006leader\030\004 \001(\t\022\020\n\010repeated\030\005 " +
-      "\001(\010\"E\n\007Outcome\022\014\n\010ACCEPTED\020\000\022\013\n\007REFUSED\020" +
-      "\001\022\016\n\nNOT_LEADER\020\002\022\017\n\013UNAVAILABLE\020\003\"!\n\014Qu" +
-      "eryRequest\022\021\n\tstatement\030\001 \001(\t\"\212\002\n\nQueryR" +
-      "eply\0220\n\007outcome\030\001 \001(\0162\037.bramleyspur.Quer" +
-      "yReply.Outcome\022\017\n\007columns\030\002 \003(\t\022)\n\004rows\030" +
-      "\003 \003(\0132\033.bramleyspur.QueryReply.Row\022\017\n\007me" +
-      "ssage\030\004 \001(\t\022\016\n\006leader\030\005 \001(\t\022\020\n\010revision\030" +
-      "\006 \001(\004\032\024\n\003Row\022\r\n\005cells\030\001 \003(\t\"E\n\007Outcome\022\014" +
-      "\n\010ANSWERED\020\000\022\013\n\007REFUSED\020\001\022\016\n\nNOT_LEADER\020" +
-      "\002\022\017\n\013UNAVAILABLE\020\0032\321\002\n\016ControlService\022?\n" +
-      "\007Session\022\026.bramleyspur.SessionUp\032\030.braml" +
-      "eyspur.SessionDown(\0010\001\022;\n\005Claim\022\031.bramle" +
-      "yspur.ClaimRequest\032\027.bramleyspur.ClaimRe" +
-      "ply\022D\n\010Complete\022\034.bramleyspur.CompleteRe" +
-      "quest\032\032.bramleyspur.CompleteReply\022>\n\006Sub" +
-      "mit\022\032.bramleyspur.SubmitRequest\032\030.bramle" +
-      "yspur.SubmitReply\022;\n\005Query\022\031.bramleyspur" +
-      ".QueryRequest\032\027.bramleyspur.QueryReplyB\034" +
-      "\n\030org.bramleyspur.protocolP\001b\006proto3"
+      "\n\007refused\030\003 \001(\r\022\r\n\005share\030\004 \001(\r\"\363\001\n\tHeart" +
+      "beat\022\020\n\010sequence\030\001 \001(\004\022\020\n\010revision\030\002 \001(\004" +
+      "\022\027\n\017backend_healthy\030\003 \001(\010\022\027\n\017backend_boo" +
+      "t_id\030\004 \001(\t\0222\n\013assignments\030\005 \003(\0132\035.bramle" +
+      "yspur.AssignmentStatus\022+\n\007demands\030\006 \003(\0132" +
+      "\032.bramleyspur.AccountDemand\022\017\n\007running\030\007" +
+      " \001(\r\022\r\n\005slots\030\010 \001(\r\022\017\n\007leaving\030\t \001(\010\"e\n\t" +
+      "SessionUp\022#\n\005hello\030\001 \001(\0132\022.bramleyspur.H" +
+      "elloH\000\022+\n\theartbeat\030\002 \001(\0132\026.bramleyspur." +
+      "HeartbeatH\000B\006\n\004kind\"D\n\006Member\022\020\n\010instanc" +
+      "e\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\027\n\017backend_addr" +
+      "ess\030\003 \001(\t\"\236\001\n\nAssignment\022\017\n\007replica\030\001 \001(" +
+      "\t\022\026\n\016fencing_number\030\002 \001(\004\022\017\n\007service\030\003 \001" +
+      "(\t\022\r\n\005model\030\004 \001(\t\022\017\n\007version\030\005 \001(\t\022\020\n\010ad" +
+      "apters\030\006 \003(\t\022$\n\007members\030\007 \003(\0132\023.bramleys" +
+      "pur.Member\"\320\001\n\005Route\022\017\n\007service\030\001 \001(\t\022\017\n" +
+      "\007replica\030\002 \001(\t\022\026\n\016fencing_number\030\003 \001(\004\022\020" +
+      "\n\010instance\030\004 \001(\t\022\023\n\013incarnation\030\005 \001(\t\022\017\n" +
+      "\007address\030\006 \001(\t\022\016\n\006region\030\007 \001(\t\022\023\n\013data_c" +
+      "entre\030\010 \001(\t\022\017\n\007version\030\t \001(\t\022\020\n\010adapters" +
+      "\030\n \003(\t\022\r\n\005slots\030\013 \001(\r\"P\n\nRouteTable\022\014\n\004t" +
+      "erm\030\001 \001(\004\022\020\n\010sequence\030\002 \001(\004\022\"\n\006routes\030\003 " +
+      "\003(\0132\022.bramleyspur.Route\"7\n\014AccountShare\022" +
+      "\017\n\007account\030\001 \001(\t\022\026\n\016max_concurrent\030\002 \001(\r" +
+      "\"\233\001\n\016HeartbeatReply\022\020\n\010sequence\030\001 \001(\004\022\014\n" +
+      "\004term\030\002 \001(\004\022\020\n\010lease_ms\030\003 \001(\r\022)\n\006shares\030" +
+      "\004 \003(\0132\031.bramleyspur.AccountShare\022,\n\013assi" +
+      "gnments\030\005 \003(\0132\027.bramleyspur.Assignment\"\333" +
+      "\001\n\013SessionDown\0226\n\017heartbeat_reply\030\001 \001(\0132" +
+      "\033.bramleyspur.HeartbeatReplyH\000\0223\n\rconfig" +
+      "uration\030\002 \001(\0132\032.bramleyspur.Configuratio" +
+      "nH\000\022)\n\006routes\030\003 \001(\0132\027.bramleyspur.RouteT" +
+      "ableH\000\022,\n\nnot_leader\030\004 \001(\0132\026.bramleyspur" +
+      ".NotLeaderH\000B\006\n\004kind\"\033\n\tNotLeader\022\016\n\006lea" +
+      "der\030\001 \001(\t\"\240\001\n\014ClaimRequest\022\017\n\007account\030\001 " +
+      "\001(\t\022\017\n\007service\030\002 \001(\t\022\013\n\003key\030\003 \001(\t\022\016\n\006dig" +
+      "est\030\004 \001(\014\022\017\n\007request\030\005 \001(\t\022\023\n\013incarnatio" +
+      "n\030\006 \001(\t\022\025\n\ragent_address\030\007 \001(\t\022\024\n\014retent" +
+      "ion_ms\030\010 \001(\004\"k\n\016RecordedAnswer\022\016\n\006status" +
+      "\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001" +
+      "(\014\022\021\n\tbody_kept\030\004 \001(\010\022\022\n\nbody_bytes\030\005 \001(" +
+      "\004\"\264\002\n\nClaimReply\022,\n\005state\030\001 \001(\0162\035.bramle" +
+      "yspur.ClaimReply.State\022+\n\006answer\030\002 \001(\0132\033" +
+      ".bramleyspur.RecordedAnswer\022\017\n\007request\030\003" +
+      " \001(\t\022\023\n\013incarnation\030\004 \001(\t\022\025\n\ragent_addre" +
+      "ss\030\005 \001(\t\022\016\n\006leader\030\006 \001(\t\"~\n\005State\022\013\n\007GRA" +
+      "NTED\020\000\022\017\n\013IN_PROGRESS\020\001\022\014\n\010ANSWERED\020\002\022\023\n" +
+      "\017DIGEST_MISMATCH\020\003\022\023\n\017UNKNOWN_OUTCOME\020\004\022" +
+      "\016\n\nNOT_LEADER\020\005\022\017\n\013UNAVAILABLE\020\006\"\350\001\n\017Com" +
+      "pleteRequest\022\017\n\007account\030\001 \001(\t\022\017\n\007service" +
+      "\030\002 \001(\t\022\013\n\003key\030\003 \001(\t\022\017\n\007request\030\004 \001(\t\0225\n\007" +
+      "outcome\030\005 \001(\0162$.bramleyspur.CompleteRequ" +
+      "est.Outcome\022+\n\006answer\030\006 \001(\0132\033.bramleyspu" +
+      "r.RecordedAnswer\"1\n\007Outcome\022\014\n\010ANSWERED\020" +
+      "\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002\"1\n\rCompleteR" +
+      "eply\022\020\n\010recorded\030\001 \001(\010\022\016\n\006leader\030\002 \001(\t\"R" +
+      "\n\rSubmitRequest\022\022\n\nstatements\030\001 \001(\t\022\022\n\nc" +
+      "ommand_id\030\002 \001(\t\022\031\n\021expected_revision\030\003 \001" +
+      "(\004\"\314\001\n\013SubmitReply\0221\n\007outcome\030\001 \001(\0162 .br" +
+      "amleyspur.SubmitReply.Outcome\022\020\n\010revisio" +
+      "n\030\002 \001(\004\022\017\n\007message\030\003 \001(\t\022\016\n\006leader\030\004 \001(\t" +
+      "\022\020\n\010repeated\030\005 \001(\010\"E\n\007Outcome\022\014\n\010ACCEPTE" +
+      "D\020\000\022\013\n\007REFUSED\020\001\022\016\n\nNOT_LEADER\020\002\022\017\n\013UNAV" +
+      "AILABLE\020\003\"!\n\014QueryRequest\022\021\n\tstatement\030\001" +
+      " \001(\t\"\212\002\n\nQueryReply\0220\n\007outcome\030\001 \001(\0162\037.b" +
+      "ramleyspur.QueryReply.Outcome\022\017\n\007columns" +
+      "\030\002 \003(\t\022)\n\004rows\030\003 \003(\0132\033.bramleyspur.Query" +
+      "Reply.Row\022\017\n\007message\030\004 \001(\t\022\016\n\006leader\030\005 \001" +
+      "(\t\022\020\n\010revision\030\006 \001(\004\032\024\n\003Row\022\r\n\005cells\030\001 \003" +
+      "(\t\"E\n\007Outcome\022\014\n\010ANSWERED\020\000\022\013\n\007REFUSED\020\001" +
+      "\022\016\n\nNOT_LEADER\020\002\022\017\n\013UNAVAILABLE\020\0032\321\002\n\016Co" +
+      "ntrolService\022?\n\007Session\022\026.bramleyspur.Se" +
+      "ssionUp\032\030.bramleyspur.SessionDown(\0010\001\022;\n" +
+      "\005Claim\022\031.bramleyspur.ClaimRequest\032\027.bram" +
+      "leyspur.ClaimReply\022D\n\010Complete\022\034.bramley" +
+      "spur.CompleteRequest\032\032.bramleyspur.Compl" +
+      "eteReply\022>\n\006Submit\022\032.bramleyspur.SubmitR" +
+      "equest\032\030.bramleyspur.SubmitReply\022;\n\005Quer" +
+      "y\022\031.bramleyspur.QueryRequest\032\027.bramleysp" +
+      "ur.QueryReplyB\034\n\030org.bramleyspur.protoco" +
+      "lP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -259,7 +260,7 @@
     internal_static_bramleyspur_AccountDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_AccountDemand_descriptor,
-        new java.lang.String[] { "Account", "InFlight", "Refused", });
+        new java.lang.String[] { "Account", "InFlight", "Refused", "Share", });
     internal_static_bramleyspur_Heartbeat_descriptor =
       getDescriptor().getMessageTypes().get(3);
     internal_static_bramleyspur_Heartbeat_fieldAccessorTable = new
