--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/telemetry/Logging.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/telemetry/Logging.kt
@@ -12,9 +12,12 @@
 import ch.qos.logback.core.encoder.Encoder
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
+import java.util.logging.LogManager
 
 /** Sends all log output to standard error in [format], from [level] upwards. */
 fun configureLogging(format: LogFormat, level: String) {
+    // gRPC logs through java.util.logging, whose console output has another form.
+    LogManager.getLogManager().reset()
     val context = LoggerFactory.getILoggerFactory() as LoggerContext
     context.reset()
     val appender = ConsoleAppender<ILoggingEvent>()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/agent/AgentClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/agent/AgentClient.kt
@@ -19,6 +19,7 @@
 import io.netty.channel.EventLoopGroup
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.daemon.process.openChannel
+import org.bramleyspur.daemon.process.reconnectNow
 import org.bramleyspur.protocol.AgentServiceGrpc
 import org.bramleyspur.protocol.BodyPart
 import org.bramleyspur.protocol.Cancel
@@ -27,6 +28,7 @@
 import org.bramleyspur.protocol.LookupReply
 import org.bramleyspur.protocol.LookupRequest
 import org.bramleyspur.protocol.Start
+import java.util.concurrent.Executor
 import java.util.concurrent.TimeUnit
 
 /** Receives the events of one attempt on the traffic thread. */
@@ -65,7 +67,7 @@
 
     /** Starts an attempt at the agent with [address]. */
     fun execute(address: String, start: Start, listener: AttemptListener): AttemptCall {
-        val attempt = Attempt(listener)
+        val attempt = Attempt(listener, group.next())
         val stub = AgentServiceGrpc.newStub(channel(address))
         stub.withInterceptors(attempt.tracing()).execute(attempt)
         attempt.send(ExecuteRequest.newBuilder().setStart(start).build())
@@ -99,9 +101,9 @@
     private fun channel(address: String): ManagedChannel = channels.getOrPut(address) {
         val target = Address.parse(address).component1() ?: error("agent address $address is malformed")
         openChannel(target, group)
-    }
+    }.also { it.reconnectNow() }
 
-    private class Attempt(private val listener: AttemptListener) :
+    private class Attempt(private val listener: AttemptListener, private val traffic: Executor) :
         ClientResponseObserver<ExecuteRequest, ExecuteEvent>,
         AttemptCall {
         private lateinit var up: ClientCallStreamObserver<ExecuteRequest>
@@ -159,7 +161,8 @@
         private fun end() {
             if (closed) return
             closed = true
-            listener.onClosed(sent.written)
+            // The call can fail while it is being started, before its owner has recorded the attempt.
+            traffic.execute { listener.onClosed(sent.written) }
         }
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/agent/ConfirmClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/agent/ConfirmClient.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoopGroup
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.daemon.process.openChannel
+import org.bramleyspur.daemon.process.reconnectNow
 import org.bramleyspur.protocol.AgentServiceGrpc
 import org.bramleyspur.protocol.ConfirmReply
 import org.bramleyspur.protocol.ConfirmRequest
@@ -18,6 +19,7 @@
     fun ask(address: String, request: ConfirmRequest, onReply: (ConfirmReply) -> Unit) {
         val target = Address.parse(address).component1() ?: return
         val channel = channels.getOrPut(address) { openChannel(target, group) }
+        channel.reconnectNow()
         AgentServiceGrpc
             .newStub(channel)
             .withDeadlineAfter(request.grantMs.toLong(), TimeUnit.MILLISECONDS)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/PeerTransport.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/PeerTransport.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoopGroup
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.daemon.process.openChannel
+import org.bramleyspur.daemon.process.reconnectNow
 import org.bramleyspur.protocol.ConsensusAck
 import org.bramleyspur.protocol.ConsensusMessage
 import org.bramleyspur.protocol.ConsensusServiceGrpc
@@ -32,28 +33,37 @@
 
     private inner class Peer(private val address: String) {
         val channel: ManagedChannel? = Address.parse(address).component1()?.let { openChannel(it, group) }
-        private var stream: StreamObserver<ConsensusMessage>? = null
+        private var stream: PeerStream? = null
 
         fun send(message: ConsensusMessage) {
-            val open = stream ?: open() ?: return
-            open.onNext(message)
+            val target = channel ?: return
+            val current = stream?.takeIf { !it.ended } ?: PeerStream(target).also { stream = it }
+            if (!current.ended) current.send(message)
         }
+    }
+
+    /** One stream to a peer. The stream can end while it is being opened, when the peer cannot be reached. */
+    private class PeerStream(channel: ManagedChannel) : StreamObserver<ConsensusAck> {
+        var ended = false
+            private set
+        private val up: StreamObserver<ConsensusMessage>
 
-        private fun open(): StreamObserver<ConsensusMessage>? {
-            val target = channel ?: return null
-            lateinit var opened: StreamObserver<ConsensusMessage>
-            opened = ConsensusServiceGrpc.newStub(target).messages(Ended { if (stream === opened) stream = null })
-            stream = opened
-            return opened
+        init {
+            channel.reconnectNow()
+            up = ConsensusServiceGrpc.newStub(channel).messages(this)
         }
-    }
 
-    private class Ended(private val onEnd: () -> Unit) : StreamObserver<ConsensusAck> {
+        fun send(message: ConsensusMessage) = up.onNext(message)
+
         override fun onNext(message: ConsensusAck) = Unit
 
-        override fun onError(cause: Throwable) = onEnd()
+        override fun onError(cause: Throwable) {
+            ended = true
+        }
 
-        override fun onCompleted() = onEnd()
+        override fun onCompleted() {
+            ended = true
+        }
     }
 }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentSettings.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentSettings.kt
@@ -18,7 +18,7 @@
         numberSetting("accelerators", "Accelerators of the instance.", "devices", 0, 0L..MAX_ACCELERATORS)
     val LOCK_PORT = numberSetting(
         "lock-port",
-        "Loopback port that keeps a second agent off this backend server; 0 takes the backend's port + 10000.",
+        "Loopback port that keeps a second agent off this backend server; 0 derives one from the backend's port.",
         "port",
         0,
         0L..MAX_PORT,
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/Channels.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/Channels.kt
@@ -1,5 +1,6 @@
 package org.bramleyspur.daemon.process
 
+import io.grpc.ConnectivityState
 import io.grpc.ManagedChannel
 import io.grpc.Server
 import io.grpc.ServerServiceDefinition
@@ -32,6 +33,14 @@
     .maxInboundMessageSize(MAX_MESSAGE_BYTES)
     .build()
 
+/**
+ * Ends the reconnection delay of a channel whose last connection attempt failed. gRPC lets the delay grow to two
+ * minutes, far longer than a restarted process may stay unreachable.
+ */
+fun ManagedChannel.reconnectNow() {
+    if (getState(false) == ConnectivityState.TRANSIENT_FAILURE) resetConnectBackoff()
+}
+
 /** Builds a gRPC server on [address] whose calls run on [group]. */
 fun buildServer(address: Address, group: EventLoopGroup, services: List<ServerServiceDefinition>): Server {
     val builder =
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
@@ -166,6 +166,7 @@
         .setRole(Hello.Role.ENTRY)
         .setInstance(settings[CommonSettings.INSTANCE])
         .setIncarnation(incarnation.value)
+        .setAddress(settings[EntrySettings.CALLER_LISTEN].toString())
         .setRegion(settings[CommonSettings.REGION])
         .setDataCentre(settings[CommonSettings.DATA_CENTRE])
         .build()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/SlotLock.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/SlotLock.kt
@@ -13,9 +13,9 @@
     override fun close() = socket.close()
 
     companion object {
-        private const val PORT_OFFSET = 10_000
-        private const val PORT_RANGE = 55_000
-        private const val FIRST_PORT = 10_000
+        /** Derived ports stay below the range that Linux takes for outgoing connections, which starts at 32768. */
+        private const val FIRST_PORT = 20_000
+        private const val PORT_COUNT = 12_000
 
         /** Takes the lock of the backend server that [settings] name; throws [SlotTakenException] when it is held. */
         fun acquire(settings: Settings): SlotLock {
@@ -28,7 +28,7 @@
             }
         }
 
-        private fun derivedPort(backendPort: Int): Int = FIRST_PORT + (backendPort + PORT_OFFSET) % PORT_RANGE
+        private fun derivedPort(backendPort: Int): Int = FIRST_PORT + backendPort % PORT_COUNT
     }
 }
 
