Add the operators' tool bin/bramleyspur

Operators had no way to send statements. The tool follows the leader's address and resends a command under one identity until the timeout. A stream tracer tells whether a call was given to a connection, so that exit code 4 (nothing was changed) and 3 (outcome unknown) are told apart by proof; the status code alone was ruled out, because a broken connection and a refused one share it. diff compares the file with 'show configuration', apply submits the difference and expects the revision that it compared with.

--- /dev/null
+++ b/bramleyspur-cli/src/main/kotlin/org/bramleyspur/cli/Main.kt
@@ -0,0 +1,16 @@
+package org.bramleyspur.cli
+
+import io.netty.util.internal.logging.InternalLoggerFactory
+import io.netty.util.internal.logging.JdkLoggerFactory
+import java.util.logging.Level
+import java.util.logging.Logger
+import kotlin.system.exitProcess
+
+/** The operators' tool `bin/bramleyspur`. */
+fun main(args: Array<String>) {
+    // Netty would else write its debug log to standard output, among the answers, and gRPC notes to standard error.
+    InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE)
+    Logger.getLogger("").level = Level.SEVERE
+    val console = Console(System.out, System.err) { System.`in`.bufferedReader().readText() }
+    exitProcess(run(args.toList(), System.getenv(), console).code)
+}
--- /dev/null
+++ b/bramleyspur-cli/src/main/kotlin/org/bramleyspur/cli/Program.kt
@@ -0,0 +1,161 @@
+package org.bramleyspur.cli
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.mapError
+import org.bramleyspur.language.Command
+import org.bramleyspur.language.Query
+import org.bramleyspur.language.Show
+import org.bramleyspur.language.Statement
+import org.bramleyspur.language.Subject
+import org.bramleyspur.language.parse
+import org.bramleyspur.language.toText
+import org.bramleyspur.protocol.QueryReply
+import org.bramleyspur.protocol.QueryRequest
+import org.bramleyspur.protocol.SubmitReply
+import org.bramleyspur.protocol.SubmitRequest
+import java.io.File
+import java.io.IOException
+import java.util.UUID
+
+/** Runs the program with the command line [args]. */
+internal fun run(args: List<String>, environment: Map<String, String>, console: Console): ExitCode =
+    readOptions(args, environment).fold(
+        success = { options ->
+            ControlClient(options.control, options.timeoutMs).use { Program(options, it, console).run() }
+        },
+        failure = { ended ->
+            when (ended) {
+                is NoOptions.Help -> ExitCode.DONE.also { console.out.println(ended.text) }
+                is NoOptions.Wrong -> ExitCode.USAGE.also { console.err.println(ended.error.message) }
+            }
+        },
+    )
+
+/** One run of the program. */
+private class Program(private val options: Options, private val client: ControlClient, private val console: Console) {
+    private val output = Output(options.output, console)
+    private val commandId = options.commandId ?: UUID.randomUUID().toString()
+
+    fun run(): ExitCode = readText().andThen { statements(it, options.file) }.andThen { act(it) }.fold(
+        success = { it },
+        failure = { ExitCode.USAGE.also { _ -> output.failed("usage", it.message) } },
+    )
+
+    private fun readText(): Result<String, UsageError> = try {
+        when {
+            options.words.isNotEmpty() -> Ok(options.words.joinToString(" "))
+            options.file == null || options.file == "-" -> Ok(console.input())
+            else -> Ok(File(options.file).readText())
+        }
+    } catch (e: IOException) {
+        Err(UsageError("the file ${options.file} cannot be read: ${e.message}"))
+    }
+
+    private fun act(statements: List<Statement>): Result<ExitCode, UsageError> = when (options.action) {
+        Action.SEND -> send(statements)
+        Action.DIFF, Action.APPLY -> Declaration.of(statements).andThen { compare(it) }
+    }
+
+    private fun send(statements: List<Statement>): Result<ExitCode, UsageError> {
+        val commands = statements.filterIsInstance<Command>()
+        val queries = statements.filterIsInstance<Query>()
+        val forCommands = options.commandId != null || options.expectedRevision != 0L
+        return when {
+            statements.isEmpty() -> Err(UsageError("no statement is given"))
+            queries.isEmpty() -> Ok(submit(commands, options.expectedRevision))
+            commands.isNotEmpty() -> Err(UsageError("commands and queries are mixed; send them apart"))
+            forCommands -> Err(UsageError("--command-id and --expect-revision are for commands; leave them out"))
+            else -> Ok(
+                queries.firstNotNullOfOrNull {
+                    show(it).takeIf { code -> code != ExitCode.DONE }
+                } ?: ExitCode.DONE,
+            )
+        }
+    }
+
+    private fun show(query: Query): ExitCode = ask(query) { reply ->
+        output.answered(reply)
+        Ok(ExitCode.DONE)
+    }.fold({ it }, { ExitCode.USAGE })
+
+    private fun compare(declared: Declaration): Result<ExitCode, UsageError> =
+        ask(Show(Subject.CONFIGURATION)) { reply ->
+            val text = reply.rowsList.joinToString(";\n") { it.cellsList.joinToString("") }
+            statements(text, "show configuration")
+                .andThen { Declaration.of(it) }
+                .andThen { Ok(apply(difference(it, declared), reply.revision)) }
+        }
+
+    private fun apply(commands: List<Command>, revision: Long): ExitCode {
+        output.difference(commands.map { it.toText() }, revision)
+        if (options.action == Action.DIFF || commands.isEmpty()) return ExitCode.DONE
+        return submit(commands, if (options.expectedRevision == 0L) revision else options.expectedRevision)
+    }
+
+    private fun ask(
+        query: Query,
+        answered: (QueryReply) -> Result<ExitCode, UsageError>,
+    ): Result<ExitCode, UsageError> {
+        val request = QueryRequest.newBuilder().setStatement(query.toText()).build()
+        return when (val result = client.query(request)) {
+            is CallResult.Replied ->
+                if (result.reply.outcome ==
+                    QueryReply.Outcome.ANSWERED
+                ) {
+                    answered(result.reply)
+                } else {
+                    Ok(refused(result.reply))
+                }
+            is CallResult.Unavailable -> Ok(unavailable(result.reason))
+            is CallResult.Unknown -> Ok(unavailable(result.reason))
+        }
+    }
+
+    private fun refused(reply: QueryReply): ExitCode {
+        output.failed("refused", reply.message)
+        return ExitCode.REFUSED
+    }
+
+    private fun submit(commands: List<Command>, expectedRevision: Long): ExitCode {
+        val request = SubmitRequest
+            .newBuilder()
+            .setStatements(commands.toText())
+            .setCommandId(commandId)
+            .setExpectedRevision(expectedRevision)
+            .build()
+        return when (val result = client.submit(request)) {
+            is CallResult.Replied -> replied(result.reply)
+            is CallResult.Unavailable -> unavailable(result.reason)
+            is CallResult.Unknown -> unknown(result.reason)
+        }
+    }
+
+    private fun replied(reply: SubmitReply): ExitCode {
+        val accepted = reply.outcome == SubmitReply.Outcome.ACCEPTED
+        if (accepted) output.accepted(reply, commandId) else output.refused(reply, commandId)
+        return if (accepted) ExitCode.DONE else ExitCode.REFUSED
+    }
+
+    private fun unavailable(reason: String): ExitCode {
+        output.failed(
+            "unavailable",
+            "no control leader answered within ${options.timeoutMs} ms; nothing was changed; $reason",
+        )
+        return ExitCode.UNAVAILABLE
+    }
+
+    private fun unknown(reason: String): ExitCode {
+        val message = "the command may have taken effect or not; resend it with --command-id $commandId to learn the " +
+            "answer, it does not run twice under that id; $reason"
+        output.failed("unknown", message, commandId)
+        return ExitCode.UNKNOWN
+    }
+}
+
+private fun statements(text: String, source: String?): Result<List<Statement>, UsageError> = parse(text).mapError {
+    UsageError("${source?.let { name -> "$name, " }.orEmpty()}line ${it.line}, column ${it.column}: ${it.message}")
+}
