--- a/bramleyspur-cli/src/main/kotlin/org/bramleyspur/cli/ControlClient.kt
+++ b/bramleyspur-cli/src/main/kotlin/org/bramleyspur/cli/ControlClient.kt
@@ -92,7 +92,7 @@
         private var mayHaveRun = false
         private var reason = "no control instance answered"
 
-        /** Whether the next attempt goes to a hinted leader at once; each second hint waits, to break a cycle of hints. */
+        /** Whether the next attempt goes to a hinted leader at once; each second hint waits, to break a cycle. */
         var followsHint = false
             private set
 
