Add the stand-in model engine and plain backend server

The daemon's adapters and the fault cases need backend servers that follow docs/engine-api.md. Both run on one event loop each. Tried by hand over loopback: streamed and whole completions, refusals, orders, a 300 MB upload and a 300 MB answer; the unit tests follow.

--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/Placeholder.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package org.bramleyspur.testbed
-
-/** Warm-up. */
-internal const val WARM_UP = 1
--- /dev/null
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/engine/EngineHandler.kt
@@ -0,0 +1,130 @@
+/*
+ * The HTTP interface of the stand-in engine: one handler for each connection, which runs one request at a time.
+ */
+package org.bramleyspur.testbed.engine
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.QueryStringDecoder
+import kotlinx.serialization.encodeToString
+import org.bramleyspur.testbed.http.RequestHandler
+import org.bramleyspur.testbed.http.answerError
+import org.bramleyspur.testbed.http.answerJson
+import org.bramleyspur.testbed.http.testbedJson
+import java.util.concurrent.atomic.AtomicLong
+
+/** Numbers the requests that come without an `X-Request-Id`. */
+private val anonymousRequests = AtomicLong()
+
+/** Answers the engine interface for one connection. */
+internal class EngineHandler(private val engine: Engine) : RequestHandler() {
+    private var current: Generation? = null
+    private var busy = false
+    private var subscriber: ((CacheEvent) -> Unit)? = null
+
+    override fun handle(context: ChannelHandlerContext, request: FullHttpRequest) {
+        if (busy) {
+            context.close()
+            return
+        }
+        val uri = QueryStringDecoder(request.uri())
+        val body = request.content().toString(Charsets.UTF_8)
+        when (request.method()) {
+            HttpMethod.POST -> post(context, uri.path(), request, body)
+            HttpMethod.GET -> get(context, uri)
+            else -> notFound(context, uri.path())
+        }
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        current?.let(engine::abandon)
+        subscriber?.let(engine.cacheEvents::unsubscribe)
+        super.channelInactive(context)
+    }
+
+    private fun post(context: ChannelHandlerContext, path: String, request: FullHttpRequest, body: String) {
+        when (path) {
+            "/v1/completions" -> complete(context, request, parseText(body))
+            "/v1/chat/completions" -> complete(context, request, parseChat(body))
+            "/admin/orders" -> order(context, testbedJson.decodeFromString(body))
+            "/admin/cancel" -> {
+                val attempt = testbedJson.decodeFromString<CancelRequest>(body).request
+                context.answerJson(testbedJson.encodeToString(engine.cancel(attempt)))
+            }
+            "/testbed/settings" -> {
+                engine.change(testbedJson.decodeFromString(body))
+                context.answerJson("{}")
+            }
+            else -> notFound(context, path)
+        }
+    }
+
+    private fun get(context: ChannelHandlerContext, uri: QueryStringDecoder) {
+        when (uri.path()) {
+            "/admin/state" -> context.answerJson(testbedJson.encodeToString(engine.report()))
+            "/admin/load" -> context.answerJson(testbedJson.encodeToString(engine.loadReport()))
+            "/admin/runs" -> context.answerJson(testbedJson.encodeToString(engine.runsReport()))
+            "/admin/cache-events" -> follow(context, uri.parameters()["after"]?.firstOrNull()?.toLongOrNull() ?: 0)
+            else -> notFound(context, uri.path())
+        }
+    }
+
+    private fun order(context: ChannelHandlerContext, order: Order) {
+        val answer = engine.order(order)
+        if (answer == null) {
+            context.answerError(
+                412,
+                "old_fencing_number",
+                "a higher fencing number than ${order.fencingNumber} was seen",
+            )
+        } else {
+            context.answerJson(testbedJson.encodeToString(answer))
+        }
+    }
+
+    private fun complete(context: ChannelHandlerContext, http: FullHttpRequest, request: CompletionRequest) {
+        val call = callHeaders(http)
+        val onEnd = {
+            busy = false
+            current = null
+        }
+        val sink =
+            if (request.stream) {
+                StreamSink(context, request, call.attempt, onEnd)
+            } else {
+                WholeSink(context, request, call.attempt, onEnd)
+            }
+        busy = true
+        current = engine.submit(call, request, sink)
+    }
+
+    private fun follow(context: ChannelHandlerContext, after: Long) {
+        busy = true
+        context.startEvents()
+        context.flush()
+        val send = { event: CacheEvent -> context.event(testbedJson.encodeToString(event)) }
+        subscriber = send
+        engine.cacheEvents.subscribe(after, send)
+    }
+
+    private fun notFound(context: ChannelHandlerContext, path: String) {
+        context.answerError(404, "not_found", "no such call: $path")
+    }
+}
+
+private fun callHeaders(http: FullHttpRequest): CallHeaders {
+    val headers = http.headers()
+    return CallHeaders(
+        attempt = headers["X-Request-Id"] ?: "anonymous-${anonymousRequests.incrementAndGet()}/1",
+        priority = number(http, "X-Priority")?.toInt() ?: 0,
+        timeoutMs = number(http, "X-Timeout-Ms"),
+        replica = headers["X-Replica"],
+        fencingNumber = number(http, "X-Fencing-Number"),
+    )
+}
+
+private fun number(http: FullHttpRequest, name: String): Long? {
+    val text = http.headers()[name] ?: return null
+    return requireNotNull(text.toLongOrNull()) { "header $name is '$text'; give an integer" }
+}
--- /dev/null
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/plain/PlainHandler.kt
@@ -0,0 +1,206 @@
+/*
+ * The HTTP interface of the plain stand-in. Bodies are digested and counted as they arrive and never kept.
+ */
+package org.bramleyspur.testbed.plain
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpChunkedInput
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.stream.ChunkedStream
+import io.netty.util.concurrent.Future
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.encodeToString
+import org.bramleyspur.testbed.engine.requestOf
+import org.bramleyspur.testbed.http.answerError
+import org.bramleyspur.testbed.http.answerJson
+import org.bramleyspur.testbed.http.testbedJson
+import java.io.InputStream
+import java.security.MessageDigest
+import java.util.HexFormat
+import java.util.concurrent.TimeUnit
+
+/** Answer to a call: what the server received. */
+@Serializable
+internal data class Echo(
+    val method: String,
+    val path: String,
+    @SerialName("request_id") val requestId: String,
+    @SerialName("body_length") val bodyLength: Long,
+    @SerialName("body_sha256") val bodySha256: String,
+)
+
+/** Answer to `GET /admin/state`. */
+@Serializable
+internal data class PlainStateReport(
+    @SerialName("boot_id") val bootId: String,
+    val state: String,
+    val running: Int,
+    val slots: Int,
+)
+
+/** Answer to `GET /admin/runs`. */
+@Serializable
+internal data class PlainRunsReport(
+    val total: Long,
+    @SerialName("by_request") val byRequest: Map<String, Int>,
+    @SerialName("by_key") val byKey: Map<String, Int>,
+)
+
+/** What a call asks of the stand-in through its `X-Test-*` headers. */
+private class TestHeaders(request: HttpRequest, settings: PlainSettings) {
+    val delayMs = request.headers()["X-Test-Delay-Ms"]?.toLongOrNull() ?: settings.delayMs
+    val status = request.headers()["X-Test-Status"]?.toIntOrNull() ?: settings.failureStatus
+    val drop = request.headers()["X-Test-Drop"] == "true"
+    val answerBytes = request.headers()["X-Test-Answer-Bytes"]?.toLongOrNull()
+}
+
+/** Serves one connection, one call at a time. */
+internal class PlainHandler(private val state: PlainState) : SimpleChannelInboundHandler<HttpObject>() {
+    private inner class Call(val request: HttpRequest, val requestId: String) {
+        val test = TestHeaders(request, state.settings)
+        val digest: MessageDigest = MessageDigest.getInstance("SHA-256")
+        var length = 0L
+        var timer: Future<*>? = null
+    }
+
+    private var call: Call? = null
+    private var refuse: ((ChannelHandlerContext) -> Unit)? = null
+
+    override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
+        if (message is HttpRequest) head(context, message)
+        if (message is HttpContent) content(context, message)
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        call?.timer?.cancel(false)
+        endCall()
+        super.channelInactive(context)
+    }
+
+    @Deprecated("Deprecated in Netty for outbound handlers only")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        context.close()
+    }
+
+    private fun head(context: ChannelHandlerContext, request: HttpRequest) {
+        if (request.decoderResult().isFailure || call != null) {
+            context.close()
+            return
+        }
+        refuse = adminAnswer(request) ?: slotRefusal()
+        if (refuse != null) return
+        begin(request)
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+        }
+    }
+
+    private fun adminAnswer(request: HttpRequest): ((ChannelHandlerContext) -> Unit)? = when (request.uri()) {
+        "/admin/state" -> ({ it.answerJson(testbedJson.encodeToString(stateReport())) })
+        "/admin/runs" -> ({ it.answerJson(testbedJson.encodeToString(runsReport())) })
+        else -> null
+    }
+
+    private fun slotRefusal(): ((ChannelHandlerContext) -> Unit)? {
+        if (state.running < state.settings.slots) return null
+        return { it.answerError(429, "no_slot", "no free slot; send the call to another server or later") }
+    }
+
+    private fun begin(request: HttpRequest) {
+        val headers = request.headers()
+        val requestId = requestOf(headers["X-Request-Id"].orEmpty())
+        state.running++
+        state.byRequest.count(requestId)
+        headers["Idempotency-Key"]?.let(state.byKey::count)
+        call = Call(request, requestId)
+    }
+
+    private fun content(context: ChannelHandlerContext, content: HttpContent) {
+        val current = call
+        if (current != null) current.add(content.content())
+        if (content !is LastHttpContent) return
+        if (current != null) {
+            current.timer =
+                context.executor().schedule({ answer(context, current) }, current.test.delayMs, TimeUnit.MILLISECONDS)
+        } else {
+            refuse?.invoke(context)
+            refuse = null
+        }
+    }
+
+    private fun Call.add(bytes: ByteBuf) {
+        length += bytes.readableBytes()
+        bytes.nioBuffers().forEach(digest::update)
+    }
+
+    private fun answer(context: ChannelHandlerContext, call: Call) {
+        endCall()
+        val test = call.test
+        when {
+            test.drop -> context.close()
+            test.status > 0 -> context.answerError(test.status, "server_error", "failure requested by the test")
+            test.answerBytes != null -> answerBytes(context, test.answerBytes)
+            else -> context.answerJson(testbedJson.encodeToString(echo(call)))
+        }
+    }
+
+    private fun answerBytes(context: ChannelHandlerContext, length: Long) {
+        val head = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK)
+        head.headers()
+            .set(HttpHeaderNames.CONTENT_TYPE, "application/octet-stream")
+            .set(HttpHeaderNames.CONTENT_LENGTH, length)
+        context.write(head)
+        context.writeAndFlush(HttpChunkedInput(ChunkedStream(RepeatedBytes(length))))
+    }
+
+    private fun echo(call: Call) = Echo(
+        method = call.request.method().name(),
+        path = call.request.uri(),
+        requestId = call.requestId,
+        bodyLength = call.length,
+        bodySha256 = HexFormat.of().formatHex(call.digest.digest()),
+    )
+
+    private fun endCall() {
+        if (call == null) return
+        call = null
+        state.running--
+    }
+
+    private fun stateReport() = PlainStateReport(state.settings.bootId, "ready", state.running, state.settings.slots)
+
+    private fun runsReport() = PlainRunsReport(state.byRequest.total, state.byRequest.byKey(), state.byKey.byKey())
+}
+
+/** [length] bytes of the letter `x`. */
+private class RepeatedBytes(length: Long) : InputStream() {
+    private var left = length
+
+    override fun read(): Int {
+        if (left == 0L) return -1
+        left--
+        return 'x'.code
+    }
+
+    override fun read(target: ByteArray, offset: Int, count: Int): Int {
+        if (left == 0L) return -1
+        val read = minOf(left, count.toLong()).toInt()
+        target.fill('x'.code.toByte(), offset, offset + read)
+        left -= read
+        return read
+    }
+
+    override fun available(): Int = minOf(left, Int.MAX_VALUE.toLong()).toInt()
+}
