Add the link relay and the OTLP receiver

The fault cases need traffic that is delayed, dropped or cut in one direction, and a check of the exported spans.

--- /dev/null
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/otlp/OtlpMain.kt
@@ -0,0 +1,21 @@
+/*
+ * The command line of the OTLP receiver stand-in.
+ */
+package org.bramleyspur.testbed.otlp
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import org.bramleyspur.testbed.http.parseAddress
+
+/** Runs the receiver until the process is stopped; prints `listening on HOST:PORT` when it is ready. */
+fun main(args: Array<String>) {
+    val parser = ArgParser("bramleyspur-standin otlp")
+    val address by parser.option(ArgType.String, "address", description = "HOST:PORT to listen on; port 0 for any")
+        .default("127.0.0.1:4318")
+    parser.parse(args)
+    val bind = parseAddress(address)
+    val server = OtlpServer(bind)
+    println("listening on ${bind.hostString}:${server.port}")
+    server.await()
+}
--- /dev/null
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/relay/RelayServer.kt
@@ -0,0 +1,114 @@
+/*
+ * The relay process: several links and an HTTP interface that disturbs and restores them.
+ */
+package org.bramleyspur.testbed.relay
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.nio.NioEventLoopGroup
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.encodeToString
+import org.bramleyspur.testbed.http.RequestHandler
+import org.bramleyspur.testbed.http.aggregator
+import org.bramleyspur.testbed.http.answerError
+import org.bramleyspur.testbed.http.answerJson
+import org.bramleyspur.testbed.http.boundPort
+import org.bramleyspur.testbed.http.listenHttp
+import org.bramleyspur.testbed.http.parseAddress
+import org.bramleyspur.testbed.http.testbedJson
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+
+/** Where a link listens and where it leads. */
+data class LinkSettings(val name: String, val listen: InetSocketAddress, val target: InetSocketAddress) {
+    companion object {
+        /** Reads `NAME=LISTEN=TARGET`. */
+        fun parse(text: String): LinkSettings {
+            val parts = text.split('=')
+            require(parts.size == 3) {
+                "link '$text' is not NAME=LISTEN=TARGET; give it like a=127.0.0.1:1=127.0.0.1:2"
+            }
+            return LinkSettings(parts[0], parseAddress(parts[1]), parseAddress(parts[2]))
+        }
+    }
+}
+
+/** What a command does to a link. */
+@Serializable
+internal enum class LinkAction {
+    @SerialName("delay")
+    DELAY,
+
+    @SerialName("drop")
+    DROP,
+
+    @SerialName("cut")
+    CUT,
+
+    @SerialName("restore")
+    RESTORE,
+}
+
+/** Body of `POST /links/NAME`. */
+@Serializable
+internal data class LinkCommand(
+    val command: LinkAction,
+    val direction: Direction = Direction.BOTH,
+    @SerialName("delay_ms") val delayMs: Long = 0,
+    @SerialName("jitter_ms") val jitterMs: Long = 0,
+)
+
+/** Links and their admin interface on one event loop. [seed] drives the jitter of delays. */
+class RelayServer(admin: InetSocketAddress, settings: List<LinkSettings>, seed: Long) : AutoCloseable {
+    private val group = NioEventLoopGroup(1)
+    private val links = settings.map { Link(it.name, group, it.listen, it.target, seed) }
+    private val channel = listenHttp(group, admin) { it.addLast(aggregator(), AdminHandler(links)) }
+
+    /** The port of the admin interface. */
+    val adminPort: Int get() = channel.boundPort
+
+    /** The port that the link [name] listens on. */
+    fun port(name: String): Int = links.first { it.name == name }.port
+
+    /** Waits until the admin listener is closed. */
+    fun await() {
+        channel.closeFuture().sync()
+    }
+
+    override fun close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
+    }
+}
+
+private class AdminHandler(private val links: List<Link>) : RequestHandler() {
+    override fun handle(context: ChannelHandlerContext, request: FullHttpRequest) {
+        val name = request.uri().removePrefix("/links/")
+        val chosen = links.filter { name == "*" || name == it.name }
+        when {
+            request.method() == HttpMethod.GET && request.uri() == "/links" -> report(context)
+            request.method() != HttpMethod.POST || chosen.isEmpty() ->
+                context.answerError(404, "not_found", "no link '$name'; the links are ${links.map { it.name }}")
+            else -> command(context, chosen, testbedJson.decodeFromString(request.content().toString(Charsets.UTF_8)))
+        }
+    }
+
+    private fun command(context: ChannelHandlerContext, chosen: List<Link>, command: LinkCommand) {
+        var pending = chosen.size
+        val done = { if (--pending == 0) report(context) }
+        for (link in chosen) {
+            when (command.command) {
+                LinkAction.DELAY -> link.delay(command.direction, command.delayMs, command.jitterMs)
+                LinkAction.DROP -> link.drop(command.direction)
+                LinkAction.CUT -> link.cut()
+                LinkAction.RESTORE -> link.restore(done)
+            }
+            if (command.command != LinkAction.RESTORE) done()
+        }
+    }
+
+    private fun report(context: ChannelHandlerContext) {
+        context.answerJson(testbedJson.encodeToString(links.map { it.describe() }))
+    }
+}
