--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/relay/Link.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/relay/Link.kt
@@ -1,5 +1,6 @@
 /*
- * One relayed link: it listens on one address, forwards each connection to another, and disturbs the traffic on command.
+ * One relayed link: it listens on one address, forwards each connection to another, and disturbs the traffic on
+ * command.
  */
 package org.bramleyspur.testbed.relay
 
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/relay/RelayMain.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/relay/RelayMain.kt
@@ -10,7 +10,7 @@
 import kotlinx.cli.required
 import org.bramleyspur.testbed.http.parseAddress
 
-/** Runs the relay until the process is stopped; prints `listening on HOST:PORT` (the admin address) when it is ready. */
+/** Runs the relay until the process is stopped; prints the admin address as `listening on HOST:PORT` when ready. */
 fun main(args: Array<String>) {
     val parser = ArgParser("bramleyspur-standin relay")
     val admin by parser.option(ArgType.String, "admin", description = "HOST:PORT of the admin interface")
