Test the stand-ins and the load tool over loopback sockets

The engine writes each token as one finished HTTP chunk instead of three buffers, and the bench has a warm-up phase that is reported as its own group, because compilation dominated the first seconds of each run.

--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/bench/BenchMain.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/bench/BenchMain.kt
@@ -53,6 +53,8 @@
         description = "Overload as multiple of capacity",
     )
         .default(3.0)
+    val warmUp by parser.option(ArgType.Double, "warm-up", description = "Seconds of load before, as group warm-up")
+        .default(5.0)
     val timeoutMs by parser.option(ArgType.Int, "timeout-ms", description = "Milliseconds until a call is given up")
         .default(30_000)
 
@@ -61,7 +63,7 @@
         BenchAccount(it.substringBefore('='), it.substringAfter('='))
     }.ifEmpty { listOf(BenchAccount("anonymous", null)) }
 
-    fun options() = LoadOptions(rate, duration, maxTokens, promptBytes, capacity, overloadFactor)
+    fun options() = LoadOptions(rate, duration, maxTokens, promptBytes, capacity, overloadFactor, warmUp)
 
     fun targets(): Targets {
         require(scenario != ScenarioName.OVERHEAD || direct != null) { "scenario overhead needs --direct HOST:PORT" }
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/bench/Report.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/bench/Report.kt
@@ -40,7 +40,7 @@
     )
 }
 
-/** Phases of a scenario are of equal length, and a group belongs to one phase. */
+/** All phases but the warm-up are of equal length, and a group belongs to one phase. */
 private fun secondsOf(scenario: Scenario, group: String): Double =
     (scenario.phases.firstOrNull { it.group == group } ?: scenario.phases.last()).seconds
 
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/bench/Scenario.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/bench/Scenario.kt
@@ -21,11 +21,14 @@
     val promptBytes: Int? = null,
     val capacity: Double? = null,
     val overloadFactor: Double = 3.0,
+    val warmUpSeconds: Double = 0.0,
 )
 
 /** A scenario with its sizes filled in. */
 internal data class Scenario(val name: ScenarioName, val phases: List<Phase>, val shape: CallShape)
 
+private const val WARM_UP = "warm-up"
+
 private const val DEFAULT_SECONDS = 20.0
 
 /** Offered load of the large account, as a multiple of all small accounts together. */
@@ -46,7 +49,14 @@
             ScenarioName.LARGE_ACCOUNT -> largeAccount(options.rate ?: 20.0, seconds, accounts)
             ScenarioName.OVERHEAD -> listOf(overhead(options.rate ?: 60.0, seconds, weights))
         }
-    return Scenario(name, phases, shape(name, options))
+    return Scenario(name, warmUp(phases.first(), options.warmUpSeconds) + phases, shape(name, options))
+}
+
+/** Load like that of [first] while the compilers of the processes are still at work; reported as a group of its own. */
+private fun warmUp(first: Phase, seconds: Double): List<Phase> = if (seconds > 0) {
+    listOf(first.copy(group = WARM_UP, seconds = seconds, groupOf = { _, _ -> WARM_UP }))
+} else {
+    emptyList()
 }
 
 private fun shape(name: ScenarioName, options: LoadOptions): CallShape {
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/engine/Sinks.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/engine/Sinks.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.serialization.encodeToString
@@ -57,21 +58,29 @@
     protected fun ended() = onEnd()
 }
 
-/** An answer as server-sent events. */
+/**
+ * An answer as server-sent events. Each token is written as one finished HTTP chunk past the codec's encoder, which
+ * would otherwise write three buffers for it: this is the engine's busiest path.
+ */
 internal class StreamSink(context: ChannelHandlerContext, request: CompletionRequest, id: String, onEnd: () -> Unit) :
     AnswerSink(context, request, onEnd) {
-    private val head = head(id, request)
+    private val raw = context.pipeline().context(HttpServerCodec::class.java)
+    private val head = head(id, request).toByteArray()
+    private val piece = if (request.chat) "\"delta\":{\"content\":\"" else "\"text\":\""
+    private val pieceEnd = if (request.chat) "\"}" else "\""
     private var started = false
 
     override fun token(position: Int, text: String) {
         start()
-        context.event(data(position, text, "null", ""))
+        chunk("$position,\"choices\":[{\"index\":0,$piece$text$pieceEnd,\"finish_reason\":null}]}\n\n")
     }
 
     override fun finish(position: Int, reason: String, usage: Usage) {
         start()
         ended()
-        context.event(data(position, "", "\"$reason\"", ",\"usage\":${testbedJson.encodeToString(usage)}"))
+        val counts = testbedJson.encodeToString(usage)
+        val choices = "\"choices\":[{\"index\":0,$piece$pieceEnd,\"finish_reason\":\"$reason\"}]"
+        chunk("$position,$choices,\"usage\":$counts}\n\n")
         context.event("[DONE]")
         context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
     }
@@ -82,16 +91,22 @@
         context.startEvents()
     }
 
-    /** Built by hand, since token texts need no escaping and this is the engine's busiest path. */
-    private fun data(position: Int, text: String, reason: String, tail: String): String {
-        val piece = if (request.chat) "\"delta\":{\"content\":\"$text\"}" else "\"text\":\"$text\""
-        return "$head\"position\":$position,\"choices\":[{\"index\":0,$piece,\"finish_reason\":$reason}]$tail}"
+    /** Writes the event of [head] and [tail], which is ASCII, as an HTTP chunk. */
+    private fun chunk(tail: String) {
+        val length = head.size + tail.length
+        val buffer = raw.alloc().buffer(length + 16)
+        ByteBufUtil.writeAscii(buffer, Integer.toHexString(length))
+        ByteBufUtil.writeAscii(buffer, "\r\n")
+        buffer.writeBytes(head)
+        ByteBufUtil.writeAscii(buffer, tail)
+        ByteBufUtil.writeAscii(buffer, "\r\n")
+        raw.writeAndFlush(buffer, raw.voidPromise())
     }
 
     private fun head(id: String, request: CompletionRequest): String {
         val shape = if (request.chat) "chat.completion.chunk" else "text_completion"
         val model = testbedJson.encodeToString(request.modelName)
-        return "{\"id\":${testbedJson.encodeToString(id)},\"object\":\"$shape\",\"model\":$model,"
+        return "data: {\"id\":${testbedJson.encodeToString(id)},\"object\":\"$shape\",\"model\":$model,\"position\":"
     }
 }
 
--- /dev/null
+++ b/bramleyspur-testbed/src/test/kotlin/org/bramleyspur/testbed/engine/ErrorShape.kt
@@ -0,0 +1,10 @@
+package org.bramleyspur.testbed.engine
+
+import kotlinx.serialization.Serializable
+
+/** The OpenAI error object with every field required. */
+@Serializable
+internal data class ErrorShape(val error: Detail) {
+    @Serializable
+    internal data class Detail(val message: String, val type: String, val param: String?, val code: String?)
+}
--- /dev/null
+++ b/bramleyspur-testbed/src/test/kotlin/org/bramleyspur/testbed/relay/RelayServerTest.kt
@@ -0,0 +1,103 @@
+package org.bramleyspur.testbed.relay
+
+import org.bramleyspur.testbed.anyPort
+import org.bramleyspur.testbed.call
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import strikt.api.expectThat
+import strikt.api.expectThrows
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThanOrEqualTo
+import java.io.IOException
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketTimeoutException
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+
+class RelayServerTest {
+    private val received = LinkedBlockingQueue<Int>()
+    private val echo = ServerSocket(0, 10, InetAddress.getByName("127.0.0.1"))
+    private val relay =
+        RelayServer(anyPort(), listOf(LinkSettings("l", anyPort(), InetSocketAddress("127.0.0.1", echo.localPort))), 1)
+
+    init {
+        thread(isDaemon = true) { while (!echo.isClosed) runCatching { serve(echo.accept()) } }
+    }
+
+    @AfterEach
+    fun close() {
+        echo.close()
+        relay.close()
+    }
+
+    /** Guards against a relay that still passes bytes in the dropped direction, or drops the other one too. */
+    @ParameterizedTest
+    @CsvSource("forward,false", "backward,true", "both,false")
+    fun `dropped directions pass nothing until restored`(direction: String, arrives: Boolean) {
+        val socket = connect()
+        expectThat(roundTrip(socket, 1)).isEqualTo(1)
+        received.clear()
+        command("""{"command":"drop","direction":"$direction"}""")
+        socket.soTimeout = 100
+        expectThrows<SocketTimeoutException> { roundTrip(socket, 2) }
+        expectThat(received.poll(if (arrives) 5000 else 0, TimeUnit.MILLISECONDS)).isEqualTo(if (arrives) 2 else null)
+        command("""{"command":"restore"}""")
+        expectThat(runCatching { socket.getInputStream().read() }.getOrDefault(-1)).isEqualTo(-1)
+        expectThat(roundTrip(connect(), 3)).isEqualTo(3)
+    }
+
+    /** Guards against a cut that keeps old connections or accepts new ones. */
+    @Test
+    fun `a cut link closes and refuses until restored`() {
+        val socket = connect()
+        expectThat(roundTrip(socket, 1)).isEqualTo(1)
+        command("""{"command":"cut"}""")
+        expectThat(runCatching { socket.getInputStream().read() }.getOrDefault(-1)).isEqualTo(-1)
+        expectThrows<IOException> { connect() }
+        command("""{"command":"restore"}""")
+        expectThat(roundTrip(connect(), 2)).isEqualTo(2)
+    }
+
+    /** Guards against a delay that is not applied or that reorders bytes. */
+    @Test
+    fun `a delayed link keeps the order`() {
+        val socket = connect()
+        roundTrip(socket, 1)
+        command("""{"command":"delay","delay_ms":20,"jitter_ms":20}""")
+        val start = System.nanoTime()
+        for (byte in 2..9) socket.getOutputStream().write(byte)
+        expectThat((2..9).map { socket.getInputStream().read() }).isEqualTo((2..9).toList())
+        expectThat(System.nanoTime() - start).isGreaterThanOrEqualTo(40_000_000)
+    }
+
+    private fun serve(socket: Socket) {
+        thread(isDaemon = true) {
+            runCatching {
+                while (true) {
+                    val byte = socket.getInputStream().read()
+                    if (byte < 0) break
+                    received += byte
+                    socket.getOutputStream().write(byte)
+                }
+                socket.close()
+            }
+        }
+    }
+
+    private fun connect() = Socket("127.0.0.1", relay.port("l")).apply { soTimeout = 5000 }
+
+    private fun roundTrip(socket: Socket, byte: Int): Int {
+        socket.getOutputStream().write(byte)
+        return socket.getInputStream().read()
+    }
+
+    private fun command(body: String) {
+        expectThat(call(relay.adminPort, "/links/l", body).statusCode()).isEqualTo(200)
+    }
+}
