--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionStep.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package org.bramleyspur.control.session
-
-/** Result of one event: the new state and the effects to carry out in order. */
-data class SessionStep(val state: SessionState, val effects: List<SessionEffect>)
