Add the control leader's session state

Change: pure function (SessionState, event) -> (state, effects), change status, route table and account shares. Ruled out: routing from the first moment of a new leader, which would drop all routes of the old table; it publishes after one session timeout.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/Placeholder.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package org.bramleyspur.control
-
-/** Warm-up. */
-internal const val WARM_UP = 1
--- /dev/null
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/RouteRules.kt
@@ -0,0 +1,68 @@
+package org.bramleyspur.control.session
+
+import kotlinx.collections.immutable.toImmutableList
+import org.bramleyspur.core.model.Assignment
+import org.bramleyspur.core.model.AssignmentState
+import org.bramleyspur.core.model.FencingNumber
+import org.bramleyspur.core.model.Route
+import org.bramleyspur.core.model.RouteTable
+import org.bramleyspur.core.model.ServiceKind
+
+internal fun SessionState.publishRoutes(nowMs: Long): SessionStep {
+    if (!judges(nowMs)) return step()
+    val next = currentRoutes(nowMs).toImmutableList()
+    if (routes.term == term && routes.routes == next) return step()
+    val table = RouteTable(term, if (routes.term == term) routes.sequence + 1 else 1, next)
+    val entries = sessions.values.filter { it.announcement.role == ProcessRole.ENTRY }
+    val effects = entries.mapNotNull { session -> session.stream?.let { SessionEffect.SendRoutes(it, table) } }
+    return SessionStep(copy(routes = table), effects)
+}
+
+private fun SessionState.currentRoutes(nowMs: Long): List<Route> {
+    val plain = sessions.values.filter { isRoutedPlain(it, nowMs) }.map { it.plainRoute() }
+    val replicas = assignments.mapNotNull { replicaRoute(it) }
+    return (plain + replicas).sortedWith(compareBy({ it.service }, { it.instance }))
+}
+
+/** A changed run of the server withdraws the route until the next heartbeat, so that entries drop the old run. */
+private fun SessionState.isRoutedPlain(session: Session, nowMs: Long): Boolean {
+    val hello = session.announcement
+    val report = session.report ?: return false
+    val announced = !session.lost && session.stream != null && nowMs < session.heardAtMs + timing.plainSilenceMs
+    val able = report.backendHealthy && !report.leaving && session.bootConfirmed
+    return hello.role == ProcessRole.AGENT &&
+        hello.backendKind == ServiceKind.PLAIN &&
+        hello.instance !in configuration.drainedInstances &&
+        announced &&
+        able
+}
+
+private fun Session.plainRoute(): Route = Route(
+    service = announcement.plainService,
+    replica = null,
+    fencingNumber = FencingNumber(0),
+    instance = announcement.instance,
+    incarnation = announcement.incarnation,
+    address = announcement.address,
+    region = announcement.region,
+    dataCentre = announcement.dataCentre,
+    slots = report?.slots ?: 1,
+)
+
+private fun SessionState.replicaRoute(assignment: Assignment): Route? {
+    val session = sessions[assignment.first.instance] ?: return null
+    val report = session.report ?: return null
+    val serving = report.assignments.any {
+        it.replica == assignment.replica &&
+            it.fencingNumber == assignment.fencingNumber &&
+            it.state == AssignmentState.SERVING
+    }
+    if (session.lost || report.leaving || !serving) return null
+    return session.plainRoute().copy(
+        service = assignment.service,
+        replica = assignment.replica,
+        fencingNumber = assignment.fencingNumber,
+        version = assignment.version,
+        adapters = assignment.adapters,
+    )
+}
--- /dev/null
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionState.kt
@@ -0,0 +1,89 @@
+/*
+ * Soft state of the control leader: one session for each instance, the route table computed from the sessions, and what
+ * each entry may hold of the limited client accounts. It is rebuilt from announcements and heartbeats after a leader
+ * change, so a new leader neither declares a member lost, nor replaces the entries' route tables, before it has led for
+ * one session timeout.
+ */
+package org.bramleyspur.control.session
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import org.bramleyspur.core.model.Assignment
+import org.bramleyspur.core.model.Configuration
+import org.bramleyspur.core.model.Incarnation
+import org.bramleyspur.core.model.InstanceName
+import org.bramleyspur.core.model.Revision
+import org.bramleyspur.core.model.RouteTable
+
+/**
+ * Session of one process.
+ *
+ * @property stream open stream, null after it was closed
+ * @property heardAtMs time of the last message
+ * @property leaseUntilMs time by which the process's lease has surely ended, null when none was granted
+ * @property bootConfirmed whether two heartbeats in a row named the same run of the backend server
+ * @property upSinceMs time since which the process and its backend server have been up
+ * @property lost whether the session has ended by silence
+ */
+data class Session(
+    val announcement: Announcement,
+    val stream: Long?,
+    val revision: Revision,
+    val heardAtMs: Long,
+    val report: HeartbeatReport? = null,
+    val leaseUntilMs: Long? = null,
+    val bootConfirmed: Boolean = true,
+    val upSinceMs: Long = heardAtMs,
+    val lost: Boolean = false,
+)
+
+/** A configuration change and the time at which this leader accepted it; null when an earlier leader did. */
+internal data class AcceptedChange(val revision: Revision, val acceptedAtMs: Long?)
+
+/** An assignment that has left the log while its route is being withdrawn. */
+internal data class Withdrawal(val assignment: Assignment, val sinceMs: Long)
+
+/** One process that holds account shares. */
+internal data class Holder(val instance: InstanceName, val incarnation: Incarnation)
+
+/**
+ * What a holder may use of the accounts.
+ *
+ * @property sent last share sent, by account
+ * @property ceiling highest share that the holder can still act on, by account
+ */
+internal data class Holding(
+    val sent: PersistentMap<String, Int> = persistentMapOf(),
+    val ceiling: PersistentMap<String, Int> = persistentMapOf(),
+    val inFlight: PersistentMap<String, Int> = persistentMapOf(),
+    val leaseUntilMs: Long,
+)
+
+/** Session state of the leader of [term]. */
+@ConsistentCopyVisibility
+data class SessionState internal constructor(
+    val timing: SessionTiming = SessionTiming(),
+    val term: Long = 0,
+    val leaderSinceMs: Long = 0,
+    val configuration: Configuration = Configuration(),
+    val assignments: List<Assignment> = emptyList(),
+    val sessions: PersistentMap<InstanceName, Session> = persistentMapOf(),
+    val routes: RouteTable = RouteTable(),
+    val failures: PersistentMap<InstanceName, PersistentList<Long>> = persistentMapOf(),
+    internal val changes: PersistentList<AcceptedChange> = persistentListOf(),
+    internal val withdrawals: PersistentList<Withdrawal> = persistentListOf(),
+    internal val replaced: PersistentSet<Incarnation> = persistentSetOf(),
+    internal val holdings: PersistentMap<Holder, Holding> = persistentMapOf(),
+) {
+    /** Whether this leader has led long enough to take a missing session for a lost process. */
+    fun judges(nowMs: Long): Boolean = nowMs >= leaderSinceMs + timing.sessionTimeoutMs
+
+    companion object {
+        /** State before this control instance has become leader. */
+        fun initial(timing: SessionTiming = SessionTiming()): SessionState = SessionState(timing)
+    }
+}
