--- /dev/null
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/placement/GroupSearch.kt
@@ -0,0 +1,61 @@
+/*
+ * Choice of the instances for a replica. All come from one fabric domain. The domain is chosen so that the other free
+ * instances still form as many whole groups as possible, and one in which a repair has just failed comes last.
+ */
+package org.bramleyspur.control.placement
+
+import org.bramleyspur.core.model.Service
+
+internal fun PlacementInstance.isUsable(policy: RepairPolicy, nowMs: Long): Boolean =
+    health == Health.Live && !drained && !leaving && !isFlapping(policy, nowMs)
+
+internal fun PlacementInstance.isFlapping(policy: RepairPolicy, nowMs: Long): Boolean {
+    val recent = failuresMs.count { it > nowMs - policy.flapWindowMs }
+    return recent >= policy.flapFailures && nowMs < upSinceMs + policy.flapUpMs
+}
+
+/** A group of free instances in [dataCentre], or null. */
+internal fun Plan.findGroup(service: Service, dataCentre: String): List<PlacementInstance>? {
+    val size = service.instancesPerReplica
+    val domains = free.filter {
+        it.dataCentre == dataCentre
+    }.groupBy { it.fabricDomain }.filterValues { it.size >= size }
+    val domain = domains.minWithOrNull(domainOrder(size))?.value ?: return null
+    if (!policy.bestFit) return domain.sortedBy { it.name }.take(size)
+    return domain.sortedWith(compareBy({ it.recentFailures() }, { it.upSinceMs }, { it.name })).take(size)
+}
+
+private fun Plan.domainOrder(size: Int): Comparator<Map.Entry<String, List<PlacementInstance>>> {
+    if (!policy.bestFit) return compareBy { it.key }
+    return compareBy({ failedLately(it.key) }, { it.value.size % size }, { it.value.size }, { it.key })
+}
+
+private fun Plan.failedLately(domain: String): Boolean {
+    val lost = world.instances.values.any { instance ->
+        instance.fabricDomain == domain && instance.failuresMs.any { it > nowMs - policy.avoidDomainMs }
+    }
+    return lost && world.repairs.any { it.fabricDomain == domain && it.atMs > nowMs - policy.avoidDomainMs }
+}
+
+private fun PlacementInstance.recentFailures(): Int = failuresMs.size
+
+/** Places one replica for [dataCentre], at home or, when [elsewhere] allows, in another data centre. */
+internal fun Plan.tryCreate(service: Service, dataCentre: String, elsewhere: Boolean): Plan? {
+    val others = if (elsewhere &&
+        policy.move
+    ) {
+        free.map { it.dataCentre }.distinct().sorted() - dataCentre
+    } else {
+        emptyList()
+    }
+    val group = (listOf(dataCentre) + others).firstNotNullOfOrNull { findGroup(service, it) } ?: return null
+    if (slots <= 0) {
+        val untilMs = nowMs + world.loadMs
+        return plus(PlacementAction.Wait(service.name, null, untilMs, "the weight store runs the allowed loads"))
+    }
+    val version = service.targetVersion()
+    val action = PlacementAction.CreateReplica(service.name, group.map { it.member }, version, group.first().dataCentre)
+    return plus(action).copy(free = free - group.toSet(), slots = slots - 1)
+}
+
+internal fun Service.targetVersion(): String = nextVersion ?: version
--- /dev/null
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/placement/Measures.kt
@@ -0,0 +1,34 @@
+package org.bramleyspur.control.placement
+
+/**
+ * Group downtime and stranded accelerators.
+ *
+ * @property downReplicas wanted replicas that do not serve, or that many times ms after [over]
+ * @property strandedAccelerators accelerators of powered instances that serve no complete replica, likewise
+ */
+data class Measures(val downReplicas: Long = 0, val strandedAccelerators: Long = 0) {
+    /** These measures over [durationMs]. */
+    fun over(durationMs: Long): Measures = Measures(downReplicas * durationMs, strandedAccelerators * durationMs)
+
+    /** Sum of two periods. */
+    operator fun plus(other: Measures): Measures =
+        Measures(downReplicas + other.downReplicas, strandedAccelerators + other.strandedAccelerators)
+
+    /** Weighted cost, with a down replica counted as its [acceleratorsPerReplica] accelerators. */
+    fun cost(downtimeWeight: Double, acceleratorsPerReplica: Int): Double =
+        downtimeWeight * downReplicas * acceleratorsPerReplica + (1 - downtimeWeight) * strandedAccelerators
+}
+
+/** Measures [world] at one moment. Gone instances count as not powered. */
+fun measure(world: World): Measures {
+    val serving = world.replicas.filter { it.state == ReplicaState.Serving }
+    val down = world.services.values.sumOf { service ->
+        val wanted = service.placements.values.sum()
+        maxOf(0, wanted - serving.count { it.assignment.service == service.name })
+    }
+    val used = serving.flatMap { it.assignment.members }.map { it.instance }.toSet()
+    val stranded = world.instances.values
+        .filter { it.health !is Health.Gone && it.name !in used }
+        .sumOf { it.accelerators.toLong() }
+    return Measures(down.toLong(), stranded)
+}
--- /dev/null
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/PlacementView.kt
@@ -0,0 +1,104 @@
+/*
+ * The repair policy's view of the sessions. It is complete only once the leader can judge missing sessions; the policy
+ * must not be called before ([SessionState.judges]).
+ */
+package org.bramleyspur.control.session
+
+import kotlinx.collections.immutable.toPersistentMap
+import org.bramleyspur.control.placement.Health
+import org.bramleyspur.control.placement.PlacementInstance
+import org.bramleyspur.control.placement.PlacementReplica
+import org.bramleyspur.control.placement.Repair
+import org.bramleyspur.control.placement.ReplicaState
+import org.bramleyspur.control.placement.World
+import org.bramleyspur.core.model.Assignment
+import org.bramleyspur.core.model.AssignmentState
+import org.bramleyspur.core.model.Member
+import org.bramleyspur.core.model.ServiceKind
+
+/** Input of the repair policy, with the caller's history of [repairs] and measured [loadMs]. */
+fun SessionState.world(repairs: List<Repair>, loadMs: Long): World {
+    val engines = sessions.filterValues {
+        it.announcement.role == ProcessRole.AGENT && it.announcement.backendKind == ServiceKind.MODEL
+    }
+    val releasing = withdrawals.map {
+        PlacementReplica(it.assignment, dataCentreOf(it.assignment), ReplicaState.Releasing)
+    }
+    val replicas = assignments.map {
+        PlacementReplica(it, dataCentreOf(it), progress[it.replica] ?: ReplicaState.Loading)
+    }
+    val services = configuration.services.filterValues { it.kind == ServiceKind.MODEL }
+    return World(services, engines.mapValues { placementInstance(it.value) }, replicas + releasing, repairs, loadMs)
+}
+
+private fun SessionState.dataCentreOf(assignment: Assignment): String =
+    assignment.members.firstNotNullOfOrNull { sessions[it.instance]?.announcement?.dataCentre }.orEmpty()
+
+private fun SessionState.placementInstance(session: Session): PlacementInstance {
+    val hello = session.announcement
+    return PlacementInstance(
+        member = Member(hello.instance, hello.address),
+        dataCentre = hello.dataCentre,
+        fabricDomain = hello.fabricDomain,
+        accelerators = hello.accelerators,
+        health = session.health(),
+        free = session.isFree(),
+        drained = hello.instance in configuration.drainedInstances,
+        leaving = session.report?.leaving == true,
+        failuresMs = failures[hello.instance].orEmpty(),
+        upSinceMs = session.upSinceMs,
+    )
+}
+
+private fun Session.health(): Health = when {
+    lost && crashed -> Health.Gone(heardAtMs)
+    lost -> Health.Suspect(heardAtMs)
+    report?.backendHealthy != true -> Health.Suspect(upSinceMs)
+    else -> Health.Live
+}
+
+private fun Session.isFree(): Boolean = !lost &&
+    report?.backendHealthy == true &&
+    report.assignments.all { it.state == AssignmentState.RELEASED }
+
+/** Whether a living agent has yet to release [assignment]. */
+internal fun SessionState.isHeld(assignment: Assignment): Boolean = assignment.members.any { member ->
+    val session = sessions[member.instance]
+    val state = session?.stateOf(assignment)
+    session?.lost == false && state != null && state != AssignmentState.RELEASED
+}
+
+private fun Session.stateOf(assignment: Assignment): AssignmentState? = report
+    ?.assignments
+    ?.firstOrNull { it.replica == assignment.replica && it.fencingNumber == assignment.fencingNumber }
+    ?.state
+
+internal fun SessionState.noteProgress(nowMs: Long): SessionState {
+    val next = assignments.associate { it.replica to progressOf(it, nowMs) }
+    return if (next == progress) this else copy(progress = next.toPersistentMap())
+}
+
+private fun SessionState.progressOf(assignment: Assignment, nowMs: Long): ReplicaState {
+    val before = progress[assignment.replica]
+    val known = assignment.members.map { sessions[it.instance] }
+    val states = known.map { it?.stateOf(assignment) }
+    val absent = known.any { it == null || it.health() != Health.Live }
+    val ended = states.any { it == AssignmentState.RELEASED || it == AssignmentState.FAILED }
+    return when {
+        !judges(nowMs) && absent -> ReplicaState.Loading
+        ended -> broken(before, nowMs, recoverable = false)
+        absent -> broken(before, nowMs, recoverable = true)
+        states.first() == AssignmentState.SERVING -> ReplicaState.Serving
+        states.all { it == AssignmentState.READY } -> unconfirmed(before, nowMs)
+        else -> ReplicaState.Loading
+    }
+}
+
+private fun broken(before: ReplicaState?, nowMs: Long, recoverable: Boolean): ReplicaState.Broken {
+    val sinceMs = (before as? ReplicaState.Broken)?.sinceMs ?: nowMs
+    return ReplicaState.Broken(sinceMs, recoverable)
+}
+
+/** All members are loaded but the first one does not serve: a replica that has served is broken, a new one starts. */
+private fun unconfirmed(before: ReplicaState?, nowMs: Long): ReplicaState =
+    if (before == ReplicaState.Loading || before == null) ReplicaState.Loading else broken(before, nowMs, true)
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionMachine.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionMachine.kt
@@ -8,6 +8,7 @@
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
+import org.bramleyspur.core.model.Assignment
 import org.bramleyspur.core.model.Configuration
 import org.bramleyspur.core.model.InstanceName
 import org.bramleyspur.core.model.Revision
@@ -21,6 +22,7 @@
 /** Applies [event] at [nowMs] (monotonic ms). */
 fun SessionState.handle(event: SessionEvent, nowMs: Long): SessionStep = apply(event, nowMs)
     .then { loseSilent(nowMs) }
+    .then { noteProgress(nowMs).step() }
     .then { publishRoutes(nowMs) }
 
 internal fun SessionStep.then(rule: SessionState.() -> SessionStep): SessionStep {
@@ -101,6 +103,7 @@
     revision = event.revision,
     upSinceMs = if (lost) nowMs else upSinceMs,
     lost = false,
+    crashed = false,
 )
 
 /** One run for each instance, and one for each address, since a server that restarts can have another name. */
@@ -136,7 +139,7 @@
         term,
         if (leased) timing.leaseMs else 0,
         shares.shares,
-        wantedOn(instance),
+        wantedOn(instance, nowMs),
     )
     return shares.state.step(answer)
 }
@@ -156,8 +159,10 @@
 
 private fun HeartbeatReport?.wentDown(next: HeartbeatReport) = this?.backendHealthy == true && !next.backendHealthy
 
-private fun SessionState.wantedOn(instance: InstanceName) = (assignments + withdrawals.map { it.assignment })
-    .filter { assignment -> assignment.members.any { it.instance == instance } }
+private fun SessionState.wantedOn(instance: InstanceName, nowMs: Long): List<Assignment> {
+    val withdrawing = withdrawals.filter { nowMs < it.sinceMs + timing.withdrawalMs }.map { it.assignment }
+    return (assignments + withdrawing).filter { assignment -> assignment.members.any { it.instance == instance } }
+}
 
 private fun SessionState.close(stream: Long): SessionState {
     val session = sessions.values.firstOrNull { it.stream == stream } ?: return this
@@ -169,15 +174,17 @@
     val lost = silent.fold(this) { state, session ->
         val instance = session.announcement.instance
         val noted = if (session.report?.leaving == true) state else state.noteFailure(instance, nowMs)
-        noted.copy(sessions = noted.sessions.put(instance, session.copy(stream = null, lost = true)))
+        noted.copy(sessions = noted.sessions.put(instance, session.toLost()))
     }
     val effects = silent.mapNotNull { it.stream }.map { SessionEffect.CloseStream(it, "session timeout") }
     return SessionStep(lost.forget(nowMs), effects)
 }
 
+private fun Session.toLost() = copy(stream = null, lost = true, crashed = stream == null)
+
 private fun SessionState.forget(nowMs: Long): SessionState {
     val kept = sessions.filterValues { !it.lost || nowMs < it.heardAtMs + timing.forgetMs }
-    val withdrawing = withdrawals.filter { nowMs < it.sinceMs + timing.withdrawalMs }
+    val withdrawing = withdrawals.filter { nowMs < it.sinceMs + timing.withdrawalMs || isHeld(it.assignment) }
     if (kept.size == sessions.size && withdrawing.size == withdrawals.size) return this
     return copy(sessions = kept.toPersistentMap(), withdrawals = withdrawing.toPersistentList())
 }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionState.kt
@@ -12,10 +12,12 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
+import org.bramleyspur.control.placement.ReplicaState
 import org.bramleyspur.core.model.Assignment
 import org.bramleyspur.core.model.Configuration
 import org.bramleyspur.core.model.Incarnation
 import org.bramleyspur.core.model.InstanceName
+import org.bramleyspur.core.model.ReplicaId
 import org.bramleyspur.core.model.Revision
 import org.bramleyspur.core.model.RouteTable
 
@@ -28,6 +30,7 @@
  * @property bootConfirmed whether two heartbeats in a row named the same run of the backend server
  * @property upSinceMs time since which the process and its backend server have been up
  * @property lost whether the session has ended by silence
+ * @property crashed whether its stream was closed by the process before it was lost; a frozen process leaves it open
  */
 data class Session(
     val announcement: Announcement,
@@ -39,12 +42,13 @@
     val bootConfirmed: Boolean = true,
     val upSinceMs: Long = heardAtMs,
     val lost: Boolean = false,
+    val crashed: Boolean = false,
 )
 
 /** A configuration change and the time at which this leader accepted it; null when an earlier leader did. */
 internal data class AcceptedChange(val revision: Revision, val acceptedAtMs: Long?)
 
-/** An assignment that has left the log while its route is being withdrawn. */
+/** An assignment that has left the log at [sinceMs] and is not yet released by all members. */
 internal data class Withdrawal(val assignment: Assignment, val sinceMs: Long)
 
 /** One process that holds account shares. */
@@ -74,6 +78,7 @@
     val sessions: PersistentMap<InstanceName, Session> = persistentMapOf(),
     val routes: RouteTable = RouteTable(),
     val failures: PersistentMap<InstanceName, PersistentList<Long>> = persistentMapOf(),
+    val progress: PersistentMap<ReplicaId, ReplicaState> = persistentMapOf(),
     internal val changes: PersistentList<AcceptedChange> = persistentListOf(),
     internal val withdrawals: PersistentList<Withdrawal> = persistentListOf(),
     internal val replaced: PersistentSet<Incarnation> = persistentSetOf(),
