--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/admission/SlotShares.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/admission/SlotShares.kt
@@ -10,6 +10,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlin.math.ceil
 import kotlin.math.exp
+import kotlin.math.sqrt
 
 /** Use of the slots by one account; [demand] is the moving average of its running and waiting attempts. */
 internal data class AccountUse(
@@ -45,7 +46,8 @@
     fun reserveAgainst(account: String, slots: Int, nowMs: Long): Int {
         val weights = accounts.values.sumOf { if (it.isIdle) 0 else it.weight }.coerceAtLeast(1)
         val mine = accounts[account] ?: return 0
-        if (mine.running + 1 <= slots.toDouble() * mine.weight / weights) return 0
+        val fairShare = maxOf(1.0, slots.toDouble() * mine.weight / weights)
+        if (mine.running < fairShare || mine.at(nowMs).demand < fairShare * LARGE_DEMAND) return 0
         var expected = 0.0
         var used = 0.0
         for ((name, use) in accounts) {
@@ -54,7 +56,8 @@
             expected += minOf(use.at(nowMs).demand, fair)
             used += minOf(use.running.toDouble(), fair)
         }
-        return ceil(expected - used - ROUNDING).toInt().coerceIn(0, slots - 1)
+        val wanted = expected + sqrt(expected) * VARIATION
+        return ceil(wanted - used - ROUNDING).toInt().coerceIn(0, slots - 1)
     }
 
     fun prune(nowMs: Long): SlotShares = accounts.entries.fold(this) { shares, (name, use) ->
@@ -62,6 +65,15 @@
     }
 
     private companion object {
+        /**
+         * An account whose average demand is this many times its fair share is large. Without the margin, accounts of
+         * equal size would reserve slots against one another, which lowered the goodput by a quarter.
+         */
+        const val LARGE_DEMAND = 1.5
+
+        /** Standard deviations of the other accounts' use, taken as Poisson, that are kept free above its average. */
+        const val VARIATION = 1.0
+
         /** A tenth of a slot of average use is not worth a whole reserved slot. */
         const val ROUNDING = 0.1
     }
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/retry/RetryBudget.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/retry/RetryBudget.kt
@@ -5,6 +5,9 @@
  */
 package org.bramleyspur.traffic.retry
 
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+
 /** What a retry follows, which decides the budget that pays for it. */
 enum class RetryCause {
     /** An agent refused the attempt, or it could not be written. */
@@ -40,24 +43,30 @@
     }
 }
 
-/** The retry budgets of an entry. Used by one thread. */
-class RetryBudgets(refusedReserve: Int = REFUSED_RESERVE, failedReserve: Int = FAILED_RESERVE) {
-    private val refused = RetryBudget(refusedReserve)
+/**
+ * The retry budgets of an entry. Retries after refusals are counted by account, since a large account that is refused
+ * often would otherwise leave none to the others. Used by one thread.
+ */
+class RetryBudgets(private val refusedReserve: Int = REFUSED_RESERVE, failedReserve: Int = FAILED_RESERVE) {
+    private var refused: PersistentMap<String, RetryBudget> = persistentMapOf()
     private val failed = RetryBudget(failedReserve)
 
-    /** Counts a request that a caller made. */
-    fun onRequest() {
-        refused.onRequest()
+    /** Counts a request that a caller of [account] made. */
+    fun onRequest(account: String) {
+        refusedBudget(account).onRequest()
         failed.onRequest()
     }
 
     /** Takes one retry from the budget of [cause]; a first attempt (null) costs nothing. */
-    fun tryTake(cause: RetryCause?): Boolean = when (cause) {
+    fun tryTake(cause: RetryCause?, account: String): Boolean = when (cause) {
         null -> true
-        RetryCause.REFUSED -> refused.tryTake()
+        RetryCause.REFUSED -> refusedBudget(account).tryTake()
         RetryCause.FAILED -> failed.tryTake()
     }
 
+    private fun refusedBudget(account: String): RetryBudget =
+        refused[account] ?: RetryBudget(refusedReserve).also { refused = refused.put(account, it) }
+
     companion object {
         /** Enough for a rolling restart at low load. */
         const val REFUSED_RESERVE = 10
--- /dev/null
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/routing/AccountLimits.kt
@@ -0,0 +1,56 @@
+/*
+ * The entry's part in the accounts' limits of concurrent requests. The control leader leases each entry a share of a
+ * limit, and the sum of the shares never exceeds it, so an entry admits within its share without asking.
+ */
+package org.bramleyspur.traffic.routing
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+
+/** Use of one account at an entry since the last report. */
+data class AccountDemandCount(val inFlight: Int, val refused: Int)
+
+/** Concurrency shares of one entry. Used by one thread; times are monotonic milliseconds. */
+class AccountLimits {
+    private var shares: PersistentMap<String, Int> = persistentMapOf()
+    private var validUntilMs = 0L
+    private var demands: PersistentMap<String, AccountDemandCount> = persistentMapOf()
+
+    /** Sets the leased shares by account, which hold until [validUntilMs]. */
+    fun setShares(shares: PersistentMap<String, Int>, validUntilMs: Long) {
+        this.shares = shares
+        this.validUntilMs = validUntilMs
+    }
+
+    /**
+     * Admits a request of [account], or refuses it because the share is used up. [maxConcurrent] is the account's
+     * limit, 0 for none. A limited account without a valid share has a share of 0.
+     */
+    fun tryEnter(account: String, maxConcurrent: Int, nowMs: Long): Boolean {
+        val demand = demands[account] ?: AccountDemandCount(0, 0)
+        val share = if (nowMs < validUntilMs) shares[account] ?: 0 else 0
+        val admitted = maxConcurrent == 0 || demand.inFlight < share
+        val next = if (admitted) {
+            demand.copy(inFlight = demand.inFlight + 1)
+        } else {
+            demand.copy(refused = demand.refused + 1)
+        }
+        demands = demands.put(account, next)
+        return admitted
+    }
+
+    /** A request of [account] that was admitted has ended. */
+    fun leave(account: String) {
+        val demand = demands[account] ?: return
+        demands = demands.put(account, demand.copy(inFlight = demand.inFlight - 1))
+    }
+
+    /** Takes the demand by account for the next heartbeat; refusals are counted from here on again. */
+    fun takeDemand(): PersistentMap<String, AccountDemandCount> {
+        val taken = demands
+        demands = taken.entries.fold(taken) { next, (account, demand) ->
+            if (demand.inFlight == 0) next.remove(account) else next.put(account, demand.copy(refused = 0))
+        }
+        return taken
+    }
+}
