--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionEvent.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionEvent.kt
@@ -25,6 +25,7 @@
     val backendKind: ServiceKind = ServiceKind.MODEL,
     val plainService: String = "",
     val accelerators: Int = 0,
+    val backendAddress: String = "",
 )
 
 /** An assignment's state on the instance that reports it. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/CallPlan.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/CallPlan.kt
@@ -2,6 +2,7 @@
 
 import org.bramleyspur.core.model.Route
 import org.bramleyspur.protocol.Start
+import org.bramleyspur.traffic.routing.RoutingRequest
 import org.bramleyspur.traffic.stream.RequestFacts
 import org.bramleyspur.traffic.stream.StartAttempt
 
@@ -15,7 +16,7 @@
  */
 internal class CallPlan(
     val facts: RequestFacts,
-    val query: (StartAttempt) -> RouteQuery,
+    val query: (StartAttempt) -> RoutingRequest,
     val start: (StartAttempt, Route) -> Start.Builder,
     val digest: () -> String,
     val upload: BodyUpload?,
@@ -36,7 +37,9 @@
         id = scope.id,
         facts = plan.facts,
         timeoutMs = scope.service.timeoutMs,
-        choose = { order -> entry.chooseRoute(plan.query(order)) },
+        account = scope.account.name,
+        request = plan.query,
+        choose = entry::chooseRoute,
         start = plan.start,
     )
     private val runner = RequestRunner(job, entry, sink, plan.upload)
@@ -49,5 +52,5 @@
     override fun resume() = runner.resume()
 }
 
-/** The best route for [query] as of now. */
-internal fun EntryServices.chooseRoute(query: RouteQuery): Route? = router.choose(query, view().routesOf(query.service))
+/** The best route for [request] as of now. */
+internal fun EntryServices.chooseRoute(request: RoutingRequest): Route? = router.choose(request, timers.nowMs())
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/ClaimRunner.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/ClaimRunner.kt
@@ -141,6 +141,8 @@
             id = order.request,
             facts = plan.facts.copy(idempotent = false, finishWithoutCaller = true, streaming = false, maxAttempts = 1),
             timeoutMs = (deadlineMs - entry.timers.nowMs()).coerceAtLeast(1),
+            account = scope.account.name,
+            request = plan.query,
             choose = { target },
             start = plan.start,
         )
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryServices.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryServices.kt
@@ -5,6 +5,7 @@
 import org.bramleyspur.core.time.TimerService
 import org.bramleyspur.daemon.agent.AgentClient
 import org.bramleyspur.traffic.retry.RetryBudgets
+import org.bramleyspur.traffic.routing.Router
 
 /**
  * What the requests of an entry share; used by the traffic thread only.
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryView.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryView.kt
@@ -5,7 +5,6 @@
 
 import org.bramleyspur.core.model.Account
 import org.bramleyspur.core.model.Configuration
-import org.bramleyspur.core.model.Route
 import org.bramleyspur.core.model.RouteTable
 import org.bramleyspur.core.model.Service
 import java.security.MessageDigest
@@ -29,9 +28,6 @@
         configuration.accounts.values.associateBy { it.keyDigest }
     }
 
-    /** Routes of [service]. */
-    fun routesOf(service: String): List<Route> = routes.routes.filter { it.service == service }
-
     /** The service declared under [name]. */
     fun service(name: String): Service? = configuration.services[name]
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/ModelCall.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/ModelCall.kt
@@ -16,6 +16,7 @@
 import org.bramleyspur.daemon.caller.OpenAiAnswer
 import org.bramleyspur.daemon.caller.respond
 import org.bramleyspur.protocol.Start
+import org.bramleyspur.traffic.routing.RoutingRequest
 import org.bramleyspur.traffic.stream.RequestFacts
 import org.bramleyspur.traffic.stream.RequestKind
 import org.bramleyspur.traffic.stream.StartAttempt
@@ -75,9 +76,10 @@
         val answer = OpenAiAnswer(endpoint, "cmpl-${scope.id.value}", request.model, createdS)
         val idempotent = head.headers[IDEMPOTENT_HEADER]?.lowercase() != "false" && !service.nonIdempotent
         val key = head.headers[IDEMPOTENCY_KEY_HEADER].orEmpty()
+        val prefixes = prefixDigests(request.prompt)
         val plan = CallPlan(
             facts = RequestFacts(RequestKind.GENERATION, idempotent, streaming = request.stream),
-            query = { order -> order.toQuery(request, service) },
+            query = { order -> order.toQuery(request, service, prefixes) },
             start = { order, route -> startOf(order, request, service, scope, route.version) },
             digest = { digestOf("${head.method} ${head.path}\n${body.toString(Charsets.UTF_8)}") },
             upload = null,
@@ -97,8 +99,8 @@
             WholeAnswerSink(exchange, answer, scope)
         }
 
-    private fun StartAttempt.toQuery(request: ModelRequest, service: Service) =
-        RouteQuery(service.name, version, request.adapter, request.prompt, excluded)
+    private fun StartAttempt.toQuery(request: ModelRequest, service: Service, prefixes: LongArray) =
+        RoutingRequest(service.name, account.name, prefixes, version, request.adapter.ifEmpty { null }, excluded)
 
     private fun startOf(
         order: StartAttempt,
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/PlainCall.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/PlainCall.kt
@@ -12,6 +12,7 @@
 import org.bramleyspur.daemon.caller.respond
 import org.bramleyspur.protocol.Header
 import org.bramleyspur.protocol.Start
+import org.bramleyspur.traffic.routing.RoutingRequest
 import org.bramleyspur.traffic.stream.RequestFacts
 import org.bramleyspur.traffic.stream.RequestKind
 import org.bramleyspur.traffic.stream.StartAttempt
@@ -61,7 +62,8 @@
     return startBuilder().setMethod(head.method.name()).setPath(path).addAllHeaders(fields)
 }
 
-private fun StartAttempt.plainQuery(service: Service) = RouteQuery(service.name, null, "", "", excluded)
+private fun StartAttempt.plainQuery(scope: RequestScope) =
+    RoutingRequest(scope.service.name, scope.account.name, excluded = excluded)
 
 /** A call whose body and answer are passed on as they come. */
 private class StreamedPlainCall(
@@ -77,7 +79,7 @@
     init {
         val plan = CallPlan(
             facts = RequestFacts(RequestKind.CALL, idempotent),
-            query = { it.plainQuery(scope.service) },
+            query = { it.plainQuery(scope) },
             start = { _, _ -> scope.plainStart(head) },
             digest = { "" },
             upload = upload,
@@ -128,7 +130,7 @@
         val text = content.toString(Charsets.ISO_8859_1)
         val plan = CallPlan(
             facts = RequestFacts(RequestKind.CALL, idempotent = false),
-            query = { it.plainQuery(scope.service) },
+            query = { it.plainQuery(scope) },
             start = { _, _ -> scope.plainStart(head).setBody(content).setBodyComplete(true).setIdempotencyKey(key) },
             digest = { digestOf("${head.method} ${head.path}\n$text") },
             upload = null,
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/RequestRunner.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/RequestRunner.kt
@@ -11,6 +11,7 @@
 import org.bramleyspur.core.time.Subscription
 import org.bramleyspur.daemon.agent.AttemptCall
 import org.bramleyspur.daemon.agent.AttemptListener
+import org.bramleyspur.protocol.End
 import org.bramleyspur.protocol.ExecuteEvent
 import org.bramleyspur.protocol.Head
 import org.bramleyspur.protocol.LookupReply
@@ -19,6 +20,7 @@
 import org.bramleyspur.protocol.Start
 import org.bramleyspur.traffic.admission.LookupState
 import org.bramleyspur.traffic.admission.RefusalReason
+import org.bramleyspur.traffic.routing.RoutingRequest
 import org.bramleyspur.traffic.stream.AttemptBegun
 import org.bramleyspur.traffic.stream.AttemptBody
 import org.bramleyspur.traffic.stream.AttemptBroken
@@ -54,14 +56,17 @@
  * One request to be run.
  *
  * @property timeoutMs time in milliseconds until the deadline
- * @property choose picks a route for an attempt, or null when none fits
+ * @property request what a route is wanted for in an attempt
+ * @property choose picks a route, or null when none fits
  * @property start builds the message of an attempt; request, attempt, route and time are filled in by the runner
  */
 class RequestJob(
     val id: RequestId,
     val facts: RequestFacts,
     val timeoutMs: Long,
-    val choose: (StartAttempt) -> Route?,
+    val account: String,
+    val request: (StartAttempt) -> RoutingRequest,
+    val choose: (RoutingRequest) -> Route?,
     val start: (StartAttempt, Route) -> Start.Builder,
 )
 
@@ -83,7 +88,7 @@
 
     /** Starts the first attempt. */
     fun run() {
-        entry.budgets.onRequest()
+        entry.budgets.onRequest(job.account)
         subscriptions += timers.after(job.timeoutMs) { feed(DeadlinePassed) }
         bodyUpload?.onReleased = { feed(BodyReleased) }
         acceptRequest(job.facts).effects.forEach { execute(it) }
@@ -128,9 +133,10 @@
 
     private fun startAttempt(order: StartAttempt) {
         if (!state.mayWrite(order.attempt)) return
-        if (!entry.budgets.tryTake(order.cause)) return notStarted(order, NotStartedReason.NO_BUDGET)
-        val route = job.choose(order) ?: return notStarted(order, NotStartedReason.NO_ROUTE)
-        val attempt = RunningAttempt(order.attempt, route)
+        if (!entry.budgets.tryTake(order.cause, job.account)) return notStarted(order, NotStartedReason.NO_BUDGET)
+        val request = job.request(order)
+        val route = job.choose(request) ?: return notStarted(order, NotStartedReason.NO_ROUTE)
+        val attempt = RunningAttempt(order.attempt, route, RouteUse(entry.router, timers, route, request))
         attempts[order.attempt] = attempt
         attempt.start(order)
         feed(AttemptSent(order.attempt, route.incarnation, route.version))
@@ -159,11 +165,14 @@
     }
 
     /** One attempt and its stream to the agent. */
-    inner class RunningAttempt internal constructor(private val number: Int, internal val route: Route) :
-        AttemptListener {
+    inner class RunningAttempt internal constructor(
+        private val number: Int,
+        internal val route: Route,
+        private val use: RouteUse,
+    ) : AttemptListener {
         private lateinit var call: AttemptCall
         private var held = 0
-        private var done = false
+        private var cancelled = false
 
         /** Whether the connection takes more body data now. */
         val ready: Boolean get() = call.ready
@@ -182,14 +191,16 @@
                     .setEntry(entry.incarnation.value)
                     .setSentAtMs(timers.nowMs())
                     .build()
-            entry.router.onSent(route)
             call = entry.agents.execute(route.address, message, this)
         }
 
         /** Sends a part of the request's body. */
         fun sendBody(data: ByteString, last: Boolean) = call.sendBody(data, last)
 
-        internal fun cancel() = call.cancel("no longer needed")
+        internal fun cancel() {
+            cancelled = true
+            call.cancel("no longer needed")
+        }
 
         internal fun resume() {
             while (held > 0 && sink.writable) {
@@ -203,20 +214,23 @@
         }
 
         override fun onEvent(event: ExecuteEvent) {
-            if (event.hasLoad()) entry.router.onLoad(route, event.load)
+            if (event.hasLoad()) use.onLoad(event.load)
             handle(event)
             held += 1
             resume()
         }
 
         override fun onClosed(written: Boolean) {
-            finish()
+            if (cancelled) use.onAbandoned() else use.onFailed()
             feed(ConnectionLost(number, written))
         }
 
         private fun handle(event: ExecuteEvent) {
             when (event.kindCase) {
-                ExecuteEvent.KindCase.PIECE -> feed(AttemptPiece(number, event.piece.position, event.piece.token))
+                ExecuteEvent.KindCase.PIECE -> {
+                    use.onAnswer()
+                    feed(AttemptPiece(number, event.piece.position, event.piece.token))
+                }
                 ExecuteEvent.KindCase.BEGUN -> feed(AttemptBegun(number))
                 ExecuteEvent.KindCase.HEAD -> forwardHead(event.head)
                 ExecuteEvent.KindCase.BODY -> forwardBody(event.body.data, event.body.last)
@@ -225,24 +239,32 @@
         }
 
         private fun onLast(event: ExecuteEvent) {
-            finish()
             when (event.kindCase) {
-                ExecuteEvent.KindCase.END -> feed(event.end.toEvent(number))
-                ExecuteEvent.KindCase.REFUSED -> feed(event.refused.toEvent(number))
-                ExecuteEvent.KindCase.BROKEN ->
+                ExecuteEvent.KindCase.END -> {
+                    use.onEnded()
+                    feed(event.end.toEvent(number))
+                }
+                ExecuteEvent.KindCase.REFUSED -> {
+                    use.onRefused(event.refused.reason.toReason(), event.refused.retryAfterMs.toLong())
+                    feed(event.refused.toEvent(number))
+                }
+                ExecuteEvent.KindCase.BROKEN -> {
+                    if (cancelled) use.onAbandoned() else use.onFailed()
                     feed(AttemptBroken(number, event.broken.failed, event.broken.message))
+                }
                 ExecuteEvent.KindCase.REJECTED -> reject(event.rejected.status, event.rejected.message)
-                else -> feed(ConnectionLost(number, written = true))
+                else -> onClosed(written = true)
             }
         }
 
         private fun forwardHead(head: Head) {
+            use.onAnswer()
             forwardedHead = head
             feed(AttemptHead(number, head.status))
         }
 
         private fun forwardBody(data: ByteString, last: Boolean) {
-            if (last) finish()
+            if (last) use.onEnded()
             forwardedBody = data
             feed(AttemptBody(number, last))
             forwardedBody = ByteString.EMPTY
@@ -254,17 +276,10 @@
             forwardHead(error.toHead())
             forwardBody(ByteString.copyFromUtf8(error.toJson()), true)
         }
-
-        private fun finish() {
-            if (done) return
-            done = true
-            entry.router.onEnded(route)
-        }
     }
 }
 
-private fun org.bramleyspur.protocol.End.toEvent(number: Int) =
-    AttemptEnd(number, finishReason, promptTokens, completionTokens)
+private fun End.toEvent(number: Int) = AttemptEnd(number, finishReason, promptTokens, completionTokens)
 
 private fun Refused.toEvent(number: Int) = AttemptRefused(number, reason.toReason(), retryAfterMs.toLong())
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/BackendDuties.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/BackendDuties.kt
@@ -56,6 +56,7 @@
     @Volatile
     private var running = 0
     private var reportChanged: () -> Unit = {}
+    private var stopping = false
     private var stopped = false
     private val controller =
         AssignmentController(self, engine, confirmClient, loops.controlTimers, { running }, this)
@@ -98,9 +99,13 @@
         }
     }
 
-    override fun stop() = controller.stop()
+    override fun stop() {
+        stopping = true
+        controller.stop()
+    }
 
-    override fun isStopped() = stopped
+    /** An engine that has stopped before its agent cannot be ordered out of its role any more. */
+    override fun isStopped() = stopped || (stopping && running == 0 && !controller.report().backendHealthy)
 
     override fun onPermit(permit: ServingPermit?) {
         val gate = if (permit == null) ServingGate.Closed else ServingGate.Replica(permit)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/ControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/ControlProcess.kt
@@ -4,6 +4,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.grpc.stub.StreamObserver
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.bramleyspur.control.placement.RepairPolicy
 import org.bramleyspur.control.state.ControlState
 import org.bramleyspur.core.settings.Settings
 import org.bramleyspur.daemon.member.ControlNode
@@ -16,6 +17,7 @@
 import org.bramleyspur.daemon.session.ClaimService
 import org.bramleyspur.daemon.session.LiveQueries
 import org.bramleyspur.daemon.session.PlacementDriver
+import org.bramleyspur.daemon.session.PlacementMetrics
 import org.bramleyspur.daemon.session.SessionService
 import org.bramleyspur.log.storage.DiskFileSystem
 import org.bramleyspur.log.storage.FirstStart
@@ -61,8 +63,15 @@
         this,
     ) { exitOnStorageFailure(it) }
     private val sessions = SessionService(node, loops.controlTimers)
-    private val placement = PlacementDriver(node, sessions, loops.controlTimers, settings, registry)
-    private val queries = LiveQueries(node, sessions, loops.controlTimers)
+    private val placement = PlacementDriver(
+        node,
+        sessions,
+        loops.controlTimers,
+        policyOf(settings),
+        PlacementMetrics(registry),
+        System::currentTimeMillis,
+    )
+    private val queries = LiveQueries(node, sessions, placement, loops.controlTimers)
     private val claims = ClaimService(node, System::currentTimeMillis)
     private val operators = OperatorService(node, System::currentTimeMillis, queries::answer)
     private val server = buildServer(
@@ -78,7 +87,7 @@
     /** Starts to serve. */
     fun start() {
         loops.control.submit {
-            sessions.start { placement.onSessionsChanged() }
+            sessions.start()
             placement.start()
             node.start()
         }.get()
@@ -89,7 +98,6 @@
 
     override fun onLeading(term: Long) {
         sessions.onLeading(term, node.state)
-        placement.onLeading()
     }
 
     override fun onLeadershipLost() = sessions.onLeadershipLost()
@@ -138,6 +146,11 @@
     }
 }
 
+private fun policyOf(settings: Settings): RepairPolicy {
+    val preset = if (settings[ControlSettings.POLICY] == "ragusa") RepairPolicy.ragusa else RepairPolicy.kerherve
+    return preset.copy(maxLoads = settings[ControlSettings.WEIGHT_LOADS].toInt())
+}
+
 private fun exitOnStorageFailure(error: StorageError): Nothing {
     logger.error { error.message }
     Runtime.getRuntime().halt(EXIT_STORAGE)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
@@ -17,7 +17,6 @@
 import org.bramleyspur.daemon.caller.request.EntryMetrics
 import org.bramleyspur.daemon.caller.request.EntryServices
 import org.bramleyspur.daemon.caller.request.EntryView
-import org.bramleyspur.daemon.caller.request.Router
 import org.bramleyspur.daemon.control.ControlSession
 import org.bramleyspur.daemon.control.ControlSessionListener
 import org.bramleyspur.daemon.platform.PlatformServer
@@ -26,8 +25,12 @@
 import org.bramleyspur.protocol.Heartbeat
 import org.bramleyspur.protocol.HeartbeatReply
 import org.bramleyspur.protocol.Hello
+import org.bramleyspur.traffic.routing.LinkCost
+import org.bramleyspur.traffic.routing.Router
+import org.bramleyspur.traffic.routing.RoutingSettings
 import java.io.File
 import java.util.UUID
+import java.util.random.RandomGenerator
 
 private val logger = KotlinLogging.logger {}
 
@@ -56,7 +59,7 @@
         incarnation,
         loops.trafficTimers,
         agents,
-        Router(settings[CommonSettings.DATA_CENTRE]),
+        newRouter(),
         tracing,
         EntryMetrics(registry),
     ) { view }
@@ -96,6 +99,7 @@
         view = view.copy(routes = routes)
         val addresses = routes.routes.map { it.address }.toSet()
         loops.traffic.execute {
+            services.router.setRoutes(routes.routes)
             agents.keepOnly(addresses)
             addresses.forEach { agents.warm(it) }
         }
@@ -137,6 +141,16 @@
         tracing.close(TRACE_FLUSH_MS)
     }
 
+    private fun newRouter(): Router {
+        val random = RandomGenerator.getDefault()
+        val own = settings[CommonSettings.DATA_CENTRE]
+        val remote = LinkCost(
+            settings[EntrySettings.REMOTE_ROUND_TRIP].toDouble(),
+            settings[EntrySettings.REMOTE_PENALTY].toDouble(),
+        )
+        return Router(RoutingSettings(own), { if (it == own) LinkCost.LOCAL else remote }, random::nextInt)
+    }
+
     private fun readiness(): Readiness {
         val now = view
         return when {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/session/LiveQueries.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/session/LiveQueries.kt
@@ -17,6 +17,7 @@
 class LiveQueries(
     private val node: ControlNode,
     private val sessions: SessionService,
+    private val placement: PlacementDriver,
     private val timers: TimerService,
 ) {
     /** Answers [query], null when it names something that does not exist. */
@@ -133,6 +134,7 @@
 
     private fun why(service: String): LiveTable? {
         if (service !in node.state.configuration.services) return null
-        return LiveTable(listOf("service", "reason"), emptyList())
+        val rows = placement.reasons.filter { it.service == service }.map { listOf(it.service, it.subject, it.reason) }
+        return LiveTable(listOf("service", "replica or data centre", "reason"), rows)
     }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/session/PlacementDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/session/PlacementDriver.kt
@@ -1,113 +1,179 @@
+/*
+ * Carries out the repair policy while this member leads: proposes assignments and their ends, and accounts for group
+ * downtime and stranded accelerators.
+ */
 package org.bramleyspur.daemon.session
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.collections.immutable.toImmutableList
-import org.bramleyspur.control.session.Session
+import org.bramleyspur.control.placement.Measures
+import org.bramleyspur.control.placement.PlacementAction
+import org.bramleyspur.control.placement.Repair
+import org.bramleyspur.control.placement.RepairPolicy
+import org.bramleyspur.control.placement.ReplicaState
+import org.bramleyspur.control.placement.World
+import org.bramleyspur.control.placement.decide
+import org.bramleyspur.control.placement.measure
+import org.bramleyspur.control.session.world
 import org.bramleyspur.control.state.Assign
 import org.bramleyspur.control.state.AssignmentDefinition
+import org.bramleyspur.control.state.ControlCommand
 import org.bramleyspur.control.state.EndAssignment
-import org.bramleyspur.core.model.Assignment
-import org.bramleyspur.core.model.AssignmentState
+import org.bramleyspur.control.state.ExpireClaims
+import org.bramleyspur.control.state.FinishRollOut
 import org.bramleyspur.core.model.Member
 import org.bramleyspur.core.model.ReplicaId
 import org.bramleyspur.core.model.Service
-import org.bramleyspur.core.model.ServiceKind
-import org.bramleyspur.core.settings.Settings
 import org.bramleyspur.core.time.TimerService
 import org.bramleyspur.daemon.member.ControlNode
 import java.util.UUID
 
 private val logger = KotlinLogging.logger {}
 
-/** Forms and ends replicas while this member leads. */
-@Suppress("UnusedPrivateProperty", "UnusedParameter")
+/** Forms and ends replicas by [policy]. */
 class PlacementDriver(
     private val node: ControlNode,
     private val sessions: SessionService,
     private val timers: TimerService,
-    settings: Settings,
-    registry: PrometheusRegistry,
+    private val policy: RepairPolicy,
+    private val metrics: PlacementMetrics,
+    private val wallClockMs: () -> Long,
 ) {
-    private var proposing = false
+    private var outstanding = 0
+    private var repairs: List<Repair> = emptyList()
+    private var loadingSinceMs: Map<ReplicaId, Long> = emptyMap()
+    private var loadMs = FIRST_LOAD_MS
+    private var measuredAtMs: Long? = null
+    private var lastReasons: List<String> = emptyList()
 
-    /** Starts the timer of the decisions. */
+    /** Why wanted replicas are not placed or not replaced, by service. */
+    var reasons: List<PlacementReason> = emptyList()
+        private set
+
+    /** Starts the timers of the decisions. */
     fun start() {
-        timers.every(DECIDE_MS) { decide() }
+        timers.every(DECIDE_MS) { run() }
+        timers.every(EXPIRE_MS) { if (node.leadingTerm() != null) propose(ExpireClaims(wallClockMs())) }
     }
 
-    fun onLeading() = Unit
-
-    fun onSessionsChanged() = Unit
-
-    private fun decide() {
-        if (proposing || node.leadingTerm() == null || !sessions.state.judges(timers.nowMs())) return
-        val broken = node.state.assignments.values.firstOrNull { !isWanted(it) || it.members.any { m -> isLost(m) } }
-        if (broken != null) {
-            propose { done -> node.propose(EndAssignment(broken.replica, broken.fencingNumber)) { done() } }
+    private fun run() {
+        val nowMs = timers.nowMs()
+        if (node.leadingTerm() == null || !sessions.state.judges(nowMs)) {
+            measuredAtMs = null
             return
         }
-        val definition = node.state.configuration.services.values.firstNotNullOfOrNull { missing(it) } ?: return
-        logger.info { "forming replica ${definition.replica} of ${definition.service}" }
-        propose { done -> node.propose(Assign(listOf(definition).toImmutableList())) { done() } }
+        val world = sessions.state.world(repairs, loadMs)
+        account(world, nowMs)
+        noteLoads(world, nowMs)
+        if (outstanding > 0) return
+        val actions = decide(world, policy, nowMs)
+        reasons = actions.mapNotNull { it.toReason() }
+        logNewReasons()
+        actions.forEach { carryOut(it, world, nowMs) }
+        finishRollOuts(world)
     }
 
-    private fun propose(action: (() -> Unit) -> Unit) {
-        proposing = true
-        action { proposing = false }
+    private fun account(world: World, nowMs: Long) {
+        val since = measuredAtMs
+        measuredAtMs = nowMs
+        val measures = measure(world)
+        metrics.set(measures, world)
+        if (since != null) metrics.add(measures.over(nowMs - since))
     }
 
-    private fun isWanted(assignment: Assignment): Boolean {
-        val service = node.state.configuration.services[assignment.service] ?: return false
-        return service.version == assignment.version
-    }
-
-    private fun isLost(member: Member): Boolean {
-        val session = sessions.state.sessions[member.instance] ?: return true
-        return session.lost || session.report?.leaving == true
+    /** Learns the time that a load takes, which is what the policy weighs a wait against. */
+    private fun noteLoads(world: World, nowMs: Long) {
+        val loading = world.replicas.filter { it.state == ReplicaState.Loading }.map { it.id }.toSet()
+        val serving = world.replicas.filter { it.state == ReplicaState.Serving }.map { it.id }.toSet()
+        loadingSinceMs.filterKeys { it in serving }.values.forEach { sinceMs ->
+            loadMs += ((nowMs - sinceMs) - loadMs) / LOAD_SMOOTHING
+        }
+        loadingSinceMs = loading.associateWith { loadingSinceMs[it] ?: nowMs }
     }
 
-    private fun missing(service: Service): AssignmentDefinition? {
-        if (service.kind != ServiceKind.MODEL) return null
-        return service.placements.entries.firstNotNullOfOrNull { (dataCentre, count) ->
-            val present = node.state.assignments.values.count {
-                it.service == service.name &&
-                    it.dataCentre() == dataCentre
-            }
-            if (present < count) define(service, dataCentre) else null
+    private fun carryOut(action: PlacementAction, world: World, nowMs: Long) {
+        when (action) {
+            is PlacementAction.CreateReplica -> create(action, world, nowMs)
+            is PlacementAction.RetireReplica -> retire(action)
+            is PlacementAction.Wait, is PlacementAction.NotPossible -> Unit
         }
     }
 
-    private fun Assignment.dataCentre() = sessions.state.sessions[first.instance]?.announcement?.dataCentre
-
-    private fun define(service: Service, dataCentre: String): AssignmentDefinition? {
-        val group = sessions.state.sessions.values
-            .filter { it.announcement.dataCentre == dataCentre && it.isFree() }
-            .groupBy { it.announcement.fabricDomain }
-            .values
-            .firstOrNull { it.size >= service.instancesPerReplica } ?: return null
-        val members = group.take(service.instancesPerReplica).map { it.announcement }
-        return AssignmentDefinition(
-            replica = ReplicaId("r-${UUID.randomUUID()}"),
+    private fun create(action: PlacementAction.CreateReplica, world: World, nowMs: Long) {
+        val service = world.services[action.service] ?: return
+        val definition = AssignmentDefinition(
+            replica = ReplicaId("r-" + UUID.randomUUID().toString().take(REPLICA_ID_LENGTH)),
             service = service.name,
             model = service.model,
-            version = service.version,
-            adapters = service.adapters.toImmutableList(),
-            members = members.map { Member(it.instance, it.address, it.backendAddress) }.toImmutableList(),
+            version = action.version,
+            adapters = service.adapters,
+            members = action.members.map { it.withAddresses() }.toImmutableList(),
         )
+        val members = definition.members.joinToString { it.instance.value }
+        logger.info { "forming replica ${definition.replica} of ${service.name} from $members" }
+        noteRepair(action, world, nowMs)
+        propose(Assign(listOf(definition).toImmutableList()))
     }
 
-    private fun Session.isFree(): Boolean {
-        val hello = announcement
-        val used = node.state.assignments.values.any { a -> a.members.any { it.instance == hello.instance } }
-        val current = report ?: return false
-        val released = current.assignments.all { it.state == AssignmentState.RELEASED }
-        return hello.backendKind == ServiceKind.MODEL && hello.fabricDomain.isNotEmpty() && !used && !lost &&
-            current.backendHealthy && released && !current.leaving &&
-            hello.instance !in node.state.configuration.drainedInstances
+    private fun noteRepair(action: PlacementAction.CreateReplica, world: World, nowMs: Long) {
+        val domain = world.instances[action.members.first().instance]?.fabricDomain ?: return
+        repairs = (repairs + Repair(action.service, domain, nowMs)).takeLast(KEPT_REPAIRS)
+    }
+
+    private fun Member.withAddresses(): Member {
+        val hello = sessions.state.sessions[instance]?.announcement ?: return this
+        return Member(instance, hello.address, hello.backendAddress)
+    }
+
+    private fun retire(action: PlacementAction.RetireReplica) {
+        val assignment = node.state.assignments[action.replica] ?: return
+        logger.info { "ending replica ${action.replica}: ${action.reason}" }
+        propose(EndAssignment(action.replica, assignment.fencingNumber))
+    }
+
+    /** A roll-out is finished when every wanted replica serves the next version and no other replica is left. */
+    private fun finishRollOuts(world: World) {
+        world.services.values.forEach { service ->
+            val next = service.nextVersion
+            if (next != null && isRolledOut(world, service, next)) propose(FinishRollOut(service.name, next))
+        }
+    }
+
+    private fun isRolledOut(world: World, service: Service, version: String): Boolean {
+        val replicas = world.replicas.filter { it.assignment.service == service.name }
+        val serving = replicas.count { it.assignment.version == version && it.state == ReplicaState.Serving }
+        return replicas.all { it.assignment.version == version } && serving >= service.placements.values.sum()
+    }
+
+    private fun propose(command: ControlCommand) {
+        outstanding += 1
+        node.propose(command) { result ->
+            outstanding -= 1
+            result.component2()?.let { logger.info { "decision not committed: ${it.message}" } }
+        }
+    }
+
+    private fun logNewReasons() {
+        val texts = reasons.map { "${it.service}: ${it.reason}" }
+        (texts - lastReasons.toSet()).forEach { logger.info { it } }
+        lastReasons = texts
+    }
+
+    private fun PlacementAction.toReason(): PlacementReason? = when (this) {
+        is PlacementAction.Wait -> PlacementReason(service, replica?.value.orEmpty(), reason)
+        is PlacementAction.NotPossible -> PlacementReason(service, dataCentre, reason)
+        else -> null
     }
 
     private companion object {
         const val DECIDE_MS = 250L
+        const val EXPIRE_MS = 60_000L
+        const val FIRST_LOAD_MS = 90_000L
+        const val LOAD_SMOOTHING = 4
+        const val KEPT_REPAIRS = 100
+        const val REPLICA_ID_LENGTH = 8
     }
 }
+
+/** Why a service does not have a replica that it should have; [subject] is the replica or the data centre. */
+data class PlacementReason(val service: String, val subject: String, val reason: String)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/session/SessionService.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/session/SessionService.kt
@@ -23,7 +23,6 @@
 
 /** Serves sessions while this member leads. */
 class SessionService(private val node: ControlNode, private val timers: TimerService) {
-    private var onChanged: () -> Unit = {}
     private val streams = HashMap<Long, StreamObserver<SessionDown>>()
     private var nextStream = 0L
     private var leading = false
@@ -32,9 +31,8 @@
     var state = SessionState.initial()
         private set
 
-    /** Starts the timer of the sessions; [onChanged] runs after each change of the session state. */
-    fun start(onChanged: () -> Unit) {
-        this.onChanged = onChanged
+    /** Starts the timer of the sessions. */
+    fun start() {
         timers.every(TICK_MS) { if (leading) feed(SessionEvent.Tick) }
     }
 
@@ -69,7 +67,6 @@
         val step = state.handle(event, timers.nowMs())
         state = step.state
         step.effects.forEach { carryOut(it) }
-        onChanged()
     }
 
     private fun carryOut(effect: SessionEffect) {
