--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/Membership.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/Membership.kt
@@ -17,7 +17,7 @@
  *
  * @property voters members that count towards majorities
  * @property learners members that receive the log and do not vote
- * @property replacements id of a new member to the id of the voter that it replaces
+ * @property replacements id of a new member to the id of the member that it replaces
  */
 data class Membership(
     val voters: PersistentMap<String, String> = persistentMapOf(),
@@ -58,7 +58,10 @@
 
 /** A change of the membership. */
 sealed interface MembershipChange {
-    /** Adds a member without a vote. With [replaces] it is promoted when caught up, and then that voter is removed. */
+    /**
+     * Adds a member without a vote. With [replaces], the leader exchanges the two when the new member has caught up:
+     * it promotes the new one and removes that member, in the order that is safe for the old one's state.
+     */
     data class AddLearner(val id: String, val address: String, val replaces: String? = null) : MembershipChange
 
     /** Gives a learner that has caught up a vote. */
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/MembershipRules.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/MembershipRules.kt
@@ -43,16 +43,21 @@
     listOfNotNull(change.id, change.address, change.replaces).any { it.isEmpty() || it.any(Char::isWhitespace) } ->
         "ids and addresses must not be empty or contain white space; correct the command"
 
-    change.replaces != null && change.replaces !in state.membership.voters ->
-        "${change.replaces} is no voter; name the voter to replace"
+    change.replaces != null && change.replaces !in state.membership.ids() ->
+        "${change.replaces} is no member; name the member to replace"
 
     else -> null
 }
 
 private fun Transition.caughtUp(leading: Leading, id: String): Boolean {
     val progress = leading.progress[id] ?: return false
-    val fresh = progress.ackedRoundMs?.let { nowMs - it < state.settings.electionMinMs } ?: false
-    return fresh && state.log.lastIndex - progress.matchIndex <= state.settings.caughtUpEntries
+    return answers(leading, id) && state.log.lastIndex - progress.matchIndex <= state.settings.caughtUpEntries
+}
+
+/** Whether this is the leader itself, or it acknowledged a round within the last election timeout. */
+private fun Transition.answers(leading: Leading, id: String): Boolean {
+    val ackedMs = if (id == state.self) nowMs else leading.progress[id]?.ackedRoundMs
+    return ackedMs != null && nowMs - ackedMs < state.settings.electionMinMs
 }
 
 private fun Membership.with(change: MembershipChange): Membership = when (change) {
@@ -61,13 +66,17 @@
         replacements = change.replaces?.let { replacements.put(change.id, it) } ?: replacements,
     )
 
-    is MembershipChange.Promote ->
-        copy(voters = voters.put(change.id, learners.getValue(change.id)), learners = learners.remove(change.id))
+    is MembershipChange.Promote -> copy(
+        voters = voters.put(change.id, learners.getValue(change.id)),
+        learners = learners.remove(change.id),
+        replacements = replacements.filter { it.key != change.id || it.value in ids() }.toPersistentMap(),
+    )
 
     is MembershipChange.Remove -> copy(
         voters = voters.remove(change.id),
         learners = learners.remove(change.id),
-        replacements = replacements.filter { change.id != it.key && change.id != it.value }.toPersistentMap(),
+        replacements = replacements.filter { change.id != it.key && (change.id != it.value || it.key in learners) }
+            .toPersistentMap(),
     )
 }
 
@@ -81,14 +90,21 @@
     appendAsLeader(EntryKind.MEMBERSHIP, listOf(membership.encode()))
 }
 
-/** Takes the next step of a replacement: promotes the new member when it has caught up, then removes the old one. */
+/**
+ * Takes the next step of a replacement once the new member has caught up. A member that answers is removed after the
+ * new one is promoted. One that does not answer is removed before, since the failure of the new member right after its
+ * promotion would otherwise leave two failed voters: with four voters that is no majority.
+ */
 internal fun Transition.continueReplacement() {
     val leading = state.role as? Leading ?: return
     if (!leading.ready || state.memberships.last().index > state.commit) return
     val change = state.membership.replacements.entries.firstNotNullOfOrNull { (id, replaced) ->
+        val present = replaced in state.membership.ids()
         when {
             id in state.membership.voters -> MembershipChange.Remove(replaced)
-            caughtUp(leading, id) && state.membership.voters.size < MAX_VOTERS -> MembershipChange.Promote(id)
+            !caughtUp(leading, id) -> null
+            present && !answers(leading, replaced) -> MembershipChange.Remove(replaced)
+            state.membership.voters.size < MAX_VOTERS -> MembershipChange.Promote(id)
             else -> null
         }
     } ?: return
--- /dev/null
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/LeaseTest.kt
@@ -0,0 +1,57 @@
+package org.bramleyspur.log
+
+import org.bramleyspur.log.consensus.ConsensusSettings
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+
+/** Guards leases and terms against clocks of different speed, frozen leaders and members that are cut off. */
+class LeaseTest {
+    /** The drift is exaggerated so that a missing allowance is longer than an election. */
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4, 5, 6, 7, 8])
+    fun `a leader with a slow clock loses its lease before another one has it`(seed: Long) {
+        val settings = ConsensusSettings(electionMaxMs = 520, driftPercent = 20)
+        val cluster = Cluster(3, seed, settings, clockRates = listOf(1.0, 1.2, 1.2))
+        var leader = cluster.awaitLeader()
+        while (leader.number != 0) {
+            cluster.isolate(leader)
+            cluster.run(700)
+            cluster.links.cut.clear()
+            cluster.run(300)
+            leader = cluster.awaitLeader()
+        }
+        cluster.isolate(leader)
+        cluster.runUntil("another leader") { cluster.nodes.drop(1).any { it.log!!.leaseValid(it.clockMs()) } }
+    }
+
+    @Test
+    fun `a frozen leader has no lease when it runs again`() {
+        val cluster = Cluster(3, seed = 1)
+        val leader = cluster.awaitLeader()
+        leader.freeze()
+        cluster.run(3_000)
+        expectThat(leader.log!!.leaseValid(leader.clockMs())).isFalse()
+        expectThat(cluster.nodes.any { it.log!!.leaseValid(it.clockMs()) }).isTrue()
+    }
+
+    @Test
+    fun `a member that receives nothing does not depose the leader`() {
+        val cluster = Cluster(3, seed = 2)
+        val leader = cluster.awaitLeader()
+        val term = leader.log!!.status().term
+        val deaf = cluster.nodes.first { it !== leader }
+        cluster.nodes.forEach { cluster.cut(it, deaf) }
+        cluster.run(5_000)
+        cluster.links.cut.clear()
+        cluster.run(1_000)
+        expectThat(leader.log!!.status()).and {
+            get { this.term }.isEqualTo(term)
+            get { role }.isEqualTo(MemberRole.LEADER)
+        }
+    }
+}
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/ReplicatedLogTest.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/ReplicatedLogTest.kt
@@ -88,6 +88,21 @@
         cluster.rules.checkConverged()
     }
 
+    @Test
+    fun `a voter that answers is replaced after the new member is promoted`() {
+        val cluster = Cluster(3, seed = 7)
+        val leader = cluster.awaitLeader()
+        val replaced = cluster.nodes.first { it !== leader }
+        val spare = cluster.Node(3).also { cluster.nodes += it }
+        spare.start(FirstStart.Join)
+        val change = MembershipChange.AddLearner(spare.log!!.memberId, spare.address, replaced.log!!.memberId)
+        leader.log!!.changeMembership(change) { }
+        expectThat(cluster.runToAction(2_000) { leader.log!!.status().members.count { it.voter } == 4 }).isTrue()
+        cluster.runUntil("replaced") { leader.log!!.status().members.map { it.address }.size == 3 }
+        expectThat(leader.log!!.status().members.map { it.address }.toSet())
+            .isEqualTo(cluster.nodes.minus(replaced).map { it.address }.toSet())
+    }
+
     @Test
     fun `membership changes are refused when they do not fit, and a removed leader hands over`() {
         val cluster = Cluster(3, seed = 6)
