Answer a repeated mismatch only once a round

Cause: each failed append was answered by a probe at once. Change: a mismatch that brings the search no further waits for the next round. The parent of the data folder is synced when the folder is created.

--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/Leadership.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/Leadership.kt
@@ -125,12 +125,15 @@
     sendEntries(from)
 }
 
-/** Goes back to where the peer's log may match; the entries sent after that point are sent again. */
+/**
+ * Goes back to where the peer's log may match; the entries sent after that point are sent again. An answer that brings
+ * the search no further is left to the next round: answering each repeated message at once would multiply messages.
+ */
 private fun Transition.onMismatch(from: String, retryFrom: Long) {
-    updateProgress(from) {
-        val next = retryFrom.coerceIn(it.matchIndex + 1, state.log.lastIndex + 1)
-        it.copy(nextIndex = next, probing = true)
-    }
+    val progress = progress(from) ?: return
+    val next = retryFrom.coerceIn(progress.matchIndex + 1, state.log.lastIndex + 1)
+    if (progress.probing && next >= progress.nextIndex) return
+    updateProgress(from) { it.copy(nextIndex = next, probing = true) }
     sendProbe(from)
 }
 
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/Membership.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/Membership.kt
@@ -44,7 +44,7 @@
     internal companion object {
         /** Reads lines of role, id, address and, for a replacement, the replaced id. */
         fun decode(lines: List<String>): Membership {
-            val words = lines.filter { it.isNotEmpty() }.map { it.split(' ') }
+            val words = lines.map { it.split(' ') }.filter { it.size >= 3 }
             return Membership(
                 words.filter { it[0] == "voter" }.associate { it[1] to it[2] }.toPersistentMap(),
                 words.filter { it[0] == "learner" }.associate { it[1] to it[2] }.toPersistentMap(),
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/FileSystem.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/FileSystem.kt
@@ -53,6 +53,7 @@
 class DiskFileSystem(private val folder: Path) : FileSystem {
     init {
         Files.createDirectories(folder)
+        folder.toAbsolutePath().parent?.let { syncFolder(it) }
     }
 
     override fun path(name: String): String = folder.resolve(name).toString()
@@ -75,7 +76,9 @@
         Files.deleteIfExists(folder.resolve(name))
     }
 
-    override fun syncFolder() = FileChannel.open(folder, StandardOpenOption.READ).use { it.force(true) }
+    override fun syncFolder() = syncFolder(folder)
+
+    private fun syncFolder(path: Path) = FileChannel.open(path, StandardOpenOption.READ).use { it.force(true) }
 
     override fun lock(name: String): AutoCloseable? {
         val channel = FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.WRITE)
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/LeaseTest.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/LeaseTest.kt
@@ -17,14 +17,16 @@
     fun `a leader with a slow clock loses its lease before another one has it`(seed: Long) {
         val settings = ConsensusSettings(electionMaxMs = 520, driftPercent = 20)
         val cluster = Cluster(3, seed, settings, clockRates = listOf(1.0, 1.2, 1.2))
-        var leader = cluster.awaitLeader()
-        while (leader.number != 0) {
-            cluster.isolate(leader)
-            cluster.run(700)
-            cluster.links.cut.clear()
-            cluster.run(300)
-            leader = cluster.awaitLeader()
+        val leader = cluster.nodes[0]
+        repeat(20) {
+            if (cluster.awaitLeader() !== leader) {
+                cluster.isolate(cluster.awaitLeader())
+                cluster.run(700)
+                cluster.links.cut.clear()
+                cluster.run(300)
+            }
         }
+        expectThat(cluster.awaitLeader()).isEqualTo(leader)
         cluster.isolate(leader)
         cluster.runUntil("another leader") { cluster.nodes.drop(1).any { it.log!!.leaseValid(it.clockMs()) } }
     }
