Do not place an instance that may still accept an offered assignment

Cause: generated sequences of sessions and policy together placed an instance (i4 at 56 s of one run) while its agent held a replica that was created and retired between two heartbeats. The agent itself would have ended the old assignment first, so I2 held, but the placement broke its own rule. Change: an instance is free only when its agent has reported the last offered number or a higher one, or the offer is older than a session timeout.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/PlacementView.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/PlacementView.kt
@@ -16,8 +16,8 @@
 import org.bramleyspur.core.model.Member
 import org.bramleyspur.core.model.ServiceKind
 
-/** Input of the repair policy, with the caller's history of [repairs] and measured [loadMs]. */
-fun SessionState.world(repairs: List<Repair>, loadMs: Long): World {
+/** Input of the repair policy, with the caller's history of [repairs] and measured [loadMs] at [nowMs]. */
+fun SessionState.world(repairs: List<Repair>, loadMs: Long, nowMs: Long): World {
     val engines = sessions.filterValues {
         it.announcement.role == ProcessRole.AGENT && it.announcement.backendKind == ServiceKind.MODEL
     }
@@ -28,13 +28,21 @@
         PlacementReplica(it, dataCentreOf(it), progress[it.replica] ?: ReplicaState.Loading)
     }
     val services = configuration.services.filterValues { it.kind == ServiceKind.MODEL }
-    return World(services, engines.mapValues { placementInstance(it.value) }, replicas + releasing, repairs, loadMs)
+    return World(
+        services,
+        engines.mapValues {
+            placementInstance(it.value, nowMs)
+        },
+        replicas + releasing,
+        repairs,
+        loadMs,
+    )
 }
 
 private fun SessionState.dataCentreOf(assignment: Assignment): String =
     assignment.members.firstNotNullOfOrNull { sessions[it.instance]?.announcement?.dataCentre }.orEmpty()
 
-private fun SessionState.placementInstance(session: Session): PlacementInstance {
+private fun SessionState.placementInstance(session: Session, nowMs: Long): PlacementInstance {
     val hello = session.announcement
     return PlacementInstance(
         member = Member(hello.instance, hello.address),
@@ -42,7 +50,7 @@
         fabricDomain = hello.fabricDomain,
         accelerators = hello.accelerators,
         health = session.health(),
-        free = session.isFree(),
+        free = isFree(session, nowMs),
         drained = hello.instance in configuration.drainedInstances,
         leaving = session.report?.leaving == true,
         failuresMs = failures[hello.instance].orEmpty(),
@@ -57,9 +65,16 @@
     else -> Health.Live
 }
 
-private fun Session.isFree(): Boolean = !lost &&
-    report?.backendHealthy == true &&
-    report.assignments.all { it.state == AssignmentState.RELEASED }
+private fun SessionState.isFree(session: Session, nowMs: Long): Boolean {
+    val report = session.report ?: return false
+    val released = report.assignments.all { it.state == AssignmentState.RELEASED }
+    return !session.lost && report.backendHealthy && released && !isOfferOpen(session.offer, report, nowMs)
+}
+
+/** Whether the agent may still accept the last offer; one that is older than a session timeout has been received. */
+private fun SessionState.isOfferOpen(offer: Offer?, report: HeartbeatReport, nowMs: Long): Boolean = offer != null &&
+    report.assignments.none { it.fencingNumber >= offer.fencingNumber } &&
+    nowMs < offer.sentAtMs + timing.sessionTimeoutMs
 
 /** Whether a living agent has yet to release [assignment]. */
 internal fun SessionState.isHeld(assignment: Assignment): Boolean = assignment.members.any { member ->
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionMachine.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionMachine.kt
@@ -132,14 +132,17 @@
         .copy(leaseUntilMs = if (leased) nowMs + timing.leaseEndMs else session.leaseUntilMs)
     val failed = !heard.bootConfirmed || session.report.wentDown(report)
     val noted = if (failed) noteFailure(instance, nowMs) else this
-    val shares = noted.copy(sessions = sessions.put(instance, heard)).shareOut(heard, leased, nowMs)
+    val wanted = wantedOn(instance, nowMs)
+    val offer = wanted.maxOfOrNull { it.fencingNumber }?.let { Offer(it, nowMs) } ?: session.offer
+    val offered = heard.copy(offer = offer)
+    val shares = noted.copy(sessions = sessions.put(instance, offered)).shareOut(heard, leased, nowMs)
     val answer = SessionEffect.Answer(
         event.stream,
         report.sequence,
         term,
         if (leased) timing.leaseMs else 0,
         shares.shares,
-        wantedOn(instance, nowMs),
+        wanted,
     )
     return shares.state.step(answer)
 }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionState.kt
@@ -15,6 +15,7 @@
 import org.bramleyspur.control.placement.ReplicaState
 import org.bramleyspur.core.model.Assignment
 import org.bramleyspur.core.model.Configuration
+import org.bramleyspur.core.model.FencingNumber
 import org.bramleyspur.core.model.Incarnation
 import org.bramleyspur.core.model.InstanceName
 import org.bramleyspur.core.model.ReplicaId
@@ -32,7 +33,8 @@
  * @property lost whether the session has ended by silence
  * @property crashed whether its stream was closed by the process before it was lost; a frozen process leaves it open
  */
-data class Session(
+@ConsistentCopyVisibility
+data class Session internal constructor(
     val announcement: Announcement,
     val stream: Long?,
     val revision: Revision,
@@ -43,8 +45,12 @@
     val upSinceMs: Long = heardAtMs,
     val lost: Boolean = false,
     val crashed: Boolean = false,
+    internal val offer: Offer? = null,
 )
 
+/** The highest assignment sent to an instance; until it reports it, the instance may be about to accept it. */
+internal data class Offer(val fencingNumber: FencingNumber, val sentAtMs: Long)
+
 /** A configuration change and the time at which this leader accepted it; null when an earlier leader did. */
 internal data class AcceptedChange(val revision: Revision, val acceptedAtMs: Long?)
 
