Fail the power between a write and its sync in the fault tests

Cause: with the body checksum removed the fault table still passed. The harness ran a write and its sync as one action, so no crash fell between them and torn writes were not exercised.

--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/Cluster.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/Cluster.kt
@@ -144,6 +144,7 @@
         var log: ReplicatedLog? = null
         var frozen = false
         private var life = 0
+        private var fatalTear = Tear.DROP
         private val held = ArrayList<() -> Unit>()
         val applied = sortedMapOf<Long, String>()
 
@@ -193,7 +194,7 @@
                 timers,
                 Executor { later(random.nextDouble(0.1, 3.0)) { it.run() } },
             )
-            val options = LogOptions(address, settings, snapshotEntries = 20) { crash(Tear.DROP, restartMs = 200) }
+            val options = LogOptions(address, settings, snapshotEntries = 20) { crash(fatalTear, restartMs = 200) }
             val listener = LeadershipListener(won = { rules.won(it, this) })
             applied.clear()
             log = ReplicatedLog(storage, options, threads, ::send, stateMachine(), listener, random.asJavaRandom())
@@ -234,6 +235,14 @@
             if (restartMs != null) schedule(nowMs + restartMs) { if (log == null) start(FirstStart.Join) }
         }
 
+        /** Fails the power between a write and its sync, or after 100 ms without one. */
+        fun failPower(tear: Tear) {
+            val struck = life
+            fatalTear = tear
+            files.syncsLeft = random.nextInt(4)
+            schedule(nowMs + 100) { if (life == struck) crash(tear, restartMs = 100) }
+        }
+
         fun emptyDisk(restartMs: Int) {
             if (log == null) return
             crash(Tear.DROP, restartMs = null)
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/Fault.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/Fault.kt
@@ -13,10 +13,11 @@
     LOSS({ links.lossPercent = 30 }),
     REORDER({ links.delayMs = 1..80 }),
     DUPLICATE({ links.duplicatePercent = 50 }),
-    DROPPED_WRITES({ nodes.forEach { it.crash(Tear.DROP, restartMs = 100) } }),
-    TORN_WRITES({ nodes.forEach { it.crash(Tear.CUT, restartMs = 100) } }),
-    GARBLED_WRITES({ nodes.forEach { it.crash(Tear.GARBLE, restartMs = 100) } }),
-    FAILED_SYNC({ it.files.failSyncs = true }),
+    DROPPED_WRITES({ nodes.forEach { it.failPower(Tear.DROP) } }),
+    KEPT_WRITES({ nodes.forEach { it.failPower(Tear.KEEP) } }),
+    TORN_WRITES({ nodes.forEach { it.failPower(Tear.CUT) } }),
+    GARBLED_WRITES({ nodes.forEach { it.failPower(Tear.GARBLE) } }),
+    FAILED_SYNC({ it.files.syncsLeft = 0 }),
     EMPTIED_DISK({ emptyIfTolerable(it) }),
     TWO_CRASHES({ node ->
         node.crash(Tear.CUT, restartMs = 500)
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/LogStorageTest.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/LogStorageTest.kt
@@ -129,7 +129,7 @@
     fun `a failed sync is a fatal error that names the file`() {
         val files = TestFileSystem()
         val storage = open(files)
-        files.failSyncs = true
+        files.syncsLeft = 0
         val failure = assertThrows<StorageFailure> { storage.append(1L..1L) }
         expectThat(failure.error).isA<StorageError.SyncFailed>().get { file }.contains(".segment")
     }
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/TestFileSystem.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/TestFileSystem.kt
@@ -19,7 +19,9 @@
     private var names = mutableMapOf<String, Content>()
     private var syncedNames = mapOf<String, Content>()
     private var locked = false
-    var failSyncs = false
+
+    /** Number of syncs that still succeed; null for all. */
+    var syncsLeft: Int? = null
     var syncs = 0
 
     override fun path(name: String) = name
@@ -34,7 +36,7 @@
             override fun write(bytes: ByteArray) = content.bytes.writeBytes(bytes)
 
             override fun sync() {
-                if (failSyncs) throw IOException("sync failed on request")
+                spendSync()
                 syncs++
                 content.synced = content.bytes.size()
             }
@@ -52,10 +54,16 @@
     }
 
     override fun syncFolder() {
-        if (failSyncs) throw IOException("sync failed on request")
+        spendSync()
         syncedNames = names.toMap()
     }
 
+    private fun spendSync() {
+        val left = syncsLeft ?: return
+        if (left == 0) throw IOException("sync failed on request")
+        syncsLeft = left - 1
+    }
+
     override fun lock(name: String): AutoCloseable? {
         if (locked) return null
         locked = true
@@ -70,7 +78,7 @@
     /** Fails the power: names and bytes that were not synced are lost or torn. */
     fun crash(tear: Tear, random: Random) {
         locked = false
-        failSyncs = false
+        syncsLeft = null
         if (tear != Tear.KEEP) names = syncedNames.toMutableMap()
         for (content in names.values) {
             val bytes = content.bytes.toByteArray()
