Use the agent's predicted wait and several holders of a prompt in routing

Cause: an entry took a queue filled by a large account for one that every account waits in, and compared only the first holder of a prompt. Change: the agent's prediction bounds the entry's own while it is fresh; up to 4 holders are drawn; slots are kept free against accounts above 1.2 times their share, up to the fair shares of the others. Run: mvn -B -ntp -q -pl bramleyspur-traffic -am verify passes.

--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/admission/SlotShares.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/admission/SlotShares.kt
@@ -50,13 +50,15 @@
         if (mine.running < fairShare || mine.at(nowMs).demand < fairShare * LARGE_DEMAND) return 0
         var expected = 0.0
         var used = 0.0
+        var fairShares = 0.0
         for ((name, use) in accounts) {
             if (name == account || use.isIdle) continue
             val fair = slots.toDouble() * use.weight / weights
+            fairShares += fair
             expected += minOf(use.at(nowMs).demand, fair)
             used += minOf(use.running.toDouble(), fair)
         }
-        val wanted = expected + sqrt(expected) * VARIATION
+        val wanted = minOf(expected + sqrt(expected) * VARIATION, fairShares)
         return ceil(wanted - used - ROUNDING).toInt().coerceIn(0, slots - 1)
     }
 
@@ -69,10 +71,10 @@
          * An account whose average demand is this many times its fair share is large. Without the margin, accounts of
          * equal size would reserve slots against one another, which lowered the goodput by a quarter.
          */
-        const val LARGE_DEMAND = 1.5
+        const val LARGE_DEMAND = 1.2
 
         /** Standard deviations of the other accounts' use, taken as Poisson, that are kept free above its average. */
-        const val VARIATION = 1.0
+        const val VARIATION = 2.0
 
         /** A tenth of a slot of average use is not worth a whole reserved slot. */
         const val ROUNDING = 0.1
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/routing/RouteView.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/routing/RouteView.kt
@@ -54,8 +54,13 @@
     /** Predicted queueing time in milliseconds of an attempt that is sent now. */
     fun waitMs(nowMs: Long, meanOthers: Double, serviceMs: Double): Double {
         val slots = (report?.slots ?: route.slots).coerceAtLeast(1)
-        val excess = inFlight + others(nowMs, meanOthers) + 1 - slots
-        return if (excess <= 0) 0.0 else excess * serviceMs / slots
+        val excess = (inFlight + others(nowMs, meanOthers) + 1 - slots).coerceAtLeast(0.0)
+        val counted = excess * serviceMs / slots
+        if (report == null) return counted
+        val unseen = (sent - report.received).coerceIn(0, inFlight.toLong())
+        val reported = report.predictedWaitMs + minOf(unseen.toDouble(), excess) * serviceMs / slots
+        val keep = exp(-(nowMs - reportMs) / PREDICTION_TIME_MS)
+        return counted + (minOf(reported, counted) - counted) * keep
     }
 
     /** Slowness as it is known now: the measured one fades, and an overdue first token counts at once. */
@@ -88,6 +93,9 @@
     }
 
     companion object {
+        /** The agent's own prediction knows the fair shares, but holds only for about a service time. */
+        private const val PREDICTION_TIME_MS = 500.0
+
         /** Reports arrive with each response event; one that is this old says little about other entries' load. */
         private const val REPORT_TIME_MS = 2000.0
 
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/routing/Router.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/routing/Router.kt
@@ -124,7 +124,15 @@
         val (local, remote) = open.partition { it.route.dataCentre == settings.dataCentre }
         val chosen = draw(local, settings.localChoices) + draw(remote, settings.remoteChoices)
         if (request.prompt.isEmpty()) return chosen
-        return chosen + open.maxBy { it.prefixes.match(request.prompt) }
+        return chosen + holders(open, request.prompt)
+    }
+
+    /** Routes with the longest match; a prompt that many callers share is held by several, of which some are full. */
+    private fun holders(open: List<RouteView>, prompt: LongArray): List<RouteView> {
+        val matches = open.map { it.prefixes.match(prompt) }
+        val longest = matches.max()
+        if (longest == 0) return emptyList()
+        return draw(open.filterIndexed { index, _ -> matches[index] == longest }, HOLDER_CHOICES)
     }
 
     private fun draw(from: List<RouteView>, count: Int): List<RouteView> {
@@ -161,6 +169,7 @@
     }
 
     private companion object {
+        const val HOLDER_CHOICES = 4
         const val LEARNING_GAIN = 0.02
         const val LEARNABLE_RATIO = 2.0
 
