--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/LoadModelTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/LoadModelTest.kt
@@ -70,6 +70,10 @@
     @Test
     fun isolationOfOneAccount() = checkIsolation(small = 0.25, others = 1)
 
+    /** Guards against a large account that takes the capacity of many small ones. */
+    @Test
+    fun isolationOfManyAccounts() = checkIsolation(small = 0.05, others = 9)
+
     private fun checkIsolation(small: Double, others: Int) {
         val smalls = List(others) { AccountLoad("small-$it", small * LoadModel.CAPACITY_PER_S) }
         val runs = listOf(1, 10).map { factor ->
