--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
@@ -166,9 +166,15 @@
         .setAccount(account)
         .setInFlight(load.running)
         .setRefused(load.refused)
-        .setShare(view.shares[account] ?: 0)
+        .setShare(heldShare(account))
         .build()
 
+    /** An entry whose lease has ended holds no share; its report is what frees the share for other entries. */
+    private fun heldShare(account: String): Int {
+        val now = view
+        return if (loops.controlTimers.nowMs() < now.leaseUntilMs) now.shares[account] ?: 0 else 0
+    }
+
     private fun tls(): SslContext? {
         val certificate = settings[EntrySettings.TLS_CERTIFICATE]
         if (certificate.isEmpty()) return null
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/session/PlacementDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/session/PlacementDriver.kt
@@ -62,7 +62,7 @@
             measuredAtMs = null
             return
         }
-        val world = sessions.state.world(repairs, loadMs)
+        val world = sessions.state.world(repairs, loadMs, nowMs)
         account(world, nowMs)
         noteLoads(world, nowMs)
         if (outstanding > 0) return
