--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/ModelRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/ModelRequest.kt
@@ -54,16 +54,26 @@
     companion object {
         /** Reads the [body] of a request to [endpoint]. */
         fun parse(endpoint: ModelEndpoint, body: String): Result<ModelRequest, CallerError> {
-            val fields =
-                parseObject(body) ?: return Err(CallerError.invalid("the body is not a JSON object"))
-            val model =
-                fields.text("model") ?: return Err(CallerError.invalid("'model' is missing; name a service"))
-            val prompt =
-                promptOf(endpoint, fields) ?: return Err(CallerError.invalid(promptRemedy(endpoint)))
-            unsupported(fields)?.let { return Err(it) }
+            val fields = parseObject(body) ?: return Err(CallerError.invalid("the body is not a JSON object"))
+            val model = fields.text("model")
+            val prompt = promptOf(endpoint, fields)
+            return when {
+                model == null -> Err(CallerError.invalid("'model' is missing; name a service"))
+                prompt == null -> Err(CallerError.invalid(promptRemedy(endpoint)))
+                !asksForOneAnswer(fields) -> Err(CallerError.invalid("'n' must be 1; send one request for each answer"))
+                else -> Ok(requestOf(endpoint, model, prompt, fields))
+            }
+        }
+
+        private fun requestOf(
+            endpoint: ModelEndpoint,
+            model: String,
+            prompt: String,
+            fields: JsonObject,
+        ): ModelRequest {
             val stream = (fields["stream"] as? JsonPrimitive)?.booleanOrNull ?: false
-            val service = model.substringBefore(':')
-            return Ok(ModelRequest(endpoint, model, service, model.substringAfter(':', ""), stream, prompt, fields))
+            val adapter = model.substringAfter(':', "")
+            return ModelRequest(endpoint, model, model.substringBefore(':'), adapter, stream, prompt, fields)
         }
 
         private fun parseObject(body: String): JsonObject? = try {
@@ -75,18 +85,21 @@
         private fun JsonObject.text(name: String): String? =
             (this[name] as? JsonPrimitive)?.takeIf { it.isString }?.contentOrNull
 
-        private fun promptOf(endpoint: ModelEndpoint, fields: JsonObject): String? {
-            if (endpoint == ModelEndpoint.COMPLETIONS) return fields.text("prompt")
-            val messages = fields["messages"] as? JsonArray ?: return null
-            if (messages.isEmpty()) return null
-            val texts = messages.map { messageText(it) ?: return null }
-            return texts.joinToString("\n")
+        private fun promptOf(endpoint: ModelEndpoint, fields: JsonObject): String? = when (endpoint) {
+            ModelEndpoint.COMPLETIONS -> fields.text("prompt")
+            ModelEndpoint.CHAT -> (fields["messages"] as? JsonArray)?.let { chatPrompt(it) }
+        }
+
+        private fun chatPrompt(messages: JsonArray): String? {
+            val texts = messages.map { messageText(it) }
+            return if (texts.isEmpty() || null in texts) null else texts.joinToString("\n")
         }
 
         private fun messageText(message: JsonElement): String? {
-            val fields = message as? JsonObject ?: return null
-            val role = fields.text("role") ?: return null
-            return "$role: ${fields["content"] ?: return null}"
+            val fields = message as? JsonObject
+            val role = fields?.text("role")
+            val content = fields?.get("content")
+            return if (role == null || content == null) null else "$role: $content"
         }
 
         private fun promptRemedy(endpoint: ModelEndpoint): String = when (endpoint) {
@@ -94,10 +107,9 @@
             ModelEndpoint.CHAT -> "'messages' is missing or malformed; send objects with 'role' and 'content'"
         }
 
-        private fun unsupported(fields: JsonObject): CallerError? {
-            val count = fields["n"] as? JsonPrimitive ?: return null
-            if (count.intOrNull == 1) return null
-            return CallerError.invalid("'n' must be 1; send one request for each answer")
+        private fun asksForOneAnswer(fields: JsonObject): Boolean {
+            val count = fields["n"] as? JsonPrimitive ?: return true
+            return count.intOrNull == 1
         }
     }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/ClaimRunner.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/ClaimRunner.kt
@@ -1,6 +1,6 @@
 /*
- * Carries out the claim machine of a non-idempotent call with an idempotency key: claims at the control leader, runs the
- * call once, records its answer, and only then returns it.
+ * Carries out the claim machine of a non-idempotent call with an idempotency key: claims at the control leader, runs
+ * the call once, records its answer, and only then returns it.
  */
 package org.bramleyspur.daemon.caller.request
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/ModelCall.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/ModelCall.kt
@@ -47,16 +47,20 @@
     override fun onBodyEnd() {
         if (answered) return
         val request = ModelRequest.parse(endpoint, body.toString(Charsets.UTF_8)).getOrElse { return refuse(it) }
-        val service = entry.view().service(request.service)?.takeIf { it.kind == ServiceKind.MODEL }
-            ?: return refuse(CallerError.notFound("the model '${request.model}'", "model_not_found"))
-        if (request.adapter.isNotEmpty() && request.adapter !in service.adapters) {
-            return refuse(CallerError.notFound("the adapter '${request.adapter}'", "model_not_found"))
-        }
+        val service = serviceOf(request) ?: return refuse(modelNotFound(request))
         val scope = handler.admit(account, service, head).getOrElse { return refuse(it) }
         answered = true
         run(request, service, scope)
     }
 
+    private fun serviceOf(request: ModelRequest): Service? {
+        val service = entry.view().service(request.service)?.takeIf { it.kind == ServiceKind.MODEL }
+        return service?.takeIf { request.adapter.isEmpty() || request.adapter in it.adapters }
+    }
+
+    private fun modelNotFound(request: ModelRequest) =
+        CallerError.notFound("the model '${request.model}'", "model_not_found")
+
     override fun onCallerGone() {
         answered = true
         running?.callerGone()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/Main.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/Main.kt
@@ -56,9 +56,11 @@
 @Suppress("TooGenericExceptionCaught") // Whatever keeps a role from starting must end the process with its message.
 private fun startOrExit(start: () -> RoleProcess): RoleProcess = try {
     start()
+} catch (e: BindException) {
+    logger.error { "cannot start: ${e.message}; end the process that uses the address or choose another one" }
+    exitProcess(EXIT_START)
 } catch (e: Exception) {
-    val hint = if (e is BindException) "; end the process that uses the address or choose another one" else ""
-    logger.error(e) { "cannot start: ${e.message}$hint" }
+    logger.error(e) { "cannot start: ${e.message}" }
     exitProcess(EXIT_START)
 }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/PlannedStop.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/PlannedStop.kt
@@ -22,8 +22,8 @@
 }
 
 /**
- * Runs the planned stop of [role]: readiness fails first, the listeners close after [graceMs], and the process ends when
- * everything has finished or after [drainTimeoutMs].
+ * Runs the planned stop of [role]: readiness fails first, the listeners close after [graceMs], and the process ends
+ * when everything has finished or after [drainTimeoutMs].
  */
 internal fun runPlannedStop(role: RoleProcess, graceMs: Long, drainTimeoutMs: Long) {
     logger.info { "planned stop: not ready any more, listeners close in $graceMs ms" }
