Keep the order of delayed bytes in the relay

A byte sent after a delay was lowered could overtake an earlier one: both timers were due together, and each computed its deadline from its own clock reading. The sharper test, which waits until the first byte is under the long delay, showed it; the old test passed with the guard removed. Each timer now runs the oldest pending action.

--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/relay/Link.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/relay/Link.kt
@@ -154,6 +154,7 @@
         private val peer: Channel,
         private val disturbance: () -> Disturbance,
     ) : ChannelInboundHandlerAdapter() {
+        private val pending = ArrayDeque<() -> Unit>()
         private var lastDueNanos = System.nanoTime()
 
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
@@ -184,13 +185,12 @@
             val now = System.nanoTime()
             val jitterNanos = (random.nextDouble() * current.jitterMs * NANOS_PER_MS).toLong()
             val delayNanos = TimeUnit.MILLISECONDS.toNanos(current.delayMs) + jitterNanos
-            val idle = now - lastDueNanos >= 0
             lastDueNanos = maxOf(now + delayNanos, lastDueNanos)
-            if (delayNanos == 0L && idle) {
-                action()
-            } else {
-                context.executor().schedule(action, lastDueNanos - now, TimeUnit.NANOSECONDS)
-            }
+            if (delayNanos == 0L && pending.isEmpty()) return action()
+            // Each timer runs the oldest action, since timers that are due together can fire in either order.
+            pending.addLast(action)
+            val waitNanos = lastDueNanos - now
+            context.executor().schedule({ pending.removeFirst()() }, waitNanos, TimeUnit.NANOSECONDS)
         }
     }
 }
--- a/bramleyspur-testbed/src/test/kotlin/org/bramleyspur/testbed/relay/RelayServerTest.kt
+++ b/bramleyspur-testbed/src/test/kotlin/org/bramleyspur/testbed/relay/RelayServerTest.kt
@@ -69,11 +69,15 @@
     fun `a delayed link keeps the order`() {
         val socket = connect()
         roundTrip(socket, 1)
-        command("""{"command":"delay","delay_ms":20,"jitter_ms":20}""")
+        command("""{"command":"delay","delay_ms":60}""")
         val start = System.nanoTime()
-        for (byte in 2..9) socket.getOutputStream().write(byte)
-        expectThat((2..9).map { socket.getInputStream().read() }).isEqualTo((2..9).toList())
-        expectThat(System.nanoTime() - start).isGreaterThanOrEqualTo(40_000_000)
+        socket.getOutputStream().write(2)
+        // After two more calls the relay's event loop has read the byte, so that it waits under the long delay.
+        repeat(2) { call(relay.adminPort, "/links") }
+        command("""{"command":"delay","delay_ms":1,"jitter_ms":1}""")
+        socket.getOutputStream().write(3)
+        expectThat(List(2) { socket.getInputStream().read() }).isEqualTo(listOf(2, 3))
+        expectThat(System.nanoTime() - start).isGreaterThanOrEqualTo(60_000_000)
     }
 
     private fun serve(socket: Socket) {
