Hash chat prompts as the engines do

Cause: prefix digests of chat requests differed from the engine's cache events. Change: the prompt is 'ROLE: CONTENT' and a newline for each message.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/ModelRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/ModelRequest.kt
@@ -92,16 +92,19 @@
 
         private fun chatPrompt(messages: JsonArray): String? {
             val texts = messages.map { messageText(it) }
-            return if (texts.isEmpty() || null in texts) null else texts.joinToString("\n")
+            return if (texts.isEmpty() || null in texts) null else texts.joinToString("")
         }
 
         private fun messageText(message: JsonElement): String? {
             val fields = message as? JsonObject
             val role = fields?.text("role")
             val content = fields?.get("content")
-            return if (role == null || content == null) null else "$role: $content"
+            return if (role == null || content == null) null else "$role: ${textOf(content)}\n"
         }
 
+        private fun textOf(content: JsonElement): String =
+            (content as? JsonPrimitive)?.contentOrNull ?: content.toString()
+
         private fun promptRemedy(endpoint: ModelEndpoint): String = when (endpoint) {
             ModelEndpoint.COMPLETIONS -> "'prompt' is missing or not a string; send one prompt as a string"
             ModelEndpoint.CHAT -> "'messages' is missing or malformed; send objects with 'role' and 'content'"
