Measure traffic and drop the agents' polling timers

Ruled out: new connections to the engine (2 in TIME_WAIT after 1600 calls) and the entry's own work (0.5 ms from read to write under strace).

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/RequestScope.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/RequestScope.kt
@@ -76,7 +76,8 @@
     private val running = HashMap<String, Int>()
     private val refused = HashMap<String, Int>()
 
-    /** Requests in progress of all accounts. */
+    /** Requests in progress of all accounts; may be read by any thread. */
+    @Volatile
     var total = 0
         private set
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/entry/AttemptBoard.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/entry/AttemptBoard.kt
@@ -32,8 +32,10 @@
     private val transit = TransitClock()
     private var gate: ServingGate = ServingGate.Closed
 
-    /** Attempts that run on the backend server. */
-    val running: Int get() = queue.load(timers.nowMs()).running
+    /** Attempts that run on the backend server; may be read by any thread. */
+    @Volatile
+    var running = 0
+        private set
 
     /** Starts to drop what expires. */
     fun start() {
@@ -96,12 +98,12 @@
 
     internal fun onRunEnded(stream: AttemptStream) {
         streams.remove(stream.key, stream)
-        metrics.running.dec()
+        leaveRunning()
         carryOut(queue.ended(stream.key, timers.nowMs()))
     }
 
     internal fun onNotBegun(stream: AttemptStream, reason: RefusalReason, message: String) {
-        metrics.running.dec()
+        leaveRunning()
         carryOut(queue.notBegun(stream.key, reason, timers.nowMs()), message)
     }
 
@@ -154,6 +156,7 @@
 
     private fun begin(stream: AttemptStream) {
         val nowMs = timers.nowMs()
+        running += 1
         metrics.running.inc()
         if (gate.mayBegin(stream.start, nowMs)) {
             stream.begin(runner, nowMs)
@@ -162,6 +165,11 @@
         }
     }
 
+    private fun leaveRunning() {
+        running -= 1
+        metrics.running.dec()
+    }
+
     private companion object {
         const val TICK_MS = 100L
         const val NOT_SERVING_RETRY_MS = 100L
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/BackendDuties.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/BackendDuties.kt
@@ -53,18 +53,15 @@
     confirmClient: ConfirmClient,
 ) : BackendDuties,
     AssignmentListener {
-    @Volatile
-    private var running = 0
     private var reportChanged: () -> Unit = {}
     private var stopping = false
     private var stopped = false
     private val controller =
-        AssignmentController(self, engine, confirmClient, loops.controlTimers, { running }, this)
+        AssignmentController(self, engine, confirmClient, loops.controlTimers, { board.running }, this)
 
     override fun start(onReportChanged: () -> Unit) {
         reportChanged = onReportChanged
         controller.start()
-        loops.trafficTimers.every(RUNNING_POLL_MS) { running = board.running }
     }
 
     override fun heartbeat(): Heartbeat.Builder {
@@ -105,7 +102,7 @@
     }
 
     /** An engine that has stopped before its agent cannot be ordered out of its role any more. */
-    override fun isStopped() = stopped || (stopping && running == 0 && !controller.report().backendHealthy)
+    override fun isStopped() = stopped || (stopping && board.running == 0 && !controller.report().backendHealthy)
 
     override fun onPermit(permit: ServingPermit?) {
         val gate = if (permit == null) ServingGate.Closed else ServingGate.Replica(permit)
@@ -115,10 +112,7 @@
     override fun onRefuseNewWork(reason: String, applied: (running: Int) -> Unit) {
         loops.traffic.execute {
             val count = board.running
-            loops.control.execute {
-                running = count
-                applied(count)
-            }
+            loops.control.execute { applied(count) }
         }
     }
 
@@ -139,10 +133,6 @@
         .build()
 
     private fun AssignmentState.toMessage() = AssignmentStatus.State.valueOf(name)
-
-    private companion object {
-        const val RUNNING_POLL_MS = 20L
-    }
 }
 
 /** Duties towards a plain backend server. */
@@ -158,13 +148,9 @@
     private var leaving = false
     private var reportChanged: () -> Unit = {}
 
-    @Volatile
-    private var running = 0
-
     override fun start(onReportChanged: () -> Unit) {
         reportChanged = onReportChanged
         loops.controlTimers.every(PROBE_MS) { probe() }
-        loops.trafficTimers.every(RUNNING_POLL_MS) { running = board.running }
         probe()
     }
 
@@ -172,7 +158,7 @@
         .newBuilder()
         .setBackendHealthy(healthy())
         .setBackendBootId(bootId)
-        .setRunning(running)
+        .setRunning(board.running)
         .setSlots(slots)
         .setLeaving(leaving)
 
@@ -195,7 +181,7 @@
         reportChanged()
     }
 
-    override fun isStopped() = leaving && running == 0
+    override fun isStopped() = leaving && board.running == 0
 
     private fun healthy() = misses < MAX_MISSES
 
@@ -241,6 +227,5 @@
     private companion object {
         const val PROBE_MS = 250L
         const val MAX_MISSES = 3
-        const val RUNNING_POLL_MS = 20L
     }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
@@ -52,9 +52,6 @@
     @Volatile
     private var demand: Map<String, AccountLoad> = emptyMap()
 
-    @Volatile
-    private var running = 0
-
     private val services = EntryServices(
         incarnation,
         loops.trafficTimers,
@@ -79,7 +76,6 @@
         platform.start(settings[CommonSettings.PLATFORM_LISTEN], loops.controlGroup)
         callers.start(settings[EntrySettings.CALLER_LISTEN], loops.trafficGroup)
         loops.trafficTimers.every(DEMAND_MS) { demand = handler.limiter.takeDemand() }
-        loops.trafficTimers.every(RUNNING_POLL_MS) { running = handler.limiter.total }
         loops.control.execute { session.start() }
         logger.info { "entry ${settings[CommonSettings.INSTANCE]} runs as $incarnation" }
     }
@@ -87,7 +83,7 @@
     override fun heartbeat(): Heartbeat.Builder = Heartbeat
         .newBuilder()
         .setBackendHealthy(true)
-        .setRunning(running)
+        .setRunning(handler.limiter.total)
         .setLeaving(view.stopping)
         .addAllDemands((demand.keys + view.shares.keys).map { demandOf(it, demand[it] ?: AccountLoad(0, 0)) })
 
@@ -130,7 +126,7 @@
 
     override fun closeListeners() = callers.closeListener()
 
-    override fun isDrained(): Boolean = loops.traffic.submit<Boolean> { handler.limiter.total == 0 }.get()
+    override fun isDrained(): Boolean = handler.limiter.total == 0
 
     override fun close() {
         session.close()
@@ -193,7 +189,6 @@
 
     private companion object {
         const val DEMAND_MS = 500L
-        const val RUNNING_POLL_MS = 20L
         const val TRACE_FLUSH_MS = 1_000L
     }
 }
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/bench/BenchMain.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/bench/BenchMain.kt
@@ -31,6 +31,11 @@
         description = "NAME=KEY of an account; repeatable",
     ).multiple()
     val model by parser.option(ArgType.String, "model", description = "Model to ask for").default("m")
+    val engineModel by parser.option(
+        ArgType.String,
+        "engine-model",
+        description = "Name under which the engines serve the model; the same by default",
+    )
     val version by parser.option(ArgType.String, "version", description = "Version that the texts are checked by")
         .default("v1")
     val adapter by parser.option(ArgType.String, "adapter", description = "Adapter to ask for; none by default")
@@ -93,7 +98,7 @@
     val scenario = scenario(flags.scenario, accounts.size, flags.options())
     val seed = flags.seed.toLong()
     val calls = plan(scenario.phases, accounts, scenario.shape, seed)
-    val model = BenchModel(flags.model, flags.version, flags.adapter)
+    val model = BenchModel(flags.model, flags.version, flags.adapter, flags.engineModel ?: flags.model)
     val recorders = LoadRun(calls, flags.targets(), model, seed, flags.timeoutMs.toLong()).run()
     return report(scenario, seed, calls, recorders)
 }
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/bench/Call.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/bench/Call.kt
@@ -25,8 +25,17 @@
 import org.bramleyspur.testbed.engine.chatPrompt
 import org.bramleyspur.testbed.http.testbedJson
 
-/** The model that is asked for, and the version by which its text is checked. */
-internal data class BenchModel(val model: String, val version: String, val adapter: String?) {
+/**
+ * The model that is asked for, and the version by which its text is checked.
+ *
+ * @property engineModel name under which the engines serve the model; the service's name can differ
+ */
+internal data class BenchModel(
+    val model: String,
+    val version: String,
+    val adapter: String?,
+    val engineModel: String = model,
+) {
     /** The name in requests. */
     val requestName: String get() = if (adapter == null) model else "$model:$adapter"
 }
@@ -77,7 +86,7 @@
 /** The text that a complete answer to [call] has. */
 internal fun expectedText(call: PlannedCall, model: BenchModel): String {
     val prompt = if (call.chat) chatPrompt(messagesOf(call.prompt)) else call.prompt.system + call.prompt.user
-    return TokenFunction(model.model, model.version, model.adapter, prompt).text(call.maxTokens)
+    return TokenFunction(model.engineModel, model.version, model.adapter, prompt).text(call.maxTokens)
 }
 
 /** Reads the answer to one call. [intendedNanos] is the planned start by [System.nanoTime]. */
