Give up attempts at an agent that does not answer

Cause: a frozen agent keeps its connection open, and gRPC raises a client's keepalive to at least 10 s, so a stream on it stalled until its deadline. Ruled out: a periodic ping to each agent; at 330 entries and 37 replicas it is 12210 pairs, while only silent agents with running attempts need a question.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/agent/AgentClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/agent/AgentClient.kt
@@ -10,7 +10,6 @@
 import io.grpc.ClientCall
 import io.grpc.ClientInterceptor
 import io.grpc.ClientStreamTracer
-import io.grpc.ManagedChannel
 import io.grpc.Metadata
 import io.grpc.MethodDescriptor
 import io.grpc.stub.ClientCallStreamObserver
@@ -18,6 +17,7 @@
 import io.grpc.stub.StreamObserver
 import io.netty.channel.EventLoopGroup
 import org.bramleyspur.core.settings.Address
+import org.bramleyspur.core.time.TimerService
 import org.bramleyspur.daemon.process.openChannel
 import org.bramleyspur.daemon.process.reconnectNow
 import org.bramleyspur.protocol.AgentServiceGrpc
@@ -62,13 +62,19 @@
 }
 
 /** Sends attempts and lookups to agents; used by the traffic thread only. */
-class AgentClient(private val group: EventLoopGroup) : AutoCloseable {
-    private val channels = HashMap<String, ManagedChannel>()
+class AgentClient(private val group: EventLoopGroup, private val timers: TimerService) : AutoCloseable {
+    private val connections = HashMap<String, AgentConnection>()
+
+    /** Starts to watch the agents that run attempts. */
+    fun start() {
+        timers.every(CHECK_MS) { connections.values.forEach { it.check() } }
+    }
 
     /** Starts an attempt at the agent with [address]. */
     fun execute(address: String, start: Start, listener: AttemptListener): AttemptCall {
-        val attempt = Attempt(listener, group.next())
-        val stub = AgentServiceGrpc.newStub(channel(address))
+        val connection = connection(address)
+        val attempt = Attempt(listener, connection, group.next())
+        val stub = AgentServiceGrpc.newStub(connection.channel)
         stub.withInterceptors(attempt.tracing()).execute(attempt)
         attempt.send(ExecuteRequest.newBuilder().setStart(start).build())
         return attempt
@@ -77,35 +83,39 @@
     /** Asks about an attempt; [onReply] gets null when no answer comes within [LOOKUP_TIMEOUT_MS]. */
     fun lookup(address: String, request: LookupRequest, onReply: (LookupReply?) -> Unit) {
         AgentServiceGrpc
-            .newStub(channel(address))
+            .newStub(connection(address).channel)
             .withDeadlineAfter(LOOKUP_TIMEOUT_MS, TimeUnit.MILLISECONDS)
             .lookup(request, LookupAnswer(onReply))
     }
 
     /** Closes the connections to agents that are not in [addresses]; running attempts go on until they end. */
     fun keepOnly(addresses: Set<String>) {
-        val unused = channels.keys - addresses
-        unused.forEach { channels.remove(it)?.shutdown() }
+        val unused = connections.keys - addresses
+        unused.forEach { connections.remove(it)?.channel?.shutdown() }
     }
 
     /** Opens the connection to [address] before the first attempt needs it. */
     fun warm(address: String) {
-        channel(address).getState(true)
+        connection(address).channel.getState(true)
     }
 
     override fun close() {
-        channels.values.forEach { it.shutdownNow() }
-        channels.clear()
+        connections.values.forEach { it.channel.shutdownNow() }
+        connections.clear()
     }
 
-    private fun channel(address: String): ManagedChannel = channels.getOrPut(address) {
+    private fun connection(address: String): AgentConnection = connections.getOrPut(address) {
         val target = Address.parse(address).component1() ?: error("agent address $address is malformed")
-        openChannel(target, group)
-    }.also { it.reconnectNow() }
-
-    private class Attempt(private val listener: AttemptListener, private val traffic: Executor) :
-        ClientResponseObserver<ExecuteRequest, ExecuteEvent>,
-        AttemptCall {
+        AgentConnection(openChannel(target, group), timers)
+    }.also { it.channel.reconnectNow() }
+
+    private class Attempt(
+        private val listener: AttemptListener,
+        private val connection: AgentConnection,
+        private val traffic: Executor,
+    ) : ClientResponseObserver<ExecuteRequest, ExecuteEvent>,
+        AttemptCall,
+        RemoteAttempt {
         private lateinit var up: ClientCallStreamObserver<ExecuteRequest>
         private val sent = SentMark()
         private var closed = false
@@ -115,6 +125,7 @@
 
         override fun beforeStart(stream: ClientCallStreamObserver<ExecuteRequest>) {
             up = stream
+            connection.add(this)
             stream.disableAutoRequestWithInitial(INITIAL_EVENTS)
             stream.setOnReadyHandler { if (!closed) listener.onReady() }
         }
@@ -141,10 +152,17 @@
         override fun drop() {
             if (closed) return
             closed = true
+            connection.remove(this)
             up.cancel("attempt dropped", null)
         }
 
+        override fun giveUp() {
+            end()
+            up.cancel("the agent does not answer", null)
+        }
+
         override fun onNext(event: ExecuteEvent) {
+            connection.onHeard()
             if (!closed) listener.onEvent(event)
         }
 
@@ -161,6 +179,7 @@
         private fun end() {
             if (closed) return
             closed = true
+            connection.remove(this)
             // The call can fail while it is being started, before its owner has recorded the attempt.
             traffic.execute { listener.onClosed(sent.written) }
         }
@@ -186,6 +205,7 @@
         const val LOOKUP_TIMEOUT_MS = 500L
 
         private const val INITIAL_EVENTS = 32
+        private const val CHECK_MS = 250L
     }
 }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/Channels.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/Channels.kt
@@ -12,13 +12,14 @@
 import org.bramleyspur.core.settings.Address
 import java.util.concurrent.TimeUnit
 
+/** Of a server; gRPC raises the time of a client to 10 s, so clients watch their peers with messages of their own. */
 private const val KEEPALIVE_TIME_MS = 1_000L
 private const val KEEPALIVE_TIMEOUT_MS = 1_000L
 private const val MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
 /**
  * Opens a gRPC channel whose callbacks run on [group]. Retries and name resolution of gRPC are off, since these
- * decisions are made by the routing and retry code. A dead peer is found within two seconds by keepalive.
+ * decisions are made by the routing and retry code.
  */
 fun openChannel(address: Address, group: EventLoopGroup): ManagedChannel = NettyChannelBuilder
     .forAddress(address.toSocketAddress())
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
@@ -42,7 +42,7 @@
     private val loops = Loops()
     private val tracing = settings.tracing("entry")
     private val registry = PrometheusRegistry()
-    private val agents = AgentClient(loops.trafficGroup)
+    private val agents = AgentClient(loops.trafficGroup, loops.trafficTimers)
     private val claims = ClaimClient(loops.trafficGroup)
 
     /** Written by the control thread, read by all. */
@@ -74,6 +74,7 @@
     /** Starts to serve. */
     fun start() {
         platform.start(settings[CommonSettings.PLATFORM_LISTEN], loops.controlGroup)
+        loops.traffic.execute { agents.start() }
         callers.start(settings[EntrySettings.CALLER_LISTEN], loops.trafficGroup)
         loops.trafficTimers.every(DEMAND_MS) { demand = handler.limiter.takeDemand() }
         loops.control.execute { session.start() }
