Ask the members of large replicas less often

Cause: bin/measure-control on a replica of 4 showed 3942 B/s on the wire for the first member's confirmations, 1.3 KB/s for each other member, so a replica of 16 would spend 20 KB/s against the limit of 13 KB/s. Ruled out: one stream for each pair; half of the bytes are TCP/IP segments. Change: the interval grows with the number of members (355 ms for 16), and a confirmation counts for at least three intervals. Replicas of up to 9 members are as before.

--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/agent/AgentTiming.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/agent/AgentTiming.kt
@@ -4,8 +4,8 @@
  * Times of the assignment state machine, all in milliseconds.
  *
  * @property leaseMs configuration lease that a heartbeat answer grants, from the sending of the heartbeat
- * @property grantMs time for which a confirmation counts, from the sending of the question
- * @property askMs interval between confirmation questions
+ * @property grantMs shortest time for which a confirmation counts, from the sending of the question
+ * @property askMs shortest interval between confirmation questions
  * @property probeMs interval between probes of the engine
  * @property orderTimeoutMs time after which an order has either taken effect or never will
  * @property drainLimitMs longest time for which a leaving member goes on confirming so that running requests finish
@@ -18,6 +18,15 @@
     val orderTimeoutMs: Long = 2_000,
     val drainLimitMs: Long = 120_000,
 ) {
+    /**
+     * Interval between the questions of a replica with this number of members. A question and its answer take about
+     * 260 bytes on the wire, so a first member of 16 that asked each 200 ms would spend 20 KB/s; the limit is 13 KB/s.
+     */
+    internal fun askMsFor(members: Int): Long = maxOf(askMs, askMs * members / FULL_RATE_MEMBERS)
+
+    /** Time for which a confirmation counts in such a replica; two lost questions in a row do not stop it. */
+    internal fun grantMsFor(members: Int): Long = maxOf(grantMs, GRANT_ROUNDS * askMsFor(members))
+
     /** Age at which the last good probe counts as [PROBE_MISSES] missed ones; also covers a process that was frozen. */
     internal val probeValidMs: Long get() = probeMs * (PROBE_MISSES + 1)
 
@@ -26,6 +35,8 @@
         /** Three misses tolerate a single lost answer and still detect a dead engine within 1 s. */
         const val PROBE_MISSES = 3
 
+        private const val FULL_RATE_MEMBERS = 9
+        private const val GRANT_ROUNDS = 3
         private const val PERCENT = 100L
         private const val DRIFT_PERCENT = 1L
 
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/agent/ConfirmRules.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/agent/ConfirmRules.kt
@@ -38,7 +38,7 @@
     val grant = known.grants[event.member]
     if (grant != null && sentAtMs < grant.sentAtMs) return this
     val grants = if (event.answer.confirmed) {
-        known.grants.put(event.member, Grant(sentAtMs, sentAtMs + timing.grantMs))
+        known.grants.put(event.member, Grant(sentAtMs, sentAtMs + timing.grantMsFor(active.assignment.members.size)))
     } else {
         known.grants.remove(event.member)
     }
@@ -50,16 +50,17 @@
     val active = phase as? Phase.Active ?: return step()
     val assignment = active.assignment
     val others = assignment.members.filter { it.instance != self }
-    val due = (active.confirmations.askedAtMs ?: Long.MIN_VALUE) <= nowMs - timing.askMs
+    val due = (active.confirmations.askedAtMs ?: Long.MIN_VALUE) <= nowMs - timing.askMsFor(assignment.members.size)
     val asks = assignment.first.instance == self && due && others.isNotEmpty() && selfReady(active, nowMs)
     if (!asks) return step()
     val round = sequence + 1
+    val grantMs = timing.grantMsFor(assignment.members.size)
     val rounds = active.confirmations.rounds
-        .filterValues { it + timing.grantMs > nowMs }
+        .filterValues { it + grantMs > nowMs }
         .toPersistentMap()
     val asked = active.confirmations.copy(rounds = rounds.put(round, nowMs), askedAtMs = nowMs)
     val questions = others.map {
-        AgentEffect.AskConfirm(it, round, assignment.replica, assignment.fencingNumber, timing.grantMs)
+        AgentEffect.AskConfirm(it, round, assignment.replica, assignment.fencingNumber, grantMs)
     }
     return AgentStep(copy(sequence = round, phase = active.copy(confirmations = asked)), questions)
 }
