Give the entries the engines' cache events

Cause: an entry's prefix index knew only the prompts that it sent itself. Change: the agent follows its engine's cache events and adds those that an entry does not have to the load report of a response event.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/RouteUse.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/RouteUse.kt
@@ -4,6 +4,7 @@
 import org.bramleyspur.core.time.TimerService
 import org.bramleyspur.protocol.LoadReport
 import org.bramleyspur.traffic.admission.RefusalReason
+import org.bramleyspur.traffic.routing.CacheEvent
 import org.bramleyspur.traffic.routing.ReportedLoad
 import org.bramleyspur.traffic.routing.Router
 import org.bramleyspur.traffic.routing.RoutingRequest
@@ -25,6 +26,9 @@
         val reported =
             ReportedLoad(load.running, load.queued, load.slots, load.predictedWaitMs.toLong(), load.received)
         router.onLoad(route.incarnation, reported, timers.nowMs())
+        load.cacheEventsList.forEach {
+            router.onCacheEvent(route.incarnation, CacheEvent(it.sequence, it.stored, it.prefix))
+        }
     }
 
     /** The answer has begun to arrive. */
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/CacheEventReader.kt
@@ -0,0 +1,86 @@
+package org.bramleyspur.daemon.engine
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import org.bramleyspur.core.settings.Address
+import org.bramleyspur.core.time.TimerService
+import org.bramleyspur.daemon.entry.CacheEventBuffer
+import org.bramleyspur.daemon.http.HttpCaller
+import org.bramleyspur.daemon.http.HttpFailure
+import org.bramleyspur.daemon.http.HttpListener
+import org.bramleyspur.daemon.http.SseParser
+import org.bramleyspur.protocol.CacheEvent
+
+private val logger = KotlinLogging.logger {}
+
+@Serializable
+private data class EngineCacheEvent(val sequence: Long, val kind: String, val prefix: String)
+
+/** Follows the cache events of an engine on the traffic thread and opens the stream again when it ends. */
+class CacheEventReader(
+    private val address: Address,
+    private val http: HttpCaller,
+    private val timers: TimerService,
+    private val buffer: CacheEventBuffer,
+) {
+    /** Starts to follow. */
+    fun start() {
+        val path = "/admin/cache-events?after=${buffer.lastSequence()}"
+        val request = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path)
+        request.headers().set(HttpHeaderNames.HOST, address.toString())
+        http(request, Unpooled.EMPTY_BUFFER, true, Stream())
+    }
+
+    private fun retry() {
+        timers.after(RETRY_MS) { start() }
+    }
+
+    private inner class Stream : HttpListener {
+        private val events = SseParser(::take)
+        private var status = 0
+
+        override fun onHead(status: Int, headers: HttpHeaders) {
+            this.status = status
+        }
+
+        override fun onData(data: ByteBuf) {
+            if (status == OK) events.feed(data)
+        }
+
+        override fun onEnd() = retry()
+
+        override fun onFailure(failure: HttpFailure, message: String) = retry()
+
+        private fun take(text: String) {
+            try {
+                val event = engineJson.decodeFromString(EngineCacheEvent.serializer(), text)
+                buffer.add(event.toMessage())
+            } catch (e: SerializationException) {
+                logger.debug { "cache event that cannot be read ignored: ${e.message}" }
+            } catch (e: NumberFormatException) {
+                logger.debug { "cache event with a malformed prefix ignored: ${e.message}" }
+            }
+        }
+
+        private fun EngineCacheEvent.toMessage(): CacheEvent = CacheEvent
+            .newBuilder()
+            .setSequence(sequence)
+            .setStored(kind == "stored")
+            .setPrefix(prefix.toULong(HEXADECIMAL).toLong())
+            .build()
+    }
+
+    private companion object {
+        const val RETRY_MS = 1_000L
+        const val OK = 200
+        const val HEXADECIMAL = 16
+    }
+}
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/entry/AttemptBoard.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/entry/AttemptBoard.kt
@@ -30,6 +30,9 @@
     private val streams = HashMap<AttemptKey, AttemptStream>()
     private val received = HashMap<String, Long>()
     private val transit = TransitClock()
+
+    /** Cache events of the engine, for the entries. */
+    val cacheEvents = CacheEventBuffer()
     private var gate: ServingGate = ServingGate.Closed
 
     /** Attempts that run on the backend server; may be read by any thread. */
@@ -116,6 +119,7 @@
             .setSlots(load.slots)
             .setPredictedWaitMs(load.predictedWaitMs.toInt())
             .setReceived(received[entry] ?: 0)
+            .addAllCacheEvents(cacheEvents.takeFor(entry))
             .build()
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentProcess.kt
@@ -7,6 +7,7 @@
 import org.bramleyspur.core.settings.Settings
 import org.bramleyspur.daemon.agent.ConfirmClient
 import org.bramleyspur.daemon.control.ControlSession
+import org.bramleyspur.daemon.engine.CacheEventReader
 import org.bramleyspur.daemon.engine.EngineRunner
 import org.bramleyspur.daemon.engine.OpenAiEngine
 import org.bramleyspur.daemon.entry.AgentMetrics
@@ -61,7 +62,10 @@
     fun start() {
         server.start()
         platform.start(settings[CommonSettings.PLATFORM_LISTEN], loops.controlGroup)
-        loops.traffic.execute { board.start() }
+        loops.traffic.execute {
+            board.start()
+            if (!isPlain) CacheEventReader(backend, trafficHttp::call, loops.trafficTimers, board.cacheEvents).start()
+        }
         loops.control.execute {
             duties.start { session.beat() }
             session.start()
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Execute.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Execute.java
@@ -40,6 +40,11 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_bramleyspur_ExecuteRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramleyspur_CacheEvent_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_bramleyspur_CacheEvent_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bramleyspur_LoadReport_descriptor;
   static final 
@@ -133,48 +138,51 @@
       "on\030\001 \001(\t\"\213\001\n\016ExecuteRequest\022#\n\005start\030\001 \001" +
       "(\0132\022.bramleyspur.StartH\000\022%\n\004body\030\002 \001(\0132\025" +
       ".bramleyspur.BodyPartH\000\022%\n\006cancel\030\003 \001(\0132" +
-      "\023.bramleyspur.CancelH\000B\006\n\004kind\"i\n\nLoadRe" +
-      "port\022\017\n\007running\030\001 \001(\r\022\016\n\006queued\030\002 \001(\r\022\r\n" +
-      "\005slots\030\003 \001(\r\022\031\n\021predicted_wait_ms\030\004 \001(\r\022" +
-      "\020\n\010received\030\005 \001(\004\"\331\001\n\007Refused\022+\n\006reason\030" +
-      "\001 \001(\0162\033.bramleyspur.Refused.Reason\022\026\n\016re" +
-      "try_after_ms\030\002 \001(\r\022\017\n\007message\030\003 \001(\t\"x\n\006R" +
-      "eason\022\017\n\013NOT_SERVING\020\000\022\016\n\nQUEUE_FULL\020\001\022\013" +
-      "\n\007EXPIRED\020\002\022\025\n\021WRONG_INCARNATION\020\003\022\013\n\007LE" +
-      "AVING\020\004\022\r\n\tCANCELLED\020\005\022\r\n\tDUPLICATE\020\006\"\007\n" +
-      "\005Begun\"<\n\004Head\022\016\n\006status\030\001 \001(\r\022$\n\007header" +
-      "s\030\002 \003(\0132\023.bramleyspur.Header\"(\n\005Piece\022\020\n" +
-      "\010position\030\001 \001(\r\022\r\n\005token\030\002 \001(\t\"+\n\010Reject" +
-      "ed\022\016\n\006status\030\001 \001(\r\022\017\n\007message\030\002 \001(\t\"N\n\003E" +
-      "nd\022\025\n\rfinish_reason\030\001 \001(\t\022\025\n\rprompt_toke" +
-      "ns\030\002 \001(\r\022\031\n\021completion_tokens\030\003 \001(\r\")\n\006B" +
-      "roken\022\017\n\007message\030\001 \001(\t\022\016\n\006failed\030\002 \001(\010\"\376" +
-      "\002\n\014ExecuteEvent\022\017\n\007attempt\030\001 \001(\r\022%\n\004load" +
-      "\030\002 \001(\0132\027.bramleyspur.LoadReport\022\'\n\007refus" +
-      "ed\030\003 \001(\0132\024.bramleyspur.RefusedH\000\022#\n\005begu" +
-      "n\030\004 \001(\0132\022.bramleyspur.BegunH\000\022!\n\004head\030\005 " +
-      "\001(\0132\021.bramleyspur.HeadH\000\022#\n\005piece\030\006 \001(\0132" +
-      "\022.bramleyspur.PieceH\000\022%\n\004body\030\007 \001(\0132\025.br" +
-      "amleyspur.BodyPartH\000\022\037\n\003end\030\010 \001(\0132\020.bram" +
-      "leyspur.EndH\000\022%\n\006broken\030\t \001(\0132\023.bramleys" +
-      "pur.BrokenH\000\022)\n\010rejected\030\n \001(\0132\025.bramley" +
-      "spur.RejectedH\000B\006\n\004kind\"A\n\rLookupRequest" +
-      "\022\017\n\007request\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\016\n\006ca" +
-      "ncel\030\003 \001(\010\"\201\001\n\013LookupReply\022-\n\005state\030\001 \001(" +
-      "\0162\036.bramleyspur.LookupReply.State\022\023\n\013inc" +
-      "arnation\030\002 \001(\t\".\n\005State\022\r\n\tNOT_BEGUN\020\000\022\013" +
-      "\n\007RUNNING\020\001\022\t\n\005ENDED\020\002\"]\n\016ConfirmRequest" +
-      "\022\017\n\007replica\030\001 \001(\t\022\026\n\016fencing_number\030\002 \001(" +
-      "\004\022\020\n\010sequence\030\003 \001(\004\022\020\n\010grant_ms\030\004 \001(\r\"T\n" +
-      "\014ConfirmReply\022\021\n\tconfirmed\030\001 \001(\010\022\020\n\010sequ" +
-      "ence\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t\022\017\n\007leaving\030\004 " +
-      "\001(\0102\330\001\n\014AgentService\022E\n\007Execute\022\033.bramle" +
-      "yspur.ExecuteRequest\032\031.bramleyspur.Execu" +
-      "teEvent(\0010\001\022>\n\006Lookup\022\032.bramleyspur.Look" +
-      "upRequest\032\030.bramleyspur.LookupReply\022A\n\007C" +
-      "onfirm\022\033.bramleyspur.ConfirmRequest\032\031.br" +
-      "amleyspur.ConfirmReplyB\034\n\030org.bramleyspu" +
-      "r.protocolP\001b\006proto3"
+      "\023.bramleyspur.CancelH\000B\006\n\004kind\">\n\nCacheE" +
+      "vent\022\020\n\010sequence\030\001 \001(\004\022\016\n\006stored\030\002 \001(\010\022\016" +
+      "\n\006prefix\030\003 \001(\006\"\230\001\n\nLoadReport\022\017\n\007running" +
+      "\030\001 \001(\r\022\016\n\006queued\030\002 \001(\r\022\r\n\005slots\030\003 \001(\r\022\031\n" +
+      "\021predicted_wait_ms\030\004 \001(\r\022\020\n\010received\030\005 \001" +
+      "(\004\022-\n\014cache_events\030\006 \003(\0132\027.bramleyspur.C" +
+      "acheEvent\"\331\001\n\007Refused\022+\n\006reason\030\001 \001(\0162\033." +
+      "bramleyspur.Refused.Reason\022\026\n\016retry_afte" +
+      "r_ms\030\002 \001(\r\022\017\n\007message\030\003 \001(\t\"x\n\006Reason\022\017\n" +
+      "\013NOT_SERVING\020\000\022\016\n\nQUEUE_FULL\020\001\022\013\n\007EXPIRE" +
+      "D\020\002\022\025\n\021WRONG_INCARNATION\020\003\022\013\n\007LEAVING\020\004\022" +
+      "\r\n\tCANCELLED\020\005\022\r\n\tDUPLICATE\020\006\"\007\n\005Begun\"<" +
+      "\n\004Head\022\016\n\006status\030\001 \001(\r\022$\n\007headers\030\002 \003(\0132" +
+      "\023.bramleyspur.Header\"(\n\005Piece\022\020\n\010positio" +
+      "n\030\001 \001(\r\022\r\n\005token\030\002 \001(\t\"+\n\010Rejected\022\016\n\006st" +
+      "atus\030\001 \001(\r\022\017\n\007message\030\002 \001(\t\"N\n\003End\022\025\n\rfi" +
+      "nish_reason\030\001 \001(\t\022\025\n\rprompt_tokens\030\002 \001(\r" +
+      "\022\031\n\021completion_tokens\030\003 \001(\r\")\n\006Broken\022\017\n" +
+      "\007message\030\001 \001(\t\022\016\n\006failed\030\002 \001(\010\"\376\002\n\014Execu" +
+      "teEvent\022\017\n\007attempt\030\001 \001(\r\022%\n\004load\030\002 \001(\0132\027" +
+      ".bramleyspur.LoadReport\022\'\n\007refused\030\003 \001(\013" +
+      "2\024.bramleyspur.RefusedH\000\022#\n\005begun\030\004 \001(\0132" +
+      "\022.bramleyspur.BegunH\000\022!\n\004head\030\005 \001(\0132\021.br" +
+      "amleyspur.HeadH\000\022#\n\005piece\030\006 \001(\0132\022.bramle" +
+      "yspur.PieceH\000\022%\n\004body\030\007 \001(\0132\025.bramleyspu" +
+      "r.BodyPartH\000\022\037\n\003end\030\010 \001(\0132\020.bramleyspur." +
+      "EndH\000\022%\n\006broken\030\t \001(\0132\023.bramleyspur.Brok" +
+      "enH\000\022)\n\010rejected\030\n \001(\0132\025.bramleyspur.Rej" +
+      "ectedH\000B\006\n\004kind\"A\n\rLookupRequest\022\017\n\007requ" +
+      "est\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\016\n\006cancel\030\003 \001" +
+      "(\010\"\201\001\n\013LookupReply\022-\n\005state\030\001 \001(\0162\036.bram" +
+      "leyspur.LookupReply.State\022\023\n\013incarnation" +
+      "\030\002 \001(\t\".\n\005State\022\r\n\tNOT_BEGUN\020\000\022\013\n\007RUNNIN" +
+      "G\020\001\022\t\n\005ENDED\020\002\"]\n\016ConfirmRequest\022\017\n\007repl" +
+      "ica\030\001 \001(\t\022\026\n\016fencing_number\030\002 \001(\004\022\020\n\010seq" +
+      "uence\030\003 \001(\004\022\020\n\010grant_ms\030\004 \001(\r\"T\n\014Confirm" +
+      "Reply\022\021\n\tconfirmed\030\001 \001(\010\022\020\n\010sequence\030\002 \001" +
+      "(\004\022\016\n\006reason\030\003 \001(\t\022\017\n\007leaving\030\004 \001(\0102\330\001\n\014" +
+      "AgentService\022E\n\007Execute\022\033.bramleyspur.Ex" +
+      "ecuteRequest\032\031.bramleyspur.ExecuteEvent(" +
+      "\0010\001\022>\n\006Lookup\022\032.bramleyspur.LookupReques" +
+      "t\032\030.bramleyspur.LookupReply\022A\n\007Confirm\022\033" +
+      ".bramleyspur.ConfirmRequest\032\031.bramleyspu" +
+      "r.ConfirmReplyB\034\n\030org.bramleyspur.protoc" +
+      "olP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -210,80 +218,86 @@
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_ExecuteRequest_descriptor,
         new java.lang.String[] { "Start", "Body", "Cancel", "Kind", });
-    internal_static_bramleyspur_LoadReport_descriptor =
+    internal_static_bramleyspur_CacheEvent_descriptor =
       getDescriptor().getMessageTypes().get(5);
+    internal_static_bramleyspur_CacheEvent_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_bramleyspur_CacheEvent_descriptor,
+        new java.lang.String[] { "Sequence", "Stored", "Prefix", });
+    internal_static_bramleyspur_LoadReport_descriptor =
+      getDescriptor().getMessageTypes().get(6);
     internal_static_bramleyspur_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_LoadReport_descriptor,
-        new java.lang.String[] { "Running", "Queued", "Slots", "PredictedWaitMs", "Received", });
+        new java.lang.String[] { "Running", "Queued", "Slots", "PredictedWaitMs", "Received", "CacheEvents", });
     internal_static_bramleyspur_Refused_descriptor =
-      getDescriptor().getMessageTypes().get(6);
+      getDescriptor().getMessageTypes().get(7);
     internal_static_bramleyspur_Refused_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_Refused_descriptor,
         new java.lang.String[] { "Reason", "RetryAfterMs", "Message", });
     internal_static_bramleyspur_Begun_descriptor =
-      getDescriptor().getMessageTypes().get(7);
+      getDescriptor().getMessageTypes().get(8);
     internal_static_bramleyspur_Begun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_Begun_descriptor,
         new java.lang.String[] { });
     internal_static_bramleyspur_Head_descriptor =
-      getDescriptor().getMessageTypes().get(8);
+      getDescriptor().getMessageTypes().get(9);
     internal_static_bramleyspur_Head_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_Head_descriptor,
         new java.lang.String[] { "Status", "Headers", });
     internal_static_bramleyspur_Piece_descriptor =
-      getDescriptor().getMessageTypes().get(9);
+      getDescriptor().getMessageTypes().get(10);
     internal_static_bramleyspur_Piece_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_Piece_descriptor,
         new java.lang.String[] { "Position", "Token", });
     internal_static_bramleyspur_Rejected_descriptor =
-      getDescriptor().getMessageTypes().get(10);
+      getDescriptor().getMessageTypes().get(11);
     internal_static_bramleyspur_Rejected_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_Rejected_descriptor,
         new java.lang.String[] { "Status", "Message", });
     internal_static_bramleyspur_End_descriptor =
-      getDescriptor().getMessageTypes().get(11);
+      getDescriptor().getMessageTypes().get(12);
     internal_static_bramleyspur_End_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_End_descriptor,
         new java.lang.String[] { "FinishReason", "PromptTokens", "CompletionTokens", });
     internal_static_bramleyspur_Broken_descriptor =
-      getDescriptor().getMessageTypes().get(12);
+      getDescriptor().getMessageTypes().get(13);
     internal_static_bramleyspur_Broken_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_Broken_descriptor,
         new java.lang.String[] { "Message", "Failed", });
     internal_static_bramleyspur_ExecuteEvent_descriptor =
-      getDescriptor().getMessageTypes().get(13);
+      getDescriptor().getMessageTypes().get(14);
     internal_static_bramleyspur_ExecuteEvent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_ExecuteEvent_descriptor,
         new java.lang.String[] { "Attempt", "Load", "Refused", "Begun", "Head", "Piece", "Body", "End", "Broken", "Rejected", "Kind", });
     internal_static_bramleyspur_LookupRequest_descriptor =
-      getDescriptor().getMessageTypes().get(14);
+      getDescriptor().getMessageTypes().get(15);
     internal_static_bramleyspur_LookupRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_LookupRequest_descriptor,
         new java.lang.String[] { "Request", "Attempt", "Cancel", });
     internal_static_bramleyspur_LookupReply_descriptor =
-      getDescriptor().getMessageTypes().get(15);
+      getDescriptor().getMessageTypes().get(16);
     internal_static_bramleyspur_LookupReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_LookupReply_descriptor,
         new java.lang.String[] { "State", "Incarnation", });
     internal_static_bramleyspur_ConfirmRequest_descriptor =
-      getDescriptor().getMessageTypes().get(16);
+      getDescriptor().getMessageTypes().get(17);
     internal_static_bramleyspur_ConfirmRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_ConfirmRequest_descriptor,
         new java.lang.String[] { "Replica", "FencingNumber", "Sequence", "GrantMs", });
     internal_static_bramleyspur_ConfirmReply_descriptor =
-      getDescriptor().getMessageTypes().get(17);
+      getDescriptor().getMessageTypes().get(18);
     internal_static_bramleyspur_ConfirmReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_ConfirmReply_descriptor,
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/LoadReport.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/LoadReport.java
@@ -17,6 +17,7 @@
     super(builder);
   }
   private LoadReport() {
+    cacheEvents_ = java.util.Collections.emptyList();
   }
 
   @java.lang.Override
@@ -102,6 +103,67 @@
     return received_;
   }
 
+  public static final int CACHE_EVENTS_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<org.bramleyspur.protocol.CacheEvent> cacheEvents_;
+  /**
+   * <pre>
+   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.bramleyspur.protocol.CacheEvent> getCacheEventsList() {
+    return cacheEvents_;
+  }
+  /**
+   * <pre>
+   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.bramleyspur.protocol.CacheEventOrBuilder> 
+      getCacheEventsOrBuilderList() {
+    return cacheEvents_;
+  }
+  /**
+   * <pre>
+   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+   */
+  @java.lang.Override
+  public int getCacheEventsCount() {
+    return cacheEvents_.size();
+  }
+  /**
+   * <pre>
+   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.CacheEvent getCacheEvents(int index) {
+    return cacheEvents_.get(index);
+  }
+  /**
+   * <pre>
+   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.CacheEventOrBuilder getCacheEventsOrBuilder(
+      int index) {
+    return cacheEvents_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -131,6 +193,9 @@
     if (received_ != 0L) {
       output.writeUInt64(5, received_);
     }
+    for (int i = 0; i < cacheEvents_.size(); i++) {
+      output.writeMessage(6, cacheEvents_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -160,6 +225,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(5, received_);
     }
+    for (int i = 0; i < cacheEvents_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, cacheEvents_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -185,6 +254,8 @@
         != other.getPredictedWaitMs()) return false;
     if (getReceived()
         != other.getReceived()) return false;
+    if (!getCacheEventsList()
+        .equals(other.getCacheEventsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -207,6 +278,10 @@
     hash = (37 * hash) + RECEIVED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getReceived());
+    if (getCacheEventsCount() > 0) {
+      hash = (37 * hash) + CACHE_EVENTS_FIELD_NUMBER;
+      hash = (53 * hash) + getCacheEventsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -343,6 +418,13 @@
       slots_ = 0;
       predictedWaitMs_ = 0;
       received_ = 0L;
+      if (cacheEventsBuilder_ == null) {
+        cacheEvents_ = java.util.Collections.emptyList();
+      } else {
+        cacheEvents_ = null;
+        cacheEventsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       return this;
     }
 
@@ -369,11 +451,24 @@
     @java.lang.Override
     public org.bramleyspur.protocol.LoadReport buildPartial() {
       org.bramleyspur.protocol.LoadReport result = new org.bramleyspur.protocol.LoadReport(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.bramleyspur.protocol.LoadReport result) {
+      if (cacheEventsBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          cacheEvents_ = java.util.Collections.unmodifiableList(cacheEvents_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.cacheEvents_ = cacheEvents_;
+      } else {
+        result.cacheEvents_ = cacheEventsBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.bramleyspur.protocol.LoadReport result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -452,6 +547,32 @@
       if (other.getReceived() != 0L) {
         setReceived(other.getReceived());
       }
+      if (cacheEventsBuilder_ == null) {
+        if (!other.cacheEvents_.isEmpty()) {
+          if (cacheEvents_.isEmpty()) {
+            cacheEvents_ = other.cacheEvents_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensureCacheEventsIsMutable();
+            cacheEvents_.addAll(other.cacheEvents_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.cacheEvents_.isEmpty()) {
+          if (cacheEventsBuilder_.isEmpty()) {
+            cacheEventsBuilder_.dispose();
+            cacheEventsBuilder_ = null;
+            cacheEvents_ = other.cacheEvents_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            cacheEventsBuilder_ = 
+              com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
+                 getCacheEventsFieldBuilder() : null;
+          } else {
+            cacheEventsBuilder_.addAllMessages(other.cacheEvents_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -503,6 +624,19 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 50: {
+              org.bramleyspur.protocol.CacheEvent m =
+                  input.readMessage(
+                      org.bramleyspur.protocol.CacheEvent.parser(),
+                      extensionRegistry);
+              if (cacheEventsBuilder_ == null) {
+                ensureCacheEventsIsMutable();
+                cacheEvents_.add(m);
+              } else {
+                cacheEventsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -703,6 +837,318 @@
       onChanged();
       return this;
     }
+
+    private java.util.List<org.bramleyspur.protocol.CacheEvent> cacheEvents_ =
+      java.util.Collections.emptyList();
+    private void ensureCacheEventsIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        cacheEvents_ = new java.util.ArrayList<org.bramleyspur.protocol.CacheEvent>(cacheEvents_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.bramleyspur.protocol.CacheEvent, org.bramleyspur.protocol.CacheEvent.Builder, org.bramleyspur.protocol.CacheEventOrBuilder> cacheEventsBuilder_;
+
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public java.util.List<org.bramleyspur.protocol.CacheEvent> getCacheEventsList() {
+      if (cacheEventsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(cacheEvents_);
+      } else {
+        return cacheEventsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public int getCacheEventsCount() {
+      if (cacheEventsBuilder_ == null) {
+        return cacheEvents_.size();
+      } else {
+        return cacheEventsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public org.bramleyspur.protocol.CacheEvent getCacheEvents(int index) {
+      if (cacheEventsBuilder_ == null) {
+        return cacheEvents_.get(index);
+      } else {
+        return cacheEventsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public Builder setCacheEvents(
+        int index, org.bramleyspur.protocol.CacheEvent value) {
+      if (cacheEventsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCacheEventsIsMutable();
+        cacheEvents_.set(index, value);
+        onChanged();
+      } else {
+        cacheEventsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public Builder setCacheEvents(
+        int index, org.bramleyspur.protocol.CacheEvent.Builder builderForValue) {
+      if (cacheEventsBuilder_ == null) {
+        ensureCacheEventsIsMutable();
+        cacheEvents_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        cacheEventsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public Builder addCacheEvents(org.bramleyspur.protocol.CacheEvent value) {
+      if (cacheEventsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCacheEventsIsMutable();
+        cacheEvents_.add(value);
+        onChanged();
+      } else {
+        cacheEventsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public Builder addCacheEvents(
+        int index, org.bramleyspur.protocol.CacheEvent value) {
+      if (cacheEventsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCacheEventsIsMutable();
+        cacheEvents_.add(index, value);
+        onChanged();
+      } else {
+        cacheEventsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public Builder addCacheEvents(
+        org.bramleyspur.protocol.CacheEvent.Builder builderForValue) {
+      if (cacheEventsBuilder_ == null) {
+        ensureCacheEventsIsMutable();
+        cacheEvents_.add(builderForValue.build());
+        onChanged();
+      } else {
+        cacheEventsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public Builder addCacheEvents(
+        int index, org.bramleyspur.protocol.CacheEvent.Builder builderForValue) {
+      if (cacheEventsBuilder_ == null) {
+        ensureCacheEventsIsMutable();
+        cacheEvents_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        cacheEventsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public Builder addAllCacheEvents(
+        java.lang.Iterable<? extends org.bramleyspur.protocol.CacheEvent> values) {
+      if (cacheEventsBuilder_ == null) {
+        ensureCacheEventsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, cacheEvents_);
+        onChanged();
+      } else {
+        cacheEventsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public Builder clearCacheEvents() {
+      if (cacheEventsBuilder_ == null) {
+        cacheEvents_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        cacheEventsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public Builder removeCacheEvents(int index) {
+      if (cacheEventsBuilder_ == null) {
+        ensureCacheEventsIsMutable();
+        cacheEvents_.remove(index);
+        onChanged();
+      } else {
+        cacheEventsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public org.bramleyspur.protocol.CacheEvent.Builder getCacheEventsBuilder(
+        int index) {
+      return getCacheEventsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public org.bramleyspur.protocol.CacheEventOrBuilder getCacheEventsOrBuilder(
+        int index) {
+      if (cacheEventsBuilder_ == null) {
+        return cacheEvents_.get(index);  } else {
+        return cacheEventsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public java.util.List<? extends org.bramleyspur.protocol.CacheEventOrBuilder> 
+         getCacheEventsOrBuilderList() {
+      if (cacheEventsBuilder_ != null) {
+        return cacheEventsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(cacheEvents_);
+      }
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public org.bramleyspur.protocol.CacheEvent.Builder addCacheEventsBuilder() {
+      return getCacheEventsFieldBuilder().addBuilder(
+          org.bramleyspur.protocol.CacheEvent.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public org.bramleyspur.protocol.CacheEvent.Builder addCacheEventsBuilder(
+        int index) {
+      return getCacheEventsFieldBuilder().addBuilder(
+          index, org.bramleyspur.protocol.CacheEvent.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+     */
+    public java.util.List<org.bramleyspur.protocol.CacheEvent.Builder> 
+         getCacheEventsBuilderList() {
+      return getCacheEventsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.bramleyspur.protocol.CacheEvent, org.bramleyspur.protocol.CacheEvent.Builder, org.bramleyspur.protocol.CacheEventOrBuilder> 
+        getCacheEventsFieldBuilder() {
+      if (cacheEventsBuilder_ == null) {
+        cacheEventsBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            org.bramleyspur.protocol.CacheEvent, org.bramleyspur.protocol.CacheEvent.Builder, org.bramleyspur.protocol.CacheEventOrBuilder>(
+                cacheEvents_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        cacheEvents_ = null;
+      }
+      return cacheEventsBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/LoadReportOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/LoadReportOrBuilder.java
@@ -45,4 +45,48 @@
    * @return The received.
    */
   long getReceived();
+
+  /**
+   * <pre>
+   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+   */
+  java.util.List<org.bramleyspur.protocol.CacheEvent> 
+      getCacheEventsList();
+  /**
+   * <pre>
+   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+   */
+  org.bramleyspur.protocol.CacheEvent getCacheEvents(int index);
+  /**
+   * <pre>
+   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+   */
+  int getCacheEventsCount();
+  /**
+   * <pre>
+   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+   */
+  java.util.List<? extends org.bramleyspur.protocol.CacheEventOrBuilder> 
+      getCacheEventsOrBuilderList();
+  /**
+   * <pre>
+   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
+   */
+  org.bramleyspur.protocol.CacheEventOrBuilder getCacheEventsOrBuilder(
+      int index);
 }
