--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/StorageError.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/StorageError.kt
@@ -14,7 +14,7 @@
     data class Damaged(val file: String, val offset: Long, val reason: String) : StorageError {
         override val message
             get() = "$file is damaged at byte $offset ($reason); replace this member: empty its data folder, " +
-                "start it without --bootstrap and admit it under its new id in place of the old one"
+                "start it, and admit it under its new id in place of the old one"
     }
 
     /** A write or sync of [file] failed. What the page cache holds can no longer be trusted. */
