Tell malformed and cut backend answers from whole ones

Cause: the HTTP client ignored the decoder's result, so a malformed chunk ended an answer as if it were whole and a garbage status line became status 999. A 1xx response ended the exchange. A finished call could pause or resume a connection that another call had taken from the pool. An idempotent call failed on a pooled connection that had gone stale.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
@@ -14,8 +15,10 @@
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
@@ -43,17 +46,17 @@
     fun call(request: HttpRequest, body: ByteBuf?, fresh: Boolean, listener: HttpListener): HttpCall {
         val exchange = Exchange(request, body, listener)
         val pooled = if (fresh) null else takeIdle()
-        if (pooled != null) {
-            exchange.attach(pooled)
-        } else {
-            bootstrap.connect(address.toSocketAddress()).addListener { future ->
-                val channel = (future as io.netty.channel.ChannelFuture).channel()
-                if (future.isSuccess) exchange.attach(channel) else exchange.connectFailed(future.cause())
-            }
-        }
+        if (pooled == null) connect(exchange) else exchange.attach(pooled, reused = body != null)
         return exchange
     }
 
+    private fun connect(exchange: Exchange) {
+        bootstrap.connect(address.toSocketAddress()).addListener { future ->
+            val channel = (future as ChannelFuture).channel()
+            if (future.isSuccess) exchange.attach(channel, reused = false) else exchange.connectFailed(future.cause())
+        }
+    }
+
     override fun close() {
         closed = true
         idle.forEach { it.close() }
@@ -82,21 +85,30 @@
         private var done = false
         private var keepAlive = false
         private var requestComplete = false
+
+        /** Whether the request may be sent again, for which the body is kept. */
+        private var repeatable = false
+
+        /** Whether the message being read is a 1xx response, which precedes the response proper. */
+        private var interim = false
         private val pending = ArrayDeque<HttpContent>()
 
-        override val writable: Boolean get() = channel?.isWritable == true
+        override val writable: Boolean get() = !done && channel?.isWritable == true
 
-        fun attach(connection: Channel) {
+        /** Sends the request on [connection], and once more on a new one if this is a [reused] one that has gone stale. */
+        fun attach(connection: Channel, reused: Boolean) {
             if (done) {
+                body?.release()
                 giveBack(connection)
                 return
             }
             channel = connection
+            repeatable = reused
             connection.pipeline().get(ConnectionHandler::class.java).exchange = this
             connection.write(request)
             if (body != null) {
                 requestComplete = true
-                connection.write(DefaultLastHttpContent(body))
+                connection.write(DefaultLastHttpContent(if (reused) body.retainedDuplicate() else body))
             }
             pending.forEach { connection.write(it) }
             pending.clear()
@@ -122,13 +134,14 @@
         }
 
         override fun pauseReading(paused: Boolean) {
-            channel?.config()?.isAutoRead = !paused
+            if (!done) channel?.config()?.isAutoRead = !paused
         }
 
         override fun cancel() {
             if (done) return
             done = true
             releasePending()
+            dropBody()
             channel?.close()
         }
 
@@ -138,17 +151,33 @@
 
         fun read(message: Any) {
             if (done) return
+            if (message is HttpObject && message.decoderResult().isFailure) return malformed(message)
             if (message is HttpResponse) {
+                dropBody()
+                interim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
+                if (interim) return
                 keepAlive = HttpUtil.isKeepAlive(message)
                 listener.onHead(message.status().code(), message.headers())
             }
-            if (message is HttpContent && !done) {
+            if (message is HttpContent && !done && !interim) {
                 if (message.content().isReadable) listener.onData(message.content())
                 if (message is LastHttpContent && !done) complete()
             }
         }
 
-        fun disconnected() = finish { listener.onFailure(HttpFailure.BROKEN, "connection to $address closed") }
+        private fun malformed(message: HttpObject) {
+            channel?.close()
+            val cause = message.decoderResult().cause().message
+            finish { listener.onFailure(HttpFailure.BROKEN, "$address did not answer in HTTP/1.1: $cause") }
+        }
+
+        fun disconnected() {
+            if (done || !repeatable) return broken()
+            repeatable = false
+            connect(this)
+        }
+
+        private fun broken() = finish { listener.onFailure(HttpFailure.BROKEN, "connection to $address closed") }
 
         private fun complete() {
             val connection = channel
@@ -158,9 +187,15 @@
             finish { listener.onEnd() }
         }
 
+        private fun dropBody() {
+            if (repeatable) body?.release()
+            repeatable = false
+        }
+
         private fun finish(notify: () -> Unit) {
             if (done) return
             done = true
+            dropBody()
             notify()
         }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/plain/PlainRunner.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/plain/PlainRunner.kt
@@ -46,6 +46,7 @@
         head.headers().set("X-Request-Id", attempt.id)
         head.headers().set("X-Timeout-Ms", attempt.timeoutMs)
         if (attempt.traceparent.isNotEmpty()) head.headers().set("traceparent", attempt.traceparent)
+        if (start.bodyComplete && start.body.isEmpty && !head.method().mayHaveBody()) return head
         if (start.bodyComplete) {
             head.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, start.body.size())
         } else if (!head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
@@ -54,6 +55,9 @@
         return head
     }
 
+    /** Whether the backend server would wait for a body that is not announced, or refuse the request without one. */
+    private fun HttpMethod.mayHaveBody() = this == HttpMethod.POST || this == HttpMethod.PUT || this == HttpMethod.PATCH
+
     private class Run(private val call: HttpCall) : BackendRun {
         override val wantsBody get() = call.writable
 
