Answer every malformed request and close without a reset

Cause: rejecting a request called its handler's abort first, which closed the connection before the error was sent (malformed chunks, slow uploads). Closing with unread input reset the connection and could destroy the response. HTTP/1.0 callers got chunked answers, HEAD and 304 answers were marked chunked, and a 100 Continue shifted the codec's count of answers, so that a POST before a pipelined HEAD lost its body. Deep JSON exhausted the stack. A slow head was never timed, and time in which the backend server held up an upload was counted against the caller. Resuming reads ignored pipelined requests that waited. Change: one decision on reading, lingering close, raw interim response, nesting limit of 128, strict types for stream and n, timer from the first byte.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerConnection.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -13,15 +14,18 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
+import io.netty.handler.ssl.SslHandler
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
@@ -54,6 +58,8 @@
     private lateinit var context: ChannelHandlerContext
     private var exchange: Exchange? = null
     private var timeout: ScheduledFuture<*>? = null
+    private var headPending = false
+    private var bodyPaused = false
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
@@ -69,7 +75,7 @@
         val current = exchange
         if (current != null && current.bodyComplete) {
             waiting.addLast(part)
-            if (waiting.size > MAX_WAITING_PARTS) context.channel().config().isAutoRead = false
+            updateReading()
         } else {
             handle(part)
         }
@@ -92,6 +98,13 @@
         context.close()
     }
 
+    /** Bytes have arrived; the time of a request counts from its first one. */
+    fun onBytes() {
+        if (exchange != null || headPending) return
+        headPending = true
+        startTimeout(limits.requestTimeoutMs) { rejectSlow() }
+    }
+
     /** Closes the connection when no request is in progress. */
     fun closeIfIdle() {
         if (exchange == null) context.close()
@@ -112,14 +125,22 @@
 
     private fun begin(message: HttpRequest) {
         startTimeout(limits.requestTimeoutMs) { rejectSlow() }
-        val started = Exchange(HttpUtil.isKeepAlive(message) && !closing())
+        headPending = false
+        val started = Exchange(message)
         exchange = started
-        if (HttpUtil.is100ContinueExpected(message)) {
-            context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
-        }
+        if (HttpUtil.is100ContinueExpected(message)) sendContinue()
         started.request = handler(CallerHead(message.method(), message.uri(), message.headers()), started)
     }
 
+    /**
+     * Sends the interim response past the codec. The codec counts each response that it encodes as the answer to one
+     * request, so that it would take a later answer for the one to a HEAD and drop its body.
+     */
+    private fun sendContinue() {
+        val codec = context.pipeline().context(HttpServerCodec::class.java)
+        codec.writeAndFlush(Unpooled.copiedBuffer("HTTP/1.1 100 Continue\r\n\r\n", Charsets.US_ASCII))
+    }
+
     private fun rejectMalformed(cause: Throwable) {
         val error =
             when (cause) {
@@ -141,14 +162,8 @@
     }
 
     private fun rejectAndClose(error: CallerError) {
-        val current = exchange ?: Exchange(false).also { exchange = it }
-        current.keepAlive = false
-        if (current.headSent) {
-            current.abort()
-        } else {
-            current.request.onCallerGone()
-            current.respond(error)
-        }
+        val current = exchange ?: Exchange(null).also { exchange = it }
+        current.reject(error)
     }
 
     private fun startTimeout(delayMs: Long, action: () -> Unit) {
@@ -159,15 +174,41 @@
     private fun next() {
         exchange = null
         startTimeout(limits.idleTimeoutMs) { context.close() }
+        bodyPaused = false
         while (waiting.isNotEmpty() && exchange?.bodyComplete != true) handle(waiting.removeFirst())
-        context.channel().config().isAutoRead = true
+        updateReading()
     }
 
-    /** One request and its response on this connection. */
-    private inner class Exchange(var keepAlive: Boolean) : CallerExchange {
+    private fun updateReading() {
+        context.channel().config().isAutoRead = !bodyPaused && waiting.size <= MAX_WAITING_PARTS
+    }
+
+    /** Closes the connection once what was written has been sent, or after [LINGER_MS] when the caller reads nothing. */
+    private fun closeAfterFlush() {
+        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+        startTimeout(LINGER_MS) { context.close() }
+    }
+
+    /**
+     * Ends the own side of the connection and drops what still arrives for [LINGER_MS]. Closing a socket that holds
+     * unread data resets the connection, and the reset can destroy a response that the caller has not read yet.
+     */
+    private fun closeAfterRest() {
+        val channel = context.channel()
+        val shutsDown = channel is DuplexChannel && channel.pipeline().get(SslHandler::class.java) == null
+        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { if (shutsDown) channel.shutdownOutput() }
+        bodyPaused = false
+        updateReading()
+        startTimeout(LINGER_MS) { context.close() }
+    }
+
+    /** One request and its response on this connection; [head] is null when it could not be read. */
+    private inner class Exchange(private val head: HttpRequest?) : CallerExchange {
         var request: CallerRequest = AnsweredRequest
         var bodyComplete = false
-        var headSent = false
+        private val takesChunks = head != null && head.protocolVersion() >= HttpVersion.HTTP_1_1
+        private var keepAlive = takesChunks && HttpUtil.isKeepAlive(head) && !closing()
+        private var headSent = false
         private var responded = false
 
         override val writable: Boolean get() = context.channel().isWritable
@@ -186,8 +227,21 @@
             request.onCallerGone()
         }
 
+        /** Ends the request with [error], and the connection, since its next request cannot be found. */
+        fun reject(error: CallerError) {
+            keepAlive = false
+            if (headSent) return closeNow()
+            respond(error)
+            request.onCallerGone()
+        }
+
+        private fun closeNow() {
+            callerGone()
+            context.close()
+        }
+
         override fun respond(status: Int, headers: List<Pair<String, String>>, body: ByteArray) {
-            if (responded) return
+            if (responded || headSent) return
             val response: FullHttpResponse =
                 DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1,
@@ -207,8 +261,9 @@
             val response: HttpResponse =
                 DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
             headers.forEach { (name, value) -> response.headers().add(name, value) }
-            if (!response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-                response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+            val bodiless = head?.method() == HttpMethod.HEAD || status in BODILESS_STATUSES
+            if (!bodiless && !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+                if (takesChunks) response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
             }
             markConnection(response)
             headSent = true
@@ -222,7 +277,7 @@
             }
             context.writeAndFlush(DefaultHttpContent(data))
             val pending = context.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
-            if (pending > limits.maxPendingBytes) dropSlowReader()
+            if (pending > limits.maxPendingBytes) closeNow()
         }
 
         override fun endStream() {
@@ -232,17 +287,18 @@
         }
 
         override fun abort() {
+            if (responded) return
             responded = true
-            context.close()
+            closeAfterFlush()
         }
 
         override fun pauseBody(paused: Boolean) {
-            context.channel().config().isAutoRead = !paused
-        }
-
-        private fun dropSlowReader() {
-            callerGone()
-            context.close()
+            if (exchange !== this || bodyPaused == paused) return
+            bodyPaused = paused
+            updateReading()
+            if (bodyComplete || responded) return
+            // The time for which the backend server holds up the body is not the caller's.
+            if (paused) timeout?.cancel(false) else startTimeout(limits.requestTimeoutMs) { rejectSlow() }
         }
 
         private fun markConnection(response: HttpMessage) {
@@ -256,10 +312,10 @@
         }
 
         private fun finish() {
-            if (keepAlive) {
-                context.executor().execute { if (exchange === this) next() }
-            } else {
-                context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+            when {
+                keepAlive -> context.executor().execute { if (exchange === this) next() }
+                bodyComplete -> closeAfterFlush()
+                else -> closeAfterRest()
             }
         }
     }
@@ -269,5 +325,11 @@
         const val HEADERS_TOO_LARGE = 431
         const val URI_TOO_LONG = 414
         const val REQUEST_TIMEOUT = 408
+
+        /** Long enough for a caller on another continent to read a short response. */
+        const val LINGER_MS = 1_000L
+
+        /** Statuses whose responses have no body. */
+        val BODILESS_STATUSES = setOf(204, 304)
     }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerServer.kt
@@ -2,6 +2,8 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -65,7 +67,16 @@
                 HttpDecoderConfig()
                     .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
                     .setMaxHeaderSize(MAX_HEADER_BYTES)
-            channel.pipeline().addLast(HttpServerCodec(config), CallerConnection(handler, limits) { closing })
+            val connection = CallerConnection(handler, limits) { closing }
+            channel.pipeline().addLast(ByteWatch(connection), HttpServerCodec(config), connection)
+        }
+    }
+
+    /** Tells [connection] of arriving bytes, before they make up a whole head. */
+    private class ByteWatch(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            connection.onBytes()
+            super.channelRead(context, message)
         }
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/ModelRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/ModelRequest.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.booleanOrNull
@@ -52,36 +53,67 @@
     }
 
     companion object {
+        /** Deeper than any request in use; the parser takes about 100 bytes of stack a level. */
+        private const val MAX_DEPTH = 128
+        private const val BODY_REMEDY = "the body is not a JSON object of at most $MAX_DEPTH levels"
+
         /** Reads the [body] of a request to [endpoint]. */
         fun parse(endpoint: ModelEndpoint, body: String): Result<ModelRequest, CallerError> {
-            val fields = parseObject(body) ?: return Err(CallerError.invalid("the body is not a JSON object"))
+            val fields = parseObject(body) ?: return Err(CallerError.invalid(BODY_REMEDY))
             val model = fields.text("model")
             val prompt = promptOf(endpoint, fields)
+            val stream = streamOf(fields)
             return when {
                 model == null -> Err(CallerError.invalid("'model' is missing; name a service"))
                 prompt == null -> Err(CallerError.invalid(promptRemedy(endpoint)))
+                stream == null -> Err(CallerError.invalid("'stream' must be true or false"))
                 !asksForOneAnswer(fields) -> Err(CallerError.invalid("'n' must be 1; send one request for each answer"))
-                else -> Ok(requestOf(endpoint, model, prompt, fields))
+                else -> Ok(requestOf(endpoint, model, stream, prompt, fields))
             }
         }
 
         private fun requestOf(
             endpoint: ModelEndpoint,
             model: String,
+            stream: Boolean,
             prompt: String,
             fields: JsonObject,
         ): ModelRequest {
-            val stream = (fields["stream"] as? JsonPrimitive)?.booleanOrNull ?: false
             val adapter = model.substringAfter(':', "")
             return ModelRequest(endpoint, model, model.substringBefore(':'), adapter, stream, prompt, fields)
         }
 
+        /** Value of `stream`, null when it is neither a boolean nor missing. */
+        private fun streamOf(fields: JsonObject): Boolean? {
+            val value = fields["stream"] ?: JsonNull
+            if (value is JsonNull) return false
+            return (value as? JsonPrimitive)?.takeIf { !it.isString }?.booleanOrNull
+        }
+
         private fun parseObject(body: String): JsonObject? = try {
-            Json.parseToJsonElement(body) as? JsonObject
+            if (isTooDeep(body)) null else Json.parseToJsonElement(body) as? JsonObject
         } catch (_: SerializationException) {
             null
         }
 
+        /** Whether [body] nests deeper than [MAX_DEPTH]; the JSON parser recurses and would exhaust its stack. */
+        private fun isTooDeep(body: String): Boolean {
+            var depth = 0
+            var quoted = false
+            var escaped = false
+            for (char in body) {
+                when {
+                    escaped -> escaped = false
+                    quoted && char == '\\' -> escaped = true
+                    char == '"' -> quoted = !quoted
+                    quoted -> Unit
+                    char == '[' || char == '{' -> if (++depth > MAX_DEPTH) return true
+                    char == ']' || char == '}' -> depth--
+                }
+            }
+            return false
+        }
+
         private fun JsonObject.text(name: String): String? =
             (this[name] as? JsonPrimitive)?.takeIf { it.isString }?.contentOrNull
 
@@ -111,8 +143,8 @@
         }
 
         private fun asksForOneAnswer(fields: JsonObject): Boolean {
-            val count = fields["n"] as? JsonPrimitive ?: return true
-            return count.intOrNull == 1
+            val count = fields["n"] ?: JsonNull
+            return count is JsonNull || (count is JsonPrimitive && !count.isString && count.intOrNull == 1)
         }
     }
 }
