Refuse without a lease first and end streams of finished requests

Cause: an entry without a lease answered 401, 404 and model lists from a missing or old configuration. A finished request read no more events once its caller's connection was closed, so that its stream and its count at the router stayed. An agent that wants no more of a body does not read a cancel, so the slot of an upload stayed taken after the request had ended. Change: the lease is checked before the key; a finished request reads on, and its streams are dropped 100 ms later.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryHandler.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryHandler.kt
@@ -41,8 +41,12 @@
         }
     }
 
-    /** The account whose key [head] carries. */
+    /**
+     * The account whose key [head] carries. Without a lease the configuration may be old or missing, so that nothing can
+     * be said about a key.
+     */
     internal fun accountOf(head: CallerHead): Result<Account, CallerError> {
+        if (!isConfirmed()) return Err(unconfirmed())
         val value = head.headers[HttpHeaderNames.AUTHORIZATION].orEmpty()
         val key = if (value.startsWith(BEARER, ignoreCase = true)) value.substring(BEARER.length).trim() else ""
         val account = entry.view().accountOf(key)
@@ -52,8 +56,8 @@
     /** Admits a request of [account] for [service], or says why not; nothing has run when it is refused. */
     internal fun admit(account: Account, service: Service, head: CallerHead): Result<RequestScope, CallerError> {
         val view = entry.view()
+        if (!isConfirmed()) return Err(unconfirmed())
         if (account.name !in service.accounts) return Err(CallerError.forbidden(service.name))
-        if (entry.timers.nowMs() >= view.leaseUntilMs) return Err(unconfirmed())
         if (!limiter.allows(account, view.shares[account.name])) {
             return Err(CallerError.overLimit(LIMIT_RETRY_MS))
         }
@@ -64,6 +68,8 @@
         return Ok(RequestScope(id, account, service, entry, limiter, span))
     }
 
+    private fun isConfirmed() = entry.timers.nowMs() < entry.view().leaseUntilMs
+
     private fun unconfirmed(): CallerError = CallerError(
         status = 503,
         type = "overloaded_error",
@@ -82,6 +88,9 @@
     }
 
     private fun beginPlain(path: String, head: CallerHead, exchange: CallerExchange): CallerRequest {
+        if (head.method == HttpMethod.CONNECT) {
+            return answered(exchange, CallerError.invalid("tunnels are not supported", METHOD_NOT_ALLOWED))
+        }
         val account = accountOf(head).getOrElse { return answered(exchange, it) }
         val name = path.removePrefix("/").substringBefore('/')
         val service = entry.view().service(name)?.takeIf { it.kind == ServiceKind.PLAIN }
@@ -91,6 +100,9 @@
     }
 
     private fun listModels(head: CallerHead, exchange: CallerExchange): CallerRequest {
+        if (head.method != HttpMethod.GET && head.method != HttpMethod.HEAD) {
+            return answered(exchange, CallerError.invalid("/v1/models takes GET only", METHOD_NOT_ALLOWED))
+        }
         val account = accountOf(head).getOrElse { return answered(exchange, it) }
         val services = entry.view().configuration.services.values
             .filter { it.kind == ServiceKind.MODEL && account.name in it.accounts }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/PlainCall.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/PlainCall.kt
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import org.bramleyspur.core.model.Service
 import org.bramleyspur.daemon.caller.CallerError
@@ -53,6 +54,9 @@
     else -> false
 }
 
+private fun CallerHead.hasBody() =
+    headers.contains(HttpHeaderNames.CONTENT_LENGTH) || headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
+
 /** Start message of a plain call without its body. */
 private fun RequestScope.plainStart(head: CallerHead): Start.Builder {
     val fields = head.headers
@@ -73,14 +77,14 @@
     exchange: CallerExchange,
     idempotent: Boolean,
 ) : CallerRequest {
-    private val upload = BodyUpload(exchange)
+    private val upload = if (head.hasBody()) BodyUpload(exchange) else null
     private val call: DirectCall
 
     init {
         val plan = CallPlan(
             facts = RequestFacts(RequestKind.CALL, idempotent),
             query = { it.plainQuery(scope) },
-            start = { _, _ -> scope.plainStart(head) },
+            start = { _, _ -> scope.plainStart(head).setBodyComplete(upload == null) },
             digest = { "" },
             upload = upload,
         )
@@ -88,9 +92,13 @@
         call.run()
     }
 
-    override fun onBody(data: ByteBuf) = upload.add(ByteString.copyFrom(data.nioBuffer()), false)
+    override fun onBody(data: ByteBuf) {
+        upload?.add(ByteString.copyFrom(data.nioBuffer()), false)
+    }
 
-    override fun onBodyEnd() = upload.add(ByteString.EMPTY, true)
+    override fun onBodyEnd() {
+        upload?.add(ByteString.EMPTY, true)
+    }
 
     override fun onCallerGone() = call.callerGone()
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/RequestRunner.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/RequestRunner.kt
@@ -129,6 +129,9 @@
         subscriptions.forEach { it.cancel() }
         bodyUpload?.detach()
         sink.end(ending)
+        attempts.values.forEach { it.resume() }
+        // An agent that reads no more of a body does not see a cancel; it sees the end of the stream.
+        timers.after(DROP_DELAY_MS) { attempts.values.forEach { it.drop() } }
     }
 
     private fun startAttempt(order: StartAttempt) {
@@ -164,6 +167,11 @@
         return LookupAnswered(number, reply.state.toLookupState(), Incarnation(reply.incarnation) == route.incarnation)
     }
 
+    private companion object {
+        /** An agent answers a cancel within a round trip, and a slot must be free 250 ms after its caller has left. */
+        const val DROP_DELAY_MS = 100L
+    }
+
     /** One attempt and its stream to the agent. */
     inner class RunningAttempt internal constructor(
         private val number: Int,
@@ -202,8 +210,15 @@
             call.cancel("no longer needed")
         }
 
+        /** Ends the stream of an attempt that has not answered its cancel. */
+        internal fun drop() {
+            call.drop()
+            use.onAbandoned()
+        }
+
+        /** Reads on; what arrives after the request's end still tells the router about the attempt. */
         internal fun resume() {
-            while (held > 0 && sink.writable) {
+            while (held > 0 && (ended || sink.writable)) {
                 held -= 1
                 call.requestMore()
             }
