--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/EngineCall.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/EngineCall.kt
@@ -11,6 +11,7 @@
  * @property path `/v1/completions` or `/v1/chat/completions`
  * @property body OpenAI request with `stream` set
  * @property timeoutMs time left until the deadline
+ * @property idempotent whether the engine may get the request twice
  */
 data class EngineRequest(
     val id: String,
@@ -21,6 +22,7 @@
     val replica: String,
     val fencingNumber: Long,
     val traceparent: String,
+    val idempotent: Boolean = true,
 )
 
 /** Receives the events of one engine call on the traffic thread. */
@@ -51,9 +53,12 @@
     EXPIRED,
 }
 
-/** Cancels a call and frees its slot; [EngineListener] hears nothing more. */
-fun interface EngineCall {
-    /** Cancels the call. */
+/** A call in progress. */
+interface EngineCall {
+    /** Stops or resumes reading of the tokens. */
+    fun pauseReading(paused: Boolean)
+
+    /** Cancels the call and frees its slot; [EngineListener] hears nothing more. */
     fun cancel()
 }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/EngineRunner.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/EngineRunner.kt
@@ -20,6 +20,7 @@
             replica = start.replica,
             fencingNumber = start.fencingNumber,
             traceparent = attempt.traceparent,
+            idempotent = start.idempotent,
         )
         return Run(execute(request, Forwarding(listener)))
     }
@@ -29,7 +30,7 @@
 
         override fun sendBody(data: ByteString, last: Boolean) = Unit
 
-        override fun pauseReading(paused: Boolean) = Unit
+        override fun pauseReading(paused: Boolean) = call.pauseReading(paused)
 
         override fun cancel() = call.cancel()
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/OpenAiEngine.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/OpenAiEngine.kt
@@ -16,6 +16,7 @@
 import org.bramleyspur.daemon.http.HttpCaller
 import org.bramleyspur.daemon.http.HttpFailure
 import org.bramleyspur.daemon.http.HttpListener
+import org.bramleyspur.daemon.http.MAX_SSE_LINE_BYTES
 import org.bramleyspur.daemon.http.SseParser
 
 private val logger = KotlinLogging.logger {}
@@ -38,8 +39,14 @@
         head.headers().set("X-Replica", request.replica)
         head.headers().set("X-Fencing-Number", request.fencingNumber)
         if (request.traceparent.isNotEmpty()) head.headers().set("traceparent", request.traceparent)
-        val call = http(head, withBody(head, request.body), false, StreamReader(listener))
-        return EngineCall { cancel(request.id, call) }
+        val call = http(head, withBody(head, request.body), !request.idempotent, StreamReader(listener))
+        return Running(request.id, call)
+    }
+
+    private inner class Running(private val id: String, private val call: HttpCall) : EngineCall {
+        override fun pauseReading(paused: Boolean) = call.pauseReading(paused)
+
+        override fun cancel() = cancel(id, call)
     }
 
     /** Gives [order]; [onAnswer] gets the HTTP status, null when there was no answer, and the engine's boot id. */
@@ -128,6 +135,11 @@
     override fun onData(data: ByteBuf) {
         if (status == OK) {
             events.feed(data)
+            if (events.overflowed) {
+                end {
+                    listener.onBroken("the engine sent a line longer than $MAX_SSE_LINE_BYTES", true)
+                }
+            }
         } else if (error.readableBytes() < MAX_ERROR_BYTES) {
             error.writeBytes(data)
         }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/entry/AttemptBoard.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/entry/AttemptBoard.kt
@@ -28,7 +28,9 @@
 ) {
     private val queue = AdmissionQueue(slots = 1)
     private val streams = HashMap<AttemptKey, AttemptStream>()
-    private val received = HashMap<String, Long>()
+    private val received = object : LinkedHashMap<String, Long>() {
+        override fun removeEldestEntry(eldest: Map.Entry<String, Long>) = size > TransitClock.MAX_ENTRIES
+    }
     private val transit = TransitClock()
     private var gate: ServingGate = ServingGate.Closed
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/entry/AttemptStream.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/entry/AttemptStream.kt
@@ -76,9 +76,7 @@
 
     /** Stops the run and tells the entry that the answer is incomplete. */
     fun breakOff(message: String) {
-        if (ended) return
-        run?.cancel()
-        onBroken(message, false)
+        if (!ended) onBroken(message, false)
     }
 
     /** Stops the run of an entry that no longer listens. */
@@ -104,6 +102,8 @@
     override fun onToken(position: Int, token: String) {
         if (!board.mayDeliver()) return breakOff("the replica is no longer complete")
         send(ExecuteEvent.newBuilder().setPiece(Piece.newBuilder().setPosition(position).setToken(token)))
+        // The tokens of a caller that reads slowly wait at the engine, since an agent's memory is small.
+        if (!events.isReady) run?.pauseReading(true)
     }
 
     override fun onFinish(reason: String, promptTokens: Int, completionTokens: Int) {
@@ -125,6 +125,8 @@
     }
 
     override fun onBroken(message: String, failed: Boolean) {
+        // The answer may have been given up while the backend server still runs; nobody would read on.
+        run?.cancel()
         val broken = Broken.newBuilder().setMessage(message).setFailed(failed)
         endRun("broken", ExecuteEvent.newBuilder().setBroken(broken), message)
     }
