--- /dev/null
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/StreamingTest.kt
@@ -0,0 +1,201 @@
+package org.bramleyspur.daemon.caller
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
+import java.io.IOException
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+
+/** Guards against answers that are cut, doubled, out of order, or end without a truthful statement. */
+class StreamingTest {
+    private class Case(
+        val name: String,
+        val chat: Boolean,
+        val stream: Boolean,
+        val engines: List<EnginePlan>,
+        val tokens: Int = 2_000,
+    )
+
+    private val shapes = listOf(true, false).flatMap { chat -> listOf(true, false).map { chat to it } }
+
+    private val cases = shapes.flatMap { (chat, stream) ->
+        val shape = (if (chat) "chat" else "completions") + (if (stream) ", streamed" else "")
+        listOf(
+            Case("$shape, 2,000 tokens", chat, stream, listOf(EnginePlan(2_000))),
+            Case("$shape, doubled and old events", chat, stream, listOf(EnginePlan(50, repeat = true)), 50),
+            Case(
+                "$shape, broken and resumed",
+                chat,
+                stream,
+                listOf(EnginePlan(200, breakAt = 77), EnginePlan(200, breakAt = 131), EnginePlan(200)),
+                200,
+            ),
+        )
+    }
+
+    private fun body(chat: Boolean, stream: Boolean) = if (chat) {
+        """{"model":"m","messages":[{"role":"user","content":"a"}],"stream":$stream}"""
+    } else {
+        """{"model":"m","prompt":"a","stream":$stream}"""
+    }
+
+    private fun generation(chat: Boolean, stream: Boolean) =
+        request(if (chat) "POST /v1/chat/completions" else "POST /v1/completions", body(chat, stream))
+
+    private fun textOf(answer: String, chat: Boolean, stream: Boolean): String {
+        val objects = if (!stream) listOf(answer) else dataOf(answer).filter { it != "[DONE]" }
+        return objects.map { Json.parseToJsonElement(it).jsonObject }.joinToString("") { textOf(it, chat, stream) }
+    }
+
+    private fun dataOf(answer: String) =
+        answer.lines().filter { it.startsWith("data: ") }.map { it.removePrefix("data: ") }
+
+    private fun textOf(event: JsonObject, chat: Boolean, stream: Boolean): String {
+        val choice = event["choices"]!!.jsonArray[0].jsonObject
+        val holder = if (chat) choice[if (stream) "delta" else "message"]!!.jsonObject else choice
+        return holder[if (chat) "content" else "text"]?.jsonPrimitive?.content.orEmpty()
+    }
+
+    @TestFactory
+    fun `answers are whole`() = cases.map { case ->
+        DynamicTest.dynamicTest(case.name) {
+            val engines = case.engines.map { fakeEngine(it) }
+            TrafficBed(engines.map { it.port }).use { bed ->
+                RawClient(bed.port).use { client ->
+                    client.send(generation(case.chat, case.stream))
+                    val answer = client.read()!!
+                    expectThat(answer.status).isEqualTo(200)
+                    expectThat(textOf(answer.body, case.chat, case.stream)).isEqualTo(generated(case.tokens))
+                    if (case.stream) expectThat(dataOf(answer.body).last()).isEqualTo("[DONE]")
+                    expectThat(answer.whole).isTrue()
+                }
+                awaitTrue(1_000, "the release of the request") { bed.inProgress == 0 }
+            }
+            engines.forEach { it.close() }
+        }
+    }
+
+    @Test
+    fun `a stream that no agent can continue ends with an error event and a closed connection`() {
+        val engine = fakeEngine(EnginePlan(20, breakAt = 7))
+        TrafficBed(listOf(engine.port), timeoutMs = 600).use { bed ->
+            RawClient(bed.port).use { client ->
+                client.send(generation(chat = true, stream = true))
+                val answer = client.read()!!
+                expectThat(answer.whole).isFalse()
+                expectThat(answer.body).contains(" t6")
+                expectThat("[DONE]" in answer.body).isFalse()
+                val error = Json.parseToJsonElement(dataOf(answer.body).last()).jsonObject["error"]!!.jsonObject
+                expectThat(error["refusal"]!!.jsonObject["kind"]!!.jsonPrimitive.content).isEqualTo("may_have_run")
+            }
+        }
+        engine.close()
+    }
+
+    private val lapsed = listOf(
+        "completion" to generation(chat = false, stream = false),
+        "models" to request("GET /v1/models"),
+        "plain call" to request("GET /p/x"),
+        "key that is not known yet" to request("GET /p/x", key = "new"),
+    )
+
+    @TestFactory
+    fun `an entry without a lease refuses as not run`() = lapsed.map { (name, bytes) ->
+        DynamicTest.dynamicTest(name) {
+            TrafficBed().use { bed ->
+                bed.view = bed.view.copy(leaseUntilMs = Long.MIN_VALUE)
+                RawClient(bed.port).use { client ->
+                    client.send(bytes)
+                    val answer = client.read()!!
+                    expectThat(answer.status).isEqualTo(503)
+                    expectThat(answer.header("bramleyspur-outcome")).isEqualTo("not_run")
+                    expectThat(answer.header("retry-after").toInt()).isGreaterThan(0)
+                }
+            }
+        }
+    }
+
+    @Test
+    fun `the engine call of a caller that leaves is cancelled within 250 ms`() {
+        val engine = fakeEngine(EnginePlan(20, holdAt = 5))
+        TrafficBed(listOf(engine.port)).use { bed ->
+            val client = RawClient(bed.port)
+            client.send(generation(chat = false, stream = true))
+            client.readUntil(" t4")
+            expectThat(bed.running(0)).isEqualTo(1)
+            client.reset()
+            val tookMs = awaitTrue(2_000, "the release of the slot") {
+                bed.running(0) == 0 &&
+                    engine.seen("POST /admin/cancel") == 1
+            }
+            expectThat(tookMs).isLessThan(250)
+            awaitTrue(1_000, "the release of the request") { bed.inProgress == 0 }
+        }
+        engine.close()
+    }
+
+    @Test
+    fun `a slow reader holds up its engine and frees the slot when it leaves`() {
+        val plan = EnginePlan(tokens = 150_000, padding = 200)
+        val engine = fakeEngine(plan)
+        TrafficBed(listOf(engine.port)).use { bed ->
+            val client = RawClient(bed.port, 4_096)
+            client.send(generation(chat = false, stream = true))
+            client.readUntil(" t4")
+            awaitStall { plan.written.get() }
+            expectThat(plan.written.get()).isLessThan(plan.tokens)
+            client.reset()
+            awaitTrue(1_000, "the release of the slot") { bed.inProgress == 0 && bed.running(0) == 0 }
+            awaitTrue(1_000, "the cancel of the run") { engine.seen("POST /admin/cancel") == 1 }
+        }
+        engine.close()
+    }
+
+    /** Waits until [count] has not changed for a while, or has gone as far as it goes. */
+    private fun awaitStall(count: () -> Int) {
+        var last = -1
+        var sinceNs = System.nanoTime()
+        awaitTrue(9_000, "a stall of the engine") {
+            val now = count()
+            if (now != last) sinceNs = System.nanoTime()
+            last = now
+            System.nanoTime() - sinceNs > 300_000_000
+        }
+    }
+
+    @Test
+    fun `an engine that sends an endless line is given up`() {
+        val closed = CountDownLatch(1)
+        val engine = FakeBackend {
+            bodyText()
+            if (path == "/admin/cancel") return@FakeBackend reply(200, "{}")
+            try {
+                write("HTTP/1.1 200 OK\r\n\r\n")
+                while (true) write("x".repeat(65_536))
+            } catch (_: IOException) {
+                closed.countDown()
+            }
+        }
+        TrafficBed(listOf(engine.port)).use { bed ->
+            RawClient(bed.port).use { client ->
+                client.send(generation(chat = false, stream = false))
+                expectThat(closed.await(3, TimeUnit.SECONDS)).isTrue()
+                expectThat(client.read()!!.header("bramleyspur-outcome")).isEqualTo("may_have_run")
+            }
+        }
+        engine.close()
+    }
+}
--- /dev/null
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/TrafficBed.kt
@@ -0,0 +1,197 @@
+/*
+ * An entry and its agents in the test's process, joined by real loopback connections. The view that control would give
+ * the entry is a value that the test sets.
+ */
+package org.bramleyspur.daemon.caller
+
+import io.grpc.Server
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentList
+import org.bramleyspur.core.model.Account
+import org.bramleyspur.core.model.Configuration
+import org.bramleyspur.core.model.FencingNumber
+import org.bramleyspur.core.model.Incarnation
+import org.bramleyspur.core.model.InstanceName
+import org.bramleyspur.core.model.Revision
+import org.bramleyspur.core.model.Route
+import org.bramleyspur.core.model.RouteTable
+import org.bramleyspur.core.model.Service
+import org.bramleyspur.core.model.ServiceKind
+import org.bramleyspur.core.settings.Address
+import org.bramleyspur.core.telemetry.Tracing
+import org.bramleyspur.daemon.agent.AgentClient
+import org.bramleyspur.daemon.caller.request.ClaimClient
+import org.bramleyspur.daemon.caller.request.EntryHandler
+import org.bramleyspur.daemon.caller.request.EntryMetrics
+import org.bramleyspur.daemon.caller.request.EntryServices
+import org.bramleyspur.daemon.caller.request.EntryView
+import org.bramleyspur.daemon.caller.request.digestOf
+import org.bramleyspur.daemon.engine.EngineRunner
+import org.bramleyspur.daemon.engine.OpenAiEngine
+import org.bramleyspur.daemon.entry.AgentMetrics
+import org.bramleyspur.daemon.entry.AgentService
+import org.bramleyspur.daemon.entry.AttemptBoard
+import org.bramleyspur.daemon.entry.ServingGate
+import org.bramleyspur.daemon.http.HttpClient
+import org.bramleyspur.daemon.plain.PlainRunner
+import org.bramleyspur.daemon.process.Loops
+import org.bramleyspur.daemon.process.buildServer
+import org.bramleyspur.traffic.routing.LinkCost
+import org.bramleyspur.traffic.routing.Router
+import org.bramleyspur.traffic.routing.RoutingSettings
+import java.util.Random
+
+internal const val HOST = "127.0.0.1"
+
+/** Service `m` has [engines], service `p` has [plains]; account `shop` with the key `key` may call both. */
+internal class TrafficBed(
+    engines: List<Int> = emptyList(),
+    plains: List<Int> = emptyList(),
+    limits: CallerLimits = CallerLimits(),
+    timeoutMs: Long = 10_000,
+    entryTracing: Tracing = Tracing.disabled(),
+    agentTracing: Tracing = Tracing.disabled(),
+) : AutoCloseable {
+    val entryLoops = Loops()
+    val agentLoops = Loops()
+    val agents = engines.mapIndexed { n, port -> BedAgent("m", "engine-$n", port, agentLoops, agentTracing) } +
+        plains.mapIndexed { n, port -> BedAgent("p", "plain-$n", port, agentLoops, agentTracing) }
+
+    @Volatile
+    var view = EntryView(
+        Configuration(
+            Revision(1),
+            persistentMapOf(
+                "m" to service("m", ServiceKind.MODEL, timeoutMs),
+                "p" to service("p", ServiceKind.PLAIN, timeoutMs),
+            ),
+            persistentMapOf("shop" to Account("shop", digestOf("key"), patienceMs = 5_000)),
+        ),
+        RouteTable(routes = agents.map { it.route }.toPersistentList()),
+        leaseUntilMs = Long.MAX_VALUE,
+    )
+
+    private val random = Random(1)
+    private val client = AgentClient(entryLoops.trafficGroup)
+    private val claims = ClaimClient(entryLoops.trafficGroup)
+    private val router = Router(RoutingSettings("dc1"), { LinkCost.LOCAL }, random::nextInt)
+    private val services = EntryServices(
+        Incarnation("entry-1"),
+        entryLoops.trafficTimers,
+        client,
+        router,
+        entryTracing,
+        EntryMetrics(PrometheusRegistry()),
+    ) { view }
+    private val handler = EntryHandler(services, claims)
+    private val server = CallerServer(handler::begin, limits, null)
+    val port: Int = server.start(Address(HOST, 0), entryLoops.trafficGroup)
+
+    init {
+        entryLoops.traffic.submit { router.setRoutes(agents.map { it.route }) }.get()
+    }
+
+    /** Requests in progress at the entry. */
+    val inProgress: Int get() = entryLoops.traffic.submit<Int> { handler.limiter.total }.get()
+
+    /** Attempts that run on the backend server of agent [index]. */
+    fun running(index: Int): Int = agentLoops.traffic.submit<Int> { agents[index].board.running }.get()
+
+    override fun close() {
+        server.closeListener()
+        client.close()
+        claims.close()
+        agents.forEach { it.close() }
+        entryLoops.close()
+        agentLoops.close()
+    }
+
+    private fun service(name: String, kind: ServiceKind, timeoutMs: Long) = Service(
+        name = name,
+        kind = kind,
+        model = name,
+        version = "v1",
+        adapters = persistentListOf("spice"),
+        accounts = persistentSetOf("shop"),
+        timeoutMs = timeoutMs,
+    )
+}
+
+/** An agent of the test bed. */
+internal class BedAgent(service: String, name: String, backendPort: Int, loops: Loops, tracing: Tracing) :
+    AutoCloseable {
+    private val incarnation = Incarnation("run-of-$name")
+    private val address = Address(HOST, backendPort)
+    private val http = HttpClient(address, loops.trafficGroup)
+    val board = AttemptBoard(
+        incarnation,
+        loops.trafficTimers,
+        tracing,
+        AgentMetrics(PrometheusRegistry()),
+        if (service == "m") {
+            EngineRunner(OpenAiEngine(address, http::call)::execute)::run
+        } else {
+            PlainRunner(address, http::call)::run
+        },
+    )
+    private val server: Server =
+        buildServer(
+            Address(HOST, 0),
+            loops.trafficGroup,
+            listOf(
+                AgentService(incarnation, board) { _, _ ->
+                }.bindService(),
+            ),
+        )
+            .start()
+    val route = Route(
+        service = service,
+        replica = null,
+        fencingNumber = FencingNumber(0),
+        instance = InstanceName(name),
+        incarnation = incarnation,
+        address = "$HOST:${server.port}",
+        region = "r1",
+        dataCentre = "dc1",
+        version = "v1",
+        adapters = persistentListOf("spice"),
+        slots = SLOTS,
+    )
+
+    init {
+        loops.traffic.submit {
+            board.start()
+            board.setSlots(SLOTS)
+            board.setGate(ServingGate.Plain(Long.MAX_VALUE))
+        }.get()
+    }
+
+    override fun close() {
+        server.shutdownNow()
+        http.close()
+    }
+
+    private companion object {
+        const val SLOTS = 8
+    }
+}
+
+/** Waits until [condition] holds, for at most [timeoutMs]; returns the time it took in milliseconds. */
+internal fun awaitTrue(timeoutMs: Long, what: String, condition: () -> Boolean): Long {
+    val start = System.nanoTime()
+    while (!condition()) {
+        val passedMs = (System.nanoTime() - start) / 1_000_000
+        check(passedMs < timeoutMs) { "$what did not happen within $timeoutMs ms" }
+        Thread.onSpinWait()
+        Thread.sleep(1)
+    }
+    return (System.nanoTime() - start) / 1_000_000
+}
+
+/** A request in HTTP/1.1 text form. */
+internal fun request(line: String, body: String = "", headers: String = "", key: String = "key"): String =
+    "$line HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer $key\r\n$headers" +
+        (if (body.isEmpty()) "" else "Content-Length: ${body.toByteArray().size}\r\n") + "\r\n$body"
