--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerConnection.kt
@@ -183,7 +183,7 @@
         context.channel().config().isAutoRead = !bodyPaused && waiting.size <= MAX_WAITING_PARTS
     }
 
-    /** Closes the connection once what was written has been sent, or after [LINGER_MS] when the caller reads nothing. */
+    /** Closes the connection once what was written has been sent, or after [LINGER_MS]. */
     private fun closeAfterFlush() {
         context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
         startTimeout(LINGER_MS) { context.close() }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryHandler.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryHandler.kt
@@ -37,13 +37,16 @@
         return when {
             path == "/v1/models" -> listModels(head, exchange)
             endpoint != null -> beginModel(endpoint, head, exchange)
+            head.method == HttpMethod.CONNECT ->
+                answered(exchange, CallerError.invalid("tunnels are not supported", METHOD_NOT_ALLOWED))
+
             else -> beginPlain(path, head, exchange)
         }
     }
 
     /**
-     * The account whose key [head] carries. Without a lease the configuration may be old or missing, so that nothing can
-     * be said about a key.
+     * The account whose key [head] carries. Without a lease the configuration may be old or missing, so that nothing
+     * can be said about a key.
      */
     internal fun accountOf(head: CallerHead): Result<Account, CallerError> {
         if (!isConfirmed()) return Err(unconfirmed())
@@ -88,9 +91,6 @@
     }
 
     private fun beginPlain(path: String, head: CallerHead, exchange: CallerExchange): CallerRequest {
-        if (head.method == HttpMethod.CONNECT) {
-            return answered(exchange, CallerError.invalid("tunnels are not supported", METHOD_NOT_ALLOWED))
-        }
         val account = accountOf(head).getOrElse { return answered(exchange, it) }
         val name = path.removePrefix("/").substringBefore('/')
         val service = entry.view().service(name)?.takeIf { it.kind == ServiceKind.PLAIN }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/entry/TransitClock.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/entry/TransitClock.kt
@@ -23,8 +23,8 @@
 
     companion object {
         /**
-         * Two clocks may drift apart by one millisecond in this time (200 ppm). Without the allowance a slow drift would
-         * add up over days until every attempt counted as late.
+         * Two clocks may drift apart by one millisecond in this time (200 ppm). Without the allowance a slow drift
+         * would add up over days until every attempt counted as late.
          */
         private const val MS_PER_DRIFT_MS = 5_000L
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
@@ -95,7 +95,7 @@
 
         override val writable: Boolean get() = !done && channel?.isWritable == true
 
-        /** Sends the request on [connection], and once more on a new one if this is a [reused] one that has gone stale. */
+        /** Sends the request on [connection]; a [reused] one can have gone stale, and then a new one follows. */
         fun attach(connection: Channel, reused: Boolean) {
             if (done) {
                 body?.release()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpExchange.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpExchange.kt
@@ -52,7 +52,7 @@
 
 /**
  * Starts a call. [request] carries the headers; when [body] is null the body follows through [HttpCall.send].
- * With [fresh] a new connection is opened, so that a stale pooled connection cannot make the call's fate unknown. Without
- * it, a call that gets no answer on a pooled connection is sent once more on a new one, so it must be idempotent.
+ * With [fresh] a new connection is opened, so that a stale pooled connection cannot make the call's fate unknown.
+ * Without it, a call that gets no answer on a pooled connection is sent again on a new one, so it must be idempotent.
  */
 typealias HttpCaller = (request: HttpRequest, body: ByteBuf?, fresh: Boolean, listener: HttpListener) -> HttpCall
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/FakeBackend.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/FakeBackend.kt
@@ -109,8 +109,10 @@
     }
 
     /** Answers with [status] and [body] of known length. */
-    fun reply(status: Int, body: String, headers: String = "") =
-        write("HTTP/1.1 $status Status\r\n${headers}Content-Length: ${body.length}\r\n\r\n${if (method == "HEAD") "" else body}")
+    fun reply(status: Int, body: String, headers: String = "") {
+        val sent = if (method == "HEAD") "" else body
+        write("HTTP/1.1 $status Status\r\n${headers}Content-Length: ${body.length}\r\n\r\n$sent")
+    }
 
     /** Waits until the other side closes the connection. */
     fun awaitDisconnect() {
