--- /dev/null
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Deployment.kt
@@ -0,0 +1,230 @@
+/*
+ * A deployment on loopback as real processes: three control members, two entries, four engines in two fabric domains,
+ * two plain backend servers of one service, an agent beside each backend server, and relays where links are cut.
+ */
+package org.bramleyspur.testbed.matrix
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.bramleyspur.testbed.http.testbedJson
+import org.bramleyspur.testbed.relay.LinkSettings
+import org.bramleyspur.testbed.relay.RelayServer
+import java.io.File
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.security.MessageDigest
+import java.util.HexFormat
+import java.util.Random
+
+internal const val ENGINES = 4
+internal const val BACKENDS = 6
+internal const val ENTRIES = 2
+internal const val CONTROL_MEMBERS = 3
+internal const val MODEL = "sausage-7b"
+internal const val API_KEY = "matrix-key"
+
+/** Ports of the deployment, as offsets from a free base. Backend servers and agents are numbered from 1. */
+internal class Ports(private val base: Int) {
+    fun control(n: Int) = base + n
+    fun controlPlatform(n: Int) = base + 10 + n
+    fun backend(n: Int) = base + 20 + n
+    fun agent(n: Int) = base + 30 + n
+    fun agentPlatform(n: Int) = base + 40 + n
+    fun caller(n: Int) = base + 50 + n
+    fun entryPlatform(n: Int) = base + 60 + n
+    fun controlLink(n: Int) = base + 70 + n
+    fun backendLink(n: Int) = base + 80 + n
+    fun lock(n: Int) = base + 90 + n
+    val relayAdmin = base + 99
+
+    companion object {
+        private const val LOWEST = 18_000
+        private const val STEP = 100
+        private const val BASES = 120
+
+        /** A base below the ephemeral ports whose ports are all free. */
+        fun free(random: Random): Ports = generateSequence {
+            LOWEST + STEP * random.nextInt(BASES)
+        }.first { base -> (base until base + STEP).all(::isFree) }
+            .let(::Ports)
+
+        private fun isFree(port: Int): Boolean =
+            runCatching { ServerSocket(port, 1, InetAddress.getLoopbackAddress()).close() }.isSuccess
+    }
+}
+
+/** Starts and stops the processes; [root] is the folder of the launchers and [work] takes logs and data. */
+internal class Deployment(private val root: File, val work: File, val ports: Ports, seed: Long) : AutoCloseable {
+    private val relay = RelayServer(address(ports.relayAdmin), links(), seed)
+    private val voters = (1..CONTROL_MEMBERS).joinToString(",") { "c$it=${text(ports.controlLink(it))}" }
+    private val controlAddresses = (1..CONTROL_MEMBERS).joinToString(",") { text(ports.controlLink(it)) }
+
+    val control = (1..CONTROL_MEMBERS).map { controlMember(it) }
+    val backends = (1..BACKENDS).map { backend(it) }
+    val agents = (1..BACKENDS).map { agent(it) }
+    val entries = (1..ENTRIES).map { entry(it) }
+    private val processes = control + backends + agents + entries
+
+    /** Starts everything and declares the services. */
+    fun start() {
+        (1..CONTROL_MEMBERS).forEach { initialize(it) }
+        processes.forEach { it.start() }
+        waitFor("a control leader", START_SECONDS) { leader() != null }
+        val digest = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(API_KEY.toByteArray()))
+        val file = File(work, "services.txt")
+        file.writeText(
+            """
+            create account kitchen key sha256 '$digest' limit 200 weight 1 priority 0 patience 2 s;
+            create service recipes model '$MODEL' version 'v1' instances 2 replicas dc1 2 accounts 'kitchen';
+            create service book plain accounts 'kitchen' non idempotent retention 1 h;
+            """.trimIndent(),
+        )
+        checkNotNull(operator("--file", file.path)) { "the services could not be declared" }
+    }
+
+    /** Number of the control leader, or null while there is none. */
+    fun leader(): Int? {
+        val answer = operator("--output", "json", "--timeout-ms", "4000", "show control") ?: return null
+        val rows = testbedJson.parseToJsonElement(answer).jsonObject["rows"]?.jsonArray.orEmpty()
+        val leader = rows.map { it.jsonObject }.firstOrNull { it.cell("role") == "leader" } ?: return null
+        return leader.cell("member").removePrefix("c").toIntOrNull()
+    }
+
+    /** Starts what has ended, continues what is paused and ends the disturbances of all links. */
+    fun repair() {
+        processes.forEach { it.resume() }
+        disturb("*", """{"command":"restore"}""")
+        processes.filter { !it.alive }.forEach { it.start() }
+    }
+
+    /** Sends [command] for the link [name] to the relay. */
+    fun disturb(name: String, command: String) {
+        val answer = Http.post("http://${text(ports.relayAdmin)}/links/$name", command)
+        check(answer != null) { "the relay did not take $command for $name" }
+    }
+
+    override fun close() {
+        processes.forEach { it.resume() }
+        processes.forEach { it.stop() }
+        val deadline = System.nanoTime() + STOP_NANOS
+        while (processes.any { it.alive } && System.nanoTime() < deadline) Thread.sleep(POLL_MS)
+        processes.filter { it.alive }.forEach { it.kill() }
+        relay.close()
+    }
+
+    private fun JsonObject.cell(name: String) = this[name]?.jsonPrimitive?.content.orEmpty()
+
+    private fun initialize(n: Int) {
+        val folder = File(work, "c$n").path
+        val command = listOf(launcher("bramleyspurd"), "initialize", "--data-dir", folder, "--member", "c$n")
+        val process = ManagedProcess("initialize-$n", command + listOf("--voters", voters), log("initialize-$n"))
+        process.start()
+        check(process.exitCode(START_SECONDS) == 0) { "control member c$n was not initialized; see ${work.path}" }
+    }
+
+    private fun operator(vararg words: String): String? {
+        val command = listOf(launcher("bramleyspur"), "--control", controlAddresses) + words
+        val process = ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.appendTo(log("operator"))).start()
+        val answer = process.inputStream.reader().readText()
+        return answer.takeIf { process.waitFor() == 0 }
+    }
+
+    private fun controlMember(n: Int) = daemon(
+        "control-$n",
+        "control",
+        "c$n",
+        ports.controlPlatform(n),
+        "--listen",
+        text(ports.control(n)),
+        "--data-dir",
+        File(work, "c$n").path,
+    )
+
+    private fun entry(n: Int) = daemon(
+        "entry-$n",
+        "entry",
+        "e$n",
+        ports.entryPlatform(n),
+        "--caller-listen",
+        text(ports.caller(n)),
+        "--control",
+        controlAddresses,
+    )
+
+    private fun agent(n: Int): ManagedProcess {
+        val kind =
+            if (n <= ENGINES) {
+                listOf("engine", "--fabric-domain", "f${(n + 1) / 2}", "--accelerators", "4")
+            } else {
+                listOf("plain", "--service", "book")
+            }
+        return daemon(
+            "agent-$n", "agent", "i$n", ports.agentPlatform(n), "--listen", text(ports.agent(n)),
+            "--control", controlAddresses, "--backend", text(ports.backendLink(n)),
+            "--lock-port", ports.lock(n).toString(), "--backend-kind", *kind.toTypedArray(),
+        )
+    }
+
+    private fun daemon(name: String, role: String, instance: String, platformPort: Int, vararg more: String) =
+        ManagedProcess(
+            name,
+            listOf(
+                launcher("bramleyspurd"),
+                role,
+                "--instance",
+                instance,
+                "--data-centre",
+                "dc1",
+                "--grace-ms",
+                "500",
+            ) +
+                listOf("--platform-listen", text(platformPort)) + more,
+            log(name),
+        )
+
+    private fun backend(n: Int): ManagedProcess {
+        val kind =
+            if (n <=
+                ENGINES
+            ) {
+                listOf("engine", "--slots", "24", "--decode-ms", "15", "--load-ms", "300")
+            } else {
+                listOf("plain")
+            }
+        val command = listOf(launcher("bramleyspur-standin")) + kind + listOf("--address", text(ports.backend(n)))
+        return ManagedProcess("backend-$n", command, log("backend-$n"))
+    }
+
+    private fun links(): List<LinkSettings> =
+        (1..CONTROL_MEMBERS).map { LinkSettings("c$it", address(ports.controlLink(it)), address(ports.control(it))) } +
+            (1..BACKENDS).map { LinkSettings("b$it", address(ports.backendLink(it)), address(ports.backend(it))) }
+
+    private fun launcher(program: String) = File(root, "bin/$program").path
+
+    private fun log(name: String) = File(work, "$name.log")
+
+    private fun text(port: Int) = "127.0.0.1:$port"
+
+    private fun address(port: Int) = InetSocketAddress("127.0.0.1", port)
+
+    private companion object {
+        const val START_SECONDS = 30L
+        const val STOP_NANOS = 15_000_000_000L
+    }
+}
+
+internal const val POLL_MS = 50L
+
+/** Polls [condition] for up to [seconds]; fails with [what] when it stays false. */
+internal fun waitFor(what: String, seconds: Long, condition: () -> Boolean) {
+    val deadline = System.nanoTime() + seconds * NANOS_PER_SECOND
+    while (!condition()) {
+        check(System.nanoTime() < deadline) { "no $what within $seconds s" }
+        Thread.sleep(POLL_MS)
+    }
+}
+
+internal const val NANOS_PER_SECOND = 1_000_000_000L
--- /dev/null
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/ManagedProcess.kt
@@ -0,0 +1,59 @@
+/*
+ * One process of the deployment under test. Signals go to its own process id only.
+ */
+package org.bramleyspur.testbed.matrix
+
+import java.io.File
+import java.util.concurrent.TimeUnit
+
+/** A process that is started with [command] and writes its output to [log]; it can be started again after its end. */
+internal class ManagedProcess(val name: String, private val command: List<String>, private val log: File) {
+    private var process: Process? = null
+    private var frozen = false
+
+    /** Whether the process has been started and has not ended. */
+    val alive: Boolean get() = process?.isAlive == true
+
+    /** Starts the process. */
+    fun start() {
+        process =
+            ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+                .start()
+        frozen = false
+    }
+
+    /** Ends the process at once (SIGKILL). */
+    fun kill() {
+        process?.destroyForcibly()?.waitFor()
+    }
+
+    /** Pauses the process (SIGSTOP). */
+    fun freeze() {
+        signal("STOP")
+        frozen = true
+    }
+
+    /** Continues a paused process (SIGCONT); does nothing to others. */
+    fun resume() {
+        if (frozen) signal("CONT")
+        frozen = false
+    }
+
+    /** Asks for a planned stop (SIGTERM). */
+    fun stop() {
+        process?.destroy()
+    }
+
+    /** Waits up to [seconds] for the end; the exit code, or null when the process still runs. */
+    fun exitCode(seconds: Long): Int? {
+        val current = checkNotNull(process) { "$name has not been started" }
+        return if (current.waitFor(seconds, TimeUnit.SECONDS)) current.exitValue() else null
+    }
+
+    private fun signal(signal: String) {
+        val pid = process?.takeIf { it.isAlive }?.pid() ?: return
+        ProcessBuilder("kill", "-$signal", pid.toString()).inheritIO().start().waitFor()
+    }
+}
--- /dev/null
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Row.kt
@@ -0,0 +1,114 @@
+/*
+ * A row of the matrix, and what its steps can do to the deployment.
+ */
+package org.bramleyspur.testbed.matrix
+
+import java.util.Random
+
+/**
+ * A row: [name] is `FAULT/STEP`.
+ *
+ * @property watchMs time in milliseconds that the load goes on after the steps
+ * @property recoverMs longest allowed time from the fault to the start of the last failed request
+ * @property steps what is done while the load runs
+ * @property after checks after the load has ended, before the deployment is repaired
+ */
+internal class Row(
+    val name: String,
+    val watchMs: Long,
+    val recoverMs: Long,
+    val allowed: Allowance = Allowance(),
+    val after: RowScope.() -> Unit = {},
+    val steps: RowScope.() -> Unit,
+)
+
+/** The deployment as a row sees it. */
+internal class RowScope(
+    val deployment: Deployment,
+    val callers: Callers,
+    val log: AnswerLog,
+    val witness: Witness,
+    val random: Random,
+) {
+    /** Broken promises that the row itself has found. */
+    val problems = ArrayList<String>()
+
+    /** What the row tells beside its verdict. */
+    val notes = ArrayList<String>()
+
+    /** Time of the fault by [System.nanoTime]. */
+    var faultNanos = System.nanoTime()
+        private set
+
+    /** Backend server that the fault concerns; 0 for none. */
+    var target = 0
+
+    /** Applies a fault and notes its time. */
+    fun fault(action: () -> Unit) {
+        faultNanos = System.nanoTime()
+        action()
+    }
+
+    /** Milliseconds since the fault. */
+    fun sinceFaultMs(): Long = (System.nanoTime() - faultNanos) / NANOS_PER_MS
+
+    /** The serving replica with the most running streams, so that a fault meets some; notes how many. */
+    fun busiestReplica(): ReplicaView {
+        val replica = witness.replicas().maxBy { it.running }
+        notes += "${replica.running} streams on it"
+        return replica
+    }
+
+    /** Streams of [length] tokens at both entries that have received [received] tokens each. */
+    fun streams(count: Int, length: Int, received: Int): List<RunningStream> {
+        val streams = (1..count).map { callers.stream(it % ENTRIES + 1, length) }
+        waitFor("$received tokens of $count streams", STREAM_SECONDS) {
+            streams.all { it.tokens.get() >= received || it.answer.isDone }
+        }
+        return streams
+    }
+
+    /** Notes a problem for each of [streams] that does not end complete, and the longest gap between tokens. */
+    fun expectComplete(streams: List<RunningStream>) {
+        val answers = streams.mapNotNull { it.answer.await() }
+        answers.filter { it.ending != Ending.COMPLETE }.forEach { problems += "not completed: ${it.describe()}" }
+        notes += "${answers.count { it.ending == Ending.COMPLETE }}/${streams.size} streams complete"
+        notes += "longest gap ${answers.maxOf { it.longestGapNanos } / NANOS_PER_MS} ms"
+    }
+
+    /** Notes a problem when a call is not known to be complete or said to be unknown. */
+    fun expectOutcome(answer: Answer?) {
+        if (answer == null) return
+        notes += "call ended ${answer.ending}"
+        val known = answer.ending == Ending.COMPLETE || (answer.ending == Ending.MAY_HAVE_RUN && !answer.inProgress)
+        if (!known) problems += "no outcome after resends: ${answer.describe()}"
+    }
+
+    /** Notes each stream that began [afterMs] or more after the fault and ran on engine [engine]. */
+    fun expectNoStreams(engine: Int, afterMs: Long) {
+        val ran = witness.current(engine).byRequest.keys
+        val later = log.since(faultNanos + afterMs * NANOS_PER_MS).filter { it.stream }
+        val late = later.filter { it.id in ran }
+        late.forEach {
+            problems += "ran on the partial replica after ${(it.startNanos - faultNanos) / NANOS_PER_MS} ms"
+        }
+        notes += "${late.size} of ${later.size} later streams on engine $engine"
+    }
+
+    /** Notes each key first sent [NO_WORK_MS] or more after the fault and done before now that ran on [server]. */
+    fun expectNoNewCalls(server: Int, untilNanos: Long) {
+        val ran = witness.current(server).byKey.keys
+        val late = log.all().filter { it.key != null }.groupBy { it.key }.filterValues { tries ->
+            tries.all { it.startNanos > faultNanos + NO_WORK_MS * NANOS_PER_MS && it.endNanos < untilNanos }
+        }
+        late.keys.filter {
+            it in ran
+        }.forEach { problems += "$it began on server $server more than 3 s after the fault" }
+        notes += "${late.keys.count { it !in ran }} later calls elsewhere"
+    }
+
+    private companion object {
+        const val STREAM_SECONDS = 10L
+        const val NO_WORK_MS = 3_000L
+    }
+}
