--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Callers.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Callers.kt
@@ -36,11 +36,11 @@
     private val watchdog = Executors.newScheduledThreadPool(1) { task -> Thread(task).apply { isDaemon = true } }
     private val number = AtomicInteger()
 
-    /** Starts a stream of [length] tokens with a prompt of its own. */
-    fun stream(entry: Int, length: Int): RunningStream {
+    /** Starts a stream of [length] tokens with a prompt of its own, for the account of [apiKey]. */
+    fun stream(entry: Int, length: Int, apiKey: String = API_KEY): RunningStream {
         val tokens = AtomicInteger()
         val prompt = "prompt ${number.incrementAndGet()}"
-        val answer = threads.submit<Answer> { StreamReader(entry, prompt, length, tokens).run().also(log::add) }
+        val answer = threads.submit<Answer> { StreamReader(entry, apiKey, prompt, length, tokens).run().also(log::add) }
         return RunningStream(tokens, answer)
     }
 
@@ -59,9 +59,9 @@
         watchdog.shutdownNow()
     }
 
-    private fun request(entry: Int, path: String, body: String) =
+    private fun request(entry: Int, path: String, body: String, apiKey: String = API_KEY) =
         HttpRequest.newBuilder(URI("http://127.0.0.1:${ports.caller(entry)}$path"))
-            .header("Authorization", "Bearer $API_KEY")
+            .header("Authorization", "Bearer $apiKey")
             .header("Content-Type", "application/json")
             .timeout(Duration.ofMillis(LONGEST_MS))
             .POST(HttpRequest.BodyPublishers.ofString(body))
@@ -91,6 +91,7 @@
 
     private inner class StreamReader(
         private val entry: Int,
+        private val apiKey: String,
         private val prompt: String,
         private val length: Int,
         private val tokens: AtomicInteger,
@@ -112,7 +113,7 @@
                 try {
                     val answer =
                         Http.client.send(
-                            request(entry, "/v1/completions", body).build(),
+                            request(entry, "/v1/completions", body, apiKey).build(),
                             HttpResponse.BodyHandlers.ofInputStream(),
                         )
                     answer.body().use { read(answer, it) }
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Checks.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Checks.kt
@@ -3,11 +3,16 @@
  */
 package org.bramleyspur.testbed.matrix
 
-/** What a row may do to callers. */
+/**
+ * What a row may do to callers.
+ *
+ * @property stallMs longest allowed time in milliseconds without a token: 2 s to find a dead peer, and the resumption
+ */
 internal data class Allowance(
     val brokenConnections: Boolean = false,
     val refusals: Boolean = true,
     val cutStreams: Boolean = true,
+    val stallMs: Long = 3_000,
 )
 
 /** Broken promises among the tries of one row. */
@@ -17,6 +22,9 @@
     if (!allowed.brokenConnections) {
         answers.filter { it.ending == Ending.BROKEN }.forEach { add("no answer and no refusal: ${it.describe()}") }
     }
+    answers.filter { it.longestGapNanos > allowed.stallMs * NANOS_PER_MS }.forEach {
+        add("no token for ${it.longestGapNanos / NANOS_PER_MS} ms: ${it.describe()}")
+    }
     if (!allowed.refusals) {
         val refusals = setOf(Ending.NOT_RUN, Ending.MAY_HAVE_RUN, Ending.RAN_AND_FAILED)
         answers.filter { it.ending in refusals && !it.inProgress }.forEach { add("refused: ${it.describe()}") }
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Deployment.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Deployment.kt
@@ -26,6 +26,9 @@
 internal const val MODEL = "sausage-7b"
 internal const val API_KEY = "matrix-key"
 
+/** Key of an account with a limit of concurrent requests far above its use. */
+internal const val LIMITED_KEY = "matrix-limited-key"
+
 /** Ports of the deployment, as offsets from a free base. Backend servers and agents are numbered from 1. */
 internal class Ports(private val base: Int) {
     fun control(n: Int) = base + n
@@ -73,12 +76,13 @@
         (1..CONTROL_MEMBERS).forEach { initialize(it) }
         processes.forEach { it.start() }
         waitFor("a control leader", START_SECONDS) { leader() != null }
-        val digest = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(API_KEY.toByteArray()))
         val file = File(work, "services.txt")
         file.writeText(
             """
-            create account kitchen key sha256 '$digest' limit 200 weight 1 priority 0 patience 2 s;
-            create service recipes model '$MODEL' version 'v1' instances 2 replicas dc1 2 accounts 'kitchen';
+            create account kitchen key sha256 '${digest(API_KEY)}' limit none patience 2 s;
+            create account limited key sha256 '${digest(LIMITED_KEY)}' limit 100 patience 2 s;
+            create service recipes model '$MODEL' version 'v1' instances 2 replicas dc1 2
+              accounts 'kitchen', 'limited';
             create service book plain accounts 'kitchen' non idempotent retention 1 h;
             """.trimIndent(),
         )
@@ -115,6 +119,9 @@
         relay.close()
     }
 
+    private fun digest(key: String) =
+        HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(key.toByteArray()))
+
     private fun JsonObject.cell(name: String) = this[name]?.jsonPrimitive?.content.orEmpty()
 
     private fun initialize(n: Int) {
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Row.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Row.kt
@@ -43,6 +43,9 @@
     /** Backend server that the fault concerns; 0 for none. */
     var target = 0
 
+    /** Time by [System.nanoTime] at which the fault was ended. */
+    var untilNanos = Long.MAX_VALUE
+
     /** Applies a fault and notes its time. */
     fun fault(action: () -> Unit) {
         faultNanos = System.nanoTime()
@@ -84,10 +87,10 @@
         if (!known) problems += "no outcome after resends: ${answer.describe()}"
     }
 
-    /** Notes each stream that began [afterMs] or more after the fault and ran on engine [engine]. */
-    fun expectNoStreams(engine: Int, afterMs: Long) {
+    /** Notes each stream that began [afterMs] or more after the fault, before [until], and ran on [engine]. */
+    fun expectNoStreams(engine: Int, afterMs: Long, until: Long = System.nanoTime()) {
         val ran = witness.current(engine).byRequest.keys
-        val later = log.since(faultNanos + afterMs * NANOS_PER_MS).filter { it.stream }
+        val later = log.since(faultNanos + afterMs * NANOS_PER_MS).filter { it.stream && it.startNanos < until }
         val late = later.filter { it.id in ran }
         late.forEach {
             problems += "ran on the partial replica after ${(it.startNanos - faultNanos) / NANOS_PER_MS} ms"
@@ -107,8 +110,27 @@
         notes += "${late.keys.count { it !in ran }} later calls elsewhere"
     }
 
+    /** Number of the plain backend server that runs the call [key], once it has begun. */
+    fun serverOf(key: String): Int {
+        var server = 0
+        waitFor("run of $key", RUN_SECONDS) {
+            server = (ENGINES + 1..BACKENDS).firstOrNull { key in witness.current(it).byKey } ?: 0
+            server > 0
+        }
+        return server
+    }
+
+    /** Notes a problem when [process] does not exit with code 0 after its planned stop. */
+    fun expectCleanExit(process: ManagedProcess) {
+        val code = process.exitCode(EXIT_SECONDS)
+        if (code != 0) problems += "${process.name} exited with $code after a planned stop"
+        notes += "stopped after ${sinceFaultMs()} ms"
+    }
+
     private companion object {
         const val STREAM_SECONDS = 10L
+        const val RUN_SECONDS = 3L
+        const val EXIT_SECONDS = 15L
         const val NO_WORK_MS = 3_000L
     }
 }
