--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Deployment.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Deployment.kt
@@ -73,7 +73,7 @@
 
     /** Starts everything and declares the services. */
     fun start() {
-        (1..CONTROL_MEMBERS).forEach { initialize(it) }
+        for (n in 1..CONTROL_MEMBERS) initialize(n)
         processes.forEach { it.start() }
         waitFor("a control leader", START_SECONDS) { leader() != null }
         val file = File(work, "services.txt")
@@ -149,10 +149,12 @@
         "control",
         "c$n",
         ports.controlPlatform(n),
-        "--listen",
-        text(ports.control(n)),
-        "--data-dir",
-        File(work, "c$n").path,
+        listOf(
+            "--listen",
+            text(ports.control(n)),
+            "--data-dir",
+            File(work, "c$n").path,
+        ),
     )
 
     private fun entry(n: Int) = daemon(
@@ -160,10 +162,12 @@
         "entry",
         "e$n",
         ports.entryPlatform(n),
-        "--caller-listen",
-        text(ports.caller(n)),
-        "--control",
-        controlAddresses,
+        listOf(
+            "--caller-listen",
+            text(ports.caller(n)),
+            "--control",
+            controlAddresses,
+        ),
     )
 
     private fun agent(n: Int): ManagedProcess {
@@ -173,14 +177,12 @@
             } else {
                 listOf("plain", "--service", "book")
             }
-        return daemon(
-            "agent-$n", "agent", "i$n", ports.agentPlatform(n), "--listen", text(ports.agent(n)),
-            "--control", controlAddresses, "--backend", text(ports.backendLink(n)),
-            "--lock-port", ports.lock(n).toString(), "--backend-kind", *kind.toTypedArray(),
-        )
+        val settings = listOf("--listen", text(ports.agent(n)), "--control", controlAddresses) +
+            listOf("--backend", text(ports.backendLink(n)), "--lock-port", ports.lock(n).toString(), "--backend-kind")
+        return daemon("agent-$n", "agent", "i$n", ports.agentPlatform(n), settings + kind)
     }
 
-    private fun daemon(name: String, role: String, instance: String, platformPort: Int, vararg more: String) =
+    private fun daemon(name: String, role: String, instance: String, platformPort: Int, more: List<String>) =
         ManagedProcess(
             name,
             listOf(
