--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Checks.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Checks.kt
@@ -3,18 +3,6 @@
  */
 package org.bramleyspur.testbed.matrix
 
-/**
- * What a row may do to callers.
- *
- * @property stallMs longest allowed time in milliseconds without a token: 2 s to find a dead peer, and the resumption
- */
-internal data class Allowance(
-    val brokenConnections: Boolean = false,
-    val refusals: Boolean = true,
-    val cutStreams: Boolean = true,
-    val stallMs: Long = 3_000,
-)
-
 /** Broken promises among the tries of one row. */
 internal fun checkAnswers(answers: List<Answer>, allowed: Allowance): List<String> = buildList {
     answers.filter { it.wrongText }.forEach { add("wrong text delivered: ${it.describe()}") }
