Add statements that change the control members

`admit control 'ID' at 'IP:PORT' [in place of 'OLDID']` and `remove control 'ID'` go to the log's membership at the leader, not through the configuration log, so they have no revision and are sent alone.

A control process with an empty data folder logs the statement that admits it. `show control` tells followers from learners.

--- a/bramleyspur-cli/src/main/kotlin/org/bramleyspur/cli/Program.kt
+++ b/bramleyspur-cli/src/main/kotlin/org/bramleyspur/cli/Program.kt
@@ -7,6 +7,7 @@
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.mapError
 import org.bramleyspur.language.Command
+import org.bramleyspur.language.MemberCommand
 import org.bramleyspur.language.Query
 import org.bramleyspur.language.Show
 import org.bramleyspur.language.Statement
@@ -63,9 +64,11 @@
     private fun send(statements: List<Statement>): Result<ExitCode, UsageError> {
         val commands = statements.filterIsInstance<Command>()
         val queries = statements.filterIsInstance<Query>()
+        val members = statements.filterIsInstance<MemberCommand>()
         val forCommands = options.commandId != null || options.expectedRevision != 0L
         return when {
             statements.isEmpty() -> Err(UsageError("no statement is given"))
+            members.isNotEmpty() -> change(members, statements.size)
             queries.isEmpty() -> Ok(submit(commands, options.expectedRevision))
             commands.isNotEmpty() -> Err(UsageError("commands and queries are mixed; send them apart"))
             forCommands -> Err(UsageError("--command-id and --expect-revision are for commands; leave them out"))
@@ -77,6 +80,13 @@
         }
     }
 
+    private fun change(members: List<MemberCommand>, statements: Int): Result<ExitCode, UsageError> = when {
+        statements > 1 -> Err(UsageError("a change of the control members is sent alone; send the statements apart"))
+        options.expectedRevision != 0L ->
+            Err(UsageError("--expect-revision is for configuration commands; the control members have no revision"))
+        else -> Ok(submit(members, expectedRevision = 0))
+    }
+
     private fun show(query: Query): ExitCode = ask(query) { reply ->
         output.answered(reply)
         Ok(ExitCode.DONE)
@@ -120,7 +130,7 @@
         return ExitCode.REFUSED
     }
 
-    private fun submit(commands: List<Command>, expectedRevision: Long): ExitCode {
+    private fun submit(commands: List<Statement>, expectedRevision: Long): ExitCode {
         val request = SubmitRequest
             .newBuilder()
             .setStatements(commands.toText())
--- a/bramleyspur-cli/src/test/kotlin/org/bramleyspur/cli/RunTest.kt
+++ b/bramleyspur-cli/src/test/kotlin/org/bramleyspur/cli/RunTest.kt
@@ -218,4 +218,15 @@
         expectThat(run("apply", input = "create service a plain").out).isEqualTo("-- no difference at revision 7\n")
         expectThat(first.submitted).hasSize(1)
     }
+
+    @Test
+    fun `a change of the control members is sent alone and without an expected revision`() {
+        first.onSubmit = { submitReply(Outcome.ACCEPTED, message = it.statements.trim()) }
+        expectThat(run("remove control 'c1'")) {
+            get { code }.isEqualTo(ExitCode.DONE)
+            get { out }.contains("remove control 'c1';")
+        }
+        expectThat(run("remove control 'c1'; drain instance i1").code).isEqualTo(ExitCode.USAGE)
+        expectThat(run("--expect-revision", "3", "remove control 'c1'").code).isEqualTo(ExitCode.USAGE)
+    }
 }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/Submission.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/Submission.kt
@@ -11,6 +11,7 @@
 import com.github.michaelbull.result.mapError
 import org.bramleyspur.core.model.Revision
 import org.bramleyspur.language.Command
+import org.bramleyspur.language.MemberCommand
 import org.bramleyspur.language.Query
 import org.bramleyspur.language.Statement
 import org.bramleyspur.language.parse
@@ -73,8 +74,10 @@
 
 private fun commandsOf(statements: List<Statement>): Result<List<Command>, String> {
     val query = statements.filterIsInstance<Query>().firstOrNull()
+    val member = statements.filterIsInstance<MemberCommand>().firstOrNull()
     return when {
         query != null -> Err("\"${query.toText()}\" changes nothing; send it as a query")
+        member != null -> Err("\"${member.toText()}\" changes the control members; send it alone, without a revision")
         statements.isEmpty() -> Err("the command holds no statement")
         else -> Ok(statements.filterIsInstance<Command>())
     }
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/state/SubmissionTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/state/SubmissionTest.kt
@@ -129,6 +129,8 @@
         fun refused() = references() + values() + operations()
 
         fun references() = listOf(
+            "admit control c4 at '127.0.0.1:1'" to "changes the control members; send it alone",
+            "remove control c1" to "changes the control members; send it alone",
             "create account kitchen key sha256 '${key('c')}'" to "the account kitchen exists",
             "create service book plain" to "the service book exists",
             "create service new plain accounts nobody" to "names the account nobody, which does not exist",
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/ControlNode.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/ControlNode.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.map
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -24,6 +25,7 @@
 import org.bramleyspur.log.LogThreads
 import org.bramleyspur.log.ReplicatedLog
 import org.bramleyspur.log.StateMachine
+import org.bramleyspur.log.consensus.ConsensusSettings
 import org.bramleyspur.log.consensus.MembershipChange
 import org.bramleyspur.log.consensus.ProposeError
 import org.bramleyspur.log.storage.LogStorage
@@ -49,6 +51,8 @@
 /**
  * Runs the replicated log of this member. All functions are called on the control thread.
  *
+ * @property snapshotEntries applied entries after which a snapshot is taken; a tenth of them is kept for members that
+ * are a little behind
  * @property onFatal receives a storage failure, after which nothing is acknowledged any more
  */
 class ControlNode(
@@ -59,8 +63,15 @@
     private val storageThread: Executor,
     private val transport: PeerTransport,
     private val listener: ControlNodeListener,
+    private val snapshotEntries: Long,
     private val onFatal: (StorageError) -> Unit,
 ) {
+    private val promotion = LearnerPromotion { change ->
+        log.changeMembership(change) { result ->
+            val outcome = result.fold({ "votes now" }, { "does not vote yet: ${it.message}" })
+            logger.info { "control member ${change.id} $outcome" }
+        }
+    }
     private var leadingTerm: Long? = null
     private var lastAnswer: Answer? = null
 
@@ -74,13 +85,18 @@
     fun start() {
         log = ReplicatedLog(
             storage = storage,
-            options = LogOptions(address, onFatal = onFatal),
+            options = LogOptions(address, consensusSettings(), snapshotEntries, onFatal),
             threads = LogThreads(control, timers, storageThread),
             transport = transport::send,
             stateMachine = StateMachine(::applyEntry, { state.encodeSnapshot() }, ::restore),
             listener = LeadershipListener(ready = ::onReady, lost = { onLost() }),
             random = RandomGenerator.getDefault(),
         )
+        timers.every(PROMOTION_CHECK_MS) { if (leadingTerm() != null) promotion.check(log.status()) }
+    }
+
+    private fun consensusSettings() = ConsensusSettings().let {
+        it.copy(trailingEntries = minOf(it.trailingEntries, snapshotEntries / TRAILING_DIVISOR))
     }
 
     /** Term that this member leads with a valid lease, or null. */
@@ -135,6 +151,11 @@
         logger.info { "leadership lost; sessions are closed" }
         listener.onLeadershipLost()
     }
+
+    private companion object {
+        const val PROMOTION_CHECK_MS = 500L
+        const val TRAILING_DIVISOR = 10
+    }
 }
 
 /** The value of an answer of the expected kind. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/operator/OperatorService.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/operator/OperatorService.kt
@@ -13,6 +13,7 @@
 import org.bramleyspur.core.model.Revision
 import org.bramleyspur.daemon.member.ControlNode
 import org.bramleyspur.daemon.member.answerOf
+import org.bramleyspur.language.MemberCommand
 import org.bramleyspur.language.Query
 import org.bramleyspur.language.SyntaxError
 import org.bramleyspur.language.parse
@@ -38,6 +39,22 @@
     /** Submits commands. */
     fun submit(request: SubmitRequest, reply: StreamObserver<SubmitReply>) {
         if (node.leadingTerm() == null) return reply.finish(notLeader())
+        val member = parse(request.statements).getOrElse { emptyList() }.singleOrNull() as? MemberCommand
+        if (member == null) submitConfiguration(request, reply) else changeMembers(member, request, reply)
+    }
+
+    private fun changeMembers(command: MemberCommand, request: SubmitRequest, reply: StreamObserver<SubmitReply>) {
+        val decision = if (request.expectedRevision == 0L) {
+            decide(command, node.status())
+        } else {
+            MemberDecision.Refuse("the control members have no revision; leave the expected revision out")
+        }
+        carryOut(decision, node::changeMembership) { answer ->
+            reply.finish(answer.setRevision(node.state.configuration.revision.value).build())
+        }
+    }
+
+    private fun submitConfiguration(request: SubmitRequest, reply: StreamObserver<SubmitReply>) {
         val command = Submit(
             request.commandId,
             Revision(request.expectedRevision),
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/ControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/ControlProcess.kt
@@ -19,6 +19,8 @@
 import org.bramleyspur.daemon.session.PlacementDriver
 import org.bramleyspur.daemon.session.PlacementMetrics
 import org.bramleyspur.daemon.session.SessionService
+import org.bramleyspur.language.AdmitControl
+import org.bramleyspur.language.toText
 import org.bramleyspur.log.storage.DiskFileSystem
 import org.bramleyspur.log.storage.FirstStart
 import org.bramleyspur.log.storage.LogStorage
@@ -61,6 +63,7 @@
         storageThread,
         transport,
         this,
+        settings[ControlSettings.SNAPSHOT_ENTRIES],
     ) { exitOnStorageFailure(it) }
     private val sessions = SessionService(node, loops.controlTimers)
     private val placement = PlacementDriver(
@@ -94,6 +97,17 @@
         server.start()
         platform.start(settings[CommonSettings.PLATFORM_LISTEN], loops.controlGroup)
         logger.info { "control member ${storage.memberId} runs" }
+        loops.control.execute { logAdmission() }
+    }
+
+    private fun logAdmission() {
+        if (node.status().members.any { it.id == storage.memberId }) return
+        val address = settings[CommonSettings.LISTEN].toString()
+        logger.warn {
+            "control member ${storage.memberId} has no vote; admit it with: " +
+                "${AdmitControl(storage.memberId, address).toText()}; " +
+                "if its data folder was lost, add: in place of 'OLDID'"
+        }
     }
 
     override fun onLeading(term: Long) {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/ControlSettings.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/ControlSettings.kt
@@ -28,11 +28,22 @@
         1L..MAX_WEIGHT_LOADS,
     )
 
+    val SNAPSHOT_ENTRIES = numberSetting(
+        "snapshot-entries",
+        "Applied log entries after which a snapshot is taken.",
+        "entries",
+        DEFAULT_SNAPSHOT_ENTRIES,
+        MIN_SNAPSHOT_ENTRIES..MAX_SNAPSHOT_ENTRIES,
+    )
+
     /** All settings of the role. */
-    val ALL: List<Setting<*>> = CommonSettings.ALL + listOf(DATA_DIR, POLICY, WEIGHT_LOADS)
+    val ALL: List<Setting<*>> = CommonSettings.ALL + listOf(DATA_DIR, POLICY, WEIGHT_LOADS, SNAPSHOT_ENTRIES)
 
     private const val DEFAULT_WEIGHT_LOADS = 2L
     private const val MAX_WEIGHT_LOADS = 1_000L
+    private const val DEFAULT_SNAPSHOT_ENTRIES = 10_000L
+    private const val MIN_SNAPSHOT_ENTRIES = 10L
+    private const val MAX_SNAPSHOT_ENTRIES = 1_000_000L
 }
 
 /** Settings of the one-time initialization of a data folder. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/session/LiveQueries.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/session/LiveQueries.kt
@@ -12,6 +12,7 @@
 import org.bramleyspur.language.ShowChange
 import org.bramleyspur.language.Subject
 import org.bramleyspur.language.Why
+import org.bramleyspur.log.MemberRole
 
 /** Answers operators' queries about what is running, from the leader's sessions. */
 class LiveQueries(
@@ -105,12 +106,16 @@
     private fun control(): LiveTable {
         val status = node.status()
         val rows = status.members.map { member ->
-            val role = if (member.id == status.memberId) status.role.name.lowercase() else "member"
+            val role = when {
+                member.id == status.memberId -> status.role
+                member.voter -> MemberRole.FOLLOWER
+                else -> MemberRole.LEARNER
+            }
             listOf(
                 member.id,
                 member.address,
                 if (member.voter) "voter" else "learner",
-                role,
+                role.name.lowercase(),
                 member.lag?.toString().orEmpty(),
             )
         }
--- a/bramleyspur-language/src/main/kotlin/org/bramleyspur/language/Format.kt
+++ b/bramleyspur-language/src/main/kotlin/org/bramleyspur/language/Format.kt
@@ -6,6 +6,7 @@
 /** The statement as text without a semicolon; [parse] reads it back to the same statement. */
 fun Statement.toText(): String = when (this) {
     is Command -> commandText()
+    is MemberCommand -> memberText()
     is Query -> queryText()
 }
 
@@ -25,6 +26,14 @@
     is RollBack -> words("roll back", quoted(service))
 }
 
+private fun MemberCommand.memberText(): String = when (this) {
+    is AdmitControl -> words(
+        "admit control ${literal(id)} at ${literal(address)}",
+        inPlaceOf?.let { "in place of ${literal(it)}" },
+    )
+    is RemoveControl -> "remove control ${literal(id)}"
+}
+
 private fun Query.queryText(): String = when (this) {
     is Show -> showText()
     is ShowChange -> "show change $revision"
--- a/bramleyspur-language/src/main/kotlin/org/bramleyspur/language/Statement.kt
+++ b/bramleyspur-language/src/main/kotlin/org/bramleyspur/language/Statement.kt
@@ -1,6 +1,6 @@
 /*
- * Statements of the operators' language, as the grammar reads them. Commands change the configuration; queries ask
- * about it and about what is running.
+ * Statements of the operators' language, as the grammar reads them. Commands change the configuration, member commands
+ * the members of the control log; queries ask about them and about what is running.
  */
 package org.bramleyspur.language
 
@@ -14,6 +14,9 @@
 /** A statement that changes the configuration. */
 sealed interface Command : Statement
 
+/** A statement that changes the members of the control log, which is no part of the configuration. */
+sealed interface MemberCommand : Statement
+
 /** A statement that only reads. */
 sealed interface Query : Statement
 
@@ -69,6 +72,16 @@
 /** Ends a roll-out and returns to the version that served before it. */
 data class RollBack(val service: String) : Command
 
+/**
+ * Admits the control member [id] at [address] (`IP:PORT`), which votes once it has caught up.
+ *
+ * @property inPlaceOf member that leaves in exchange, null for none
+ */
+data class AdmitControl(val id: String, val address: String, val inPlaceOf: String? = null) : MemberCommand
+
+/** Removes the control member [id]. */
+data class RemoveControl(val id: String) : MemberCommand
+
 /** What a `show` query lists. */
 enum class Subject {
     SERVICES,
--- a/bramleyspur-language/src/main/kotlin/org/bramleyspur/language/StatementGrammar.kt
+++ b/bramleyspur-language/src/main/kotlin/org/bramleyspur/language/StatementGrammar.kt
@@ -52,6 +52,15 @@
     private val rollBack: Parser<Statement> =
         -(values.keywords("roll", "back") or values.keyword("rollback")) and name map { RollBack(it) }
 
+    private val replaced: Parser<String> =
+        -values.keywords("in", "place") and -values.keyword("of") and name
+
+    private val admit: Parser<Statement> =
+        -values.keywords("admit", "control") and name and -values.keyword("at") and name and optional(replaced) map
+            { (id, address, old) -> AdmitControl(id, address, old) }
+
+    private val members: Parser<Statement> = admit or named("remove", "control") { RemoveControl(it) }
+
     private val why: Parser<Statement> = -values.keyword("why") and name map { Why(it) }
 
     private val showChange: Parser<Statement> =
@@ -69,7 +78,7 @@
             shown("configuration", Subject.CONFIGURATION)
 
     private val statement: Parser<Statement> =
-        create or alter or drop or instances or rollOut or rollBack or show or why
+        create or alter or drop or instances or rollOut or rollBack or members or show or why
 
     /** Statements separated by semicolons; empty statements are left out. */
     val statements: Parser<List<Statement>> =
--- a/bramleyspur-language/src/test/kotlin/org/bramleyspur/language/FormatTest.kt
+++ b/bramleyspur-language/src/test/kotlin/org/bramleyspur/language/FormatTest.kt
@@ -100,7 +100,7 @@
         }
 
     private fun named(): Arbitrary<Statement> =
-        Combinators.combine(names(), names(), Arbitraries.of(0, 1, 2, 3, 4, 5)).`as` {
+        Combinators.combine(names(), names(), Arbitraries.of(0, 1, 2, 3, 4, 5, 6, 7, 8)).`as` {
                 a,
                 b,
                 kind,
@@ -111,6 +111,9 @@
                 2 -> DrainInstance(a)
                 3 -> ReturnInstance(a)
                 4 -> RollOut(a, b)
+                5 -> AdmitControl(a, b)
+                6 -> AdmitControl(a, "127.0.0.1:1", b)
+                7 -> RemoveControl(a)
                 else -> RollBack(a)
             }
         }
--- a/bramleyspur-language/src/test/kotlin/org/bramleyspur/language/ParseTest.kt
+++ b/bramleyspur-language/src/test/kotlin/org/bramleyspur/language/ParseTest.kt
@@ -96,6 +96,10 @@
         fun operations() = listOf(
             "drain instance i1" to DrainInstance("i1"),
             "return instance i1" to ReturnInstance("i1"),
+            "admit control 'c4' at '10.0.0.4:7100'" to AdmitControl("c4", "10.0.0.4:7100"),
+            "ADMIT control c4 at '[::1]:7100' in place of c1" to AdmitControl("c4", "[::1]:7100", "c1"),
+            "admit control at at 'a:1' in place of of" to AdmitControl("at", "a:1", "of"),
+            "remove control 'c1'" to RemoveControl("c1"),
         )
 
         fun queries() = listOf(
--- a/bramleyspur-language/src/test/kotlin/org/bramleyspur/language/SyntaxErrorTest.kt
+++ b/bramleyspur-language/src/test/kotlin/org/bramleyspur/language/SyntaxErrorTest.kt
@@ -59,7 +59,8 @@
         val words = (
             "create alter drop drain return roll out back to show why service services account accounts model " +
                 "version adapters instances replicas plain non idempotent retention timeout key sha256 limit " +
-                "weight priority patience none ms h 1 99999999999 'a' \"b\" a b , ; # -- ' \" % change of instance"
+                "weight priority patience none ms h 1 99999999999 'a' \"b\" a b , ; # -- ' \" % change of instance " +
+                "admit remove control at in place"
             ).split(" ")
 
         @JvmStatic
@@ -80,6 +81,9 @@
             Case("show change 99999999999999999999", 1, 13, "too large"),
             Case("show services\ndrop service a", 2, 1, "found drop", "';'"),
             Case("show\tchange -1", 1, 13, "found the character -", "a number"),
+            Case("admit control c4 to 'a:1'", 1, 18, "found to", "at"),
+            Case("admit control c4 at 'a:1' in c1", 1, 30, "found c1", "place"),
+            Case("admit service a", 1, 7, "found service", "control"),
             Case("drop service a;\n%", 2, 1, "found the character %"),
         )
 
