--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/session/SessionService.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/session/SessionService.kt
@@ -10,6 +10,7 @@
 import org.bramleyspur.control.session.SessionState
 import org.bramleyspur.control.session.handle
 import org.bramleyspur.control.state.ControlState
+import org.bramleyspur.core.model.Configuration
 import org.bramleyspur.core.time.TimerService
 import org.bramleyspur.core.wire.toMessage
 import org.bramleyspur.daemon.member.ControlNode
@@ -18,6 +19,7 @@
 import org.bramleyspur.protocol.NotLeader
 import org.bramleyspur.protocol.SessionDown
 import org.bramleyspur.protocol.SessionUp
+import org.bramleyspur.protocol.Configuration as ConfigurationMessage
 
 private val logger = KotlinLogging.logger {}
 
@@ -26,6 +28,7 @@
     private val streams = HashMap<Long, StreamObserver<SessionDown>>()
     private var nextStream = 0L
     private var leading = false
+    private var encoded: Pair<Configuration, ConfigurationMessage>? = null
 
     /** Soft state of the leader. */
     var state = SessionState.initial()
@@ -73,13 +76,19 @@
         when (effect) {
             is SessionEffect.Answer -> send(effect.stream) { setHeartbeatReply(effect.toMessage()) }
             is SessionEffect.SendConfiguration -> send(effect.stream) {
-                setConfiguration(effect.configuration.toMessage())
+                setConfiguration(messageOf(effect.configuration))
             }
             is SessionEffect.SendRoutes -> send(effect.stream) { setRoutes(effect.routes.toMessage()) }
             is SessionEffect.CloseStream -> close(effect)
         }
     }
 
+    /** One message for all sessions, since building one for each delays the heartbeats of the control thread. */
+    private fun messageOf(configuration: Configuration): ConfigurationMessage {
+        val known = encoded?.takeIf { it.first === configuration }
+        return (known ?: (configuration to configuration.toMessage()).also { encoded = it }).second
+    }
+
     private fun send(stream: Long, fill: SessionDown.Builder.() -> Unit) {
         val down = streams[stream] ?: return
         down.onNext(SessionDown.newBuilder().apply(fill).build())
