Count one crash as one failure and keep half of a limit evenly shared

Cause: the fault matrix showed that one engine crash was noted as two or three failures, so that flap damping kept the restarted instance out for 5 minutes, and that an entry that was idle at the last heartbeat held a share of 1 of an account limited to 100, so that it answered 429 to 5 of 6 streams. Change: failures within 15 s of the last one are the same failure; half of the spare limit is split evenly, the other half by demand.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionMachine.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionMachine.kt
@@ -16,6 +16,9 @@
 /** Incarnations remembered as replaced; far more than restart while an older process can still send. */
 private const val REPLACED_KEPT = 1_000
 
+/** One crash shows several times: as an unhealthy server, as a new run of it, and as a new session. */
+private const val ONE_FAILURE_MS = 15_000L
+
 /** Failures remembered for each instance; flap damping looks at the last three. */
 private const val FAILURES_KEPT = 8
 
@@ -119,7 +122,9 @@
 }
 
 private fun SessionState.noteFailure(instance: InstanceName, nowMs: Long): SessionState {
-    val times = (failures[instance].orEmpty() + nowMs).takeLast(FAILURES_KEPT).toPersistentList()
+    val known = failures[instance].orEmpty()
+    if (known.isNotEmpty() && nowMs - known.last() < ONE_FAILURE_MS) return this
+    val times = (known + nowMs).takeLast(FAILURES_KEPT).toPersistentList()
     return copy(failures = failures.put(instance, times))
 }
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/ShareRules.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/ShareRules.kt
@@ -73,18 +73,25 @@
 private fun Session.demand(account: String): Int = report?.uses?.get(account)?.let { it.inFlight + it.refused } ?: 0
 
 /**
- * Splits [limit] over entries by demand: one for each entry where the limit allows, the rest in proportion to demand
- * with the largest remainders rounded up. The sum equals the limit when there is an entry.
+ * Splits [limit] over entries: one for each entry where the limit allows, half of the rest evenly, since an entry that
+ * is idle now must admit the next requests at once, and the other half in proportion to demand with the largest
+ * remainders rounded up. The sum equals the limit when there is an entry.
  */
 internal fun allocate(limit: Int, demands: Map<Holder, Int>): Map<Holder, Int> {
     val order = demands.entries.sortedWith(compareBy({ -it.value }, { it.key.instance }))
-    val spare = limit - order.size
-    if (spare < 0) return order.withIndex().associate { (rank, entry) -> entry.key to if (rank < limit) 1 else 0 }
+    if (limit <
+        order.size
+    ) {
+        return order.withIndex().associate { (rank, entry) -> entry.key to if (rank < limit) 1 else 0 }
+    }
+    if (order.isEmpty()) return emptyMap()
+    val base = 1 + (limit - order.size) / 2 / order.size
+    val spare = limit - base * order.size
     val even = if (demands.values.all { it == 0 }) 1L else 0L
     val weights = order.associate { it.key to it.value + even }
     val total = weights.values.sum().coerceAtLeast(1)
     val whole = weights.mapValues { (_, weight) -> (spare * weight / total).toInt() }
     val left = spare - whole.values.sum()
     val rounded = order.map { it.key }.sortedByDescending { spare * weights.getValue(it) % total }.take(left)
-    return whole.mapValues { (holder, share) -> 1 + share + if (holder in rounded) 1 else 0 }
+    return whole.mapValues { (holder, share) -> base + share + if (holder in rounded) 1 else 0 }
 }
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/PlainServiceTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/PlainServiceTest.kt
@@ -266,6 +266,30 @@
         backend.close()
     }
 
+    /** Guards against a slot that stays taken for a caller that has left while its upload is paused. */
+    @Test
+    fun slotOfPausedUploadIsFreeAfterReset() {
+        val backend = FakeBackend { CountDownLatch(1).await(5, TimeUnit.SECONDS) }
+        TrafficBed(plains = listOf(backend.port), timeoutMs = 10_000).use { bed ->
+            val client = RawClient(bed.port)
+            val writer = thread {
+                try {
+                    client.send(request("PUT /p/x", headers = "Content-Length: $LARGE\r\n"))
+                    repeat(2_000) { client.send(ByteArray(65_536)) }
+                } catch (_: IOException) {
+                    return@thread
+                }
+            }
+            awaitTrue(1_000, "the begin of the call") { bed.running(0) == 1 }
+            writer.join(300)
+            client.close()
+            val tookMs = awaitTrue(3_000, "the release of the slot") { bed.running(0) == 0 }
+            expectThat(tookMs).isLessThan(250)
+            writer.join()
+        }
+        backend.close()
+    }
+
     private companion object {
         const val LARGE = 1600L * 65_536
 
