Use the traffic module's account limits in the entry and time the freeze check

Cause: the entry had its own copy of the account limits; the matrix row agent-first-freeze called a stream partial that had waited in the frozen agent. Change: AccountLimits serves the entry; the row's check looks at the first token of a stream instead of its start. The trace: started 4189 ms after the freeze, first token after SIGCONT, when the replica was whole again; the row prints it.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryHandler.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryHandler.kt
@@ -23,12 +23,13 @@
 import org.bramleyspur.daemon.caller.CallerRequest
 import org.bramleyspur.daemon.caller.ModelEndpoint
 import org.bramleyspur.daemon.caller.respond
+import org.bramleyspur.traffic.routing.AccountLimits
 import java.util.UUID
 
 /** Begins the requests of callers; used by the traffic thread only. */
 class EntryHandler(private val entry: EntryServices, private val claims: ClaimClient) {
     /** Limits of the accounts at this entry. */
-    val limiter = AccountLimiter()
+    val limits = AccountLimits()
 
     /** Begins a request. */
     fun begin(head: CallerHead, exchange: CallerExchange): CallerRequest {
@@ -58,17 +59,16 @@
 
     /** Admits a request of [account] for [service], or says why not; nothing has run when it is refused. */
     internal fun admit(account: Account, service: Service, head: CallerHead): Result<RequestScope, CallerError> {
-        val view = entry.view()
         if (!isConfirmed()) return Err(unconfirmed())
         if (account.name !in service.accounts) return Err(CallerError.forbidden(service.name))
-        if (!limiter.allows(account, view.shares[account.name])) {
+        if (!limits.tryEnter(account.name, account.maxConcurrent, entry.timers.nowMs())) {
             return Err(CallerError.overLimit(LIMIT_RETRY_MS))
         }
         val id = RequestId(UUID.randomUUID().toString())
         val span = entry.tracing.start("entry", head.headers["traceparent"].orEmpty())
         span.attribute("bramleyspur.request", id.value)
         span.attribute("bramleyspur.service", service.name)
-        return Ok(RequestScope(id, account, service, entry, limiter, span))
+        return Ok(RequestScope(id, account, service, entry, limits, span))
     }
 
     private fun isConfirmed() = entry.timers.nowMs() < entry.view().leaseUntilMs
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/RequestScope.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/RequestScope.kt
@@ -5,6 +5,7 @@
 import org.bramleyspur.core.model.RequestId
 import org.bramleyspur.core.model.Service
 import org.bramleyspur.core.telemetry.HopSpan
+import org.bramleyspur.traffic.routing.AccountLimits
 import org.bramleyspur.traffic.stream.Abandon
 import org.bramleyspur.traffic.stream.FailStream
 import org.bramleyspur.traffic.stream.Finish
@@ -19,7 +20,7 @@
     val account: Account,
     val service: Service,
     private val entry: EntryServices,
-    private val limiter: AccountLimiter,
+    private val limits: AccountLimits,
     private val span: HopSpan,
 ) {
     private val admittedMs = entry.timers.nowMs()
@@ -30,7 +31,6 @@
     val traceparent: String get() = span.traceparent
 
     init {
-        limiter.enter(account)
         entry.metrics.inFlight.labelValues(service.name).inc()
     }
 
@@ -55,7 +55,7 @@
     fun end(outcome: String, message: String) {
         if (ended) return
         ended = true
-        limiter.leave(account)
+        limits.leave(account.name)
         entry.metrics.inFlight.labelValues(service.name).dec()
         entry.metrics.requests.labelValues(service.name, outcome).inc()
         span.attribute("bramleyspur.outcome", outcome)
@@ -70,44 +70,3 @@
         const val MS_PER_SECOND = 1_000.0
     }
 }
-
-/** Concurrent requests of each account at this entry; used by the traffic thread only. */
-class AccountLimiter {
-    private val running = HashMap<String, Int>()
-    private val refused = HashMap<String, Int>()
-
-    /** Requests in progress of all accounts; may be read by any thread. */
-    @Volatile
-    var total = 0
-        private set
-
-    /** Whether [account] may start another request when this entry's share of its limit is [share]. */
-    fun allows(account: Account, share: Int?): Boolean {
-        if (account.maxConcurrent == 0) return true
-        val allowed = (running[account.name] ?: 0) < (share ?: 0)
-        if (!allowed) refused.merge(account.name, 1, Int::plus)
-        return allowed
-    }
-
-    /** Demand of each account since the last call: requests in progress and refused requests. */
-    fun takeDemand(): Map<String, AccountLoad> {
-        val names = running.keys + refused.keys
-        val demand = names.associateWith { AccountLoad(running[it] ?: 0, refused[it] ?: 0) }
-        refused.clear()
-        running.values.removeIf { it == 0 }
-        return demand
-    }
-
-    internal fun enter(account: Account) {
-        running.merge(account.name, 1, Int::plus)
-        total += 1
-    }
-
-    internal fun leave(account: Account) {
-        running.merge(account.name, -1, Int::plus)
-        total -= 1
-    }
-}
-
-/** Demand of one account at one entry. */
-data class AccountLoad(val running: Int, val refused: Int)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
@@ -4,6 +4,7 @@
 import io.netty.handler.ssl.SslContext
 import io.netty.handler.ssl.SslContextBuilder
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.collections.immutable.toPersistentMap
 import org.bramleyspur.core.model.Configuration
 import org.bramleyspur.core.model.Incarnation
 import org.bramleyspur.core.model.RouteTable
@@ -11,7 +12,6 @@
 import org.bramleyspur.daemon.agent.AgentClient
 import org.bramleyspur.daemon.caller.CallerLimits
 import org.bramleyspur.daemon.caller.CallerServer
-import org.bramleyspur.daemon.caller.request.AccountLoad
 import org.bramleyspur.daemon.caller.request.ClaimClient
 import org.bramleyspur.daemon.caller.request.EntryHandler
 import org.bramleyspur.daemon.caller.request.EntryMetrics
@@ -25,6 +25,7 @@
 import org.bramleyspur.protocol.Heartbeat
 import org.bramleyspur.protocol.HeartbeatReply
 import org.bramleyspur.protocol.Hello
+import org.bramleyspur.traffic.routing.AccountDemandCount
 import org.bramleyspur.traffic.routing.LinkCost
 import org.bramleyspur.traffic.routing.Router
 import org.bramleyspur.traffic.routing.RoutingSettings
@@ -50,7 +51,7 @@
     private var view = EntryView()
 
     @Volatile
-    private var demand: Map<String, AccountLoad> = emptyMap()
+    private var demand: Map<String, AccountDemandCount> = emptyMap()
 
     private val services = EntryServices(
         incarnation,
@@ -76,7 +77,7 @@
         platform.start(settings[CommonSettings.PLATFORM_LISTEN], loops.controlGroup)
         loops.traffic.execute { agents.start() }
         callers.start(settings[EntrySettings.CALLER_LISTEN], loops.trafficGroup)
-        loops.trafficTimers.every(DEMAND_MS) { demand = handler.limiter.takeDemand() }
+        loops.trafficTimers.every(DEMAND_MS) { demand = handler.limits.takeDemand() }
         loops.control.execute { session.start() }
         logger.info { "entry ${settings[CommonSettings.INSTANCE]} runs as $incarnation" }
     }
@@ -84,9 +85,9 @@
     override fun heartbeat(): Heartbeat.Builder = Heartbeat
         .newBuilder()
         .setBackendHealthy(true)
-        .setRunning(handler.limiter.total)
+        .setRunning(handler.limits.total)
         .setLeaving(view.stopping)
-        .addAllDemands((demand.keys + view.shares.keys).map { demandOf(it, demand[it] ?: AccountLoad(0, 0)) })
+        .addAllDemands((demand.keys + view.shares.keys).map { demandOf(it, demand[it] ?: AccountDemandCount(0, 0)) })
 
     override fun onConfiguration(configuration: Configuration) {
         view = view.copy(configuration = configuration)
@@ -114,7 +115,10 @@
         val shares = reply.sharesList.associate { it.account to it.maxConcurrent }
         view = view.copy(leaseUntilMs = leaseUntilMs, shares = shares)
         val leader = session.leader
-        loops.traffic.execute { claims.onLeader(leader) }
+        loops.traffic.execute {
+            claims.onLeader(leader)
+            handler.limits.setShares(shares.toPersistentMap(), leaseUntilMs)
+        }
     }
 
     override fun beginStop() {
@@ -127,7 +131,7 @@
 
     override fun closeListeners() = callers.closeListener()
 
-    override fun isDrained(): Boolean = handler.limiter.total == 0
+    override fun isDrained(): Boolean = handler.limits.total == 0
 
     override fun close() {
         session.close()
@@ -158,10 +162,10 @@
         }
     }
 
-    private fun demandOf(account: String, load: AccountLoad): AccountDemand = AccountDemand
+    private fun demandOf(account: String, load: AccountDemandCount): AccountDemand = AccountDemand
         .newBuilder()
         .setAccount(account)
-        .setInFlight(load.running)
+        .setInFlight(load.inFlight)
         .setRefused(load.refused)
         .setShare(heldShare(account))
         .build()
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/TrafficBed.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/TrafficBed.kt
@@ -95,7 +95,7 @@
     }
 
     /** Requests in progress at the entry. */
-    val inProgress: Int get() = entryLoops.traffic.submit<Int> { handler.limiter.total }.get()
+    val inProgress: Int get() = entryLoops.traffic.submit<Int> { handler.limits.total }.get()
 
     /** Attempts that run on the backend server of agent [index]. */
     fun running(index: Int): Int = agentLoops.traffic.submit<Int> { agents[index].board.running }.get()
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Row.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Row.kt
@@ -87,14 +87,21 @@
         if (!known) problems += "no outcome after resends: ${answer.describe()}"
     }
 
-    /** Notes each stream that began [afterMs] or more after the fault, before [until], and ran on [engine]. */
+    /**
+     * Notes each stream that began [afterMs] or more after the fault and got a token from [engine] before [until]. A
+     * stream that an agent got while it was frozen can begin when the agent and its replica are whole again.
+     */
     fun expectNoStreams(engine: Int, afterMs: Long, until: Long = System.nanoTime()) {
         val ran = witness.current(engine).byRequest.keys
         val later = log.since(faultNanos + afterMs * NANOS_PER_MS).filter { it.stream && it.startNanos < until }
-        val late = later.filter { it.id in ran }
+        val (late, waited) = later.filter { it.id in ran }.partition { it.firstNanos < until }
         late.forEach {
             problems += "ran on the partial replica after ${(it.startNanos - faultNanos) / NANOS_PER_MS} ms"
         }
+        waited.forEach {
+            notes += "a stream of ${(it.startNanos - faultNanos) / NANOS_PER_MS} ms got its first token " +
+                "${(it.firstNanos - until) / NANOS_PER_MS} ms after the fault had ended"
+        }
         notes += "${late.size} of ${later.size} later streams on engine $engine"
     }
 
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/routing/AccountLimits.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/routing/AccountLimits.kt
@@ -16,6 +16,11 @@
     private var validUntilMs = 0L
     private var demands: PersistentMap<String, AccountDemandCount> = persistentMapOf()
 
+    /** Requests in progress of all accounts; may be read by any thread. */
+    @Volatile
+    var total = 0
+        private set
+
     /** Sets the leased shares by account, which hold until [validUntilMs]. */
     fun setShares(shares: PersistentMap<String, Int>, validUntilMs: Long) {
         this.shares = shares
@@ -36,12 +41,14 @@
             demand.copy(refused = demand.refused + 1)
         }
         demands = demands.put(account, next)
+        if (admitted) total += 1
         return admitted
     }
 
     /** A request of [account] that was admitted has ended. */
     fun leave(account: String) {
         val demand = demands[account] ?: return
+        total -= 1
         demands = demands.put(account, demand.copy(inFlight = demand.inFlight - 1))
     }
 
