--- a/bramleyspur-cli/src/main/kotlin/org/bramleyspur/cli/ControlClient.kt
+++ b/bramleyspur-cli/src/main/kotlin/org/bramleyspur/cli/ControlClient.kt
@@ -66,9 +66,11 @@
     private fun <R> untilAnswered(send: (ControlServiceBlockingStub) -> R, verdict: (R) -> Verdict): CallResult<R> {
         val progress = Progress(addresses[position])
         val end = System.nanoTime() + timeoutMs * NANOS_PER_MILLI
+        var attempts = 0
         while (true) {
             val leftMs = (end - System.nanoTime()) / NANOS_PER_MILLI
-            if (leftMs <= 0) return progress.timedOut()
+            if (leftMs <= 0 || (attempts > 0 && leftMs < MIN_ATTEMPT_MS)) return progress.timedOut()
+            attempts += 1
             when (val attempt = calls.call(progress.target, leftMs.coerceAtMost(MAX_ATTEMPT_MS), send)) {
                 is Attempt.Replied -> {
                     val decided = verdict(attempt.reply)
@@ -121,5 +123,8 @@
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
+
+        /** An attempt with less time is likely to end without an answer, which would make the outcome unknown. */
+        const val MIN_ATTEMPT_MS = 250L
     }
 }
