Start member rows of the fault matrix on a fresh deployment in time

Cause: in the full run agent-first-stop found no second replica. The leader's log: '0 are free, 1 do not answer, 2 fail too often', so the eight faults before it had put two instances into flap damping, as the policy asks. Ruled out: a fault of the planned stop; all its streams were whole. Change: after two rows that fault a member the deployment is started again.

--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/MatrixRun.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/MatrixRun.kt
@@ -29,9 +29,11 @@
     private val known = HashSet<String>()
     private var stage: Stage? = null
     private var stages = 0
+    private var memberFaults = 0
 
     /** Runs [row] and tells its result. */
     fun run(row: Row): RowResult {
+        if (row.faultsMember) renewBeforeFlapDamping()
         val current = stage ?: open()
         val scope = RowScope(current.deployment, current.callers, current.log, current.witness, random)
         val rowStart = System.nanoTime()
@@ -71,6 +73,12 @@
     /** Where logs and data are. */
     val folder: String get() = work.path
 
+    /** A third failure of an instance within 10 minutes keeps it out of use, which the next row would see. */
+    private fun renewBeforeFlapDamping() {
+        if (memberFaults == MEMBER_FAULTS) close()
+        memberFaults = if (stage == null) 1 else memberFaults + 1
+    }
+
     private fun successAfter(answers: List<Answer>, nanos: Long): List<String> {
         val later = answers.filter { it.startNanos > nanos && it.ending == Ending.COMPLETE }
         val streams = later.count { it.stream }
@@ -135,5 +143,6 @@
         const val SETTLE_MS = 500L
         const val HEALTH_SECONDS = 20L
         const val ENOUGH = 3
+        const val MEMBER_FAULTS = 2
     }
 }
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Row.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Row.kt
@@ -10,6 +10,7 @@
  *
  * @property watchMs time in milliseconds that the load goes on after the steps
  * @property recoverMs longest allowed time from the fault to the start of the last failed request
+ * @property faultsMember whether a member of a replica fails; an instance that fails three times is kept out of use
  * @property steps what is done while the load runs
  * @property after checks after the load has ended, before the deployment is repaired
  */
@@ -19,6 +20,7 @@
     val recoverMs: Long,
     val allowed: Allowance = Allowance(),
     val after: RowScope.() -> Unit = {},
+    val faultsMember: Boolean = false,
     val steps: RowScope.() -> Unit,
 )
 
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/StreamRows.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/StreamRows.kt
@@ -43,6 +43,7 @@
     watchMs = 5_000,
     recoverMs = 3_000,
     after = { expectNoStreams(target, PARTIAL_MS) },
+    faultsMember = true,
 ) {
     val streams = streams(COUNT, LONG_STREAM, HALF)
     val replica = busiestReplica()
@@ -56,6 +57,7 @@
     watchMs = 5_000,
     recoverMs = 3_000,
     after = { if (target > 0) expectNoStreams(target, PARTIAL_MS) },
+    faultsMember = true,
 ) {
     val streams = streams(COUNT, LONG_STREAM, HALF)
     val replica = busiestReplica()
@@ -71,6 +73,7 @@
     watchMs = 4_000,
     recoverMs = 3_000,
     after = { expectNoStreams(target, PARTIAL_MS, untilNanos) },
+    faultsMember = true,
 ) {
     val streams = streams(COUNT, LONG_STREAM, HALF)
     val replica = busiestReplica()
