Leave a frozen control leader in time for the lease

The entries noticed the silent leader after 2.5 s, then asked the same instance again through its other address for 2.5 s, and their leases ended. Ruled out: a slow election; the new leader was there after 0.7 s. Change: silence is checked each 250 ms against the oldest unanswered heartbeat: 1.5 s from an instance that has answered, 0.7 s from one that has not.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/control/ControlSession.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/control/ControlSession.kt
@@ -66,19 +66,13 @@
     /** Starts to look for the leader. */
     fun start() {
         timers.every(HEARTBEAT_INTERVAL_MS) { beat() }
+        timers.every(CHECK_INTERVAL_MS) { leaveSilentInstance() }
         connect()
     }
 
     /** Sends a heartbeat now, so that the leader learns of a change of state at once. */
     fun beat() {
-        val current = attempt
-        if (closed || current == null) return
-        if (current.isOverdue(timers.nowMs())) {
-            logger.warn { "control instance ${current.address} does not answer; trying the next one" }
-            current.end()
-        } else {
-            current.sendHeartbeat()
-        }
+        if (!closed) attempt?.sendHeartbeat()
     }
 
     override fun close() {
@@ -93,6 +87,12 @@
         attempt = Attempt(address).also { it.open() }
     }
 
+    private fun leaveSilentInstance() {
+        val current = attempt?.takeIf { it.isOverdue(timers.nowMs()) } ?: return
+        logger.warn { "control instance ${current.address} does not answer; trying the next one" }
+        current.end()
+    }
+
     private fun connectionEnded(ended: Attempt) {
         if (attempt !== ended) return
         attempt = null
@@ -119,7 +119,7 @@
         private val up: StreamObserver<SessionUp> = ControlServiceGrpc.newStub(channel).session(this)
         private val sentAtMs = LinkedHashMap<Long, Long>()
         private var sequence = 0L
-        private var lastAnswerMs = timers.nowMs()
+        private var answered = false
         private var ended = false
 
         fun open() {
@@ -128,7 +128,10 @@
             sendHeartbeat()
         }
 
-        fun isOverdue(nowMs: Long): Boolean = nowMs - lastAnswerMs > ANSWER_TIMEOUT_MS
+        fun isOverdue(nowMs: Long): Boolean {
+            val oldest = sentAtMs.values.firstOrNull() ?: return false
+            return nowMs - oldest > if (answered) ANSWER_TIMEOUT_MS else FIRST_ANSWER_TIMEOUT_MS
+        }
 
         fun sendHeartbeat() {
             if (ended) return
@@ -147,7 +150,7 @@
 
         override fun onNext(message: SessionDown) {
             if (ended) return
-            lastAnswerMs = timers.nowMs()
+            answered = true
             when (message.kindCase) {
                 SessionDown.KindCase.HEARTBEAT_REPLY -> onReply(message.heartbeatReply)
                 SessionDown.KindCase.CONFIGURATION -> take(message.configuration.toModel())
@@ -158,7 +161,8 @@
         }
 
         private fun onReply(reply: HeartbeatReply) {
-            val sent = sentAtMs.remove(reply.sequence) ?: return
+            val sent = sentAtMs[reply.sequence] ?: return
+            sentAtMs.keys.removeIf { it <= reply.sequence }
             if (reply.term < term) {
                 logger.warn { "control instance $address answers with the old term ${reply.term}; leaving it" }
                 end()
@@ -185,7 +189,14 @@
 
     private companion object {
         const val HEARTBEAT_INTERVAL_MS = 1_000L
-        const val ANSWER_TIMEOUT_MS = 2_500L
+        const val CHECK_INTERVAL_MS = 250L
+
+        /**
+         * With a heartbeat each second a frozen leader is left after 2.75 s. Two further instances that do not answer
+         * take 1.8 s more, so that the search ends before the lease of 6 s.
+         */
+        const val ANSWER_TIMEOUT_MS = 1_500L
+        const val FIRST_ANSWER_TIMEOUT_MS = 700L
         const val RECONNECT_DELAY_MS = 100L
     }
 }
