Shorten leases for clock drift in one place

Cause: the rule that a lease is shortened by 1% stood three times, in the agent's timing, in the agent's duties and in the entry. Change: both processes call AgentTiming.shortened; the arithmetic is the same.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/BackendDuties.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/BackendDuties.kt
@@ -17,6 +17,7 @@
 import org.bramleyspur.protocol.ConfirmRequest
 import org.bramleyspur.protocol.Heartbeat
 import org.bramleyspur.protocol.HeartbeatReply
+import org.bramleyspur.traffic.agent.AgentTiming
 import org.bramleyspur.traffic.agent.ServingPermit
 import org.bramleyspur.traffic.agent.AssignmentStatus as ReportedStatus
 
@@ -41,9 +42,6 @@
     fun isStopped(): Boolean
 }
 
-/** Time in milliseconds for which [leaseMs] may be used, shortened by 1% for a slow clock. */
-private fun usableLeaseMs(leaseMs: Int): Long = leaseMs * 100L / 101L
-
 /** Duties towards a model engine. */
 internal class EngineDuties(
     self: InstanceName,
@@ -163,7 +161,9 @@
         .setLeaving(leaving)
 
     override fun onReply(reply: HeartbeatReply, sentAtMs: Long) {
-        if (reply.leaseMs > 0) leaseUntilMs = maxOf(leaseUntilMs, sentAtMs + usableLeaseMs(reply.leaseMs))
+        if (reply.leaseMs > 0) {
+            leaseUntilMs = maxOf(leaseUntilMs, sentAtMs + AgentTiming.shortened(reply.leaseMs.toLong()))
+        }
         publishGate()
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
@@ -25,6 +25,7 @@
 import org.bramleyspur.protocol.Heartbeat
 import org.bramleyspur.protocol.HeartbeatReply
 import org.bramleyspur.protocol.Hello
+import org.bramleyspur.traffic.agent.AgentTiming
 import org.bramleyspur.traffic.routing.AccountDemandCount
 import org.bramleyspur.traffic.routing.LinkCost
 import org.bramleyspur.traffic.routing.Router
@@ -108,7 +109,7 @@
             if (reply.leaseMs >
                 0
             ) {
-                maxOf(view.leaseUntilMs, sentAtMs + reply.leaseMs * 100L / 101L)
+                maxOf(view.leaseUntilMs, sentAtMs + AgentTiming.shortened(reply.leaseMs.toLong()))
             } else {
                 view.leaseUntilMs
             }
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/agent/AgentTiming.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/agent/AgentTiming.kt
@@ -41,7 +41,7 @@
         private const val DRIFT_PERCENT = 1L
 
         /** Shortens [durationMs] by the 1% by which the holder's clock may be slow. */
-        internal fun shortened(durationMs: Long): Long = durationMs * PERCENT / (PERCENT + DRIFT_PERCENT)
+        fun shortened(durationMs: Long): Long = durationMs * PERCENT / (PERCENT + DRIFT_PERCENT)
 
         /** Lengthens [durationMs] by the 1% by which the waiting process's clock may be fast, rounded up. */
         internal fun lengthened(durationMs: Long): Long =
