--- /dev/null
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineOrder.kt
@@ -0,0 +1,49 @@
+package org.bramleyspur.control.group
+
+import kotlinx.collections.immutable.ImmutableList
+import org.bramleyspur.core.backend.GroupId
+
+/** What an engine is ordered to do. */
+sealed interface EngineCommand {
+    /** Joins a group; [members] are engine ids, the head first. */
+    data class Join(val group: GroupId, val model: String, val members: ImmutableList<String>) : EngineCommand
+
+    /** Makes the head of a ready group serve. */
+    data class Open(val group: GroupId) : EngineCommand
+
+    /** Stops taking new requests and finishes the running ones. */
+    data class Close(val group: GroupId) : EngineCommand
+
+    /** Leaves a group at once. */
+    data class Leave(val group: GroupId) : EngineCommand
+
+    /** Loads the weights of a model onto the host. */
+    data class Stage(val model: String) : EngineCommand
+}
+
+/**
+ * An order to the engine [engineId] at [address] (`host:port`).
+ *
+ * @property fencingNumber term of the control leader; an engine that checks it refuses a lower one
+ */
+data class EngineOrder(
+    val engineId: String,
+    val address: String,
+    val fencingNumber: Long,
+    val command: EngineCommand,
+)
+
+/** How an engine took an order. */
+enum class OrderResult {
+    /** The order has begun, or its state already holds. */
+    ACCEPTED,
+
+    /** The engine refused the order: it does not fit its state, its epoch or its fencing number. */
+    REFUSED,
+
+    /** Nothing listens at the engine's address, or another backend server does. */
+    ABSENT,
+
+    /** No answer came; the order may still be carried out. */
+    UNANSWERED,
+}
--- /dev/null
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -0,0 +1,371 @@
+/*
+ * Forms, repairs and releases the groups of engines. A pure function of the announcements, what entries saw and the
+ * leader's own earlier orders; runs at each announcement and at short intervals.
+ *
+ * An engine is given to another group only when the head of its former group is known to have left it: its announcement
+ * says so, it started anew, or nothing listens at its address. Epochs grow with every formation, over all leaders, so an
+ * order that is carried out late finds a higher epoch and is refused by the engine.
+ */
+package org.bramleyspur.control.group
+
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.collections.immutable.toPersistentList
+import org.bramleyspur.core.backend.Announcement
+import org.bramleyspur.core.backend.BackendState
+import org.bramleyspur.core.backend.GroupId
+import org.bramleyspur.core.backend.GroupState
+import org.bramleyspur.core.document.DocumentService
+import org.bramleyspur.core.document.ModelShape
+
+/** Decides the next orders. */
+fun planGroups(state: PlannerState, input: PlannerInput): PlanStep {
+    val planning = Planning(state, input)
+    planning.forgetOldLives()
+    planning.adoptGroups()
+    planning.advanceGroups()
+    input.document.services.values.filter { it.costs != null && it.models.isNotEmpty() }.forEach {
+        planning.formGroups(it)
+        planning.stageSpares(it)
+    }
+    return PlanStep(planning.state, planning.orders)
+}
+
+/** The state after the engine [engineId], born [bornMs], took an order with [result]. */
+fun onOrderResult(state: PlannerState, engineId: String, bornMs: Long, result: OrderResult): PlannerState =
+    when (result) {
+        OrderResult.ABSENT -> state.copy(absent = state.absent.put(engineId, bornMs))
+        OrderResult.ACCEPTED, OrderResult.REFUSED, OrderResult.UNANSWERED -> state
+    }
+
+/** Work on one plan. */
+private class Planning(var state: PlannerState, val input: PlannerInput) {
+    val orders = ArrayList<EngineOrder>()
+
+    private fun announcement(id: String): Announcement? = input.engines[id]?.announcement
+
+    /** The announcement of exactly this life, unless the engine has started anew. */
+    private fun current(life: EngineLife): Announcement? = announcement(life.id)?.takeIf { it.bornMs == life.bornMs }
+
+    private fun isGone(life: EngineLife): Boolean {
+        val known = current(life) ?: return true
+        return known.state == BackendState.GONE || state.absent[life.id] == life.bornMs
+    }
+
+    private fun silenceMs(life: EngineLife): Long = input.nowMs - (input.engines[life.id]?.heardMs ?: 0L)
+
+    /** Whether an entry got a piece of an answer from the engine after [sinceMs] and none has called it silent since. */
+    private fun answersSince(life: EngineLife, sinceMs: Long): Boolean {
+        val evidence = input.evidence[life.id] ?: return false
+        val answered = evidence.answeredMs ?: return false
+        return answered >= sinceMs && answered >= (evidence.silentMs ?: 0L)
+    }
+
+    private fun isSilentForEntries(life: EngineLife): Boolean {
+        val evidence = input.evidence[life.id] ?: return false
+        val silent = evidence.silentMs ?: return false
+        return input.nowMs - silent < EVIDENCE_MS && silent > (evidence.answeredMs ?: 0L)
+    }
+
+    fun forgetOldLives() {
+        val absent = state.absent.filter { (id, bornMs) -> announcement(id)?.bornMs == bornMs }
+        val models = state.lastModel.filter { (life, _) -> announcement(life.id)?.bornMs == life.bornMs }
+        input.engines.values.forEach { known ->
+            // An announcement that arrives after nothing had listened shows that the engine is back.
+            val place = known.announcement.place
+            val life = EngineLife(known.announcement.id, known.announcement.bornMs)
+            if (place?.model != null && place.state != GroupState.JOINING) {
+                state = state.copy(lastModel = state.lastModel.put(life, place.model!!))
+            }
+        }
+        if (absent.size < state.absent.size) {
+            state = state.copy(absent = state.absent.filterKeysIn(absent.keys))
+        }
+        if (models.size + MAX_OLD_LIVES < state.lastModel.size) {
+            val old = state.lastModel.keys - models.keys
+            state = state.copy(lastModel = old.fold(state.lastModel) { map, life -> map.remove(life) })
+        }
+        val firstCountedMs = input.nowMs - LOAD_WINDOW_MS
+        if (state.loadStartsMs.any { it < firstCountedMs }) {
+            state = state.copy(loadStartsMs = state.loadStartsMs.filter { it >= firstCountedMs }.toPersistentList())
+        }
+    }
+
+    /** Takes over groups that an earlier leader formed. */
+    fun adoptGroups() {
+        val places = input.engines.values.filter { it.announcement.place != null }
+            .groupBy { it.announcement.place!!.id }
+        for ((id, members) in places) {
+            if (id in state.groups) continue
+            val head = members.firstOrNull { it.announcement.place!!.rank == 0 }?.announcement ?: continue
+            val headLife = EngineLife(head.id, head.bornMs)
+            if (isGone(headLife) || isPresumedDead(headLife)) continue
+            val model = head.place!!.model ?: members.firstNotNullOfOrNull { it.announcement.place!!.model } ?: continue
+            val shape = shape(head.service, model)
+            val byRank = members.associateBy { it.announcement.place!!.rank }
+            val whole = shape != null && (0 until shape.size).all { it in byRank }
+            val ordered = members.sortedBy { it.announcement.place!!.rank }
+                .map { EngineLife(it.announcement.id, it.announcement.bornMs) }
+            val phase = when {
+                !whole -> GroupPhase.RELEASING
+                head.place!!.state == GroupState.OPEN -> GroupPhase.SERVING
+                head.place!!.state == GroupState.CLOSING -> GroupPhase.CLOSING
+                head.place!!.state == GroupState.BROKEN -> GroupPhase.RELEASING
+                else -> GroupPhase.FORMING
+            }
+            val group = PlannedGroup(id, head.service, model, ordered.toImmutableList(), phase, input.nowMs)
+            state = state.copy(groups = state.groups.put(id, group))
+        }
+    }
+
+    private fun shape(service: String, model: String): ModelShape? =
+        input.document.services[service]?.models?.firstOrNull { it.name == model }
+
+    fun advanceGroups() {
+        for (group in state.groups.values.toList()) {
+            when (group.phase) {
+                GroupPhase.FORMING -> advanceForming(group)
+                GroupPhase.SERVING -> advanceServing(group)
+                GroupPhase.CLOSING -> advanceClosing(group)
+                GroupPhase.RELEASING -> advanceReleasing(group)
+            }
+        }
+    }
+
+    private fun advanceForming(group: PlannedGroup) {
+        val head = group.members.first()
+        val shape = shape(group.service, group.model)
+        val lost = group.members.any { isGone(it) || current(it)?.state != BackendState.READY }
+        val longestMs = formingLimitMs(shape)
+        val headPlace = current(head)?.place
+        when {
+            shape == null || lost || input.nowMs - group.sinceMs > longestMs -> release(group)
+            headPlace?.id == group.id && headPlace.state == GroupState.OPEN -> enter(group, GroupPhase.SERVING)
+            group.members.all { placeIs(it, group.id, GroupState.READY) } -> order(head, EngineCommand.Open(group.id))
+            else -> group.members.filter { current(it)?.place?.id != group.id }.forEach {
+                order(it, EngineCommand.Join(group.id, group.model, group.members.map { m -> m.id }.toImmutableList()))
+            }
+        }
+    }
+
+    private fun placeIs(life: EngineLife, id: GroupId, wanted: GroupState): Boolean {
+        val place = current(life)?.place ?: return false
+        return place.id == id && place.state == wanted
+    }
+
+    private fun formingLimitMs(shape: ModelShape?): Long =
+        if (shape == null) 0 else FORMING_MARGIN_MS + shape.loadMs * LOAD_SLOWDOWN
+
+    private fun advanceServing(group: PlannedGroup) {
+        val head = group.members.first()
+        val others = group.members.drop(1)
+        val headPlace = current(head)?.place
+        val headLeft = current(head) != null && headPlace?.id != group.id
+        val otherLeft = others.any { current(it)?.let { known -> known.place?.id != group.id } ?: false }
+        val unreachable = group.members.filter { silenceMs(it) > UNREACHABLE_MS }
+        val stalled = isSilentForEntries(head) && !answersSince(head, input.nowMs - STALL_EVIDENCE_MS)
+        when {
+            headLeft || isGone(head) -> release(group)
+            others.any { isGone(it) } || otherLeft || headPlace?.state == GroupState.BROKEN -> release(group)
+            stalled && unreachable.isNotEmpty() -> release(group)
+            unreachable.any { silenceMs(it) > LOST_MS } && !answersSince(head, input.nowMs - LOST_MS) -> release(group)
+            group.members.any { current(it)?.state == BackendState.LEAVING } -> {
+                order(head, EngineCommand.Close(group.id))
+                enter(group, GroupPhase.CLOSING)
+            }
+            headPlace?.state == GroupState.READY && input.nowMs - group.sinceMs > OPEN_AGAIN_MS ->
+                order(head, EngineCommand.Open(group.id))
+        }
+    }
+
+    private fun advanceClosing(group: PlannedGroup) {
+        val head = group.members.first()
+        val place = current(head)?.place
+        val closed = place?.id != group.id || place.state != GroupState.CLOSING && place.state != GroupState.OPEN
+        if (isGone(head) || closed || input.nowMs - group.sinceMs > CLOSING_LIMIT_MS) {
+            release(group)
+        } else if (place.state == GroupState.OPEN) {
+            order(head, EngineCommand.Close(group.id))
+        }
+    }
+
+    private fun advanceReleasing(group: PlannedGroup) {
+        val head = group.members.first()
+        val known = current(head)
+        when {
+            isGone(head) || known == null || known.place?.id != group.id ->
+                state = state.copy(groups = state.groups.remove(group.id))
+            isPresumedDead(head) -> state = state.copy(groups = state.groups.remove(group.id))
+            else -> order(head, EngineCommand.Leave(group.id))
+        }
+    }
+
+    /** Neither control nor any entry has heard of the engine for longer than its requests may stall. */
+    private fun isPresumedDead(life: EngineLife): Boolean =
+        silenceMs(life) > PRESUMED_DEAD_MS && !answersSince(life, input.nowMs - PRESUMED_DEAD_MS)
+
+    private fun release(group: PlannedGroup) {
+        val released = enter(group, GroupPhase.RELEASING)
+        advanceReleasing(released)
+    }
+
+    private fun enter(group: PlannedGroup, phase: GroupPhase): PlannedGroup {
+        val next = group.copy(phase = phase, sinceMs = input.nowMs)
+        state = state.copy(groups = state.groups.put(group.id, next))
+        return next
+    }
+
+    /** Engines of [service] that are in no group and answer control. */
+    private fun freeEngines(service: String): List<Announcement> {
+        val taken = state.groups.values.flatMap { it.members }.toSet()
+        return input.engines.values
+            .filter { it.announcement.service == service && it.announcement.state == BackendState.READY }
+            .filter { input.nowMs - it.heardMs <= UNREACHABLE_MS }
+            .map { it.announcement }
+            .filter { EngineLife(it.id, it.bornMs) !in taken && state.absent[it.id] != it.bornMs }
+            .filter { it.place == null || headHasLeft(it) }
+    }
+
+    /** Whether the head of the group that [member] still names has left it. */
+    private fun headHasLeft(member: Announcement): Boolean = member.place!!.id !in state.groups
+
+    fun formGroups(service: DocumentService) {
+        val usable = input.engines.values
+            .filter { it.announcement.service == service.name && it.announcement.state == BackendState.READY }
+            .filter { input.nowMs - it.heardMs <= LOST_MS }
+            .groupingBy { it.announcement.domain }
+            .eachCount()
+        val wanted = wantedGroups(usable, service.models)
+        val totals = service.models.associate { m -> m.name to wanted.values.sumOf { it[m.name] ?: 0 } }
+        for (model in service.models) {
+            var missing = totals.getValue(model.name) - groupsOf(service, model)
+            while (missing > 0 && formOne(service, model, wanted)) missing--
+        }
+    }
+
+    private fun groupsOf(service: DocumentService, model: ModelShape): Int = state.groups.values.count {
+        it.service == service.name && it.model == model.name &&
+            (it.phase == GroupPhase.FORMING || it.phase == GroupPhase.SERVING)
+    }
+
+    private fun formOne(service: DocumentService, model: ModelShape, wanted: DomainTargets): Boolean {
+        val free = freeEngines(service.name)
+        val best = free.groupBy { it.domain }
+            .filter { it.value.size >= model.size }
+            .map { (domain, engines) -> domain to engines.sortedBy { joinCost(it, model) }.take(model.size) }
+            .minWithOrNull(
+                compareBy(
+                    { (_, members) -> members.maxOf { joinCost(it, model) } },
+                    { (domain, _) -> inDomain(service, model, domain) - (wanted[domain]?.get(model.name) ?: 0) },
+                    { (_, members) -> members.sumOf { joinCost(it, model) } },
+                ),
+            )?.second ?: return false
+        val loads = best.count { joinCost(it, model) >= model.loadMs }
+        if (!allowLoads(service, loads)) return false
+        form(service, model, best)
+        return true
+    }
+
+    private fun inDomain(service: DocumentService, model: ModelShape, domain: String): Int =
+        state.groups.values.count { group ->
+            group.service == service.name && group.model == model.name &&
+                group.members.firstOrNull()?.let { announcement(it.id)?.domain } == domain
+        }
+
+    /** Time in milliseconds until the engine is ready in a group of the model. */
+    private fun joinCost(engine: Announcement, model: ModelShape): Long = when {
+        state.lastModel[EngineLife(engine.id, engine.bornMs)] == model.name -> REJOIN_MS
+        model.name in engine.staged -> model.warmMs
+        else -> model.loadMs
+    }
+
+    private fun form(service: DocumentService, model: ModelShape, engines: List<Announcement>) {
+        val epoch = input.term * EPOCHS_PER_TERM + state.epochs + 1
+        val id = GroupId("g$epoch", epoch)
+        val members = engines.map { EngineLife(it.id, it.bornMs) }.toImmutableList()
+        val group = PlannedGroup(id, service.name, model.name, members, GroupPhase.FORMING, input.nowMs)
+        state = state.copy(groups = state.groups.put(id, group), epochs = state.epochs + 1)
+        val ids = members.map { it.id }.toImmutableList()
+        members.forEach { order(it, EngineCommand.Join(id, model.name, ids)) }
+    }
+
+    /** Stages weights on engines without a group, so that the models share them by their work. */
+    fun stageSpares(service: DocumentService) {
+        val spares = freeEngines(service.name)
+        val names = service.models.map { it.name }.toSet()
+        val counts = service.models.associate { m -> m.name to spares.count { m.name in it.staged } }.toMutableMap()
+        for (spare in spares.filter { engine -> engine.staged.none { it in names } }) {
+            val pending = state.sent[spare.id]?.takeIf { input.nowMs - it.atMs < STAGE_REPEAT_MS }?.command
+            if (pending is EngineCommand.Stage) {
+                counts.merge(pending.model, 1, Int::plus)
+                continue
+            }
+            val model = service.models.minByOrNull { counts.getValue(it.name) / it.workShare.coerceAtLeast(0.01) }
+            if (model == null || !allowLoads(service, 1)) return
+            order(EngineLife(spare.id, spare.bornMs), EngineCommand.Stage(model.name))
+            counts.merge(model.name, 1, Int::plus)
+        }
+    }
+
+    /** Counts [loads] from the weight store if their rate stays within what the service declares. */
+    private fun allowLoads(service: DocumentService, loads: Int): Boolean {
+        if (loads == 0) return true
+        val perSecond = service.costs?.loadsPerSecond ?: return true
+        val limit = perSecond * LOAD_WINDOW_MS / MS_PER_SECOND * LOAD_SAFETY
+        if (state.loadStartsMs.size + loads > maxOf(limit, loads.toDouble())) return false
+        state = state.copy(loadStartsMs = state.loadStartsMs.addAll(List(loads) { input.nowMs }))
+        return true
+    }
+
+    /** Sends [command] unless the same one was sent a short time ago. */
+    private fun order(life: EngineLife, command: EngineCommand) {
+        val known = current(life) ?: return
+        val last = state.sent[life.id]
+        if (last != null && last.command == command && input.nowMs - last.atMs < REPEAT_MS) return
+        state = state.copy(sent = state.sent.put(life.id, SentOrder(command, input.nowMs)))
+        orders += EngineOrder(life.id, known.address, input.term, command)
+    }
+
+    private fun <V> kotlinx.collections.immutable.PersistentMap<String, V>.filterKeysIn(kept: Set<String>) =
+        keys.filter { it !in kept }.fold(this) { map, key -> map.remove(key) }
+
+    private companion object {
+        /** Room for a million formations in a term; terms are far below the 43 bits that are left. */
+        const val EPOCHS_PER_TERM = 1L shl 20
+
+        /** An order without an answer is repeated; an engine answers within some ms, also from another data centre. */
+        const val REPEAT_MS = 600L
+
+        /** A load takes 12 to 16 s, and longer while several run. */
+        const val STAGE_REPEAT_MS = 40_000L
+
+        /** Two announcements in a row are missing. */
+        const val UNREACHABLE_MS = 2_700L
+
+        /** Four announcements in a row are missing. */
+        const val LOST_MS = 5_000L
+
+        /** Longer than a head stalls before it breaks by itself, so a head without its members serves no more. */
+        const val PRESUMED_DEAD_MS = 9_000L
+
+        /** What an entry saw this long ago says nothing about now. */
+        const val EVIDENCE_MS = 2_000L
+
+        /** A head that answered an entry within this time has all its members. */
+        const val STALL_EVIDENCE_MS = 300L
+        const val REJOIN_MS = 200L
+        const val OPEN_AGAIN_MS = 1_000L
+
+        /** Longest a head finishes its requests; a member that drains stays for at most 10 s. */
+        const val CLOSING_LIMIT_MS = 8_000L
+
+        /** Loads that run together beyond the store's limit take longer. */
+        const val LOAD_SLOWDOWN = 3
+        const val FORMING_MARGIN_MS = 5_000L
+        const val LOAD_WINDOW_MS = 5_000L
+        const val LOAD_SAFETY = 0.9
+        const val MS_PER_SECOND = 1_000.0
+
+        /** Lives whose engine is gone are forgotten in batches. */
+        const val MAX_OLD_LIVES = 100
+    }
+}
--- /dev/null
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -0,0 +1,92 @@
+package org.bramleyspur.control.group
+
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import org.bramleyspur.core.backend.GroupId
+import org.bramleyspur.core.backend.KnownBackend
+import org.bramleyspur.core.document.Document
+
+/** One start of an engine: an engine that starts again may keep its id. */
+data class EngineLife(val id: String, val bornMs: Long)
+
+/** Where a group is on its way from its first join to its end. */
+enum class GroupPhase {
+    /** Members were ordered to join; the group opens when all are ready. */
+    FORMING,
+
+    /** The head serves. */
+    SERVING,
+
+    /** The head finishes its requests and takes no new ones. */
+    CLOSING,
+
+    /** The head was ordered to leave; its members are free once it is known to have left. */
+    RELEASING,
+}
+
+/**
+ * A group that the leader knows.
+ *
+ * @property members engine lives, the head first
+ * @property sinceMs when the phase began
+ */
+data class PlannedGroup(
+    val id: GroupId,
+    val service: String,
+    val model: String,
+    val members: ImmutableList<EngineLife>,
+    val phase: GroupPhase,
+    val sinceMs: Long,
+)
+
+/**
+ * What the leader remembers between two plans. It is not replicated: a new leader takes over the groups from the
+ * announcements of their members.
+ *
+ * @property epochs epochs given out in this term
+ * @property lastModel model of the last group in which a life of an engine was ready; it joins again within 0.2 s
+ * @property loadStartsMs times of loads from the weight store
+ * @property sent last order to each engine and when, for repeats
+ * @property absent lives at whose address nothing listened
+ */
+data class PlannerState(
+    val groups: PersistentMap<GroupId, PlannedGroup> = persistentMapOf(),
+    val epochs: Int = 0,
+    val lastModel: PersistentMap<EngineLife, String> = persistentMapOf(),
+    val loadStartsMs: PersistentList<Long> = persistentListOf(),
+    val sent: PersistentMap<String, SentOrder> = persistentMapOf(),
+    val absent: PersistentMap<String, Long> = persistentMapOf(),
+)
+
+/** An order and when it was sent. */
+data class SentOrder(val command: EngineCommand, val atMs: Long)
+
+/**
+ * What entries saw of an engine.
+ *
+ * @property answeredMs when it last sent a piece of an answer; null for never
+ * @property silentMs when an entry last reported that it had stopped answering; null for never
+ */
+data class EngineEvidence(val answeredMs: Long? = null, val silentMs: Long? = null)
+
+/**
+ * Everything that a plan depends on.
+ *
+ * @property term term of the control leader
+ * @property engines all backend servers that have announced themselves
+ * @property trafficStarted whether a request was served; before, loads are fast and are not limited
+ */
+data class PlannerInput(
+    val nowMs: Long,
+    val term: Long,
+    val document: Document,
+    val engines: Map<String, KnownBackend>,
+    val evidence: Map<String, EngineEvidence>,
+    val trafficStarted: Boolean,
+)
+
+/** The next state and the orders to send. */
+data class PlanStep(val state: PlannerState, val orders: List<EngineOrder>)
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/Answer.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/Answer.kt
@@ -72,5 +72,8 @@
 /** Answer to [Complete]; false when the claim is not held any more, so that the outcome changed nothing. */
 data class Completed(val recorded: Boolean) : Answer
 
+/** Answer to [ReplaceDocument] with the version that is in force after it. */
+data class DocumentReplaced(val replaced: Boolean, val version: Long) : Answer
+
 /** Answer to [ExpireClaims] with the number of removed records. */
 data class ClaimsExpired(val count: Int) : Answer
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/CommandWire.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/CommandWire.kt
@@ -22,6 +22,7 @@
 import org.bramleyspur.protocol.EndAssignmentCommand
 import org.bramleyspur.protocol.ExpireClaimsCommand
 import org.bramleyspur.protocol.FinishRollOutCommand
+import org.bramleyspur.protocol.ReplaceDocumentCommand
 import org.bramleyspur.protocol.SubmitCommand
 import org.bramleyspur.core.model.Assignment as AssignmentModel
 import org.bramleyspur.protocol.Assignment as AssignmentMessage
@@ -52,6 +53,7 @@
         is FinishRollOut -> message.setFinishRollOut(toMessage())
         is Claim -> message.setClaim(toMessage())
         is Complete -> message.setComplete(toMessage())
+        is ReplaceDocument -> message.setReplaceDocument(document.toMessage())
         is ExpireClaims -> message.setExpireClaims(ExpireClaimsCommand.newBuilder().setNowMs(nowMs))
     }
     return message.build()
@@ -66,6 +68,7 @@
     ControlLogCommand.KindCase.CLAIM -> claim.toModel()
     ControlLogCommand.KindCase.COMPLETE -> complete.toModel()
     ControlLogCommand.KindCase.EXPIRE_CLAIMS -> ExpireClaims(expireClaims.nowMs)
+    ControlLogCommand.KindCase.REPLACE_DOCUMENT -> ReplaceDocument(replaceDocument.toModel())
     ControlLogCommand.KindCase.KIND_NOT_SET, null -> null
 }
 
@@ -133,6 +136,11 @@
     },
 )
 
+internal fun StoredDocument.toMessage(): ReplaceDocumentCommand =
+    ReplaceDocumentCommand.newBuilder().setVersion(version).setContent(content).build()
+
+internal fun ReplaceDocumentCommand.toModel() = StoredDocument(version, content)
+
 internal fun ClaimKey.toMessage(): ClaimKeyMessage =
     ClaimKeyMessage.newBuilder().setAccount(account).setService(service).setKey(key).build()
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/ControlCommand.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/ControlCommand.kt
@@ -89,5 +89,8 @@
  */
 data class Complete(val key: ClaimKey, val grant: Long, val outcome: ClaimOutcome) : ControlCommand
 
+/** Puts [document] in force unless the one in force has the same or a higher version. */
+data class ReplaceDocument(val document: StoredDocument) : ControlCommand
+
 /** Removes idempotency records whose retention has passed at the wall-clock time [nowMs] of the leader. */
 data class ExpireClaims(val nowMs: Long) : ControlCommand
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/ControlState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/ControlState.kt
@@ -14,6 +14,7 @@
  * @property appliedIndex log index of the last command that was applied
  * @property previousVersions for each service, the version that served before the last finished roll-out
  * @property commands operators' commands by identity, the oldest first
+ * @property document configuration document in force; null before the first one
  */
 data class ControlState(
     val appliedIndex: Long = 0,
@@ -22,8 +23,12 @@
     val assignments: PersistentMap<ReplicaId, Assignment> = persistentMapOf(),
     val claims: ClaimTable = ClaimTable(),
     val commands: PersistentMap<String, CommandRecord> = persistentMapOf(),
+    val document: StoredDocument? = null,
 )
 
+/** A configuration document in the form in which it was accepted. */
+data class StoredDocument(val version: Long, val content: ByteString)
+
 /**
  * First answer to an operators' command.
  *
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/SnapshotWire.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/SnapshotWire.kt
@@ -27,6 +27,7 @@
     .addAllAssignments(assignments.values.sortedBy { it.replica }.map { it.toMessage() })
     .addAllClaims(claims.records.entries.sortedBy { it.value.grant }.map { it.value.toMessage(it.key) })
     .addAllCommands(commands.map { (id, record) -> record.toMessage(id) })
+    .apply { this@encodeSnapshot.document?.let { setDocument(it.toMessage()) } }
     .build()
     .toByteArray()
 
@@ -44,6 +45,7 @@
     assignments = assignmentsList.map { it.toModel() }.associateBy { it.replica }.toPersistentMap(),
     claims = claimsList.fold(ClaimTable()) { table, record -> table.with(record.key.toModel(), record.toModel()) },
     commands = commandsList.associate { it.commandId to it.toModel() }.toPersistentMap(),
+    document = if (hasDocument()) document.toModel() else null,
 )
 
 private fun previousVersion(service: String, version: String) =
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/StateMachine.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/StateMachine.kt
@@ -23,12 +23,22 @@
     is FinishRollOut -> finishRollOut(index, command)
     is Claim -> withClaims(claims.claim(index, command))
     is Complete -> withClaims(claims.complete(command))
+    is ReplaceDocument -> replaceDocument(command.document)
     is ExpireClaims -> withClaims(claims.expire(command.nowMs))
 }
 
 private fun ControlState.withClaims(result: Pair<ClaimTable, Answer>): Applied =
     Applied(copy(claims = result.first), result.second)
 
+/** Only a higher version replaces: the same version with other content changes nothing. */
+private fun ControlState.replaceDocument(next: StoredDocument): Applied {
+    val current = document
+    if (current != null && current.version >= next.version) {
+        return Applied(this, DocumentReplaced(replaced = false, current.version))
+    }
+    return Applied(copy(document = next), DocumentReplaced(replaced = true, next.version))
+}
+
 /** The version that served becomes the one that a roll back returns to. */
 private fun ControlState.finishRollOut(index: Long, command: FinishRollOut): Applied {
     val service = configuration.services[command.service]
--- /dev/null
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/DocumentCheck.kt
@@ -0,0 +1,28 @@
+package org.bramleyspur.core.document
+
+/** What is wrong with the document, or null if it may be in force. */
+fun Document.check(): DocumentError? {
+    val problem = routes.firstNotNullOfOrNull { problemOf(it) }
+        ?: duplicate(routes.map { it.host.lowercase() to it.pathPrefix })
+            ?.let { "two routes share host '${it.first}' and prefix '${it.second}'; keep one of them" }
+        ?: duplicate(accounts.orEmpty().flatMap { it.keys })?.let { "two accounts share a key; give each its own" }
+    return problem?.let { DocumentError(it) }
+}
+
+private fun Document.problemOf(route: DocumentRoute): String? {
+    val unknown = route.targets.firstOrNull { it.service !in services }
+    return when {
+        unknown != null -> "route '${route.name}' names the unknown service '${unknown.service}'; declare the service"
+        route.targets.any { it.weight < 0 } -> "route '${route.name}' has a negative weight; give 0 or more"
+        route.targets.sumOf { it.weight } <= 0 -> "the weights of route '${route.name}' add up to 0; give one above 0"
+        route.timeoutMs <= 0 -> "route '${route.name}' has a timeout of ${route.timeoutMs} ms; give more than 0"
+        !route.pathPrefix.startsWith('/') || !route.pathPrefix.endsWith('/') ->
+            "the prefix of route '${route.name}' must begin and end with a slash; correct '${route.pathPrefix}'"
+        else -> null
+    }
+}
+
+private fun <T> duplicate(items: List<T>): T? {
+    val seen = HashSet<T>()
+    return items.firstOrNull { !seen.add(it) }
+}
--- /dev/null
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/wire/DirectoryWire.kt
@@ -0,0 +1,58 @@
+/*
+ * Conversions between announcements and their generated messages.
+ */
+package org.bramleyspur.core.wire
+
+import kotlinx.collections.immutable.toImmutableList
+import org.bramleyspur.core.backend.Announcement
+import org.bramleyspur.core.backend.BackendState
+import org.bramleyspur.core.backend.GroupId
+import org.bramleyspur.core.backend.GroupPlace
+import org.bramleyspur.core.backend.GroupState
+import org.bramleyspur.protocol.BackendAnnouncement
+import org.bramleyspur.protocol.BackendGroup
+
+/** The announcement as a message; [ageMs] is the time since it arrived. */
+fun Announcement.toMessage(ageMs: Long): BackendAnnouncement {
+    val message = BackendAnnouncement
+        .newBuilder()
+        .setId(id)
+        .setBornMs(bornMs)
+        .setSequence(sequence)
+        .setService(service)
+        .setAddress(address)
+        .setDataCentre(dataCentre)
+        .setSlots(slots)
+        .setState(state.name)
+        .setDomain(domain)
+        .addAllStagedModels(staged)
+        .setAgeMs(ageMs.toInt())
+    place?.let { message.setGroup(it.toMessage()) }
+    return message.build()
+}
+
+private fun GroupPlace.toMessage() = BackendGroup
+    .newBuilder()
+    .setName(id.name)
+    .setEpoch(id.epoch)
+    .setRank(rank)
+    .setState(state.name)
+    .setModel(model.orEmpty())
+
+/** The announcement of a message. */
+fun BackendAnnouncement.toModel() = Announcement(
+    id = id,
+    bornMs = bornMs,
+    sequence = sequence,
+    service = service,
+    address = address,
+    dataCentre = dataCentre,
+    slots = slots,
+    state = BackendState.valueOf(state),
+    domain = domain,
+    staged = stagedModelsList.toImmutableList(),
+    place = if (hasGroup()) group.toModel() else null,
+)
+
+private fun BackendGroup.toModel() =
+    GroupPlace(GroupId(name, epoch), rank, GroupState.valueOf(state), model.ifEmpty { null })
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
@@ -0,0 +1,111 @@
+package org.bramleyspur.daemon.controlplane
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.timeout.ReadTimeoutHandler
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.bramleyspur.core.settings.Address
+import java.util.concurrent.TimeUnit
+
+/** Answers a call through [answer], which is called once on any thread. */
+typealias ControlPlaneHandler = (call: ControlPlaneCall, answer: (ControlPlaneAnswer) -> Unit) -> Unit
+
+/** Serves backend servers and operators over HTTP; the calls run on the threads of the event loop group. */
+class ControlPlaneServer(
+    private val decode: ControlPlaneDecoder,
+    private val handle: ControlPlaneHandler,
+) : AutoCloseable {
+    private var listener: Channel? = null
+    private var address: Address? = null
+
+    /** Starts to listen on [address] with the threads of [group]. */
+    fun start(address: Address, group: EventLoopGroup) {
+        this.address = address
+        listener = ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .childHandler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(channel: SocketChannel) {
+                        channel.pipeline().addLast(
+                            ReadTimeoutHandler(IDLE_TIMEOUT_MS, TimeUnit.MILLISECONDS),
+                            HttpServerCodec(),
+                            HttpObjectAggregator(MAX_BODY_BYTES),
+                            Handler(),
+                        )
+                    }
+                },
+            ).bind(address.toSocketAddress())
+            .sync()
+            .channel()
+    }
+
+    override fun close() {
+        listener?.close()
+    }
+
+    private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            val keepAlive = HttpUtil.isKeepAlive(request)
+            val path = request.uri()
+            val call = decode(request.method().name(), path.substringBefore('?'), ByteBufUtil.getBytes(request.content()))
+            handle(call) { answer ->
+                val response = response(answer, path)
+                if (!keepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+                val written = context.writeAndFlush(response)
+                if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
+            }
+        }
+
+        @Deprecated("Deprecated in Netty's handler interface, which still calls it.")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.close()
+        }
+    }
+
+    private fun response(answer: ControlPlaneAnswer, path: String): DefaultFullHttpResponse = when (answer) {
+        ControlPlaneAnswer.Accepted -> json(HttpResponseStatus.OK, "{}".encodeToByteArray())
+        is ControlPlaneAnswer.Content -> json(HttpResponseStatus.OK, answer.content.toByteArray())
+        is ControlPlaneAnswer.AskOther -> message(HttpResponseStatus.TEMPORARY_REDIRECT, "ask the leader").apply {
+            headers().set(HttpHeaderNames.LOCATION, "http://${answer.host}:${address!!.port}$path")
+        }
+        is ControlPlaneAnswer.Refused -> message(HttpResponseStatus.BAD_REQUEST, answer.message)
+        is ControlPlaneAnswer.Unavailable -> message(HttpResponseStatus.SERVICE_UNAVAILABLE, answer.message)
+        ControlPlaneAnswer.NotFound -> message(HttpResponseStatus.NOT_FOUND, "there is no such call")
+    }
+
+    private fun message(status: HttpResponseStatus, text: String) =
+        json(status, buildJsonObject { put("error", text) }.toString().encodeToByteArray())
+
+    private fun json(status: HttpResponseStatus, body: ByteArray): DefaultFullHttpResponse {
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body))
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        return response
+    }
+
+    private companion object {
+        /** Largest document, with room for its framing. */
+        const val MAX_BODY_BYTES = 5 * 1024 * 1024
+        const val IDLE_TIMEOUT_MS = 30_000L
+    }
+}
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -0,0 +1,128 @@
+package org.bramleyspur.daemon.forward
+
+import io.netty.channel.EventLoopGroup
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequest
+import org.bramleyspur.core.backend.Announcement
+import org.bramleyspur.core.settings.Address
+import org.bramleyspur.core.time.TimerService
+import org.bramleyspur.daemon.http.HttpClient
+
+/**
+ * What this entry knows of the load and the health of one backend server. Used by the traffic thread.
+ *
+ * @property client its connections
+ */
+internal class BackendLoad(val id: String, val address: String, val client: HttpClient) {
+    /** Requests of this entry that it has. */
+    var inFlight = 0
+
+    /** Prompt tokens of this entry's requests whose first event has not come. */
+    var unreadTokens = 0L
+
+    /** Prompt tokens of this entry's requests. */
+    var contextTokens = 0L
+
+    /** When it last sent anything; 0 for never. */
+    var answeredMs = 0L
+
+    /** When it was last seen not to answer; 0 for never. */
+    var silentMs = 0L
+
+    /** Until when other backend servers are preferred. */
+    var suspectUntilMs = 0L
+    private var failures = 0.0
+    private var reported = 0
+    private var reportedInFlight = 0
+    private var reportedMs = 0L
+
+    /** Takes a load report of an answer at [nowMs]: [running] requests in its batch and queue, of all entries. */
+    fun onReport(running: Int, nowMs: Long) {
+        reported = running
+        reportedInFlight = inFlight
+        reportedMs = nowMs
+    }
+
+    /** Requests that it has, of all entries, as far as this entry can tell. */
+    fun running(nowMs: Long): Int {
+        if (nowMs - reportedMs > REPORT_LIFE_MS) return inFlight
+        return maxOf(inFlight, reported + inFlight - reportedInFlight)
+    }
+
+    /** Counts bytes of an answer. */
+    fun onAnswering(nowMs: Long) {
+        answeredMs = nowMs
+        if (failures < SUSPECT_FAILURES) suspectUntilMs = 0
+    }
+
+    /** Counts a complete answer. */
+    fun onServed() {
+        failures *= FAILURE_DECAY
+    }
+
+    /** Counts a failure; several in a row make it suspect for a while. */
+    fun onFailure(nowMs: Long) {
+        failures = failures * FAILURE_DECAY + 1
+        if (failures >= SUSPECT_FAILURES) suspectUntilMs = nowMs + SUSPECT_MS
+    }
+
+    /** It accepted no connection or stopped answering. */
+    fun onSilent(nowMs: Long) {
+        silentMs = nowMs
+        suspectUntilMs = nowMs + SUSPECT_MS
+    }
+
+    private companion object {
+        /** A report describes a batch of requests that end within about a second. */
+        const val REPORT_LIFE_MS = 1_000L
+        const val FAILURE_DECAY = 0.75
+
+        /** Two failures in close succession stay below, three reach it. */
+        const val SUSPECT_FAILURES = 2.0
+
+        /** A suspect is tried again after this time; it then costs one attempt. */
+        const val SUSPECT_MS = 1_500L
+    }
+}
+
+/** The backend servers that this entry has sent to. Used by the traffic thread. */
+internal class BackendLoads(
+    private val group: EventLoopGroup,
+    private val timers: TimerService,
+    private val headers: ForwardHeaders,
+) {
+    private val loads = HashMap<String, BackendLoad>()
+
+    /** The load of the backend server of [announcement]; null when its address cannot be read. */
+    fun of(announcement: Announcement): BackendLoad? {
+        val known = loads[announcement.id]
+        if (known != null && known.address == announcement.address) return known
+        val address = Address.parse(announcement.address).component1() ?: return null
+        known?.client?.close()
+        val client = HttpClient(address, group, belongs = ::belongs)
+        return BackendLoad(announcement.id, announcement.address, client).also { loads[announcement.id] = it }
+    }
+
+    private fun belongs(request: HttpRequest, response: HttpHeaders): Boolean {
+        val echoed = response.get(headers.attemptId) ?: return true
+        return echoed == request.headers().get(headers.attemptId)
+    }
+
+    /** Ids of the backend servers that have answered within [withinMs]. */
+    fun answering(withinMs: Long): List<String> {
+        val now = timers.nowMs()
+        return loads.values.filter { it.answeredMs > 0 && now - it.answeredMs <= withinMs }.map { it.id }
+    }
+
+    /** Ids of the backend servers that were seen not to answer within [withinMs], and have not answered since. */
+    fun silent(withinMs: Long): List<String> {
+        val now = timers.nowMs()
+        return loads.values.filter { it.silentMs > it.answeredMs && now - it.silentMs <= withinMs }.map { it.id }
+    }
+
+    /** Closes the connections to backend servers that are not in [ids]. */
+    fun keepOnly(ids: Set<String>) {
+        val gone = loads.values.filter { it.id !in ids && it.inFlight == 0 }
+        gone.forEach { loads.remove(it.id)?.client?.close() }
+    }
+}
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -0,0 +1,108 @@
+package org.bramleyspur.daemon.forward
+
+import org.bramleyspur.core.backend.BackendDirectory
+import org.bramleyspur.core.document.DocumentRoute
+import org.bramleyspur.core.document.DocumentService
+import org.bramleyspur.core.document.EngineCosts
+import org.bramleyspur.core.telemetry.DecisionLog
+import org.bramleyspur.core.time.TimerService
+import org.bramleyspur.traffic.forward.Candidate
+import org.bramleyspur.traffic.forward.RouteTable
+import org.bramleyspur.traffic.forward.SecondSendBudget
+import org.bramleyspur.traffic.forward.chooseBackend
+import org.bramleyspur.traffic.forward.firstEventMs
+import org.bramleyspur.traffic.forward.plainAnswerMs
+import java.util.random.RandomGenerator
+
+/** A chosen backend server and the predicted time in milliseconds to its answer or first event. */
+internal class Choice(val load: BackendLoad, val predictedMs: Double, val timeFactor: Double)
+
+/** What the requests of an entry share. Used by the traffic thread. */
+internal class ForwardContext(
+    val timers: TimerService,
+    val headers: ForwardHeaders,
+    val loads: BackendLoads,
+    val log: DecisionLog,
+    val metrics: ForwardMetrics,
+    private val dataCentre: String,
+    private val random: RandomGenerator,
+    private val newBudget: () -> SecondSendBudget,
+) {
+    /** Backend servers as of the last announcement. */
+    var directory = BackendDirectory()
+
+    /** Routes of the document in force; null before the first one. */
+    var routes: RouteTable? = null
+    private val budgets = HashMap<String, SecondSendBudget>()
+
+    /** Uniform in 0 until 1. */
+    fun point(): Double = random.nextDouble()
+
+    /** Budget of second sends to [service]. */
+    fun budget(service: String): SecondSendBudget = budgets.getOrPut(service, newBudget)
+
+    /** Chooses a backend server of [service] for a request, not one of [tried] if there is another. */
+    fun choose(service: DocumentService, model: String?, promptTokens: Long, tried: Set<String>): Choice? {
+        val costs = service.costs
+        return if (costs != null && model != null) {
+            chooseHead(service, costs, model, promptTokens, tried)
+        } else {
+            choosePlain(service, tried)
+        }
+    }
+
+    private fun chooseHead(
+        service: DocumentService,
+        costs: EngineCosts,
+        model: String,
+        promptTokens: Long,
+        tried: Set<String>,
+    ): Choice? {
+        val shape = service.models.firstOrNull { it.name == model } ?: return null
+        val heads = directory.heads(service.name, model, shape.size).map { it.announcement }
+        val known = heads.filter { it.id !in tried }.mapNotNull { head ->
+            loads.of(head)?.let { it to candidate(it, costs.slots, shape.timeFactor, head.dataCentre) }
+        }
+        val chosen = chooseBackend(known.map { it.second }, point()) { firstEventMs(it, promptTokens, costs) }
+        return known.firstOrNull { it.second === chosen }
+            ?.let { (load, own) -> Choice(load, firstEventMs(own, promptTokens, costs), shape.timeFactor) }
+    }
+
+    private fun choosePlain(service: DocumentService, tried: Set<String>): Choice? {
+        val backends = directory.plain(service.name).map { it.announcement }
+        val untried = backends.filter { it.id !in tried }
+        val known = untried.mapNotNull { backend ->
+            loads.of(backend)?.let { it to candidate(it, maxOf(1, backend.slots), 1.0, backend.dataCentre) }
+        }
+        val chosen = chooseBackend(known.map { it.second }, point()) { plainAnswerMs(it, PLAIN_WORK_MS) }
+        return known.firstOrNull { it.second === chosen }
+            ?.let { (load, own) -> Choice(load, plainAnswerMs(own, PLAIN_WORK_MS), 1.0) }
+    }
+
+    private fun candidate(load: BackendLoad, slots: Int, factor: Double, backendDataCentre: String): Candidate {
+        val now = timers.nowMs()
+        return Candidate(
+            id = load.id,
+            running = load.running(now),
+            slots = slots,
+            unreadTokens = load.unreadTokens,
+            contextTokens = load.contextTokens,
+            timeFactor = factor,
+            distanceMs = if (backendDataCentre == dataCentre) 0.0 else REMOTE_MS,
+            suspect = now < load.suspectUntilMs,
+        )
+    }
+
+    /** Highest rank that a backend server knows; requests of a less urgent route have it too. */
+    fun urgency(route: DocumentRoute, accountPriority: Int?): Int =
+        (accountPriority ?: route.priority).coerceIn(0, MAX_URGENCY)
+
+    private companion object {
+        /** Round trip between data centres of one region. */
+        const val REMOTE_MS = 10.0
+
+        /** Typical work of a plain call; only its ratio to [REMOTE_MS] matters for the choice. */
+        const val PLAIN_WORK_MS = 40.0
+        const val MAX_URGENCY = 9
+    }
+}
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
@@ -0,0 +1,39 @@
+package org.bramleyspur.daemon.forward
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+
+/** Counters and latencies of an entry. */
+internal class ForwardMetrics(registry: PrometheusRegistry) {
+    private val requests = Counter.builder()
+        .name("bramleyspur_requests_total")
+        .help("Requests by route and outcome.")
+        .labelNames("route", "outcome")
+        .register(registry)
+    private val firstByte = Histogram.builder()
+        .name("bramleyspur_first_byte_seconds")
+        .help("Time to the first byte of an answer by route.")
+        .labelNames("route")
+        .classicUpperBounds(0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
+        .classicOnly()
+        .register(registry)
+    private val secondSends = Counter.builder()
+        .name("bramleyspur_second_sends_total")
+        .help("Sends to a second backend server by service.")
+        .labelNames("service")
+        .register(registry)
+
+    /** Counts the end of a request. */
+    fun onEnd(route: String, outcome: String) = requests.labelValues(route, outcome).inc()
+
+    /** Counts the first byte of an answer after [ms] milliseconds. */
+    fun onFirstByte(route: String, ms: Long) = firstByte.labelValues(route).observe(ms / MS_PER_SECOND)
+
+    /** Counts a send to a second backend server. */
+    fun onSecondSend(service: String) = secondSends.labelValues(service).inc()
+
+    private companion object {
+        const val MS_PER_SECOND = 1_000.0
+    }
+}
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
@@ -23,10 +24,28 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.bramleyspur.core.settings.Address
+import org.bramleyspur.core.time.monotonicMs
 
-/** HTTP client for one backend server; keeps idle connections for calls that allow it. */
-class HttpClient(private val address: Address, group: EventLoopGroup) : AutoCloseable {
-    private val idle = ArrayDeque<Channel>()
+/**
+ * Whether a response belongs to the request. A backend server can send a second answer to an earlier request where the
+ * next answer is expected; such a response is skipped.
+ */
+typealias ResponseMatcher = (request: HttpRequest, responseHeaders: HttpHeaders) -> Boolean
+
+/**
+ * HTTP client for one backend server; keeps idle connections for calls that allow it.
+ *
+ * @property idleLimitMs time in milliseconds after which an idle connection is not used again
+ */
+class HttpClient(
+    private val address: Address,
+    group: EventLoopGroup,
+    private val idleLimitMs: Long = DEFAULT_IDLE_LIMIT_MS,
+    private val belongs: ResponseMatcher = { _, _ -> true },
+) : AutoCloseable {
+    private class IdleConnection(val channel: Channel, val untilMs: Long)
+
+    private val idle = ArrayDeque<IdleConnection>()
     private var closed = false
     private val bootstrap =
         Bootstrap()
@@ -59,20 +78,25 @@
 
     override fun close() {
         closed = true
-        idle.forEach { it.close() }
+        idle.forEach { it.channel.close() }
         idle.clear()
     }
 
     private fun takeIdle(): Channel? {
         while (idle.isNotEmpty()) {
-            val channel = idle.removeLast()
-            if (channel.isActive) return channel
+            val next = idle.removeLast()
+            if (next.channel.isActive && monotonicMs() < next.untilMs) return next.channel
+            next.channel.close()
         }
         return null
     }
 
-    private fun giveBack(channel: Channel) {
-        if (closed || idle.size >= MAX_IDLE || !channel.isActive) channel.close() else idle.addLast(channel)
+    private fun giveBack(channel: Channel, limitMs: Long = idleLimitMs) {
+        if (closed || idle.size >= MAX_IDLE || !channel.isActive) {
+            channel.close()
+        } else {
+            idle.addLast(IdleConnection(channel, monotonicMs() + limitMs))
+        }
     }
 
     /** One request and its response. */
@@ -91,6 +115,10 @@
 
         /** Whether the message being read is a 1xx response, which precedes the response proper. */
         private var interim = false
+
+        /** Whether the message being read answers another request. */
+        private var foreign = false
+        private var idleMs = idleLimitMs
         private val pending = ArrayDeque<HttpContent>()
 
         override val writable: Boolean get() = !done && channel?.isWritable == true
@@ -153,13 +181,15 @@
             if (done) return
             if (message is HttpObject && message.decoderResult().isFailure) return malformed(message)
             if (message is HttpResponse) {
-                dropBody()
                 interim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
-                if (interim) return
+                foreign = !interim && !belongs(request, message.headers())
+                if (interim || foreign) return
+                dropBody()
                 keepAlive = HttpUtil.isKeepAlive(message)
+                idleMs = minOf(idleLimitMs, declaredIdleMs(message.headers()) ?: idleLimitMs)
                 listener.onHead(message.status().code(), message.headers())
             }
-            if (message is HttpContent && !done && !interim) {
+            if (message is HttpContent && !done && !interim && !foreign) {
                 if (message.content().isReadable) listener.onData(message.content())
                 if (message is LastHttpContent && !done) complete()
             }
@@ -183,7 +213,11 @@
             val connection = channel
             connection?.pipeline()?.get(ConnectionHandler::class.java)?.exchange = null
             connection?.config()?.isAutoRead = true
-            if (keepAlive && requestComplete && connection != null) giveBack(connection) else connection?.close()
+            if (keepAlive && requestComplete && connection != null) {
+                giveBack(connection, idleMs)
+            } else {
+                connection?.close()
+            }
             finish { listener.onEnd() }
         }
 
@@ -228,12 +262,33 @@
 
         @Deprecated("Deprecated in Netty's handler interface, which still calls it.")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            // A response without a length ends with its connection, and a reset must not look like that end.
+            exchange?.disconnected()
+            exchange = null
             context.close()
         }
     }
 
     private companion object {
+        /** Backend servers close idle connections after some seconds; those that say when are taken at their word. */
+        const val DEFAULT_IDLE_LIMIT_MS = 60_000L
         const val CONNECT_TIMEOUT_MS = 1_000
         const val MAX_IDLE = 32
     }
 }
+
+private const val KEEP_ALIVE = "Keep-Alive"
+private const val TIMEOUT_PARAMETER = "timeout="
+private const val MS_PER_SECOND = 1_000L
+
+/** Less than the declared time, since the request must arrive before the connection closes. */
+private const val IDLE_MARGIN_MS = 500L
+
+/** The idle time that a response declares, less a margin; null when it declares none. */
+private fun declaredIdleMs(headers: HttpHeaders): Long? = headers.get(KEEP_ALIVE)
+    ?.split(',')
+    ?.firstOrNull { it.trim().startsWith(TIMEOUT_PARAMETER) }
+    ?.trim()
+    ?.removePrefix(TIMEOUT_PARAMETER)
+    ?.toLongOrNull()
+    ?.let { it * MS_PER_SECOND - IDLE_MARGIN_MS }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/ControlNode.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/ControlNode.kt
@@ -36,6 +36,9 @@
 
 private val logger = KotlinLogging.logger {}
 
+/** Looks at the members in equal intervals while this member leads; returns the change that is due, or null. */
+typealias MembershipRule = (LogStatus) -> MembershipChange?
+
 /** Learns of changes of leadership and state, on the control thread. */
 interface ControlNodeListener {
     /** This member leads [term] and has applied everything that was committed before. */
@@ -54,6 +57,7 @@
  * @property snapshotEntries applied entries after which a snapshot is taken; a tenth of them is kept for members that
  * are a little behind
  * @property onFatal receives a storage failure, after which nothing is acknowledged any more
+ * @param membershipRule by default, an operator admits members and each gets a vote once it has caught up
  */
 class ControlNode(
     private val storage: LogStorage,
@@ -65,14 +69,11 @@
     private val listener: ControlNodeListener,
     private val snapshotEntries: Long,
     private val onFatal: (StorageError) -> Unit,
+    membershipRule: MembershipRule = LearnerPromotion()::check,
 ) {
-    private val promotion = LearnerPromotion { change ->
-        log.changeMembership(change) { result ->
-            val outcome = result.fold({ "votes now" }, { "does not vote yet: ${it.message}" })
-            logger.info { "control member ${change.id} $outcome" }
-        }
-    }
+    private val membership = membershipRule
     private var leadingTerm: Long? = null
+    private var leadingSinceMs = 0L
     private var lastAnswer: Answer? = null
 
     /** The state as of the last applied command. */
@@ -92,7 +93,15 @@
             listener = LeadershipListener(ready = ::onReady, lost = { onLost() }),
             random = RandomGenerator.getDefault(),
         )
-        timers.every(PROMOTION_CHECK_MS) { if (leadingTerm() != null) promotion.check(log.status()) }
+        timers.every(PROMOTION_CHECK_MS) { if (leadingTerm() != null) checkMembership() }
+    }
+
+    private fun checkMembership() {
+        val change = membership(status()) ?: return
+        log.changeMembership(change) { result ->
+            val outcome = result.fold({ "done" }, { "not done: ${it.message}" })
+            logger.info { "change of the control members: $change, $outcome" }
+        }
     }
 
     private fun consensusSettings() = ConsensusSettings().let {
@@ -105,8 +114,12 @@
     /** `host:port` of the leader as far as this member knows, or empty. */
     fun leaderAddress(): String = log.leader()?.address.orEmpty()
 
-    /** State of the log. */
-    fun status(): LogStatus = log.status()
+    /** State of the log. A member that has acknowledged nothing in this term is silent since its beginning. */
+    fun status(): LogStatus = log.status().let { status ->
+        if (leadingTerm == null) return@let status
+        val leadingMs = timers.nowMs() - leadingSinceMs
+        status.copy(members = status.members.map { it.copy(silentMs = it.silentMs ?: leadingMs) })
+    }
 
     /** Proposes [command]; [onAnswer] runs once, after it was applied or with an error. */
     fun propose(command: ControlCommand, onAnswer: (Result<Answer, ProposeError>) -> Unit) {
@@ -142,6 +155,7 @@
 
     private fun onReady(term: Long) {
         leadingTerm = term
+        leadingSinceMs = timers.nowMs()
         listener.onLeading(term)
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/LearnerPromotion.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/LearnerPromotion.kt
@@ -8,14 +8,14 @@
  * that replaces another one as soon as it has caught up, so a learner that stays caught up for several checks has none
  * to replace.
  */
-internal class LearnerPromotion(private val promote: (MembershipChange.Promote) -> Unit) {
+class LearnerPromotion {
     private var caughtUpChecks: Map<String, Int> = emptyMap()
 
-    /** Looks at the members once; called in equal intervals while this member leads. */
-    fun check(status: LogStatus) {
+    /** Looks at the members once; called in equal intervals while this member leads. Returns the change that is due. */
+    fun check(status: LogStatus): MembershipChange.Promote? {
         val near = status.members.filter { !it.voter && (it.lag ?: Long.MAX_VALUE) <= CAUGHT_UP_ENTRIES }
         caughtUpChecks = near.associate { it.id to (caughtUpChecks[it.id] ?: 0) + 1 }
-        caughtUpChecks.entries.firstOrNull { it.value >= CHECKS }?.let { promote(MembershipChange.Promote(it.key)) }
+        return caughtUpChecks.entries.firstOrNull { it.value >= CHECKS }?.let { MembershipChange.Promote(it.key) }
     }
 
     private companion object {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/PeerTransport.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/PeerTransport.kt
@@ -9,6 +9,7 @@
 import io.grpc.stub.StreamObserver
 import io.netty.channel.EventLoopGroup
 import org.bramleyspur.core.settings.Address
+import org.bramleyspur.core.time.monotonicMs
 import org.bramleyspur.daemon.process.openChannel
 import org.bramleyspur.daemon.process.reconnectNow
 import org.bramleyspur.protocol.ConsensusAck
@@ -21,6 +22,14 @@
 class PeerTransport(private val group: EventLoopGroup) : AutoCloseable {
     private val peers = HashMap<String, Peer>()
 
+    /**
+     * Notes a message from the member at [address]. A connection can go dead without a reset, so one over which
+     * messages are sent while none arrive from the member is opened anew.
+     */
+    fun onHeard(address: String) {
+        peers[address]?.heardMs = monotonicMs()
+    }
+
     /** Sends [message] to the member at [address]; drops it when that cannot be done now. */
     fun send(address: String, message: ConsensusMessage) {
         val peer = peers.getOrPut(address) { Peer(address) }
@@ -32,10 +41,24 @@
     }
 
     private inner class Peer(private val address: String) {
-        val channel: ManagedChannel? = Address.parse(address).component1()?.let { openChannel(it, group) }
+        private val target: Address? = Address.parse(address).component1()
+        var channel: ManagedChannel? = target?.let { openChannel(it, group) }
+            private set
+        private var openedMs = monotonicMs()
+        var heardMs = openedMs
         private var stream: PeerStream? = null
 
+        private fun reopenIfSilent() {
+            val now = monotonicMs()
+            if (now - maxOf(heardMs, openedMs) <= SILENT_MS) return
+            channel?.shutdownNow()
+            channel = target?.let { openChannel(it, group) }
+            stream = null
+            openedMs = now
+        }
+
         fun send(message: ConsensusMessage) {
+            reopenIfSilent()
             val target = channel ?: return
             val current = stream?.takeIf { !it.ended } ?: PeerStream(target).also { stream = it }
             if (!current.ended) current.send(message)
@@ -67,6 +90,9 @@
     }
 }
 
+/** Ten heartbeats of a leader; a member that is up answers each. */
+private const val SILENT_MS = 1_000L
+
 /** Receives the messages of the other control members. */
 class PeerService(private val onMessage: (ConsensusMessage) -> Unit) : ConsensusServiceGrpc.ConsensusServiceImplBase() {
     override fun messages(answers: StreamObserver<ConsensusAck>): StreamObserver<ConsensusMessage> =
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
@@ -0,0 +1,100 @@
+package org.bramleyspur.daemon.orders
+
+import com.github.michaelbull.result.getOrElse
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.EventLoopGroup
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import org.bramleyspur.control.group.EngineOrder
+import org.bramleyspur.control.group.OrderResult
+import org.bramleyspur.core.settings.Address
+import org.bramleyspur.core.time.Subscription
+import org.bramleyspur.core.time.TimerService
+import org.bramleyspur.daemon.http.HttpClient
+import org.bramleyspur.daemon.http.HttpFailure
+import org.bramleyspur.daemon.http.HttpListener
+
+/** An order as an HTTP request to the engine. */
+class OrderRequest(val path: String, val headers: Map<String, String>, val body: ByteArray)
+
+/** Writes an order in the engines' format. */
+typealias OrderEncoder = (EngineOrder) -> OrderRequest
+
+/** Sends orders to engines over HTTP, on the one thread of [group]. */
+class OrderSender(
+    private val group: EventLoopGroup,
+    private val timers: TimerService,
+    private val encode: OrderEncoder,
+) {
+    private val clients = HashMap<String, HttpClient>()
+
+    /** Sends [order]; [onResult] runs once with the result and a text for the log. */
+    fun send(order: EngineOrder, onResult: (OrderResult, String) -> Unit) {
+        val address = Address.parse(order.address).getOrElse {
+            return onResult(OrderResult.ABSENT, "'${order.address}' is not an address: $it")
+        }
+        val client = clients.getOrPut(order.address) { HttpClient(address, group) }
+        val message = encode(order)
+        val request = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, message.path)
+        request.headers().set(HttpHeaderNames.HOST, order.address)
+        request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, message.body.size)
+        message.headers.forEach { (name, value) -> request.headers().set(name, value) }
+        val exchange = Exchange(onResult)
+        val call = client.call(request, Unpooled.wrappedBuffer(message.body), fresh = false, exchange)
+        exchange.timeout = timers.after(ANSWER_TIMEOUT_MS) {
+            call.cancel()
+            exchange.end(OrderResult.UNANSWERED, "no answer within $ANSWER_TIMEOUT_MS ms")
+        }
+    }
+
+    /** Forgets the connections to engines that are not in [addresses]. */
+    fun keepOnly(addresses: Set<String>) {
+        val gone = clients.keys - addresses
+        gone.forEach { clients.remove(it)?.close() }
+    }
+
+    private class Exchange(private val onResult: (OrderResult, String) -> Unit) : HttpListener {
+        var timeout: Subscription? = null
+        private var ended = false
+        private var status = 0
+
+        fun end(result: OrderResult, text: String) {
+            if (ended) return
+            ended = true
+            timeout?.cancel()
+            onResult(result, text)
+        }
+
+        override fun onHead(status: Int, headers: HttpHeaders) {
+            this.status = status
+        }
+
+        override fun onData(data: ByteBuf) = Unit
+
+        override fun onEnd() = end(resultOf(status), "status $status")
+
+        override fun onFailure(failure: HttpFailure, message: String) = end(
+            if (failure == HttpFailure.NOT_SENT && isRefusal(message)) OrderResult.ABSENT else OrderResult.UNANSWERED,
+            message,
+        )
+
+        /** A time-out of the connection says nothing about the engine: the path to it may be cut. */
+        private fun isRefusal(message: String) = message.contains("refused") || message.contains("reset")
+    }
+
+    private companion object {
+        /** An engine answers within some ms; an unanswered order is repeated and may act late. */
+        const val ANSWER_TIMEOUT_MS = 1_000L
+        const val MISDIRECTED = 421
+
+        fun resultOf(status: Int): OrderResult = when (status) {
+            in 200..299 -> OrderResult.ACCEPTED
+            MISDIRECTED -> OrderResult.ABSENT
+            else -> OrderResult.REFUSED
+        }
+    }
+}
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/platform/PlatformServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/platform/PlatformServer.kt
@@ -31,10 +31,13 @@
 /** Whether a process can take new work; [reason] says why not. */
 data class Readiness(val ready: Boolean, val reason: String)
 
-/** Serves `/livez`, `/readyz` and `/metrics`. */
-class PlatformServer(private val readiness: () -> Readiness, private val registry: PrometheusRegistry) :
-    AutoCloseable {
-    private var channel: Channel? = null
+/** Serves `/livez`, [readyPath] and `/metrics`, on one address or several. */
+class PlatformServer(
+    private val readiness: () -> Readiness,
+    private val registry: PrometheusRegistry,
+    private val readyPath: String = "/readyz",
+) : AutoCloseable {
+    private val channels = ArrayList<Channel>()
 
     /** Starts to listen on [address] with the threads of [group]; returns the bound port. */
     fun start(address: Address, group: EventLoopGroup): Int {
@@ -44,19 +47,19 @@
                 .channel(NioServerSocketChannel::class.java)
                 .childHandler(Initializer())
         val bound = bootstrap.bind(address.toSocketAddress()).sync().channel()
-        channel = bound
+        channels += bound
         return (bound.localAddress() as java.net.InetSocketAddress).port
     }
 
     override fun close() {
-        channel?.close()
+        channels.forEach { it.close() }
     }
 
     private fun respond(path: String): DefaultFullHttpResponse = when (path) {
         "/livez" -> text(HttpResponseStatus.OK, "ok\n")
-        "/readyz" -> readyResponse()
+        readyPath -> readyResponse()
         "/metrics" -> metricsResponse()
-        else -> text(HttpResponseStatus.NOT_FOUND, "not found; use /livez, /readyz or /metrics\n")
+        else -> text(HttpResponseStatus.NOT_FOUND, "not found; use /livez, $readyPath or /metrics\n")
     }
 
     private fun readyResponse(): DefaultFullHttpResponse {
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedControl.kt
@@ -0,0 +1,429 @@
+/*
+ * The control role of a deployment whose backend servers announce themselves: a member of the replicated log that admits
+ * and replaces members without an operator, keeps the directory of backend servers, and orders engines into groups while
+ * it leads. All state belongs to the control thread.
+ */
+package org.bramleyspur.daemon.process
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.grpc.stub.StreamObserver
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.bramleyspur.control.member.Admission
+import org.bramleyspur.control.member.admit
+import org.bramleyspur.control.member.nextMembershipChange
+import org.bramleyspur.control.state.ControlState
+import org.bramleyspur.control.state.ReplaceDocument
+import org.bramleyspur.control.state.StoredDocument
+import org.bramleyspur.core.backend.Announcement
+import org.bramleyspur.core.backend.BackendDirectory
+import org.bramleyspur.core.backend.BackendState
+import org.bramleyspur.core.document.DocumentDecoder
+import org.bramleyspur.core.settings.Address
+import org.bramleyspur.core.telemetry.DecisionLog
+import org.bramleyspur.core.wire.toModel
+import org.bramleyspur.daemon.controlplane.ControlPlaneAnswer
+import org.bramleyspur.daemon.controlplane.ControlPlaneCall
+import org.bramleyspur.daemon.controlplane.ControlPlaneDecoder
+import org.bramleyspur.daemon.controlplane.ControlPlaneServer
+import org.bramleyspur.daemon.directory.DirectoryClient
+import org.bramleyspur.daemon.directory.DirectoryServer
+import org.bramleyspur.daemon.directory.DirectoryView
+import org.bramleyspur.daemon.member.ControlNode
+import org.bramleyspur.daemon.member.ControlNodeListener
+import org.bramleyspur.daemon.member.MemberAdmission
+import org.bramleyspur.daemon.member.PeerService
+import org.bramleyspur.daemon.member.PeerTransport
+import org.bramleyspur.daemon.operator.OperatorService
+import org.bramleyspur.daemon.orders.GroupDriver
+import org.bramleyspur.daemon.orders.OrderEncoder
+import org.bramleyspur.daemon.orders.OrderSender
+import org.bramleyspur.daemon.platform.PlatformServer
+import org.bramleyspur.daemon.platform.Readiness
+import org.bramleyspur.log.storage.DiskFileSystem
+import org.bramleyspur.log.storage.FirstStart
+import org.bramleyspur.log.storage.LogStorage
+import org.bramleyspur.protocol.AdmissionReply
+import org.bramleyspur.protocol.AdmissionRequest
+import org.bramleyspur.protocol.ConsensusMessage
+import org.bramleyspur.protocol.ControlServiceGrpc
+import org.bramleyspur.protocol.DirectoryEvent
+import org.bramleyspur.protocol.DirectoryRequest
+import org.bramleyspur.protocol.DirectoryServiceGrpc
+import org.bramleyspur.protocol.QueryReply
+import org.bramleyspur.protocol.QueryRequest
+import org.bramleyspur.protocol.SubmitReply
+import org.bramleyspur.protocol.SubmitRequest
+import java.nio.file.Path
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Settings of an announced control instance.
+ *
+ * @property listen address for the other processes of the system
+ * @property controlPlane address for backend servers and operators
+ * @property metrics address of `/metrics`, or null
+ * @property dataDir folder of the replicated log
+ * @property seeds `host:port` at which the other processes reach the first control instances
+ * @property bootstrap whether the whole system starts for the first time
+ * @property lossesBorne control instances that may be lost at once
+ */
+data class AnnouncedControlSettings(
+    val instance: String,
+    val listen: Address,
+    val controlPlane: Address,
+    val metrics: Address?,
+    val dataDir: String,
+    val seeds: List<String>,
+    val bootstrap: Boolean,
+    val lossesBorne: Int,
+) {
+    /** Voters of the log: a majority remains when [lossesBorne] are lost. */
+    val voters: Int get() = (2 * lossesBorne + 1).coerceIn(1, MAX_VOTERS)
+
+    private companion object {
+        const val MAX_VOTERS = 7
+    }
+}
+
+/** What an adapter supplies to a control instance. */
+class ControlDialect(
+    val decodeCall: ControlPlaneDecoder,
+    val decodeDocument: DocumentDecoder,
+    val encodeOrder: OrderEncoder,
+)
+
+/** One announced control instance. */
+class AnnouncedControl(
+    private val settings: AnnouncedControlSettings,
+    private val dialect: ControlDialect,
+    private val log: DecisionLog,
+) : RoleProcess,
+    ControlNodeListener {
+    private val loops = Loops()
+    private val timers = loops.controlTimers
+    private val storageThread = Executors.newSingleThreadExecutor { Thread(it, "log-storage") }
+    private val transport = PeerTransport(loops.controlGroup)
+    private val registry = PrometheusRegistry()
+    private var node: ControlNode? = null
+    private var memberId = ""
+    private var directory = BackendDirectory()
+    private val server = DirectoryServer(
+        timers,
+        DirectoryView(
+            known = { directory.backends.values },
+            document = { node?.state?.document },
+            confirmed = { node?.leadingTerm() != null },
+            members = ::memberAddresses,
+        ),
+        ::onEvidence,
+    )
+    private val watches = DirectoryClient(
+        loops.controlGroup,
+        timers,
+        settings.seeds,
+        settings.listen.toString(),
+        { DirectoryRequest.newBuilder().setInstance(settings.instance).build() },
+    ) { _, event -> onEvent(event) }
+    private val admission = MemberAdmission(loops.controlGroup, timers)
+    private val driver = GroupDriver(
+        timers,
+        OrderSender(loops.controlGroup, timers, dialect.encodeOrder),
+        dialect.decodeDocument,
+        log,
+    )
+    private val controlPlane = ControlPlaneServer(dialect.decodeCall, ::handle)
+    private val platform = PlatformServer(::readiness, registry)
+    private val internalServer = buildServer(
+        settings.listen,
+        loops.controlGroup,
+        listOf(
+            PeerService(::receive).bindService(),
+            DirectoryCalls().bindService(),
+            OperatorCalls().bindService(),
+        ),
+    )
+
+    @Volatile
+    private var stopping = false
+
+    /** Starts to serve. */
+    fun start() {
+        internalServer.start()
+        controlPlane.start(settings.controlPlane, loops.controlGroup)
+        settings.metrics?.let { platform.start(it, loops.controlGroup) }
+        loops.control.submit {
+            openLog()
+            server.start()
+            watches.start()
+            timers.every(PLAN_MS) { plan() }
+            timers.every(ADMISSION_MS) { askForAdmission() }
+            timers.every(EXPIRE_MS) { directory = directory.expire(timers.nowMs()) }
+        }.get()
+        log.write("started", "role" to "control", "instance" to settings.instance, "bootstrap" to settings.bootstrap)
+    }
+
+    /** Uses other seeds from now on. */
+    fun useSeeds(seeds: List<String>) = loops.control.execute { watches.useSeeds(seeds) }
+
+    /**
+     * Opens the data folder on the storage thread, and again after a failure: a disk that is full or stalled must not
+     * end the process over and over. Until then this instance has no vote and answers no operator.
+     */
+    private fun openLog() {
+        storageThread.execute {
+            val opened = openStorage()
+            loops.control.execute {
+                opened.fold({ startNode(it) }, { message ->
+                    log.write("log-not-open", "reason" to message, "retry_ms" to REOPEN_MS)
+                    timers.after(REOPEN_MS) { openLog() }
+                })
+            }
+        }
+    }
+
+    @Suppress("TooGenericExceptionCaught") // The folder of a failed disk can refuse any operation.
+    private fun openStorage(): com.github.michaelbull.result.Result<LogStorage, String> = try {
+        LogStorage.open(DiskFileSystem(Path.of(settings.dataDir)), firstStart()).fold(
+            { com.github.michaelbull.result.Ok(it) },
+            { com.github.michaelbull.result.Err(it.message) },
+        )
+    } catch (e: Exception) {
+        com.github.michaelbull.result.Err(e.toString())
+    }
+
+    private fun firstStart(): FirstStart {
+        val self = settings.listen.toString()
+        return if (settings.bootstrap && self in settings.seeds) {
+            FirstStart.Bootstrap(self, settings.seeds.associateWith { it })
+        } else {
+            FirstStart.Join
+        }
+    }
+
+    private fun startNode(storage: LogStorage) {
+        memberId = storage.memberId
+        val started = ControlNode(
+            storage,
+            settings.listen.toString(),
+            loops.control,
+            timers,
+            storageThread,
+            transport,
+            this,
+            SNAPSHOT_ENTRIES,
+            ::onStorageFailure,
+        ) { nextMembershipChange(it, settings.voters) }
+        node = started
+        started.start()
+        log.write("log-open", "member" to memberId, "document" to (started.state.document?.version ?: 0L))
+    }
+
+    private fun onStorageFailure(error: org.bramleyspur.log.storage.StorageError) {
+        log.write("log-failed", "reason" to error.message, "retry_ms" to REOPEN_MS)
+        node = null
+        timers.after(REOPEN_MS) { openLog() }
+    }
+
+    private fun receive(message: ConsensusMessage) {
+        transport.onHeard(message.fromAddress)
+        node?.receive(message)
+    }
+
+    private fun memberAddresses(): List<String> = node?.status()?.members?.map { it.address }.orEmpty()
+
+    private fun askForAdmission() {
+        val current = node ?: return
+        if (current.status().members.any { it.id == memberId }) return
+        admission.ask(memberId, settings.listen.toString(), watches.addresses + settings.seeds)
+    }
+
+    override fun onLeading(term: Long) {
+        log.write("leading", "term" to term, "member" to memberId)
+    }
+
+    override fun onLeadershipLost() {
+        log.write("leadership-lost", "member" to memberId)
+    }
+
+    override fun onStateChanged(before: ControlState, after: ControlState) {
+        val document = after.document ?: return
+        if (document.version != before.document?.version) {
+            log.write("document-in-force", "version" to document.version, "before" to (before.document?.version ?: 0L))
+            server.onDocument(document)
+        }
+    }
+
+    private fun onEvent(event: DirectoryEvent) {
+        val now = timers.nowMs()
+        event.announcementsList.forEach { learn(it.toModel(), now - it.ageMs) }
+    }
+
+    private fun onEvidence(request: DirectoryRequest) {
+        if (request.entry) driver.onEvidence(request.answeringBackendsList, request.silentBackendsList)
+    }
+
+    /** Takes an announcement; returns whether it says something new. */
+    private fun learn(announcement: Announcement, heardMs: Long): Boolean {
+        val before = directory.backends[announcement.id]?.announcement
+        val next = directory.with(announcement, heardMs)
+        if (next === directory) return false
+        directory = next
+        if (before?.state != announcement.state || before.place != announcement.place ||
+            before.bornMs != announcement.bornMs
+        ) {
+            log.write(
+                "backend",
+                "id" to announcement.id,
+                "service" to announcement.service,
+                "state" to announcement.state.name,
+                "group" to announcement.place?.let { "${it.id.name}/${it.rank}/${it.state}" }.orEmpty(),
+                "sequence" to announcement.sequence,
+            )
+            plan()
+        }
+        return true
+    }
+
+    private fun plan() {
+        val current = node ?: return
+        val term = current.leadingTerm() ?: return driver.forget()
+        driver.plan(term, current.state.document, directory.backends)
+    }
+
+    private fun handle(call: ControlPlaneCall, answer: (ControlPlaneAnswer) -> Unit) = when (call) {
+        is ControlPlaneCall.Announce -> {
+            if (learn(call.announcement, timers.nowMs())) server.onAnnouncement(call.announcement)
+            answer(ControlPlaneAnswer.Accepted)
+        }
+        is ControlPlaneCall.Withdraw -> {
+            withdraw(call)
+            answer(ControlPlaneAnswer.Accepted)
+        }
+        is ControlPlaneCall.Replace -> replace(call, answer)
+        is ControlPlaneCall.Read -> read(answer)
+        is ControlPlaneCall.Invalid -> {
+            log.write("call-refused", "reason" to call.message)
+            answer(ControlPlaneAnswer.Refused(call.message))
+        }
+        ControlPlaneCall.Unknown -> answer(ControlPlaneAnswer.NotFound)
+    }
+
+    private fun withdraw(call: ControlPlaneCall.Withdraw) {
+        val known = directory.backends[call.id]?.announcement ?: return
+        if (call.bornMs != null && call.bornMs != known.bornMs) return
+        val gone = known.copy(state = BackendState.GONE, sequence = known.sequence + 1, place = null)
+        if (learn(gone, timers.nowMs())) server.onAnnouncement(gone)
+    }
+
+    private fun replace(call: ControlPlaneCall.Replace, answer: (ControlPlaneAnswer) -> Unit) {
+        val current = node ?: return answer(ControlPlaneAnswer.Unavailable("the log is not open; ask another instance"))
+        if (current.leadingTerm() == null) return answer(elsewhere(current))
+        val document = StoredDocument(call.version, call.content)
+        current.propose(ReplaceDocument(document)) { result ->
+            val outcome = result.fold({ "accepted" }, { it.message })
+            log.write("document", "version" to call.version, "outcome" to outcome)
+            answer(
+                result.fold(
+                    { ControlPlaneAnswer.Accepted },
+                    { ControlPlaneAnswer.Unavailable(it.message) },
+                ),
+            )
+        }
+    }
+
+    private fun read(answer: (ControlPlaneAnswer) -> Unit) {
+        val current = node ?: return answer(ControlPlaneAnswer.Unavailable("the log is not open; ask another instance"))
+        val document = current.state.document
+        answer(
+            when {
+                current.leadingTerm() == null -> elsewhere(current)
+                document == null -> ControlPlaneAnswer.Unavailable("no document has been accepted; send one")
+                else -> ControlPlaneAnswer.Content(document.content)
+            },
+        )
+    }
+
+    /** The leader, unless it is this instance, whose lease has just ended. */
+    private fun elsewhere(current: ControlNode): ControlPlaneAnswer {
+        val leader = current.leaderAddress()
+        val known = leader.isNotEmpty() && leader != settings.listen.toString()
+        return if (known) {
+            ControlPlaneAnswer.AskOther(leader.substringBeforeLast(':'))
+        } else {
+            ControlPlaneAnswer.Unavailable("no leader is known; send again")
+        }
+    }
+
+    private fun readiness() = Readiness(!stopping, if (stopping) "stopping" else "ready")
+
+    override fun beginStop() {
+        stopping = true
+    }
+
+    override fun closeListeners() = Unit
+
+    override fun isDrained() = true
+
+    override fun close() {
+        loops.control.submit { node?.close() }.get()
+        storageThread.shutdown()
+        storageThread.awaitTermination(STORAGE_CLOSE_MS, TimeUnit.MILLISECONDS)
+        internalServer.shutdownNow()
+        controlPlane.close()
+        transport.close()
+        platform.close()
+        loops.close()
+    }
+
+    private inner class DirectoryCalls : DirectoryServiceGrpc.DirectoryServiceImplBase() {
+        override fun watch(events: StreamObserver<DirectoryEvent>): StreamObserver<DirectoryRequest> =
+            server.watch(events)
+
+        override fun admit(request: AdmissionRequest, reply: StreamObserver<AdmissionReply>) {
+            val current = node
+            val message = AdmissionReply.newBuilder()
+            if (current?.leadingTerm() != null) {
+                when (val decision = admit(current.status(), request.member, request.address)) {
+                    Admission.Member -> message.setAdmitted(true)
+                    is Admission.Change -> {
+                        log.write("admission", "member" to request.member, "change" to decision.change.toString())
+                        current.changeMembership(decision.change) { result ->
+                            log.write("admission-done", "outcome" to result.fold({ "done" }, { it.message }))
+                        }
+                    }
+                }
+            } else {
+                message.setLeader(current?.leaderAddress().orEmpty())
+            }
+            reply.onNext(message.build())
+            reply.onCompleted()
+        }
+    }
+
+    private inner class OperatorCalls : ControlServiceGrpc.ControlServiceImplBase() {
+        private fun operators() = node?.let { OperatorService(it, System::currentTimeMillis) { null } }
+
+        override fun submit(request: SubmitRequest, reply: StreamObserver<SubmitReply>) {
+            operators()?.submit(request, reply) ?: reply.onError(io.grpc.Status.UNAVAILABLE.asRuntimeException())
+        }
+
+        override fun query(request: QueryRequest, reply: StreamObserver<QueryReply>) {
+            operators()?.query(request, reply) ?: reply.onError(io.grpc.Status.UNAVAILABLE.asRuntimeException())
+        }
+    }
+
+    private companion object {
+        /** Orders and timeouts of groups are checked this often; announcements cause a plan at once. */
+        const val PLAN_MS = 100L
+        const val ADMISSION_MS = 500L
+        const val EXPIRE_MS = 5_000L
+        const val REOPEN_MS = 1_000L
+        const val SNAPSHOT_ENTRIES = 200L
+        const val STORAGE_CLOSE_MS = 1_000L
+    }
+}
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/ControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/ControlProcess.kt
@@ -29,6 +29,7 @@
 import org.bramleyspur.protocol.ClaimRequest
 import org.bramleyspur.protocol.CompleteReply
 import org.bramleyspur.protocol.CompleteRequest
+import org.bramleyspur.protocol.ConsensusMessage
 import org.bramleyspur.protocol.ControlServiceGrpc
 import org.bramleyspur.protocol.QueryReply
 import org.bramleyspur.protocol.QueryRequest
@@ -64,7 +65,8 @@
         transport,
         this,
         settings[ControlSettings.SNAPSHOT_ENTRIES],
-    ) { exitOnStorageFailure(it) }
+        { exitOnStorageFailure(it) },
+    )
     private val sessions = SessionService(node, loops.controlTimers)
     private val placement = PlacementDriver(
         node,
@@ -80,7 +82,7 @@
     private val server = buildServer(
         settings[CommonSettings.LISTEN],
         loops.controlGroup,
-        listOf(PeerService { node.receive(it) }.bindService(), Service().bindService()),
+        listOf(PeerService(::receive).bindService(), Service().bindService()),
     )
     private val platform = PlatformServer(::readiness, registry)
 
@@ -100,6 +102,11 @@
         loops.control.execute { logAdmission() }
     }
 
+    private fun receive(message: ConsensusMessage) {
+        transport.onHeard(message.fromAddress)
+        node.receive(message)
+    }
+
     private fun logAdmission() {
         if (node.status().members.any { it.id == storage.memberId }) return
         val address = settings[CommonSettings.LISTEN].toString()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/PlannedStop.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/PlannedStop.kt
@@ -38,7 +38,7 @@
 }
 
 /** Waits for SIGTERM or SIGINT, runs the planned stop, and lets the process exit with status 0. */
-internal fun awaitPlannedStop(role: RoleProcess, graceMs: Long, drainTimeoutMs: Long) {
+fun awaitPlannedStop(role: RoleProcess, graceMs: Long, drainTimeoutMs: Long) {
     val requested = CountDownLatch(1)
     val stopped = CountDownLatch(1)
     val hook = Thread({
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/member/LearnerPromotionTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/member/LearnerPromotionTest.kt
@@ -12,11 +12,12 @@
 /** Guards against a vote for a member that is behind, and against an admitted member that never votes. */
 class LearnerPromotionTest {
     private val promoted = mutableListOf<MembershipChange.Promote>()
-    private val promotion = LearnerPromotion { promoted += it }
+    private val promotion = LearnerPromotion()
 
     private fun check(lag: Long?, times: Int = 1, voter: Boolean = false) = repeat(times) {
         val members = listOf(MemberStatus("c4", "127.0.0.1:4", voter, lag))
-        promotion.check(LogStatus("c1", 1, MemberRole.LEADER, null, 9, 9, 9, 0, members))
+        val status = LogStatus("c1", 1, MemberRole.LEADER, null, 9, 9, 9, 0, members)
+        promotion.check(status)?.let { promoted += it }
     }
 
     @Test
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/LogOptions.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/LogOptions.kt
@@ -73,8 +73,16 @@
  * A member as the leader sees it.
  *
  * @property lag entries that the member has not acknowledged; null on a member that does not lead
+ * @property silentMs milliseconds since the sending of the last round that the member acknowledged; null on a member
+ * that does not lead, and when the member has acknowledged none in this term
  */
-data class MemberStatus(val id: String, val address: String, val voter: Boolean, val lag: Long?)
+data class MemberStatus(
+    val id: String,
+    val address: String,
+    val voter: Boolean,
+    val lag: Long?,
+    val silentMs: Long? = null,
+)
 
 /** State of this member. */
 data class LogStatus(
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/ReplicatedLog.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/ReplicatedLog.kt
@@ -163,7 +163,7 @@
     fun leader(): Leader? = if (state.leaderId == state.self) Leader(state.self, options.address) else state.leader
 
     /** Returns the state of this member. */
-    fun status(): LogStatus = logStatus(state, leader(), appliedIndex)
+    fun status(): LogStatus = logStatus(state, leader(), appliedIndex, now())
 
     /** Stops without waiting; outstanding proposals end with [ProposeError.OutcomeUnknown]. */
     fun close() {
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/StatusView.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/StatusView.kt
@@ -7,7 +7,7 @@
 import org.bramleyspur.log.consensus.Leading
 import org.bramleyspur.log.consensus.PreCandidate
 
-internal fun logStatus(state: ConsensusState, leader: Leader?, appliedIndex: Long) = LogStatus(
+internal fun logStatus(state: ConsensusState, leader: Leader?, appliedIndex: Long, nowMs: Long) = LogStatus(
     memberId = state.self,
     term = state.term,
     role = memberRole(state),
@@ -16,7 +16,7 @@
     commitIndex = state.commit,
     appliedIndex = appliedIndex,
     snapshotIndex = state.snapshot?.index ?: 0,
-    members = members(state),
+    members = members(state, nowMs),
 )
 
 private fun memberRole(state: ConsensusState): MemberRole = when (state.role) {
@@ -25,10 +25,12 @@
     is Follower -> if (state.self in state.membership.voters) MemberRole.FOLLOWER else MemberRole.LEARNER
 }
 
-private fun members(state: ConsensusState): List<MemberStatus> {
+private fun members(state: ConsensusState, nowMs: Long): List<MemberStatus> {
     val membership = state.membership
     val all = membership.voters + membership.learners
-    return all.map { (id, address) -> MemberStatus(id, address, id in membership.voters, lag(state, id)) }
+    return all.map { (id, address) ->
+        MemberStatus(id, address, id in membership.voters, lag(state, id), silentMs(state, id, nowMs))
+    }
 }
 
 private fun lag(state: ConsensusState, id: String): Long? {
@@ -36,3 +38,8 @@
     val synced = if (id == state.self) state.syncedIndex else leading.progress[id]?.matchIndex
     return synced?.let { state.log.lastIndex - it }
 }
+
+private fun silentMs(state: ConsensusState, id: String, nowMs: Long): Long? {
+    val leading = state.role as? Leading ?: return null
+    return if (id == state.self) 0 else leading.progress[id]?.ackedRoundMs?.let { nowMs - it }
+}
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ControlLogCommand.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ControlLogCommand.java
@@ -52,6 +52,7 @@
     CLAIM(5),
     COMPLETE(6),
     EXPIRE_CLAIMS(7),
+    REPLACE_DOCUMENT(8),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -76,6 +77,7 @@
         case 5: return CLAIM;
         case 6: return COMPLETE;
         case 7: return EXPIRE_CLAIMS;
+        case 8: return REPLACE_DOCUMENT;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -308,6 +310,37 @@
     return org.bramleyspur.protocol.ExpireClaimsCommand.getDefaultInstance();
   }
 
+  public static final int REPLACE_DOCUMENT_FIELD_NUMBER = 8;
+  /**
+   * <code>.bramleyspur.ReplaceDocumentCommand replace_document = 8;</code>
+   * @return Whether the replaceDocument field is set.
+   */
+  @java.lang.Override
+  public boolean hasReplaceDocument() {
+    return kindCase_ == 8;
+  }
+  /**
+   * <code>.bramleyspur.ReplaceDocumentCommand replace_document = 8;</code>
+   * @return The replaceDocument.
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.ReplaceDocumentCommand getReplaceDocument() {
+    if (kindCase_ == 8) {
+       return (org.bramleyspur.protocol.ReplaceDocumentCommand) kind_;
+    }
+    return org.bramleyspur.protocol.ReplaceDocumentCommand.getDefaultInstance();
+  }
+  /**
+   * <code>.bramleyspur.ReplaceDocumentCommand replace_document = 8;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.ReplaceDocumentCommandOrBuilder getReplaceDocumentOrBuilder() {
+    if (kindCase_ == 8) {
+       return (org.bramleyspur.protocol.ReplaceDocumentCommand) kind_;
+    }
+    return org.bramleyspur.protocol.ReplaceDocumentCommand.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -343,6 +376,9 @@
     if (kindCase_ == 7) {
       output.writeMessage(7, (org.bramleyspur.protocol.ExpireClaimsCommand) kind_);
     }
+    if (kindCase_ == 8) {
+      output.writeMessage(8, (org.bramleyspur.protocol.ReplaceDocumentCommand) kind_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -380,6 +416,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(7, (org.bramleyspur.protocol.ExpireClaimsCommand) kind_);
     }
+    if (kindCase_ == 8) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, (org.bramleyspur.protocol.ReplaceDocumentCommand) kind_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -425,6 +465,10 @@
         if (!getExpireClaims()
             .equals(other.getExpireClaims())) return false;
         break;
+      case 8:
+        if (!getReplaceDocument()
+            .equals(other.getReplaceDocument())) return false;
+        break;
       case 0:
       default:
     }
@@ -468,6 +512,10 @@
         hash = (37 * hash) + EXPIRE_CLAIMS_FIELD_NUMBER;
         hash = (53 * hash) + getExpireClaims().hashCode();
         break;
+      case 8:
+        hash = (37 * hash) + REPLACE_DOCUMENT_FIELD_NUMBER;
+        hash = (53 * hash) + getReplaceDocument().hashCode();
+        break;
       case 0:
       default:
     }
@@ -623,6 +671,9 @@
       if (expireClaimsBuilder_ != null) {
         expireClaimsBuilder_.clear();
       }
+      if (replaceDocumentBuilder_ != null) {
+        replaceDocumentBuilder_.clear();
+      }
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -692,6 +743,10 @@
           expireClaimsBuilder_ != null) {
         result.kind_ = expireClaimsBuilder_.build();
       }
+      if (kindCase_ == 8 &&
+          replaceDocumentBuilder_ != null) {
+        result.kind_ = replaceDocumentBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -767,6 +822,10 @@
           mergeExpireClaims(other.getExpireClaims());
           break;
         }
+        case REPLACE_DOCUMENT: {
+          mergeReplaceDocument(other.getReplaceDocument());
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -846,6 +905,13 @@
               kindCase_ = 7;
               break;
             } // case 58
+            case 66: {
+              input.readMessage(
+                  getReplaceDocumentFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 8;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1871,6 +1937,148 @@
       onChanged();
       return expireClaimsBuilder_;
     }
+
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.bramleyspur.protocol.ReplaceDocumentCommand, org.bramleyspur.protocol.ReplaceDocumentCommand.Builder, org.bramleyspur.protocol.ReplaceDocumentCommandOrBuilder> replaceDocumentBuilder_;
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand replace_document = 8;</code>
+     * @return Whether the replaceDocument field is set.
+     */
+    @java.lang.Override
+    public boolean hasReplaceDocument() {
+      return kindCase_ == 8;
+    }
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand replace_document = 8;</code>
+     * @return The replaceDocument.
+     */
+    @java.lang.Override
+    public org.bramleyspur.protocol.ReplaceDocumentCommand getReplaceDocument() {
+      if (replaceDocumentBuilder_ == null) {
+        if (kindCase_ == 8) {
+          return (org.bramleyspur.protocol.ReplaceDocumentCommand) kind_;
+        }
+        return org.bramleyspur.protocol.ReplaceDocumentCommand.getDefaultInstance();
+      } else {
+        if (kindCase_ == 8) {
+          return replaceDocumentBuilder_.getMessage();
+        }
+        return org.bramleyspur.protocol.ReplaceDocumentCommand.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand replace_document = 8;</code>
+     */
+    public Builder setReplaceDocument(org.bramleyspur.protocol.ReplaceDocumentCommand value) {
+      if (replaceDocumentBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        replaceDocumentBuilder_.setMessage(value);
+      }
+      kindCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand replace_document = 8;</code>
+     */
+    public Builder setReplaceDocument(
+        org.bramleyspur.protocol.ReplaceDocumentCommand.Builder builderForValue) {
+      if (replaceDocumentBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        replaceDocumentBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand replace_document = 8;</code>
+     */
+    public Builder mergeReplaceDocument(org.bramleyspur.protocol.ReplaceDocumentCommand value) {
+      if (replaceDocumentBuilder_ == null) {
+        if (kindCase_ == 8 &&
+            kind_ != org.bramleyspur.protocol.ReplaceDocumentCommand.getDefaultInstance()) {
+          kind_ = org.bramleyspur.protocol.ReplaceDocumentCommand.newBuilder((org.bramleyspur.protocol.ReplaceDocumentCommand) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 8) {
+          replaceDocumentBuilder_.mergeFrom(value);
+        } else {
+          replaceDocumentBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand replace_document = 8;</code>
+     */
+    public Builder clearReplaceDocument() {
+      if (replaceDocumentBuilder_ == null) {
+        if (kindCase_ == 8) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 8) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        replaceDocumentBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand replace_document = 8;</code>
+     */
+    public org.bramleyspur.protocol.ReplaceDocumentCommand.Builder getReplaceDocumentBuilder() {
+      return getReplaceDocumentFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand replace_document = 8;</code>
+     */
+    @java.lang.Override
+    public org.bramleyspur.protocol.ReplaceDocumentCommandOrBuilder getReplaceDocumentOrBuilder() {
+      if ((kindCase_ == 8) && (replaceDocumentBuilder_ != null)) {
+        return replaceDocumentBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 8) {
+          return (org.bramleyspur.protocol.ReplaceDocumentCommand) kind_;
+        }
+        return org.bramleyspur.protocol.ReplaceDocumentCommand.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand replace_document = 8;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.bramleyspur.protocol.ReplaceDocumentCommand, org.bramleyspur.protocol.ReplaceDocumentCommand.Builder, org.bramleyspur.protocol.ReplaceDocumentCommandOrBuilder> 
+        getReplaceDocumentFieldBuilder() {
+      if (replaceDocumentBuilder_ == null) {
+        if (!(kindCase_ == 8)) {
+          kind_ = org.bramleyspur.protocol.ReplaceDocumentCommand.getDefaultInstance();
+        }
+        replaceDocumentBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.bramleyspur.protocol.ReplaceDocumentCommand, org.bramleyspur.protocol.ReplaceDocumentCommand.Builder, org.bramleyspur.protocol.ReplaceDocumentCommandOrBuilder>(
+                (org.bramleyspur.protocol.ReplaceDocumentCommand) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 8;
+      onChanged();
+      return replaceDocumentBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ControlLogCommandOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ControlLogCommandOrBuilder.java
@@ -113,5 +113,20 @@
    */
   org.bramleyspur.protocol.ExpireClaimsCommandOrBuilder getExpireClaimsOrBuilder();
 
+  /**
+   * <code>.bramleyspur.ReplaceDocumentCommand replace_document = 8;</code>
+   * @return Whether the replaceDocument field is set.
+   */
+  boolean hasReplaceDocument();
+  /**
+   * <code>.bramleyspur.ReplaceDocumentCommand replace_document = 8;</code>
+   * @return The replaceDocument.
+   */
+  org.bramleyspur.protocol.ReplaceDocumentCommand getReplaceDocument();
+  /**
+   * <code>.bramleyspur.ReplaceDocumentCommand replace_document = 8;</code>
+   */
+  org.bramleyspur.protocol.ReplaceDocumentCommandOrBuilder getReplaceDocumentOrBuilder();
+
   org.bramleyspur.protocol.ControlLogCommand.KindCase getKindCase();
 }
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StateSnapshot.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StateSnapshot.java
@@ -265,6 +265,32 @@
     return commands_.get(index);
   }
 
+  public static final int DOCUMENT_FIELD_NUMBER = 7;
+  private org.bramleyspur.protocol.ReplaceDocumentCommand document_;
+  /**
+   * <code>.bramleyspur.ReplaceDocumentCommand document = 7;</code>
+   * @return Whether the document field is set.
+   */
+  @java.lang.Override
+  public boolean hasDocument() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <code>.bramleyspur.ReplaceDocumentCommand document = 7;</code>
+   * @return The document.
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.ReplaceDocumentCommand getDocument() {
+    return document_ == null ? org.bramleyspur.protocol.ReplaceDocumentCommand.getDefaultInstance() : document_;
+  }
+  /**
+   * <code>.bramleyspur.ReplaceDocumentCommand document = 7;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.ReplaceDocumentCommandOrBuilder getDocumentOrBuilder() {
+    return document_ == null ? org.bramleyspur.protocol.ReplaceDocumentCommand.getDefaultInstance() : document_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -297,6 +323,9 @@
     for (int i = 0; i < commands_.size(); i++) {
       output.writeMessage(6, commands_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(7, getDocument());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -330,6 +359,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, commands_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, getDocument());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -360,6 +393,11 @@
         .equals(other.getClaimsList())) return false;
     if (!getCommandsList()
         .equals(other.getCommandsList())) return false;
+    if (hasDocument() != other.hasDocument()) return false;
+    if (hasDocument()) {
+      if (!getDocument()
+          .equals(other.getDocument())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -394,6 +432,10 @@
       hash = (37 * hash) + COMMANDS_FIELD_NUMBER;
       hash = (53 * hash) + getCommandsList().hashCode();
     }
+    if (hasDocument()) {
+      hash = (37 * hash) + DOCUMENT_FIELD_NUMBER;
+      hash = (53 * hash) + getDocument().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -529,6 +571,7 @@
         getAssignmentsFieldBuilder();
         getClaimsFieldBuilder();
         getCommandsFieldBuilder();
+        getDocumentFieldBuilder();
       }
     }
     @java.lang.Override
@@ -569,6 +612,11 @@
         commandsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
+      document_ = null;
+      if (documentBuilder_ != null) {
+        documentBuilder_.dispose();
+        documentBuilder_ = null;
+      }
       return this;
     }
 
@@ -652,6 +700,12 @@
             : configurationBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.document_ = documentBuilder_ == null
+            ? document_
+            : documentBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -809,6 +863,9 @@
           }
         }
       }
+      if (other.hasDocument()) {
+        mergeDocument(other.getDocument());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -899,6 +956,13 @@
               }
               break;
             } // case 50
+            case 58: {
+              input.readMessage(
+                  getDocumentFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2100,6 +2164,127 @@
       }
       return commandsBuilder_;
     }
+
+    private org.bramleyspur.protocol.ReplaceDocumentCommand document_;
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.bramleyspur.protocol.ReplaceDocumentCommand, org.bramleyspur.protocol.ReplaceDocumentCommand.Builder, org.bramleyspur.protocol.ReplaceDocumentCommandOrBuilder> documentBuilder_;
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand document = 7;</code>
+     * @return Whether the document field is set.
+     */
+    public boolean hasDocument() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand document = 7;</code>
+     * @return The document.
+     */
+    public org.bramleyspur.protocol.ReplaceDocumentCommand getDocument() {
+      if (documentBuilder_ == null) {
+        return document_ == null ? org.bramleyspur.protocol.ReplaceDocumentCommand.getDefaultInstance() : document_;
+      } else {
+        return documentBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand document = 7;</code>
+     */
+    public Builder setDocument(org.bramleyspur.protocol.ReplaceDocumentCommand value) {
+      if (documentBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        document_ = value;
+      } else {
+        documentBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand document = 7;</code>
+     */
+    public Builder setDocument(
+        org.bramleyspur.protocol.ReplaceDocumentCommand.Builder builderForValue) {
+      if (documentBuilder_ == null) {
+        document_ = builderForValue.build();
+      } else {
+        documentBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand document = 7;</code>
+     */
+    public Builder mergeDocument(org.bramleyspur.protocol.ReplaceDocumentCommand value) {
+      if (documentBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0) &&
+          document_ != null &&
+          document_ != org.bramleyspur.protocol.ReplaceDocumentCommand.getDefaultInstance()) {
+          getDocumentBuilder().mergeFrom(value);
+        } else {
+          document_ = value;
+        }
+      } else {
+        documentBuilder_.mergeFrom(value);
+      }
+      if (document_ != null) {
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand document = 7;</code>
+     */
+    public Builder clearDocument() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      document_ = null;
+      if (documentBuilder_ != null) {
+        documentBuilder_.dispose();
+        documentBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand document = 7;</code>
+     */
+    public org.bramleyspur.protocol.ReplaceDocumentCommand.Builder getDocumentBuilder() {
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return getDocumentFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand document = 7;</code>
+     */
+    public org.bramleyspur.protocol.ReplaceDocumentCommandOrBuilder getDocumentOrBuilder() {
+      if (documentBuilder_ != null) {
+        return documentBuilder_.getMessageOrBuilder();
+      } else {
+        return document_ == null ?
+            org.bramleyspur.protocol.ReplaceDocumentCommand.getDefaultInstance() : document_;
+      }
+    }
+    /**
+     * <code>.bramleyspur.ReplaceDocumentCommand document = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.bramleyspur.protocol.ReplaceDocumentCommand, org.bramleyspur.protocol.ReplaceDocumentCommand.Builder, org.bramleyspur.protocol.ReplaceDocumentCommandOrBuilder> 
+        getDocumentFieldBuilder() {
+      if (documentBuilder_ == null) {
+        documentBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.bramleyspur.protocol.ReplaceDocumentCommand, org.bramleyspur.protocol.ReplaceDocumentCommand.Builder, org.bramleyspur.protocol.ReplaceDocumentCommandOrBuilder>(
+                getDocument(),
+                getParentForChildren(),
+                isClean());
+        document_ = null;
+      }
+      return documentBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StateSnapshotOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StateSnapshotOrBuilder.java
@@ -144,4 +144,19 @@
    */
   org.bramleyspur.protocol.CommandRecordOrBuilder getCommandsOrBuilder(
       int index);
+
+  /**
+   * <code>.bramleyspur.ReplaceDocumentCommand document = 7;</code>
+   * @return Whether the document field is set.
+   */
+  boolean hasDocument();
+  /**
+   * <code>.bramleyspur.ReplaceDocumentCommand document = 7;</code>
+   * @return The document.
+   */
+  org.bramleyspur.protocol.ReplaceDocumentCommand getDocument();
+  /**
+   * <code>.bramleyspur.ReplaceDocumentCommand document = 7;</code>
+   */
+  org.bramleyspur.protocol.ReplaceDocumentCommandOrBuilder getDocumentOrBuilder();
 }
--- /dev/null
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/HeadChoice.kt
@@ -0,0 +1,76 @@
+/*
+ * Chooses the backend server of a request: the one with the earliest predicted answer among those that are not suspect.
+ */
+package org.bramleyspur.traffic.forward
+
+import org.bramleyspur.core.document.EngineCosts
+
+/**
+ * A backend server that may take a request.
+ *
+ * @property running requests in its batch, as far as this process can tell
+ * @property slots requests that run together
+ * @property unreadTokens prompt tokens sent to it whose first event has not come
+ * @property contextTokens tokens of the requests in its batch
+ * @property timeFactor factor on its published times: of the model, of its observed pace
+ * @property distanceMs round trip to it in milliseconds
+ * @property suspect whether it recently failed or has stopped answering
+ */
+data class Candidate(
+    val id: String,
+    val running: Int,
+    val slots: Int,
+    val unreadTokens: Long,
+    val contextTokens: Long,
+    val timeFactor: Double,
+    val distanceMs: Double,
+    val suspect: Boolean,
+)
+
+/** Predicted time in milliseconds to the first event of a request with [promptTokens]. */
+fun firstEventMs(candidate: Candidate, promptTokens: Long, costs: EngineCosts): Double {
+    val reading = (candidate.unreadTokens + promptTokens) / costs.readTokensPerMs
+    val waiting = maxOf(0, candidate.running + 1 - candidate.slots)
+    val queue = waiting * QUEUED_REQUEST_STEPS * stepMs(candidate, costs) / candidate.slots
+    return candidate.distanceMs + candidate.timeFactor * (reading + stepMs(candidate, costs) * STEPS_BEFORE_FIRST) +
+        candidate.timeFactor * queue
+}
+
+/** Predicted time of a step in milliseconds, before the candidate's own factor. */
+fun stepMs(candidate: Candidate, costs: EngineCosts): Double {
+    val writers = minOf(candidate.running + 1, candidate.slots)
+    return costs.stepMs + writers * costs.perRequestMs +
+        candidate.contextTokens / TOKENS_PER_THOUSAND * costs.perThousandContextMs
+}
+
+/** Predicted answer time in milliseconds of a plain service whose calls take [workMs]. */
+fun plainAnswerMs(candidate: Candidate, workMs: Double): Double =
+    candidate.distanceMs + workMs * (1 + maxOf(0, candidate.running + 1 - candidate.slots).toDouble() / candidate.slots) +
+        workMs * LOAD_SLOWDOWN * candidate.running / candidate.slots
+
+/**
+ * The candidate with the lowest [predictedMs]; suspect ones only when there is no other. Candidates within
+ * [TIE_SHARE] of the best are equal, and [point] (uniform in 0 until 1) chooses among them, so that several entries
+ * with the same view do not all send to one backend server.
+ */
+fun chooseBackend(candidates: List<Candidate>, point: Double, predictedMs: (Candidate) -> Double): Candidate? {
+    val usable = candidates.filter { !it.suspect }.ifEmpty { candidates }
+    if (usable.isEmpty()) return null
+    val predicted = usable.map { it to predictedMs(it) }
+    val best = predicted.minOf { it.second }
+    val near = predicted.filter { it.second <= best * (1 + TIE_SHARE) + TIE_MS }.map { it.first }
+    return near[(point * near.size).toInt().coerceAtMost(near.size - 1)]
+}
+
+private const val TOKENS_PER_THOUSAND = 1000.0
+
+/** A pass in progress ends before a new prompt is read, and the first event needs a step of its own. */
+private const val STEPS_BEFORE_FIRST = 4
+
+/** Mean steps that a running request still takes when it is the one to wait for. */
+private const val QUEUED_REQUEST_STEPS = 40
+
+/** A plain backend server with all slots taken is this much slower than an idle one. */
+private const val LOAD_SLOWDOWN = 0.5
+private const val TIE_SHARE = 0.05
+private const val TIE_MS = 1.0
