--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -20,6 +20,7 @@
 /** Decides the next orders. */
 fun planGroups(state: PlannerState, input: PlannerInput): PlanStep {
     val planning = Planning(state, input)
+    planning.noteEngines()
     planning.forgetOldLives()
     planning.adoptGroups()
     planning.advanceGroups()
@@ -228,7 +229,24 @@
     /** Whether the head of the group that [member] still names has left it. */
     private fun headHasLeft(member: Announcement): Boolean = member.place!!.id !in state.groups
 
+    /**
+     * Whether the first engines of a service are still announcing themselves. Groups that were formed of the first ones
+     * would leave engines over that fit no group in their domain.
+     */
+    private fun isGathering(service: DocumentService): Boolean {
+        if (input.trafficStarted) return false
+        val births = input.engines.values.filter { it.announcement.service == service.name }
+            .mapNotNull { state.firstSeenMs[it.announcement.id] }
+        return births.isEmpty() || input.nowMs - births.max() < GATHER_MS && input.nowMs - births.min() < GATHER_LIMIT_MS
+    }
+
+    fun noteEngines() {
+        val added = input.engines.keys.filter { it !in state.firstSeenMs }
+        state = state.copy(firstSeenMs = added.fold(state.firstSeenMs) { map, id -> map.put(id, input.nowMs) })
+    }
+
     fun formGroups(service: DocumentService) {
+        if (isGathering(service)) return
         val usable = input.engines.values
             .filter { it.announcement.service == service.name && it.announcement.state == BackendState.READY }
             .filter { input.nowMs - it.heardMs <= LOST_MS }
@@ -290,6 +308,7 @@
 
     /** Stages weights on engines without a group, so that the models share them by their work. */
     fun stageSpares(service: DocumentService) {
+        if (isGathering(service)) return
         val spares = freeEngines(service.name)
         val names = service.models.map { it.name }.toSet()
         val counts = service.models.associate { m -> m.name to spares.count { m.name in it.staged } }.toMutableMap()
@@ -353,6 +372,10 @@
         /** A head that answered an entry within this time has all its members. */
         const val STALL_EVIDENCE_MS = 300L
         const val REJOIN_MS = 200L
+
+        /** Engines that start together announce themselves within about an announcement interval. */
+        const val GATHER_MS = 700L
+        const val GATHER_LIMIT_MS = 2_500L
         const val OPEN_AGAIN_MS = 1_000L
 
         /** Longest a head finishes its requests; a member that drains stays for at most 10 s. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -51,6 +51,7 @@
  * @property loadStartsMs times of loads from the weight store
  * @property sent last order to each engine and when, for repeats
  * @property absent lives at whose address nothing listened
+ * @property firstSeenMs when each engine was first known to this leader
  */
 data class PlannerState(
     val groups: PersistentMap<GroupId, PlannedGroup> = persistentMapOf(),
@@ -59,6 +60,7 @@
     val loadStartsMs: PersistentList<Long> = persistentListOf(),
     val sent: PersistentMap<String, SentOrder> = persistentMapOf(),
     val absent: PersistentMap<String, Long> = persistentMapOf(),
+    val firstSeenMs: PersistentMap<String, Long> = persistentMapOf(),
 )
 
 /** An order and when it was sent. */
