--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -22,13 +22,25 @@
     val planning = Planning(state, input)
     planning.noteEngines()
     planning.forgetOldLives()
+    planning.probeDoubtful()
     planning.adoptGroups()
     planning.advanceGroups()
     input.document.services.values.filter { it.costs != null && it.models.isNotEmpty() }.forEach {
         planning.formGroups(it)
         planning.stageSpares(it)
     }
-    return PlanStep(planning.state, planning.orders)
+    return PlanStep(planning.state, planning.orders, planning.probes, planning.checks)
+}
+
+/** The state after the engine [life] answered a probe, or did not in time. */
+fun onProbeResult(state: PlannerState, life: EngineLife, answered: Boolean, nowMs: Long): PlannerState {
+    val record = state.probes[life] ?: return state
+    val next = if (answered) {
+        record.copy(failures = 0, answeredMs = nowMs)
+    } else {
+        record.copy(failures = record.failures + 1)
+    }
+    return state.copy(probes = state.probes.put(life, next))
 }
 
 /** The state after the engine [engineId], born [bornMs], took an order with [result]. */
@@ -41,6 +53,8 @@
 /** Work on one plan. */
 private class Planning(var state: PlannerState, val input: PlannerInput) {
     val orders = ArrayList<EngineOrder>()
+    val probes = ArrayList<EngineProbe>()
+    val checks = LinkedHashSet<String>()
 
     private fun announcement(id: String): Announcement? = input.engines[id]?.announcement
 
@@ -52,7 +66,42 @@
         return known.state == BackendState.GONE || state.absent[life.id] == life.bornMs
     }
 
-    private fun silenceMs(life: EngineLife): Long = input.nowMs - (input.engines[life.id]?.heardMs ?: 0L)
+    private fun heardMs(life: EngineLife): Long =
+        maxOf(input.engines[life.id]?.heardMs ?: 0L, state.probes[life]?.answeredMs ?: 0L)
+
+    private fun silenceMs(life: EngineLife): Long = input.nowMs - heardMs(life)
+
+    /** Whether control gets no sign of the engine: [failures] questions in a row, or several announcements, are missing. */
+    private fun isUnreachable(life: EngineLife, failures: Int = PROBE_FAILURES): Boolean {
+        val probe = state.probes[life]
+        return silenceMs(life) > UNREACHABLE_MS || probe != null && probe.failures >= failures
+    }
+
+    /** Asks engines whose announcement is overdue, and the members of a group that entries see stalled. */
+    fun probeDoubtful() {
+        val stalled = state.groups.values
+            .filter { it.phase == GroupPhase.SERVING && isSilentForEntries(it.members.first()) }
+            .flatMap { it.members }
+            .toSet()
+        for (known in input.engines.values) {
+            val announcement = known.announcement
+            val life = EngineLife(announcement.id, announcement.bornMs)
+            val costs = input.document.services[announcement.service]?.costs
+            val doubtful = life in stalled || input.nowMs - known.heardMs > OVERDUE_MS
+            val last = state.probes[life]
+            if (last != null && known.heardMs > last.sentMs && life !in stalled) {
+                state = state.copy(probes = state.probes.remove(life))
+            }
+            val due = last == null || input.nowMs - last.sentMs >= probeGapMs(last)
+            if (costs == null || announcement.state == BackendState.GONE || !doubtful || !due) continue
+            val record = state.probes[life]?.copy(sentMs = input.nowMs) ?: ProbeRecord(input.nowMs)
+            state = state.copy(probes = state.probes.put(life, record))
+            probes += EngineProbe(life, announcement.address)
+        }
+    }
+
+    private fun probeGapMs(record: ProbeRecord): Long =
+        if (record.failures <= PROBE_FAILURES) PROBE_GAP_MS else DEAD_PROBE_GAP_MS
 
     /** Whether an entry got a piece of an answer from the engine after [sinceMs] and none has called it silent since. */
     private fun answersSince(life: EngineLife, sinceMs: Long): Boolean {
@@ -135,7 +184,9 @@
     private fun advanceForming(group: PlannedGroup) {
         val head = group.members.first()
         val shape = shape(group.service, group.model)
-        val lost = group.members.any { isGone(it) || current(it)?.state != BackendState.READY }
+        val lost = group.members.any {
+            isGone(it) || isUnreachable(it) || current(it)?.state != BackendState.READY
+        }
         val longestMs = formingLimitMs(shape)
         val headPlace = current(head)?.place
         when {
@@ -162,13 +213,14 @@
         val headPlace = current(head)?.place
         val headLeft = current(head) != null && headPlace?.id != group.id
         val otherLeft = others.any { current(it)?.let { known -> known.place?.id != group.id } ?: false }
-        val unreachable = group.members.filter { silenceMs(it) > UNREACHABLE_MS }
+        val unreachable = group.members.any { isUnreachable(it) }
+        val doubtful = group.members.any { isUnreachable(it, failures = 1) }
         val stalled = isSilentForEntries(head) && !answersSince(head, input.nowMs - STALL_EVIDENCE_MS)
         when {
             headLeft || isGone(head) -> release(group)
             others.any { isGone(it) } || otherLeft || headPlace?.state == GroupState.BROKEN -> release(group)
-            stalled && unreachable.isNotEmpty() -> release(group)
-            unreachable.any { silenceMs(it) > LOST_MS } && !answersSince(head, input.nowMs - LOST_MS) -> release(group)
+            stalled && doubtful -> release(group)
+            unreachable && !answersSince(head, input.nowMs - UNSEEN_MS) -> release(group)
             group.members.any { current(it)?.state == BackendState.LEAVING } -> {
                 order(head, EngineCommand.Close(group.id))
                 enter(group, GroupPhase.CLOSING)
@@ -196,13 +248,22 @@
             isGone(head) || known == null || known.place?.id != group.id ->
                 state = state.copy(groups = state.groups.remove(group.id))
             isPresumedDead(head) -> state = state.copy(groups = state.groups.remove(group.id))
-            else -> order(head, EngineCommand.Leave(group.id))
+            else -> {
+                if (isUnreachable(head, failures = 1)) checks += head.id
+                order(head, EngineCommand.Leave(group.id))
+            }
         }
     }
 
-    /** Neither control nor any entry has heard of the engine for longer than its requests may stall. */
-    private fun isPresumedDead(life: EngineLife): Boolean =
-        silenceMs(life) > PRESUMED_DEAD_MS && !answersSince(life, input.nowMs - PRESUMED_DEAD_MS)
+    /**
+     * Neither control nor any entry reaches the engine, and none has for a while. An engine that control alone cannot
+     * reach may be serving.
+     */
+    private fun isPresumedDead(life: EngineLife): Boolean {
+        if (answersSince(life, input.nowMs - UNSEEN_MS)) return false
+        val cutOff = isUnreachable(life) && life.id in input.unreachable
+        return cutOff || silenceMs(life) > PRESUMED_DEAD_MS && !answersSince(life, input.nowMs - PRESUMED_DEAD_MS)
+    }
 
     private fun release(group: PlannedGroup) {
         val released = enter(group, GroupPhase.RELEASING)
@@ -220,8 +281,8 @@
         val taken = state.groups.values.flatMap { it.members }.toSet()
         return input.engines.values
             .filter { it.announcement.service == service && it.announcement.state == BackendState.READY }
-            .filter { input.nowMs - it.heardMs <= UNREACHABLE_MS }
             .map { it.announcement }
+            .filter { !isUnreachable(EngineLife(it.id, it.bornMs), failures = 1) }
             .filter { EngineLife(it.id, it.bornMs) !in taken && state.absent[it.id] != it.bornMs }
             .filter { it.place == null || headHasLeft(it) }
     }
@@ -249,7 +310,7 @@
         if (isGathering(service)) return
         val usable = input.engines.values
             .filter { it.announcement.service == service.name && it.announcement.state == BackendState.READY }
-            .filter { input.nowMs - it.heardMs <= LOST_MS }
+            .filter { !isUnreachable(EngineLife(it.announcement.id, it.announcement.bornMs)) }
             .groupingBy { it.announcement.domain }
             .eachCount()
         val wanted = wantedGroups(usable, service.models)
@@ -339,7 +400,8 @@
     private fun order(life: EngineLife, command: EngineCommand) {
         val known = current(life) ?: return
         val last = state.sent[life.id]
-        if (last != null && last.command == command && input.nowMs - last.atMs < REPEAT_MS) return
+        val repeatMs = if (isUnreachable(life)) UNREACHABLE_REPEAT_MS else REPEAT_MS
+        if (last != null && last.command == command && input.nowMs - last.atMs < repeatMs) return
         state = state.copy(sent = state.sent.put(life.id, SentOrder(command, input.nowMs)))
         orders += EngineOrder(life.id, known.address, input.term, command)
     }
@@ -360,8 +422,19 @@
         /** Two announcements in a row are missing. */
         const val UNREACHABLE_MS = 2_700L
 
-        /** Four announcements in a row are missing. */
-        const val LOST_MS = 5_000L
+        /** An engine that does not answer gets an order only in case it comes back. */
+        const val UNREACHABLE_REPEAT_MS = 3_000L
+
+        /** A quarter more than the interval of announcements. */
+        const val OVERDUE_MS = 1_500L
+
+        /** A question is answered within some ms; two that are not, on connections of their own, are no accident. */
+        const val PROBE_FAILURES = 2
+        const val PROBE_GAP_MS = 350L
+        const val DEAD_PROBE_GAP_MS = 2_000L
+
+        /** A head that served an entry within this time is up, though control may not reach it. */
+        const val UNSEEN_MS = 1_000L
 
         /** Longer than a head stalls before it breaks by itself, so a head without its members serves no more. */
         const val PRESUMED_DEAD_MS = 9_000L
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -52,6 +52,7 @@
  * @property sent last order to each engine and when, for repeats
  * @property absent lives at whose address nothing listened
  * @property firstSeenMs when each engine was first known to this leader
+ * @property probes questions to engines whose announcement is overdue or whose group stalls
  */
 data class PlannerState(
     val groups: PersistentMap<GroupId, PlannedGroup> = persistentMapOf(),
@@ -61,8 +62,17 @@
     val sent: PersistentMap<String, SentOrder> = persistentMapOf(),
     val absent: PersistentMap<String, Long> = persistentMapOf(),
     val firstSeenMs: PersistentMap<String, Long> = persistentMapOf(),
+    val probes: PersistentMap<EngineLife, ProbeRecord> = persistentMapOf(),
 )
 
+/**
+ * Questions to an engine that is not sure to be up.
+ *
+ * @property failures questions in a row that got no answer
+ * @property answeredMs when it last answered one; null for never
+ */
+data class ProbeRecord(val sentMs: Long, val failures: Int = 0, val answeredMs: Long? = null)
+
 /** An order and when it was sent. */
 data class SentOrder(val command: EngineCommand, val atMs: Long)
 
@@ -79,6 +89,7 @@
  *
  * @property term term of the control leader
  * @property engines all backend servers that have announced themselves
+ * @property unreachable engines to which no entry can connect, as all of them said a short time ago
  * @property trafficStarted whether a request was served; before, loads are fast and are not limited
  */
 data class PlannerInput(
@@ -87,8 +98,21 @@
     val document: Document,
     val engines: Map<String, KnownBackend>,
     val evidence: Map<String, EngineEvidence>,
+    val unreachable: Set<String>,
     val trafficStarted: Boolean,
 )
 
-/** The next state and the orders to send. */
-data class PlanStep(val state: PlannerState, val orders: List<EngineOrder>)
+/** A question for the state of the engine [life] at [address]. */
+data class EngineProbe(val life: EngineLife, val address: String)
+
+/**
+ * The next state and what to send.
+ *
+ * @property checks engines to which the entries should try to connect
+ */
+data class PlanStep(
+    val state: PlannerState,
+    val orders: List<EngineOrder>,
+    val probes: List<EngineProbe>,
+    val checks: Set<String>,
+)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryClient.kt
@@ -62,7 +62,8 @@
         }
     }
 
-    private fun tick() {
+    /** Reports at once. */
+    fun tick() {
         val request = report()
         watches.values.toList().forEach { it.tick(request) }
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -32,6 +32,7 @@
     /** Until when other backend servers are preferred. */
     var suspectUntilMs = 0L
     private var failures = 0.0
+    private var silences = 0
     private var reported = 0
     private var reportedInFlight = 0
     private var reportedMs = 0L
@@ -68,8 +69,9 @@
 
     /** It accepted no connection or stopped answering. */
     fun onSilent(nowMs: Long) {
+        silences = if (answeredMs > silentMs) 0 else minOf(silences + 1, MAX_DOUBLINGS)
         silentMs = nowMs
-        suspectUntilMs = nowMs + SUSPECT_MS
+        suspectUntilMs = nowMs + (SUSPECT_MS shl silences)
     }
 
     private companion object {
@@ -82,6 +84,9 @@
 
         /** A suspect is tried again after this time; it then costs one attempt. */
         const val SUSPECT_MS = 1_500L
+
+        /** One that never answers is tried every 12 s. */
+        const val MAX_DOUBLINGS = 3
     }
 }
 
@@ -99,10 +104,15 @@
         if (known != null && known.address == announcement.address) return known
         val address = Address.parse(announcement.address).component1() ?: return null
         known?.client?.close()
-        val client = HttpClient(address, group, belongs = ::belongs)
+        val client = HttpClient(address, group, connectTimeoutMs = CONNECT_TIMEOUT_MS, belongs = ::belongs)
         return BackendLoad(announcement.id, announcement.address, client).also { loads[announcement.id] = it }
     }
 
+    private companion object {
+        /** Many round trips between data centres; then another backend server is tried. */
+        const val CONNECT_TIMEOUT_MS = 300
+    }
+
     private fun belongs(request: HttpRequest, response: HttpHeaders): Boolean {
         val echoed = response.get(headers.attemptId) ?: return true
         return echoed == request.headers().get(headers.attemptId)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -26,6 +26,7 @@
     val metrics: ForwardMetrics,
     private val dataCentre: String,
     private val random: RandomGenerator,
+    private val onSilent: () -> Unit,
     private val newBudget: () -> SecondSendBudget,
 ) {
     /** Backend servers as of the last announcement. */
@@ -35,6 +36,12 @@
     var routes: RouteTable? = null
     private val budgets = HashMap<String, SecondSendBudget>()
 
+    /** Notes that a backend server stopped answering, or accepts no connection. */
+    fun noteSilent(load: BackendLoad) {
+        load.onSilent(timers.nowMs())
+        onSilent()
+    }
+
     /** Uniform in 0 until 1. */
     fun point(): Double = random.nextDouble()
 
@@ -62,7 +69,7 @@
         val heads = directory.heads(service.name, model, shape.size).map { it.announcement }
         val known = heads.filter { it.id !in tried }.mapNotNull { head ->
             loads.of(head)?.let { it to candidate(it, costs.slots, shape.timeFactor, head.dataCentre) }
-        }
+        }.filter { (load, own) -> !own.suspect || load.answeredMs > load.silentMs }
         val chosen = chooseBackend(known.map { it.second }, point()) { firstEventMs(it, promptTokens, costs) }
         return known.firstOrNull { it.second === chosen }
             ?.let { (load, own) -> Choice(load, firstEventMs(own, promptTokens, costs), shape.timeFactor) }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -259,7 +259,7 @@
                 streaming && !backendQuiet -> watchForStall(STALL_RECHECK_MS)
                 !canMove() -> watchForStall(STALL_RECHECK_MS)
                 else -> {
-                    load.onSilent(now)
+                    context.noteSilent(load)
                     abandon()
                     val end = if (answerStarted) AttemptEnd.BrokenOff else AttemptEnd.NoAnswer
                     onAttemptEnd(end, "${load.id} sent nothing for $quietMs ms")
@@ -282,7 +282,7 @@
             runningOf(headers.get(names.load))?.let { load.onReport(it, now) }
             when {
                 headers.contains(names.notExecuted) || status == STATUS_MISDIRECTED -> {
-                    if (status == STATUS_MISDIRECTED) load.onSilent(now)
+                    if (status == STATUS_MISDIRECTED) context.noteSilent(load)
                     leave(AttemptEnd.Rejected(retryAfterMs(headers)), "$status of ${load.id}")
                 }
                 !headers.contains(names.seal) -> drop("$status of ${load.id} without a seal")
@@ -375,7 +375,7 @@
                 sends--
                 unsent++
                 sent = false
-                load.onSilent(now)
+                context.noteSilent(load)
                 onAttemptEnd(AttemptEnd.NotSent, message)
             } else {
                 load.onFailure(now)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
@@ -35,12 +35,14 @@
 /**
  * HTTP client for one backend server; keeps idle connections for calls that allow it.
  *
+ * @param connectTimeoutMs longest time in milliseconds to open a connection
  * @property idleLimitMs time in milliseconds after which an idle connection is not used again
  */
 class HttpClient(
     private val address: Address,
     group: EventLoopGroup,
     private val idleLimitMs: Long = DEFAULT_IDLE_LIMIT_MS,
+    connectTimeoutMs: Int = CONNECT_TIMEOUT_MS,
     private val belongs: ResponseMatcher = { _, _ -> true },
 ) : AutoCloseable {
     private class IdleConnection(val channel: Channel, val untilMs: Long)
@@ -52,7 +54,7 @@
             .group(group)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -6,9 +6,11 @@
 import org.bramleyspur.control.group.EngineCommand
 import org.bramleyspur.control.group.EngineEvidence
 import org.bramleyspur.control.group.EngineOrder
+import org.bramleyspur.control.group.EngineProbe
 import org.bramleyspur.control.group.PlannerInput
 import org.bramleyspur.control.group.PlannerState
 import org.bramleyspur.control.group.onOrderResult
+import org.bramleyspur.control.group.onProbeResult
 import org.bramleyspur.control.group.planGroups
 import org.bramleyspur.control.state.StoredDocument
 import org.bramleyspur.core.backend.KnownBackend
@@ -16,6 +18,7 @@
 import org.bramleyspur.core.document.DocumentDecoder
 import org.bramleyspur.core.telemetry.DecisionLog
 import org.bramleyspur.core.time.TimerService
+import org.bramleyspur.protocol.DirectoryRequest
 
 /** Runs the group planner while this control instance leads; used by the control thread. */
 internal class GroupDriver(
@@ -30,12 +33,37 @@
     private var trafficStarted = false
     private var decoded: Pair<StoredDocument, Document>? = null
 
+    /** Engines to which the entries should try to connect. */
+    var checks: Set<String> = emptySet()
+        private set
+
+    private val verdicts = HashMap<String, Map<String, Verdict>>()
+
+    /** Whether an entry could connect to an engine, and when it said so. */
+    private class Verdict(val reachable: Boolean, val atMs: Long)
+
     /** Takes what an entry saw of engines. */
-    fun onEvidence(answering: List<String>, silent: List<String>) {
+    fun onEvidence(report: DirectoryRequest) {
+        val now = timers.nowMs()
+        if (report.answeringBackendsCount > 0) trafficStarted = true
+        report.answeringBackendsList.forEach { id -> evidence = evidence.put(id, known(id).copy(answeredMs = now)) }
+        report.silentBackendsList.forEach { id -> evidence = evidence.put(id, known(id).copy(silentMs = now)) }
+        val earlier = verdicts[report.instance].orEmpty().filterValues { now - it.atMs < VERDICT_LIFE_MS }
+        verdicts[report.instance] = earlier +
+            report.reachableBackendsList.associateWith { Verdict(reachable = true, now) } +
+            report.unreachableBackendsList.associateWith { Verdict(reachable = false, now) }
+    }
+
+    /** Engines to which none of the entries could connect. */
+    private fun unreachable(entries: Set<String>): Set<String> {
+        if (entries.isEmpty()) return emptySet()
         val now = timers.nowMs()
-        if (answering.isNotEmpty()) trafficStarted = true
-        answering.forEach { id -> evidence = evidence.put(id, known(id).copy(answeredMs = now)) }
-        silent.forEach { id -> evidence = evidence.put(id, known(id).copy(silentMs = now)) }
+        return checks.filter { id ->
+            entries.all { entry ->
+                val verdict = verdicts[entry]?.get(id)
+                verdict != null && !verdict.reachable && now - verdict.atMs < VERDICT_LIFE_MS
+            }
+        }.toSet()
     }
 
     private fun known(id: String) = evidence[id] ?: EngineEvidence()
@@ -47,8 +75,13 @@
         state = PlannerState()
     }
 
-    /** Plans and sends the orders of the leader of [leadingTerm]. */
-    fun plan(leadingTerm: Long, document: StoredDocument?, engines: Map<String, KnownBackend>) {
+    /** Plans and sends the orders of the leader of [leadingTerm]; [entries] are the entries that it hears. */
+    fun plan(
+        leadingTerm: Long,
+        document: StoredDocument?,
+        engines: Map<String, KnownBackend>,
+        entries: Set<String>,
+    ) {
         if (document == null) return
         if (term != leadingTerm) state = PlannerState()
         term = leadingTerm
@@ -58,15 +91,23 @@
             documentOf(document) ?: return,
             engines,
             evidence,
+            unreachable(entries),
             trafficStarted,
         )
         val before = state
         val step = planGroups(state, input)
         state = step.state
         logGroups(before)
+        checks = step.checks
+        step.probes.forEach { probe(it) }
         step.orders.forEach { send(it, engines[it.engineId]?.announcement?.bornMs ?: 0L) }
     }
 
+    private fun probe(probe: EngineProbe) = sender.probe(probe.address) { answered ->
+        if (!answered) log.write("probe-unanswered", "engine" to probe.life.id)
+        state = onProbeResult(state, probe.life, answered, timers.nowMs())
+    }
+
     private fun documentOf(stored: StoredDocument): Document? {
         decoded?.takeIf { it.first === stored }?.let { return it.second }
         val document = decode(stored.content.toByteArray()).getOrElse {
@@ -114,4 +155,9 @@
         is EngineCommand.Leave -> "leave ${command.group.name}"
         is EngineCommand.Stage -> "stage ${command.model}"
     }
+
+    private companion object {
+        /** An entry repeats its verdict with each report while it is asked. */
+        const val VERDICT_LIFE_MS = 1_500L
+    }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
@@ -21,6 +21,13 @@
 /** An order as an HTTP request to the engine. */
 class OrderRequest(val path: String, val headers: Map<String, String>, val body: ByteArray)
 
+/**
+ * How control speaks to engines.
+ *
+ * @property statePath path at which an engine tells its state
+ */
+class EngineDialect(val encodeOrder: OrderEncoder, val statePath: String)
+
 /** Writes an order in the engines' format. */
 typealias OrderEncoder = (EngineOrder) -> OrderRequest
 
@@ -28,7 +35,7 @@
 class OrderSender(
     private val group: EventLoopGroup,
     private val timers: TimerService,
-    private val encode: OrderEncoder,
+    private val dialect: EngineDialect,
 ) {
     private val clients = HashMap<String, HttpClient>()
 
@@ -38,7 +45,7 @@
             return onResult(OrderResult.ABSENT, "'${order.address}' is not an address: $it")
         }
         val client = clients.getOrPut(order.address) { HttpClient(address, group) }
-        val message = encode(order)
+        val message = dialect.encodeOrder(order)
         val request = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, message.path)
         request.headers().set(HttpHeaderNames.HOST, order.address)
         request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, message.body.size)
@@ -51,6 +58,20 @@
         }
     }
 
+    /** Asks the engine at [engineAddress] for its state; [onResult] runs once and tells whether it answered. */
+    fun probe(engineAddress: String, onResult: (Boolean) -> Unit) {
+        val address = Address.parse(engineAddress).getOrElse { return onResult(false) }
+        val client = clients.getOrPut(engineAddress) { HttpClient(address, group) }
+        val request = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, dialect.statePath)
+        request.headers().set(HttpHeaderNames.HOST, engineAddress)
+        val exchange = Exchange { result, _ -> onResult(result == OrderResult.ACCEPTED) }
+        val call = client.call(request, Unpooled.EMPTY_BUFFER, fresh = false, exchange)
+        exchange.timeout = timers.after(PROBE_TIMEOUT_MS) {
+            call.cancel()
+            exchange.end(OrderResult.UNANSWERED, "no answer within $PROBE_TIMEOUT_MS ms")
+        }
+    }
+
     /** Forgets the connections to engines that are not in [addresses]. */
     fun keepOnly(addresses: Set<String>) {
         val gone = clients.keys - addresses
@@ -89,6 +110,9 @@
     private companion object {
         /** An engine answers within some ms; an unanswered order is repeated and may act late. */
         const val ANSWER_TIMEOUT_MS = 1_000L
+
+        /** Many times a round trip between data centres. */
+        const val PROBE_TIMEOUT_MS = 300L
         const val MISDIRECTED = 421
 
         fun resultOf(status: Int): OrderResult = when (status) {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedControl.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedControl.kt
@@ -36,8 +36,8 @@
 import org.bramleyspur.daemon.member.PeerService
 import org.bramleyspur.daemon.member.PeerTransport
 import org.bramleyspur.daemon.operator.OperatorService
+import org.bramleyspur.daemon.orders.EngineDialect
 import org.bramleyspur.daemon.orders.GroupDriver
-import org.bramleyspur.daemon.orders.OrderEncoder
 import org.bramleyspur.daemon.orders.OrderSender
 import org.bramleyspur.daemon.platform.PlatformServer
 import org.bramleyspur.daemon.platform.Readiness
@@ -94,7 +94,7 @@
 class ControlDialect(
     val decodeCall: ControlPlaneDecoder,
     val decodeDocument: DocumentDecoder,
-    val encodeOrder: OrderEncoder,
+    val engines: EngineDialect,
 )
 
 /** One announced control instance. */
@@ -119,6 +119,7 @@
             document = { node?.state?.document },
             confirmed = { node?.leadingTerm() != null },
             members = ::memberAddresses,
+            checks = { checks() },
         ),
         ::onEvidence,
     )
@@ -132,7 +133,7 @@
     private val admission = MemberAdmission(loops.controlGroup, timers)
     private val driver = GroupDriver(
         timers,
-        OrderSender(loops.controlGroup, timers, dialect.encodeOrder),
+        OrderSender(loops.controlGroup, timers, dialect.engines),
         dialect.decodeDocument,
         log,
     )
@@ -264,7 +265,7 @@
     }
 
     private fun onEvidence(request: DirectoryRequest) {
-        if (request.entry) driver.onEvidence(request.answeringBackendsList, request.silentBackendsList)
+        if (request.entry) driver.onEvidence(request)
     }
 
     /** Takes an announcement; returns whether it says something new. */
@@ -292,9 +293,13 @@
     private fun plan() {
         val current = node ?: return
         val term = current.leadingTerm() ?: return driver.forget()
-        driver.plan(term, current.state.document, directory.backends)
+        val asked = driver.checks
+        driver.plan(term, current.state.document, directory.backends, server.entryNames)
+        if (!asked.containsAll(driver.checks)) server.refresh()
     }
 
+    private fun checks(): Set<String> = if (node?.leadingTerm() == null) emptySet() else driver.checks
+
     private fun handle(call: ControlPlaneCall, answer: (ControlPlaneAnswer) -> Unit) = when (call) {
         is ControlPlaneCall.Announce -> {
             if (learn(call.announcement, timers.nowMs())) server.onAnnouncement(call.announcement)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedEntry.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedEntry.kt
@@ -18,6 +18,7 @@
 import org.bramleyspur.daemon.forward.ForwardHeaders
 import org.bramleyspur.daemon.forward.ForwardMetrics
 import org.bramleyspur.daemon.forward.FrontServer
+import org.bramleyspur.daemon.forward.Reachability
 import org.bramleyspur.daemon.platform.PlatformServer
 import org.bramleyspur.daemon.platform.Readiness
 import org.bramleyspur.protocol.DirectoryEvent
@@ -74,13 +75,20 @@
         ForwardMetrics(registry),
         settings.dataCentre,
         RandomGenerator.getDefault(),
+        onSilent = { onSilent() },
     ) {
         SecondSendBudget(settings.secondSendRatio, settings.secondSendSlack, settings.secondSendWindowMs) { entries }
     }
+    private val reachability = Reachability(loops.trafficGroup, timers) { id ->
+        context.directory.backends[id]?.announcement?.address
+    }
     private val front = FrontServer(loops.trafficGroup, context)
     private val platform = PlatformServer(::readiness, registry, settings.readyPath)
     private val watches =
         DirectoryClient(loops.trafficGroup, timers, settings.seeds, null, ::report, ::onEvent)
+
+    /** Tells the control instances at once what an attempt has shown. */
+    private fun onSilent() = watches.tick()
     private val startedMs = timers.nowMs()
     private var confirmed = false
 
@@ -113,6 +121,8 @@
             .setEntry(true)
             .addAllAnsweringBackends(loads.answering(EVIDENCE_MS))
             .addAllSilentBackends(loads.silent(EVIDENCE_MS))
+            .addAllReachableBackends(reachability.reachable())
+            .addAllUnreachableBackends(reachability.unreachable())
             .build()
     }
 
@@ -146,6 +156,7 @@
                 )
             }
         }
+        reachability.check(event.checkBackendsList)
         if (event.hasDocument()) takeDocument(event, address)
         if (event.confirmed) {
             confirmed = true
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequest.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequest.java
@@ -22,6 +22,10 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     silentBackends_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    reachableBackends_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    unreachableBackends_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   @java.lang.Override
@@ -204,6 +208,96 @@
     return silentBackends_.getByteString(index);
   }
 
+  public static final int REACHABLE_BACKENDS_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList reachableBackends_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Results of the connections that the receiver asked for.
+   * </pre>
+   *
+   * <code>repeated string reachable_backends = 5;</code>
+   * @return A list containing the reachableBackends.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getReachableBackendsList() {
+    return reachableBackends_;
+  }
+  /**
+   * <pre>
+   * Results of the connections that the receiver asked for.
+   * </pre>
+   *
+   * <code>repeated string reachable_backends = 5;</code>
+   * @return The count of reachableBackends.
+   */
+  public int getReachableBackendsCount() {
+    return reachableBackends_.size();
+  }
+  /**
+   * <pre>
+   * Results of the connections that the receiver asked for.
+   * </pre>
+   *
+   * <code>repeated string reachable_backends = 5;</code>
+   * @param index The index of the element to return.
+   * @return The reachableBackends at the given index.
+   */
+  public java.lang.String getReachableBackends(int index) {
+    return reachableBackends_.get(index);
+  }
+  /**
+   * <pre>
+   * Results of the connections that the receiver asked for.
+   * </pre>
+   *
+   * <code>repeated string reachable_backends = 5;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the reachableBackends at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getReachableBackendsBytes(int index) {
+    return reachableBackends_.getByteString(index);
+  }
+
+  public static final int UNREACHABLE_BACKENDS_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList unreachableBackends_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <code>repeated string unreachable_backends = 6;</code>
+   * @return A list containing the unreachableBackends.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getUnreachableBackendsList() {
+    return unreachableBackends_;
+  }
+  /**
+   * <code>repeated string unreachable_backends = 6;</code>
+   * @return The count of unreachableBackends.
+   */
+  public int getUnreachableBackendsCount() {
+    return unreachableBackends_.size();
+  }
+  /**
+   * <code>repeated string unreachable_backends = 6;</code>
+   * @param index The index of the element to return.
+   * @return The unreachableBackends at the given index.
+   */
+  public java.lang.String getUnreachableBackends(int index) {
+    return unreachableBackends_.get(index);
+  }
+  /**
+   * <code>repeated string unreachable_backends = 6;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the unreachableBackends at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getUnreachableBackendsBytes(int index) {
+    return unreachableBackends_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -230,6 +324,12 @@
     for (int i = 0; i < silentBackends_.size(); i++) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 4, silentBackends_.getRaw(i));
     }
+    for (int i = 0; i < reachableBackends_.size(); i++) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 5, reachableBackends_.getRaw(i));
+    }
+    for (int i = 0; i < unreachableBackends_.size(); i++) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 6, unreachableBackends_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -262,6 +362,22 @@
       size += dataSize;
       size += 1 * getSilentBackendsList().size();
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < reachableBackends_.size(); i++) {
+        dataSize += computeStringSizeNoTag(reachableBackends_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getReachableBackendsList().size();
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < unreachableBackends_.size(); i++) {
+        dataSize += computeStringSizeNoTag(unreachableBackends_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getUnreachableBackendsList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -285,6 +401,10 @@
         .equals(other.getAnsweringBackendsList())) return false;
     if (!getSilentBackendsList()
         .equals(other.getSilentBackendsList())) return false;
+    if (!getReachableBackendsList()
+        .equals(other.getReachableBackendsList())) return false;
+    if (!getUnreachableBackendsList()
+        .equals(other.getUnreachableBackendsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -309,6 +429,14 @@
       hash = (37 * hash) + SILENT_BACKENDS_FIELD_NUMBER;
       hash = (53 * hash) + getSilentBackendsList().hashCode();
     }
+    if (getReachableBackendsCount() > 0) {
+      hash = (37 * hash) + REACHABLE_BACKENDS_FIELD_NUMBER;
+      hash = (53 * hash) + getReachableBackendsList().hashCode();
+    }
+    if (getUnreachableBackendsCount() > 0) {
+      hash = (37 * hash) + UNREACHABLE_BACKENDS_FIELD_NUMBER;
+      hash = (53 * hash) + getUnreachableBackendsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -446,6 +574,10 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       silentBackends_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      reachableBackends_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      unreachableBackends_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -493,6 +625,14 @@
         silentBackends_.makeImmutable();
         result.silentBackends_ = silentBackends_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        reachableBackends_.makeImmutable();
+        result.reachableBackends_ = reachableBackends_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        unreachableBackends_.makeImmutable();
+        result.unreachableBackends_ = unreachableBackends_;
+      }
     }
 
     @java.lang.Override
@@ -567,6 +707,26 @@
         }
         onChanged();
       }
+      if (!other.reachableBackends_.isEmpty()) {
+        if (reachableBackends_.isEmpty()) {
+          reachableBackends_ = other.reachableBackends_;
+          bitField0_ |= 0x00000010;
+        } else {
+          ensureReachableBackendsIsMutable();
+          reachableBackends_.addAll(other.reachableBackends_);
+        }
+        onChanged();
+      }
+      if (!other.unreachableBackends_.isEmpty()) {
+        if (unreachableBackends_.isEmpty()) {
+          unreachableBackends_ = other.unreachableBackends_;
+          bitField0_ |= 0x00000020;
+        } else {
+          ensureUnreachableBackendsIsMutable();
+          unreachableBackends_.addAll(other.unreachableBackends_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -615,6 +775,18 @@
               silentBackends_.add(s);
               break;
             } // case 34
+            case 42: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureReachableBackendsIsMutable();
+              reachableBackends_.add(s);
+              break;
+            } // case 42
+            case 50: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureUnreachableBackendsIsMutable();
+              unreachableBackends_.add(s);
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1041,6 +1213,264 @@
       onChanged();
       return this;
     }
+
+    private com.google.protobuf.LazyStringArrayList reachableBackends_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureReachableBackendsIsMutable() {
+      if (!reachableBackends_.isModifiable()) {
+        reachableBackends_ = new com.google.protobuf.LazyStringArrayList(reachableBackends_);
+      }
+      bitField0_ |= 0x00000010;
+    }
+    /**
+     * <pre>
+     * Results of the connections that the receiver asked for.
+     * </pre>
+     *
+     * <code>repeated string reachable_backends = 5;</code>
+     * @return A list containing the reachableBackends.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getReachableBackendsList() {
+      reachableBackends_.makeImmutable();
+      return reachableBackends_;
+    }
+    /**
+     * <pre>
+     * Results of the connections that the receiver asked for.
+     * </pre>
+     *
+     * <code>repeated string reachable_backends = 5;</code>
+     * @return The count of reachableBackends.
+     */
+    public int getReachableBackendsCount() {
+      return reachableBackends_.size();
+    }
+    /**
+     * <pre>
+     * Results of the connections that the receiver asked for.
+     * </pre>
+     *
+     * <code>repeated string reachable_backends = 5;</code>
+     * @param index The index of the element to return.
+     * @return The reachableBackends at the given index.
+     */
+    public java.lang.String getReachableBackends(int index) {
+      return reachableBackends_.get(index);
+    }
+    /**
+     * <pre>
+     * Results of the connections that the receiver asked for.
+     * </pre>
+     *
+     * <code>repeated string reachable_backends = 5;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the reachableBackends at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getReachableBackendsBytes(int index) {
+      return reachableBackends_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Results of the connections that the receiver asked for.
+     * </pre>
+     *
+     * <code>repeated string reachable_backends = 5;</code>
+     * @param index The index to set the value at.
+     * @param value The reachableBackends to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReachableBackends(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureReachableBackendsIsMutable();
+      reachableBackends_.set(index, value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Results of the connections that the receiver asked for.
+     * </pre>
+     *
+     * <code>repeated string reachable_backends = 5;</code>
+     * @param value The reachableBackends to add.
+     * @return This builder for chaining.
+     */
+    public Builder addReachableBackends(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureReachableBackendsIsMutable();
+      reachableBackends_.add(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Results of the connections that the receiver asked for.
+     * </pre>
+     *
+     * <code>repeated string reachable_backends = 5;</code>
+     * @param values The reachableBackends to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllReachableBackends(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureReachableBackendsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, reachableBackends_);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Results of the connections that the receiver asked for.
+     * </pre>
+     *
+     * <code>repeated string reachable_backends = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReachableBackends() {
+      reachableBackends_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000010);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Results of the connections that the receiver asked for.
+     * </pre>
+     *
+     * <code>repeated string reachable_backends = 5;</code>
+     * @param value The bytes of the reachableBackends to add.
+     * @return This builder for chaining.
+     */
+    public Builder addReachableBackendsBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureReachableBackendsIsMutable();
+      reachableBackends_.add(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.LazyStringArrayList unreachableBackends_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureUnreachableBackendsIsMutable() {
+      if (!unreachableBackends_.isModifiable()) {
+        unreachableBackends_ = new com.google.protobuf.LazyStringArrayList(unreachableBackends_);
+      }
+      bitField0_ |= 0x00000020;
+    }
+    /**
+     * <code>repeated string unreachable_backends = 6;</code>
+     * @return A list containing the unreachableBackends.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getUnreachableBackendsList() {
+      unreachableBackends_.makeImmutable();
+      return unreachableBackends_;
+    }
+    /**
+     * <code>repeated string unreachable_backends = 6;</code>
+     * @return The count of unreachableBackends.
+     */
+    public int getUnreachableBackendsCount() {
+      return unreachableBackends_.size();
+    }
+    /**
+     * <code>repeated string unreachable_backends = 6;</code>
+     * @param index The index of the element to return.
+     * @return The unreachableBackends at the given index.
+     */
+    public java.lang.String getUnreachableBackends(int index) {
+      return unreachableBackends_.get(index);
+    }
+    /**
+     * <code>repeated string unreachable_backends = 6;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the unreachableBackends at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getUnreachableBackendsBytes(int index) {
+      return unreachableBackends_.getByteString(index);
+    }
+    /**
+     * <code>repeated string unreachable_backends = 6;</code>
+     * @param index The index to set the value at.
+     * @param value The unreachableBackends to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUnreachableBackends(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureUnreachableBackendsIsMutable();
+      unreachableBackends_.set(index, value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string unreachable_backends = 6;</code>
+     * @param value The unreachableBackends to add.
+     * @return This builder for chaining.
+     */
+    public Builder addUnreachableBackends(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureUnreachableBackendsIsMutable();
+      unreachableBackends_.add(value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string unreachable_backends = 6;</code>
+     * @param values The unreachableBackends to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllUnreachableBackends(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureUnreachableBackendsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, unreachableBackends_);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string unreachable_backends = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUnreachableBackends() {
+      unreachableBackends_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000020);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string unreachable_backends = 6;</code>
+     * @param value The bytes of the unreachableBackends to add.
+     * @return This builder for chaining.
+     */
+    public Builder addUnreachableBackendsBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureUnreachableBackendsIsMutable();
+      unreachableBackends_.add(value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequestOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequestOrBuilder.java
@@ -111,4 +111,70 @@
    */
   com.google.protobuf.ByteString
       getSilentBackendsBytes(int index);
+
+  /**
+   * <pre>
+   * Results of the connections that the receiver asked for.
+   * </pre>
+   *
+   * <code>repeated string reachable_backends = 5;</code>
+   * @return A list containing the reachableBackends.
+   */
+  java.util.List<java.lang.String>
+      getReachableBackendsList();
+  /**
+   * <pre>
+   * Results of the connections that the receiver asked for.
+   * </pre>
+   *
+   * <code>repeated string reachable_backends = 5;</code>
+   * @return The count of reachableBackends.
+   */
+  int getReachableBackendsCount();
+  /**
+   * <pre>
+   * Results of the connections that the receiver asked for.
+   * </pre>
+   *
+   * <code>repeated string reachable_backends = 5;</code>
+   * @param index The index of the element to return.
+   * @return The reachableBackends at the given index.
+   */
+  java.lang.String getReachableBackends(int index);
+  /**
+   * <pre>
+   * Results of the connections that the receiver asked for.
+   * </pre>
+   *
+   * <code>repeated string reachable_backends = 5;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the reachableBackends at the given index.
+   */
+  com.google.protobuf.ByteString
+      getReachableBackendsBytes(int index);
+
+  /**
+   * <code>repeated string unreachable_backends = 6;</code>
+   * @return A list containing the unreachableBackends.
+   */
+  java.util.List<java.lang.String>
+      getUnreachableBackendsList();
+  /**
+   * <code>repeated string unreachable_backends = 6;</code>
+   * @return The count of unreachableBackends.
+   */
+  int getUnreachableBackendsCount();
+  /**
+   * <code>repeated string unreachable_backends = 6;</code>
+   * @param index The index of the element to return.
+   * @return The unreachableBackends at the given index.
+   */
+  java.lang.String getUnreachableBackends(int index);
+  /**
+   * <code>repeated string unreachable_backends = 6;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the unreachableBackends at the given index.
+   */
+  com.google.protobuf.ByteString
+      getUnreachableBackendsBytes(int index);
 }
