Form groups without loads and stage weights in the background

Cause: groups that were formed of engines without staged weights took 12 to 16 s, and one more loss began the load anew.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -27,7 +27,6 @@
     planning.advanceGroups()
     input.document.services.values.filter { it.costs != null && it.models.isNotEmpty() }.forEach {
         planning.formGroups(it)
-        planning.stageSpares(it)
     }
     return PlanStep(planning.state, planning.orders, planning.probes, planning.checks)
 }
@@ -148,7 +147,8 @@
             if (id in state.groups) continue
             val head = members.firstOrNull { it.announcement.place!!.rank == 0 }?.announcement ?: continue
             val headLife = EngineLife(head.id, head.bornMs)
-            if (isGone(headLife) || isPresumedDead(headLife)) continue
+            val deadMs = state.presumedDeadMs[headLife]
+            if (isGone(headLife) || deadMs != null && heardMs(headLife) <= deadMs) continue
             val model = head.place!!.model ?: members.firstNotNullOfOrNull { it.announcement.place!!.model } ?: continue
             val shape = shape(head.service, model)
             val byRank = members.associateBy { it.announcement.place!!.rank }
@@ -247,7 +247,10 @@
         when {
             isGone(head) || known == null || known.place?.id != group.id ->
                 state = state.copy(groups = state.groups.remove(group.id))
-            isPresumedDead(head) -> state = state.copy(groups = state.groups.remove(group.id))
+            isPresumedDead(head) -> state = state.copy(
+                groups = state.groups.remove(group.id),
+                presumedDeadMs = state.presumedDeadMs.put(head, input.nowMs),
+            )
             else -> {
                 if (isUnreachable(head, failures = 1)) checks += head.id
                 order(head, EngineCommand.Leave(group.id))
@@ -306,31 +309,42 @@
         state = state.copy(firstSeenMs = added.fold(state.firstSeenMs) { map, id -> map.put(id, input.nowMs) })
     }
 
+    /** Forms missing groups, from engines that need no load, and stages weights for the ones that still miss. */
     fun formGroups(service: DocumentService) {
         if (isGathering(service)) return
-        val usable = input.engines.values
-            .filter { it.announcement.service == service.name && it.announcement.state == BackendState.READY }
-            .filter { !isUnreachable(EngineLife(it.announcement.id, it.announcement.bornMs)) }
-            .groupingBy { it.announcement.domain }
-            .eachCount()
-        val wanted = wantedGroups(usable, service.models)
+        val wanted = wantedGroups(usableByDomain(service), service.models)
         val totals = service.models.associate { m -> m.name to wanted.values.sumOf { it[m.name] ?: 0 } }
         for (model in service.models) {
-            var missing = totals.getValue(model.name) - groupsOf(service, model)
-            while (missing > 0 && formOne(service, model, wanted)) missing--
+            var missing = totals.getValue(model.name) - groupsOf(service, model).count { !spansDomains(it) }
+            while (missing > 0 && formWithinDomain(service, model, wanted)) missing--
+            val (spread, compact) = groupsOf(service, model).partition { spansDomains(it) }
+            val serving = compact.count { it.phase == GroupPhase.SERVING }
+            when {
+                missing > spread.size -> formAcrossDomains(service, model)
+                totals.getValue(model.name) - serving < spread.size -> closeSpread(spread)
+            }
         }
+        stageWeights(service, wanted)
     }
 
-    private fun groupsOf(service: DocumentService, model: ModelShape): Int = state.groups.values.count {
+    private fun usableByDomain(service: DocumentService): Map<String, Int> = input.engines.values
+        .filter { it.announcement.service == service.name && it.announcement.state == BackendState.READY }
+        .filter { !isUnreachable(EngineLife(it.announcement.id, it.announcement.bornMs)) }
+        .groupingBy { it.announcement.domain }
+        .eachCount()
+
+    private fun groupsOf(service: DocumentService, model: ModelShape): List<PlannedGroup> = state.groups.values.filter {
         it.service == service.name && it.model == model.name &&
             (it.phase == GroupPhase.FORMING || it.phase == GroupPhase.SERVING)
     }
 
-    private fun formOne(service: DocumentService, model: ModelShape, wanted: DomainTargets): Boolean {
-        val free = freeEngines(service.name)
-        val best = free.groupBy { it.domain }
+    private fun spansDomains(group: PlannedGroup): Boolean =
+        group.members.mapNotNull { announcement(it.id)?.domain }.distinct().size > 1
+
+    private fun formWithinDomain(service: DocumentService, model: ModelShape, wanted: DomainTargets): Boolean {
+        val best = quickEngines(service, model).groupBy { it.domain }
             .filter { it.value.size >= model.size }
-            .map { (domain, engines) -> domain to engines.sortedBy { joinCost(it, model) }.take(model.size) }
+            .map { (domain, engines) -> domain to engines.take(model.size) }
             .minWithOrNull(
                 compareBy(
                     { (_, members) -> members.maxOf { joinCost(it, model) } },
@@ -338,17 +352,30 @@
                     { (_, members) -> members.sumOf { joinCost(it, model) } },
                 ),
             )?.second ?: return false
-        val loads = best.count { joinCost(it, model) >= model.loadMs }
-        if (!allowLoads(service, loads)) return false
         form(service, model, best)
         return true
     }
 
+    /** A group over several domains is slow, but serves while the engines of one domain load. */
+    private fun formAcrossDomains(service: DocumentService, model: ModelShape) {
+        val engines = quickEngines(service, model)
+        if (engines.size < model.size) return
+        val perDomain = engines.groupingBy { it.domain }.eachCount()
+        form(service, model, engines.sortedByDescending { perDomain.getValue(it.domain) }.take(model.size))
+    }
+
+    private fun closeSpread(spread: List<PlannedGroup>) {
+        val group = spread.firstOrNull { it.phase == GroupPhase.SERVING } ?: return
+        order(group.members.first(), EngineCommand.Close(group.id))
+        enter(group, GroupPhase.CLOSING)
+    }
+
+    /** Free engines that join a group of the model without a load, the fastest first. */
+    private fun quickEngines(service: DocumentService, model: ModelShape): List<Announcement> =
+        freeEngines(service.name).filter { joinCost(it, model) < model.loadMs }.sortedBy { joinCost(it, model) }
+
     private fun inDomain(service: DocumentService, model: ModelShape, domain: String): Int =
-        state.groups.values.count { group ->
-            group.service == service.name && group.model == model.name &&
-                group.members.firstOrNull()?.let { announcement(it.id)?.domain } == domain
-        }
+        groupsOf(service, model).count { group -> group.members.any { announcement(it.id)?.domain == domain } }
 
     /** Time in milliseconds until the engine is ready in a group of the model. */
     private fun joinCost(engine: Announcement, model: ModelShape): Long = when {
@@ -367,32 +394,61 @@
         members.forEach { order(it, EngineCommand.Join(id, model.name, ids)) }
     }
 
-    /** Stages weights on engines without a group, so that the models share them by their work. */
-    fun stageSpares(service: DocumentService) {
-        if (isGathering(service)) return
-        val spares = freeEngines(service.name)
-        val names = service.models.map { it.name }.toSet()
-        val counts = service.models.associate { m -> m.name to spares.count { m.name in it.staged } }.toMutableMap()
-        for (spare in spares.filter { engine -> engine.staged.none { it in names } }) {
-            val pending = state.sent[spare.id]?.takeIf { input.nowMs - it.atMs < STAGE_REPEAT_MS }?.command
-            if (pending is EngineCommand.Stage) {
-                counts.merge(pending.model, 1, Int::plus)
-                continue
+    /** Loads weights onto the hosts of free engines, so that missing groups can form and lost members be replaced. */
+    private fun stageWeights(service: DocumentService, wanted: DomainTargets) {
+        val free = freeEngines(service.name)
+        for ((domain, spares) in free.groupBy { it.domain }) {
+            val surplus = service.models.associate { it.name to surplus(service, it, domain, wanted, spares) }
+                .toMutableMap()
+            for (spare in spares.sortedBy { it.id }) {
+                val staged = stagedModel(service, spare)
+                val model = if (staged == null) {
+                    service.models.minByOrNull { surplus.getValue(it.name) - it.workShare }
+                } else {
+                    modelToRestage(service, surplus, staged)
+                }
+                if (model == null) continue
+                if (!allowLoad(service)) return
+                order(EngineLife(spare.id, spare.bornMs), EngineCommand.Stage(model.name))
+                surplus.merge(model.name, 1, Int::plus)
+                staged?.let { surplus.merge(it, -1, Int::plus) }
             }
-            val model = service.models.minByOrNull { counts.getValue(it.name) / it.workShare.coerceAtLeast(0.01) }
-            if (model == null || !allowLoads(service, 1)) return
-            order(EngineLife(spare.id, spare.bornMs), EngineCommand.Stage(model.name))
-            counts.merge(model.name, 1, Int::plus)
         }
     }
 
-    /** Counts [loads] from the weight store if their rate stays within what the service declares. */
-    private fun allowLoads(service: DocumentService, loads: Int): Boolean {
-        if (loads == 0) return true
+    /** Engines of the domain that are in groups of the model or staged for it, beyond those that its groups need. */
+    private fun surplus(
+        service: DocumentService,
+        model: ModelShape,
+        domain: String,
+        wanted: DomainTargets,
+        spares: List<Announcement>,
+    ): Int {
+        val members = groupsOf(service, model).flatMap { it.members }.count { announcement(it.id)?.domain == domain }
+        val staged = spares.count { stagedModel(service, it) == model.name }
+        return members + staged - (wanted[domain]?.get(model.name) ?: 0) * model.size
+    }
+
+    /** The model that is on the engine's host or on its way there; null for none. */
+    private fun stagedModel(service: DocumentService, engine: Announcement): String? {
+        val sent = state.sent[engine.id]?.takeIf { input.nowMs - it.atMs < STAGE_REPEAT_MS }?.command
+        val pending = (sent as? EngineCommand.Stage)?.model
+        return pending ?: service.models.firstOrNull { it.name in engine.staged }?.name
+    }
+
+    /** Another model than [staged], which has engines to spare, for which a group misses engines. */
+    private fun modelToRestage(service: DocumentService, surplus: Map<String, Int>, staged: String): ModelShape? {
+        if (surplus.getValue(staged) <= 0) return null
+        return service.models.filter { it.name != staged && surplus.getValue(it.name) < 0 }
+            .minByOrNull { surplus.getValue(it.name) }
+    }
+
+    /** Counts a load from the weight store if their rate stays within what the service declares. */
+    private fun allowLoad(service: DocumentService): Boolean {
         val perSecond = service.costs?.loadsPerSecond ?: return true
         val limit = perSecond * LOAD_WINDOW_MS / MS_PER_SECOND * LOAD_SAFETY
-        if (state.loadStartsMs.size + loads > maxOf(limit, loads.toDouble())) return false
-        state = state.copy(loadStartsMs = state.loadStartsMs.addAll(List(loads) { input.nowMs }))
+        if (state.loadStartsMs.size + 1 > limit) return false
+        state = state.copy(loadStartsMs = state.loadStartsMs.add(input.nowMs))
         return true
     }
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -52,6 +52,7 @@
  * @property sent last order to each engine and when, for repeats
  * @property absent lives at whose address nothing listened
  * @property firstSeenMs when each engine was first known to this leader
+ * @property presumedDeadMs lives that nobody could reach, and when that was decided; one that is heard again is not dead
  * @property probes questions to engines whose announcement is overdue or whose group stalls
  */
 data class PlannerState(
@@ -63,6 +64,7 @@
     val absent: PersistentMap<String, Long> = persistentMapOf(),
     val firstSeenMs: PersistentMap<String, Long> = persistentMapOf(),
     val probes: PersistentMap<EngineLife, ProbeRecord> = persistentMapOf(),
+    val presumedDeadMs: PersistentMap<EngineLife, Long> = persistentMapOf(),
 )
 
 /**
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedControl.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedControl.kt
@@ -283,6 +283,8 @@
                 "service" to announcement.service,
                 "state" to announcement.state.name,
                 "group" to announcement.place?.let { "${it.id.name}/${it.rank}/${it.state}" }.orEmpty(),
+                "staged" to announcement.staged.joinToString(","),
+                "domain" to announcement.domain,
                 "sequence" to announcement.sequence,
             )
             plan()
