Give joins the number of orders that the engine has begun

Ruled out: fencing numbers alone, since the late order came before the new leader's first one to that engine. Change: an engine is asked for its state before it joins, and the join names the number of orders that it has begun.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineOrder.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineOrder.kt
@@ -21,9 +21,19 @@
     data class Stage(val model: String) : EngineCommand
 }
 
+/**
+ * What an engine says when it is asked.
+ *
+ * @property orders orders that it has begun in this life
+ * @property group group in which it is; null for none
+ */
+data class EngineReport(val orders: Long, val group: GroupId?)
+
 /**
  * An order to the engine [engineId] at [address] (`host:port`).
  *
+ * @property expectedOrders orders that the engine must have begun, so that an earlier order that acts late does not come
+ * between a decision and its order; null for orders that are safe without
  * @property fencingNumber term of the control leader; an engine that checks it refuses a lower one
  */
 data class EngineOrder(
@@ -31,6 +41,7 @@
     val address: String,
     val fencingNumber: Long,
     val command: EngineCommand,
+    val expectedOrders: Long? = null,
 )
 
 /** How an engine took an order. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -31,15 +31,15 @@
     return PlanStep(planning.state, planning.orders, planning.probes, planning.checks)
 }
 
-/** The state after the engine [life] answered a probe, or did not in time. */
-fun onProbeResult(state: PlannerState, life: EngineLife, answered: Boolean, nowMs: Long): PlannerState {
-    val record = state.probes[life] ?: return state
-    val next = if (answered) {
-        record.copy(failures = 0, answeredMs = nowMs)
-    } else {
-        record.copy(failures = record.failures + 1)
-    }
-    return state.copy(probes = state.probes.put(life, next))
+/** The state after the engine [life] answered a probe that was sent at [sentMs] with [report], or did not in time. */
+fun onProbeResult(state: PlannerState, life: EngineLife, report: EngineReport?, sentMs: Long, nowMs: Long): PlannerState {
+    val record = state.probes[life] ?: ProbeRecord(sentMs)
+    if (report == null) {
+        return state.copy(probes = state.probes.put(life, record.copy(failures = record.failures + 1)))
+    }
+    val answered = state.copy(probes = state.probes.put(life, record.copy(failures = 0, answeredMs = nowMs)))
+    val orderedSince = (state.sent[life.id]?.atMs ?: 0L) >= sentMs
+    return if (orderedSince) answered else answered.copy(verified = state.verified.put(life, Verified(report, nowMs)))
 }
 
 /** The state after the engine [engineId], born [bornMs], took an order with [result]. */
@@ -88,17 +88,36 @@
             val costs = input.document.services[announcement.service]?.costs
             val doubtful = life in stalled || input.nowMs - known.heardMs > OVERDUE_MS
             val last = state.probes[life]
-            if (last != null && known.heardMs > last.sentMs && life !in stalled) {
+            if (last != null && last.failures > 0 && known.heardMs > last.sentMs && life !in stalled) {
                 state = state.copy(probes = state.probes.remove(life))
             }
             val due = last == null || input.nowMs - last.sentMs >= probeGapMs(last)
             if (costs == null || announcement.state == BackendState.GONE || !doubtful || !due) continue
-            val record = state.probes[life]?.copy(sentMs = input.nowMs) ?: ProbeRecord(input.nowMs)
-            state = state.copy(probes = state.probes.put(life, record))
-            probes += EngineProbe(life, announcement.address)
+            probe(life, announcement.address)
         }
     }
 
+    private fun probe(life: EngineLife, address: String) {
+        val record = state.probes[life]?.copy(sentMs = input.nowMs) ?: ProbeRecord(input.nowMs)
+        state = state.copy(probes = state.probes.put(life, record))
+        probes += EngineProbe(life, address)
+    }
+
+    /**
+     * Whether the engine has just said that it is in the group that its announcement names. An engine for which this is
+     * not known is asked, and the decision waits for its answer.
+     */
+    private fun isVerified(life: EngineLife): Boolean {
+        val known = current(life) ?: return false
+        val verified = state.verified[life]
+        if (verified != null && input.nowMs - verified.atMs <= VERIFIED_MS) {
+            return verified.report.group == known.place?.id
+        }
+        val last = state.probes[life]
+        if (last == null || input.nowMs - last.sentMs >= PROBE_GAP_MS) probe(life, known.address)
+        return false
+    }
+
     private fun probeGapMs(record: ProbeRecord): Long =
         if (record.failures <= PROBE_FAILURES) PROBE_GAP_MS else DEAD_PROBE_GAP_MS
 
@@ -193,12 +212,17 @@
             shape == null || lost || input.nowMs - group.sinceMs > longestMs -> release(group)
             headPlace?.id == group.id && headPlace.state == GroupState.OPEN -> enter(group, GroupPhase.SERVING)
             group.members.all { placeIs(it, group.id, GroupState.READY) } -> order(head, EngineCommand.Open(group.id))
-            else -> group.members.filter { current(it)?.place?.id != group.id }.forEach {
-                order(it, EngineCommand.Join(group.id, group.model, group.members.map { m -> m.id }.toImmutableList()))
-            }
+            else -> group.members.filter { current(it)?.place?.id != group.id }.forEach { joinAgain(it, group) }
         }
     }
 
+    /** Repeats a join that got no answer, unless the engine has joined and its announcement is on the way. */
+    private fun joinAgain(life: EngineLife, group: PlannedGroup) {
+        if (state.sent[life.id]?.let { input.nowMs - it.atMs < REPEAT_MS } == true) return
+        if (!isVerified(life)) return
+        order(life, EngineCommand.Join(group.id, group.model, group.members.map { it.id }.toImmutableList()))
+    }
+
     private fun placeIs(life: EngineLife, id: GroupId, wanted: GroupState): Boolean {
         val place = current(life)?.place ?: return false
         return place.id == id && place.state == wanted
@@ -352,8 +376,7 @@
                     { (_, members) -> members.sumOf { joinCost(it, model) } },
                 ),
             )?.second ?: return false
-        form(service, model, best)
-        return true
+        return form(service, model, best)
     }
 
     /** A group over several domains is slow, but serves while the engines of one domain load. */
@@ -384,7 +407,9 @@
         else -> model.loadMs
     }
 
-    private fun form(service: DocumentService, model: ModelShape, engines: List<Announcement>) {
+    /** Orders the engines to join; false when one of them has to be asked for its state first. */
+    private fun form(service: DocumentService, model: ModelShape, engines: List<Announcement>): Boolean {
+        if (engines.count { !isVerified(EngineLife(it.id, it.bornMs)) } > 0) return false
         val epoch = input.term * EPOCHS_PER_TERM + state.epochs + 1
         val id = GroupId("g$epoch", epoch)
         val members = engines.map { EngineLife(it.id, it.bornMs) }.toImmutableList()
@@ -392,6 +417,7 @@
         state = state.copy(groups = state.groups.put(id, group), epochs = state.epochs + 1)
         val ids = members.map { it.id }.toImmutableList()
         members.forEach { order(it, EngineCommand.Join(id, model.name, ids)) }
+        return true
     }
 
     /** Loads weights onto the hosts of free engines, so that missing groups can form and lost members be replaced. */
@@ -458,8 +484,12 @@
         val last = state.sent[life.id]
         val repeatMs = if (isUnreachable(life)) UNREACHABLE_REPEAT_MS else REPEAT_MS
         if (last != null && last.command == command && input.nowMs - last.atMs < repeatMs) return
-        state = state.copy(sent = state.sent.put(life.id, SentOrder(command, input.nowMs)))
-        orders += EngineOrder(life.id, known.address, input.term, command)
+        val expected = if (command is EngineCommand.Join) state.verified[life]?.report?.orders else null
+        state = state.copy(
+            sent = state.sent.put(life.id, SentOrder(command, input.nowMs)),
+            verified = state.verified.remove(life),
+        )
+        orders += EngineOrder(life.id, known.address, input.term, command, expected)
     }
 
     private fun <V> kotlinx.collections.immutable.PersistentMap<String, V>.filterKeysIn(kept: Set<String>) =
@@ -487,6 +517,9 @@
         /** A question is answered within some ms; two that are not, on connections of their own, are no accident. */
         const val PROBE_FAILURES = 2
         const val PROBE_GAP_MS = 350L
+
+        /** An answer is asked for anew after this time; an order that acts in between makes the engine refuse the join. */
+        const val VERIFIED_MS = 1_500L
         const val DEAD_PROBE_GAP_MS = 2_000L
 
         /** A head that served an entry within this time is up, though control may not reach it. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -52,6 +52,7 @@
  * @property sent last order to each engine and when, for repeats
  * @property absent lives at whose address nothing listened
  * @property firstSeenMs when each engine was first known to this leader
+ * @property verified reports of engines, which joins depend on
  * @property presumedDeadMs lives that nobody could reach, and when that was decided; one that is heard again is not dead
  * @property probes questions to engines whose announcement is overdue or whose group stalls
  */
@@ -64,9 +65,13 @@
     val absent: PersistentMap<String, Long> = persistentMapOf(),
     val firstSeenMs: PersistentMap<String, Long> = persistentMapOf(),
     val probes: PersistentMap<EngineLife, ProbeRecord> = persistentMapOf(),
+    val verified: PersistentMap<EngineLife, Verified> = persistentMapOf(),
     val presumedDeadMs: PersistentMap<EngineLife, Long> = persistentMapOf(),
 )
 
+/** An engine's report, as long as no order was sent to it since. */
+data class Verified(val report: EngineReport, val atMs: Long)
+
 /**
  * Questions to an engine that is not sure to be up.
  *
--- /dev/null
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
@@ -0,0 +1,288 @@
+/*
+ * Engines that follow orders as the real ones do, for tests of the planner: orders can stay unanswered and act seconds
+ * later, engines crash with or without a sign, start again under their id, and are cut off from control alone.
+ */
+package org.bramleyspur.control.group
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.collections.immutable.toPersistentList
+import org.bramleyspur.core.backend.Announcement
+import org.bramleyspur.core.backend.BackendDirectory
+import org.bramleyspur.core.backend.BackendState
+import org.bramleyspur.core.backend.GroupId
+import org.bramleyspur.core.backend.GroupPlace
+import org.bramleyspur.core.backend.GroupState
+import org.bramleyspur.core.document.ClientLimits
+import org.bramleyspur.core.document.Document
+import org.bramleyspur.core.document.DocumentService
+import org.bramleyspur.core.document.EngineCosts
+import org.bramleyspur.core.document.ModelShape
+import java.util.random.RandomGenerator
+
+private const val SERVICE = "s"
+private const val STEP_MS = 50L
+private const val BEAT_MS = 1_200L
+private const val STALL_MS = 4_000L
+
+internal val MODELS = listOf(
+    ModelShape("large", 4, 0.67, 1.0, 16_000, 1_600),
+    ModelShape("small", 2, 0.33, 0.6, 12_000, 1_100),
+)
+
+internal val DOCUMENT = Document(
+    version = 1,
+    routes = persistentListOf(),
+    services = persistentMapOf(
+        SERVICE to DocumentService(
+            SERVICE,
+            392,
+            EngineCosts(34, 1_000_000, 6.0, 0.34, 0.007, 46.0, 3.0, 6, 2.5),
+            MODELS.toImmutableList(),
+        ),
+    ),
+    accounts = null,
+    limits = ClientLimits(),
+)
+
+/** One engine. */
+internal class SimulatedEngine(val id: String, val domain: String, var bornMs: Long) {
+    var up = true
+
+    /** Until when control does not reach it, though entries do. */
+    var cutUntilMs = 0L
+    var group: GroupId? = null
+    var rank = 0
+    var state = GroupState.JOINING
+    var model: String? = null
+    var members: List<String> = emptyList()
+    var readyAtMs = 0L
+    var brokenAtMs: Long? = null
+    var staged: String? = null
+    var stagedAtMs = 0L
+    var stagingModel: String? = null
+    var lastModel: String? = null
+    var sequence = 0L
+
+    /** Orders that it has begun in this life. */
+    var orders = 0L
+    var nextBeatMs = 0L
+    val highestEpoch = HashMap<String, Long>()
+    var highestAny = 0L
+
+    fun restart(nowMs: Long) {
+        up = true
+        bornMs = nowMs
+        group = null
+        lastModel = null
+        sequence = 0
+        orders = 0
+        highestEpoch.clear()
+        highestAny = 0
+        brokenAtMs = null
+        nextBeatMs = nowMs
+    }
+}
+
+/** The engines and one planner. [faults] says whether orders are lost and engines fail. */
+internal class EngineWorld(private val random: RandomGenerator, engines: Int, var faults: Boolean) {
+    val engines = (0 until engines).map { SimulatedEngine("e$it", "d${it * 3 / engines}", 1) }
+    private val byId = this.engines.associateBy { it.id }
+    val violations = ArrayList<String>()
+    var nowMs = 100_000L
+        private set
+    private var term = 1L
+    private var state = PlannerState()
+    private var directory = BackendDirectory()
+    private val evidence = HashMap<String, EngineEvidence>()
+    private val late = ArrayList<Pair<Long, () -> Unit>>()
+    private val everReady = HashSet<Triple<String, GroupId, List<String>>>()
+
+    /** Heads that serve a complete group. */
+    fun servingHeads(): List<SimulatedEngine> = engines.filter { isServing(it) }
+
+    private fun isServing(engine: SimulatedEngine) =
+        engine.up && engine.group != null && engine.rank == 0 && engine.state == GroupState.OPEN && isWhole(engine)
+
+    private fun isWhole(head: SimulatedEngine) = head.members.all { id ->
+        val member = byId.getValue(id)
+        member.up && member.group == head.group
+    }
+
+    fun run(durationMs: Long) {
+        val end = nowMs + durationMs
+        while (nowMs < end) step()
+    }
+
+    private fun step() {
+        nowMs += STEP_MS
+        if (faults) injectFaults()
+        val due = late.filter { it.first <= nowMs }
+        late -= due.toSet()
+        due.forEach { it.second() }
+        engines.filter { it.up }.forEach { progress(it) }
+        observe()
+        plan()
+    }
+
+    private fun injectFaults() {
+        if (random.nextInt(60) == 0) {
+            val engine = engines[random.nextInt(engines.size)]
+            if (engine.up) {
+                engine.up = false
+                late += nowMs + 2_000 + random.nextInt(4_000) to { engine.restart(nowMs) }
+            }
+        }
+        if (random.nextInt(150) == 0) {
+            engines[random.nextInt(engines.size)].cutUntilMs = nowMs + 1_000 + random.nextInt(9_000)
+        }
+        if (random.nextInt(300) == 0) {
+            term++
+            state = PlannerState()
+        }
+    }
+
+    private fun progress(engine: SimulatedEngine) {
+        if (engine.stagingModel != null && engine.stagedAtMs <= nowMs) {
+            engine.staged = engine.stagingModel
+            engine.stagingModel = null
+            engine.nextBeatMs = nowMs
+        }
+        val group = engine.group
+        if (group != null && engine.state == GroupState.JOINING && engine.readyAtMs <= nowMs) {
+            engine.state = GroupState.READY
+            engine.staged = engine.model
+            engine.lastModel = engine.model
+            engine.nextBeatMs = nowMs
+            everReady += Triple(engine.id, group, engine.members)
+        }
+        stall(engine)
+        if (engine.nextBeatMs <= nowMs && engine.cutUntilMs <= nowMs) {
+            engine.sequence++
+            engine.nextBeatMs = nowMs + BEAT_MS
+            directory = directory.with(announcement(engine), nowMs)
+        }
+    }
+
+    private fun stall(engine: SimulatedEngine) {
+        val open = engine.group != null && engine.rank == 0 &&
+            (engine.state == GroupState.OPEN || engine.state == GroupState.CLOSING)
+        when {
+            !open -> engine.brokenAtMs = null
+            isWhole(engine) -> {
+                engine.brokenAtMs = null
+                if (engine.state == GroupState.CLOSING) engine.state = GroupState.READY
+            }
+            engine.brokenAtMs == null -> engine.brokenAtMs = nowMs + STALL_MS
+            engine.brokenAtMs!! <= nowMs -> {
+                engine.state = GroupState.BROKEN
+                engine.nextBeatMs = nowMs
+            }
+        }
+    }
+
+    private fun announcement(engine: SimulatedEngine) = Announcement(
+        id = engine.id,
+        bornMs = engine.bornMs,
+        sequence = engine.sequence,
+        service = SERVICE,
+        address = "10.0.0.1:${engine.id.drop(1).toInt() + 1}",
+        dataCentre = engine.domain,
+        slots = 34,
+        state = BackendState.READY,
+        domain = engine.domain,
+        staged = listOfNotNull(engine.staged).toPersistentList(),
+        place = engine.group?.let { GroupPlace(it, engine.rank, engine.state, engine.model) },
+    )
+
+    /** What entries see: heads that serve answer, others that are known as open are silent. */
+    private fun observe() {
+        if (nowMs % 250 != 0L) return
+        for (known in directory.backends.values) {
+            val place = known.announcement.place ?: continue
+            if (place.rank != 0 || place.state != GroupState.OPEN) continue
+            val before = evidence[known.announcement.id] ?: EngineEvidence()
+            val serves = isServing(byId.getValue(known.announcement.id))
+            evidence[known.announcement.id] =
+                if (serves) before.copy(answeredMs = nowMs) else before.copy(silentMs = nowMs)
+        }
+    }
+
+    private fun plan() {
+        val unreachable = engines.filter { !it.up }.map { it.id }.toSet()
+        val input = PlannerInput(nowMs, term, DOCUMENT, directory.backends, evidence, unreachable, true)
+        val step = planGroups(state, input)
+        state = step.state
+        step.probes.forEach { probe ->
+            val engine = byId.getValue(probe.life.id)
+            val sentMs = nowMs
+            val asked = term
+            val answers = engine.up && engine.cutUntilMs <= nowMs && engine.bornMs == probe.life.bornMs
+            val report = if (answers) EngineReport(engine.orders, engine.group) else null
+            late += nowMs + STEP_MS to {
+                if (asked == term) state = onProbeResult(state, probe.life, report, sentMs, nowMs)
+            }
+        }
+        step.orders.forEach { deliver(it) }
+    }
+
+    private fun deliver(order: EngineOrder) {
+        val engine = byId.getValue(order.engineId)
+        val bornMs = engine.bornMs
+        if (!engine.up || engine.cutUntilMs > nowMs) return
+        val delayMs = if (faults && random.nextInt(3) == 0) 2_000L + random.nextInt(10_000) else STEP_MS
+        late += nowMs + delayMs to { if (engine.up && engine.bornMs == bornMs) carryOut(engine, order) }
+    }
+
+    private fun carryOut(engine: SimulatedEngine, order: EngineOrder) {
+        if (order.expectedOrders != null && order.expectedOrders != engine.orders) return
+        engine.orders++
+        when (val command = order.command) {
+            is EngineCommand.Join -> join(engine, command)
+            is EngineCommand.Open -> open(engine, command.group)
+            is EngineCommand.Close -> if (engine.group == command.group && engine.state == GroupState.OPEN) {
+                engine.state = GroupState.CLOSING
+            }
+            is EngineCommand.Leave -> if (engine.group == command.group) engine.group = null
+            is EngineCommand.Stage -> if (engine.staged != command.model && engine.stagingModel == null) {
+                engine.stagingModel = command.model
+                engine.stagedAtMs = nowMs + MODELS.first { it.name == command.model }.loadMs
+            }
+        }
+        engine.nextBeatMs = nowMs
+    }
+
+    private fun join(engine: SimulatedEngine, command: EngineCommand.Join) {
+        if (command.group.epoch < engine.highestAny || command.group == engine.group) return
+        val former = engine.group
+        if (former != null && former != command.group) checkFormerHead(engine, former, command.group)
+        val model = MODELS.first { it.name == command.model }
+        val costMs = when {
+            engine.lastModel == model.name -> 200
+            engine.staged == model.name -> model.warmMs
+            else -> model.loadMs
+        }
+        engine.highestAny = command.group.epoch
+        engine.group = command.group
+        engine.rank = command.members.indexOf(engine.id)
+        engine.members = command.members
+        engine.model = model.name
+        engine.state = GroupState.JOINING
+        engine.readyAtMs = nowMs + costMs
+    }
+
+    private fun checkFormerHead(engine: SimulatedEngine, former: GroupId, next: GroupId) {
+        val head = byId[engine.members.firstOrNull()] ?: return
+        val serving = head.up && head.group == former &&
+            (head.state == GroupState.OPEN || head.state == GroupState.CLOSING)
+        if (serving) violations += "$nowMs: ${engine.id} joins $next while ${head.id} serves $former"
+    }
+
+    private fun open(engine: SimulatedEngine, group: GroupId) {
+        if (engine.group != group || engine.rank != 0 || engine.state != GroupState.READY) return
+        val missing = engine.members.filter { Triple(it, group, engine.members) !in everReady }
+        if (missing.isNotEmpty()) violations += "$nowMs: ${engine.id} opens $group without $missing"
+        engine.state = GroupState.OPEN
+    }
+}
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -26,6 +26,7 @@
     private val sender: OrderSender,
     private val decode: DocumentDecoder,
     private val log: DecisionLog,
+    private val replan: () -> Unit,
 ) {
     private var term: Long? = null
     private var state = PlannerState()
@@ -103,9 +104,13 @@
         step.orders.forEach { send(it, engines[it.engineId]?.announcement?.bornMs ?: 0L) }
     }
 
-    private fun probe(probe: EngineProbe) = sender.probe(probe.address) { answered ->
-        if (!answered) log.write("probe-unanswered", "engine" to probe.life.id)
-        state = onProbeResult(state, probe.life, answered, timers.nowMs())
+    private fun probe(probe: EngineProbe) {
+        val sentMs = timers.nowMs()
+        sender.probe(probe.address) { report, problem ->
+            if (report == null) log.write("probe-unanswered", "engine" to probe.life.id, "reason" to problem)
+            state = onProbeResult(state, probe.life, report, sentMs, timers.nowMs())
+            replan()
+        }
     }
 
     private fun documentOf(stored: StoredDocument): Document? {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
@@ -1,5 +1,7 @@
 package org.bramleyspur.daemon.orders
 
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
@@ -10,6 +12,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
 import org.bramleyspur.control.group.EngineOrder
+import org.bramleyspur.control.group.EngineReport
 import org.bramleyspur.control.group.OrderResult
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.core.time.Subscription
@@ -25,8 +28,13 @@
  * How control speaks to engines.
  *
  * @property statePath path at which an engine tells its state
+ * @property decodeReport reads that state; the error says what is wrong with it
  */
-class EngineDialect(val encodeOrder: OrderEncoder, val statePath: String)
+class EngineDialect(
+    val encodeOrder: OrderEncoder,
+    val statePath: String,
+    val decodeReport: (ByteArray) -> Result<EngineReport, String>,
+)
 
 /** Writes an order in the engines' format. */
 typealias OrderEncoder = (EngineOrder) -> OrderRequest
@@ -58,13 +66,13 @@
         }
     }
 
-    /** Asks the engine at [engineAddress] for its state; [onResult] runs once and tells whether it answered. */
-    fun probe(engineAddress: String, onResult: (Boolean) -> Unit) {
-        val address = Address.parse(engineAddress).getOrElse { return onResult(false) }
+    /** Asks the engine at [engineAddress] for its state; [onResult] runs once, with null when it did not answer. */
+    fun probe(engineAddress: String, onResult: (EngineReport?, String) -> Unit) {
+        val address = Address.parse(engineAddress).getOrElse { return onResult(null, it) }
         val client = clients.getOrPut(engineAddress) { HttpClient(address, group) }
         val request = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, dialect.statePath)
         request.headers().set(HttpHeaderNames.HOST, engineAddress)
-        val exchange = Exchange { result, _ -> onResult(result == OrderResult.ACCEPTED) }
+        val exchange = Exchange { result, text -> onProbeAnswer(result, text, onResult) }
         val call = client.call(request, Unpooled.EMPTY_BUFFER, fresh = false, exchange)
         exchange.timeout = timers.after(PROBE_TIMEOUT_MS) {
             call.cancel()
@@ -72,6 +80,11 @@
         }
     }
 
+    private fun onProbeAnswer(result: OrderResult, text: String, onResult: (EngineReport?, String) -> Unit) {
+        if (result != OrderResult.ACCEPTED) return onResult(null, text)
+        dialect.decodeReport(text.encodeToByteArray()).fold({ onResult(it, "") }, { onResult(null, it) })
+    }
+
     /** Forgets the connections to engines that are not in [addresses]. */
     fun keepOnly(addresses: Set<String>) {
         val gone = clients.keys - addresses
@@ -82,6 +95,7 @@
         var timeout: Subscription? = null
         private var ended = false
         private var status = 0
+        private val body = StringBuilder()
 
         fun end(result: OrderResult, text: String) {
             if (ended) return
@@ -94,9 +108,11 @@
             this.status = status
         }
 
-        override fun onData(data: ByteBuf) = Unit
+        override fun onData(data: ByteBuf) {
+            if (body.length < MAX_BODY_CHARS) body.append(data.toString(Charsets.UTF_8))
+        }
 
-        override fun onEnd() = end(resultOf(status), "status $status")
+        override fun onEnd() = end(resultOf(status), body.ifEmpty { "status $status" }.toString())
 
         override fun onFailure(failure: HttpFailure, message: String) = end(
             if (failure == HttpFailure.NOT_SENT && isRefusal(message)) OrderResult.ABSENT else OrderResult.UNANSWERED,
@@ -115,6 +131,9 @@
         const val PROBE_TIMEOUT_MS = 300L
         const val MISDIRECTED = 421
 
+        /** A state has some hundred characters. */
+        const val MAX_BODY_CHARS = 16 * 1024
+
         fun resultOf(status: Int): OrderResult = when (status) {
             in 200..299 -> OrderResult.ACCEPTED
             MISDIRECTED -> OrderResult.ABSENT
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedControl.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedControl.kt
@@ -136,6 +136,7 @@
         OrderSender(loops.controlGroup, timers, dialect.engines),
         dialect.decodeDocument,
         log,
+        ::plan,
     )
     private val controlPlane = ControlPlaneServer(dialect.decodeCall, ::handle)
     private val platform = PlatformServer(::readiness, registry)
--- /dev/null
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/AttemptRulesTest.kt
@@ -0,0 +1,76 @@
+package org.bramleyspur.traffic.forward
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+/**
+ * Guards against a second run of a request that may run once, against a refusal as not run of one that may have run, and
+ * against an answer that looks complete after a part of it was lost.
+ */
+class AttemptRulesTest {
+    private class Case(
+        val name: String,
+        val facts: RequestFacts,
+        val end: AttemptEnd,
+        val budget: Boolean,
+        val next: NextStep,
+    )
+
+    private val stream = RequestFacts(
+        repeatable = true,
+        maxAttempts = 2,
+        sends = 1,
+        unsent = 0,
+        mayHaveRun = false,
+        answerStarted = false,
+        remainingMs = 5_000,
+    )
+    private val once = stream.copy(repeatable = false)
+    private val rejected = AttemptEnd.Rejected(null)
+
+    private val cases = listOf(
+        Case("once, no answer", once, AttemptEnd.NoAnswer, true, NextStep.FailUnknown),
+        Case("once, rejected", once, rejected, true, NextStep.SendAgain(paid = true)),
+        Case("once, rejected, no budget", once, rejected, false, NextStep.RefuseNotRun),
+        Case("once, rejected, one attempt", once.copy(maxAttempts = 1), rejected, true, NextStep.RefuseNotRun),
+        Case("once, own failure", once, AttemptEnd.Failed, true, NextStep.PassFailure),
+        Case("once, broken off", once.copy(answerStarted = true), AttemptEnd.BrokenOff, true, NextStep.BreakOff),
+        Case("once, not sent", once.copy(sends = 0, unsent = 1), AttemptEnd.NotSent, false, NextStep.SendAgain(false)),
+        Case("once, never sent", once.copy(sends = 0, unsent = 4), AttemptEnd.NotSent, true, NextStep.RefuseNotRun),
+        Case("once, no candidate", once.copy(sends = 0), AttemptEnd.NoCandidate, true, NextStep.RefuseNotRun),
+        Case("stream, no answer", stream, AttemptEnd.NoAnswer, true, NextStep.SendAgain(paid = true)),
+        Case("stream, no answer, no budget", stream, AttemptEnd.NoAnswer, false, NextStep.FailUnknown),
+        Case("stream, no answer twice", stream.copy(sends = 2), AttemptEnd.NoAnswer, true, NextStep.FailUnknown),
+        Case("stream, own failure", stream, AttemptEnd.Failed, true, NextStep.SendAgain(paid = true)),
+        Case("stream, own failure twice", stream.copy(sends = 2), AttemptEnd.Failed, true, NextStep.PassFailure),
+        Case("stream, resumed", stream.copy(answerStarted = true), AttemptEnd.BrokenOff, true, NextStep.SendAgain(true)),
+        Case(
+            "stream, broken twice",
+            stream.copy(sends = 2, answerStarted = true, mayHaveRun = true),
+            AttemptEnd.BrokenOff,
+            true,
+            NextStep.BreakOff,
+        ),
+        Case("rejected after a run", stream.copy(sends = 2, mayHaveRun = true), rejected, true, NextStep.FailUnknown),
+        Case("no candidate after a run", stream.copy(mayHaveRun = true), AttemptEnd.NoCandidate, true, NextStep.FailUnknown),
+        Case(
+            "no candidate midway",
+            stream.copy(mayHaveRun = true, answerStarted = true),
+            AttemptEnd.NoCandidate,
+            true,
+            NextStep.BreakOff,
+        ),
+        Case("no time left", stream.copy(remainingMs = 5), rejected, true, NextStep.RefuseNotRun),
+        Case("no time left after a send", stream.copy(remainingMs = 5), AttemptEnd.NoAnswer, true, NextStep.FailUnknown),
+        Case("not sent again", stream.copy(unsent = 1), AttemptEnd.NotSent, true, NextStep.SendAgain(paid = true)),
+    )
+
+    @TestFactory
+    fun `next step`() = cases.map { case ->
+        DynamicTest.dynamicTest(case.name) {
+            expectThat(nextStep(case.facts, case.end, case.budget)).isEqualTo(case.next)
+        }
+    }
+}
--- /dev/null
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/HeadChoiceTest.kt
@@ -0,0 +1,53 @@
+package org.bramleyspur.traffic.forward
+
+import org.bramleyspur.core.document.EngineCosts
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+
+/** Guards against work for a full, distant, slow or silent backend server while a better one is there. */
+class HeadChoiceTest {
+    private val costs = EngineCosts(
+        slots = 34,
+        memoryTokens = 1_000_000,
+        stepMs = 6.0,
+        perRequestMs = 0.34,
+        perThousandContextMs = 0.007,
+        readTokensPerMs = 46.0,
+        loadsPerSecond = 3.0,
+        loadsAtOnce = 6,
+        crossDomainFactor = 2.5,
+    )
+    private val idle = Candidate("a", 0, 34, 0, 0, 1.0, 0.0, suspect = false)
+
+    private val cases = listOf(
+        "fewer running requests" to listOf(idle, idle.copy(id = "b", running = 30)),
+        "fewer unread tokens" to listOf(idle, idle.copy(id = "b", unreadTokens = 20_000)),
+        "nearer" to listOf(idle, idle.copy(id = "b", distanceMs = 10.0)),
+        "faster" to listOf(idle, idle.copy(id = "b", timeFactor = 2.0)),
+        "not suspect" to listOf(idle.copy(running = 33), idle.copy(id = "b", suspect = true)),
+    )
+
+    @TestFactory
+    fun `better candidate`() = cases.map { (name, candidates) ->
+        DynamicTest.dynamicTest(name) {
+            val chosen = chooseBackend(candidates.reversed(), 0.99) { firstEventMs(it, 1_000, costs) }
+            expectThat(chosen?.id).isEqualTo("a")
+        }
+    }
+
+    @Test
+    fun `equal candidates share the requests`() {
+        val candidates = listOf(idle, idle.copy(id = "b"))
+        val chosen = listOf(0.1, 0.9).map { point -> chooseBackend(candidates, point) { 1.0 }?.id }
+        expectThat(chosen).isEqualTo(listOf("a", "b"))
+    }
+
+    @Test
+    fun `no candidate`() {
+        expectThat(chooseBackend(emptyList(), 0.5) { 1.0 }).isNull()
+    }
+}
