--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineOrder.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineOrder.kt
@@ -46,9 +46,12 @@
 
 /** How an engine took an order. */
 enum class OrderResult {
-    /** The order has begun, or its state already holds. */
+    /** The order has begun. */
     ACCEPTED,
 
+    /** The state that was ordered already holds. */
+    HOLDS,
+
     /** The engine refused the order: it does not fit its state, its epoch or its fencing number. */
     REFUSED,
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -31,23 +31,45 @@
     return PlanStep(planning.state, planning.orders, planning.probes, planning.checks)
 }
 
-/** The state after the engine [life] answered a probe that was sent at [sentMs] with [report], or did not in time. */
-fun onProbeResult(state: PlannerState, life: EngineLife, report: EngineReport?, sentMs: Long, nowMs: Long): PlannerState {
+/**
+ * The state after the engine [life] answered a probe that was sent at [sentMs] with [report], or did not in time (null).
+ * [announced] is the group that its last announcement names.
+ */
+fun onProbeResult(
+    state: PlannerState,
+    life: EngineLife,
+    report: EngineReport?,
+    announced: GroupId?,
+    sentMs: Long,
+    nowMs: Long,
+): PlannerState {
     val record = state.probes[life] ?: ProbeRecord(sentMs)
     if (report == null) {
         return state.copy(probes = state.probes.put(life, record.copy(failures = record.failures + 1)))
     }
     val answered = state.copy(probes = state.probes.put(life, record.copy(failures = 0, answeredMs = nowMs)))
-    val orderedSince = (state.sent[life.id]?.atMs ?: 0L) >= sentMs
-    return if (orderedSince) answered else answered.copy(verified = state.verified.put(life, Verified(report, nowMs)))
+    // A report can be some hundred milliseconds old, so it does not count what was ordered shortly before it.
+    val orderedSince = (state.sent[life.id]?.atMs ?: 0L) >= sentMs - REPORT_LAG_MS
+    if (orderedSince) return answered
+    val verified = Verified(report.orders, 0, report.group != announced, nowMs)
+    return answered.copy(verified = state.verified.put(life, verified))
 }
 
-/** The state after the engine [engineId], born [bornMs], took an order with [result]. */
-fun onOrderResult(state: PlannerState, engineId: String, bornMs: Long, result: OrderResult): PlannerState =
-    when (result) {
-        OrderResult.ABSENT -> state.copy(absent = state.absent.put(engineId, bornMs))
-        OrderResult.ACCEPTED, OrderResult.REFUSED, OrderResult.UNANSWERED -> state
+private const val REPORT_LAG_MS = 300L
+
+/** The state after the engine [life] took an order with [result]. */
+fun onOrderResult(state: PlannerState, life: EngineLife, result: OrderResult): PlannerState {
+    val known = state.verified[life]
+    val next = when (result) {
+        OrderResult.ACCEPTED -> known?.copy(orders = known.orders + 1, inFlight = known.inFlight - 1)
+        OrderResult.HOLDS -> known?.copy(inFlight = known.inFlight - 1)
+        // Whether the order has begun, or will begin later, is not known.
+        OrderResult.ABSENT, OrderResult.REFUSED, OrderResult.UNANSWERED -> null
     }
+    val verified = if (next == null) state.verified.remove(life) else state.verified.put(life, next)
+    val absent = if (result == OrderResult.ABSENT) state.absent.put(life.id, life.bornMs) else state.absent
+    return state.copy(verified = verified, absent = absent)
+}
 
 /** Work on one plan. */
 private class Planning(var state: PlannerState, val input: PlannerInput) {
@@ -104,15 +126,13 @@
     }
 
     /**
-     * Whether the engine has just said that it is in the group that its announcement names. An engine for which this is
-     * not known is asked, and the decision waits for its answer.
+     * Whether the orders that the engine has begun are known, so that a join can name their number. An engine for which
+     * they are not known is asked, and the decision waits for its answer.
      */
     private fun isVerified(life: EngineLife): Boolean {
         val known = current(life) ?: return false
         val verified = state.verified[life]
-        if (verified != null && input.nowMs - verified.atMs <= VERIFIED_MS) {
-            return verified.report.group == known.place?.id
-        }
+        if (verified != null && !verified.mismatch) return verified.inFlight == 0
         val last = state.probes[life]
         if (last == null || input.nowMs - last.sentMs >= PROBE_GAP_MS) probe(life, known.address)
         return false
@@ -148,6 +168,10 @@
         if (absent.size < state.absent.size) {
             state = state.copy(absent = state.absent.filterKeysIn(absent.keys))
         }
+        val oldVerified = state.verified.keys.filter { announcement(it.id)?.bornMs != it.bornMs }
+        if (oldVerified.size > MAX_OLD_LIVES) {
+            state = state.copy(verified = oldVerified.fold(state.verified) { map, life -> map.remove(life) })
+        }
         if (models.size + MAX_OLD_LIVES < state.lastModel.size) {
             val old = state.lastModel.keys - models.keys
             state = state.copy(lastModel = old.fold(state.lastModel) { map, life -> map.remove(life) })
@@ -484,11 +508,13 @@
         val last = state.sent[life.id]
         val repeatMs = if (isUnreachable(life)) UNREACHABLE_REPEAT_MS else REPEAT_MS
         if (last != null && last.command == command && input.nowMs - last.atMs < repeatMs) return
-        val expected = if (command is EngineCommand.Join) state.verified[life]?.report?.orders else null
-        state = state.copy(
-            sent = state.sent.put(life.id, SentOrder(command, input.nowMs)),
-            verified = state.verified.remove(life),
-        )
+        val verified = state.verified[life]
+        val expected = if (command is EngineCommand.Join) verified?.orders else null
+        state = state.copy(sent = state.sent.put(life.id, SentOrder(command, input.nowMs)))
+        if (verified != null) {
+            val next = verified.copy(inFlight = verified.inFlight + 1)
+            state = state.copy(verified = state.verified.put(life, next))
+        }
         orders += EngineOrder(life.id, known.address, input.term, command, expected)
     }
 
@@ -517,9 +543,6 @@
         /** A question is answered within some ms; two that are not, on connections of their own, are no accident. */
         const val PROBE_FAILURES = 2
         const val PROBE_GAP_MS = 350L
-
-        /** An answer is asked for anew after this time; an order that acts in between makes the engine refuse the join. */
-        const val VERIFIED_MS = 1_500L
         const val DEAD_PROBE_GAP_MS = 2_000L
 
         /** A head that served an entry within this time is up, though control may not reach it. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -52,7 +52,7 @@
  * @property sent last order to each engine and when, for repeats
  * @property absent lives at whose address nothing listened
  * @property firstSeenMs when each engine was first known to this leader
- * @property verified reports of engines, which joins depend on
+ * @property verified what is known of the engines' orders, which joins depend on
  * @property presumedDeadMs lives that nobody could reach, and when that was decided; one that is heard again is not dead
  * @property probes questions to engines whose announcement is overdue or whose group stalls
  */
@@ -69,8 +69,14 @@
     val presumedDeadMs: PersistentMap<EngineLife, Long> = persistentMapOf(),
 )
 
-/** An engine's report, as long as no order was sent to it since. */
-data class Verified(val report: EngineReport, val atMs: Long)
+/**
+ * What the leader knows of the orders that an engine has begun.
+ *
+ * @property orders their number
+ * @property inFlight orders of this leader whose results have not come
+ * @property mismatch whether the engine's report named another group than its announcement; it is asked again
+ */
+data class Verified(val orders: Long, val inFlight: Int, val mismatch: Boolean, val atMs: Long)
 
 /**
  * Questions to an engine that is not sure to be up.
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
@@ -221,23 +221,41 @@
             val answers = engine.up && engine.cutUntilMs <= nowMs && engine.bornMs == probe.life.bornMs
             val report = if (answers) EngineReport(engine.orders, engine.group) else null
             late += nowMs + STEP_MS to {
-                if (asked == term) state = onProbeResult(state, probe.life, report, sentMs, nowMs)
+                if (asked == term) state = onProbeResult(state, probe.life, report, announced(probe.life.id), sentMs, nowMs)
             }
         }
         step.orders.forEach { deliver(it) }
     }
 
+    private fun announced(id: String) = directory.backends[id]?.announcement?.place?.id
+
     private fun deliver(order: EngineOrder) {
         val engine = byId.getValue(order.engineId)
-        val bornMs = engine.bornMs
-        if (!engine.up || engine.cutUntilMs > nowMs) return
-        val delayMs = if (faults && random.nextInt(3) == 0) 2_000L + random.nextInt(10_000) else STEP_MS
-        late += nowMs + delayMs to { if (engine.up && engine.bornMs == bornMs) carryOut(engine, order) }
+        val life = EngineLife(engine.id, directory.backends.getValue(engine.id).announcement.bornMs)
+        val sender = term
+        val reached = engine.up && engine.cutUntilMs <= nowMs
+        val unanswered = !reached || faults && random.nextInt(3) == 0
+        val delayMs = if (unanswered) 2_000L + random.nextInt(10_000) else STEP_MS
+        if (unanswered) {
+            late += nowMs + 1_000 to {
+                if (sender == term) state = onOrderResult(state, life, OrderResult.UNANSWERED)
+            }
+        }
+        if (!reached) return
+        late += nowMs + delayMs to {
+            val result = if (engine.up && engine.bornMs == life.bornMs) carryOut(engine, order) else OrderResult.ABSENT
+            if (sender == term && !unanswered) state = onOrderResult(state, life, result)
+        }
     }
 
-    private fun carryOut(engine: SimulatedEngine, order: EngineOrder) {
-        if (order.expectedOrders != null && order.expectedOrders != engine.orders) return
+    private fun carryOut(engine: SimulatedEngine, order: EngineOrder): OrderResult {
+        if (order.expectedOrders != null && order.expectedOrders != engine.orders) return OrderResult.REFUSED
         engine.orders++
+        execute(engine, order)
+        return OrderResult.ACCEPTED
+    }
+
+    private fun execute(engine: SimulatedEngine, order: EngineOrder) {
         when (val command = order.command) {
             is EngineCommand.Join -> join(engine, command)
             is EngineCommand.Open -> open(engine, command.group)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -52,6 +52,8 @@
     private var lastEventId: Long? = request.headers.get(names.lastEventId)?.trim()?.toLongOrNull()
     private var answerStarted = false
     private var done = false
+    private var firstMs: Long? = null
+    private var predictedMs: Double? = null
 
     private fun deadlineMs(): Long {
         val caller = request.headers.get(names.remainingMs)?.trim()?.toLongOrNull()
@@ -87,6 +89,7 @@
                 onAttemptEnd(AttemptEnd.NoCandidate, "predicted ${choice.predictedMs.toLong()} ms to the answer")
             else -> {
                 tried += choice.load.id
+                predictedMs = choice.predictedMs
                 attempt = Attempt(choice).also { it.begin() }
             }
         }
@@ -180,6 +183,8 @@
             "outcome" to outcome,
             "backend" to tried.lastOrNull(),
             "sends" to sends,
+            "first_ms" to firstMs,
+            "predicted_ms" to predictedMs?.toLong(),
             "ms" to context.timers.nowMs() - request.receivedMs,
             "config" to context.routes?.version,
             "detail" to detail,
@@ -315,6 +320,7 @@
             if (!answerStarted) {
                 answerStarted = true
                 if (isStream()) headers.remove(HttpHeaderNames.CONTENT_LENGTH)
+                firstMs = context.timers.nowMs() - request.receivedMs
                 context.metrics.onFirstByte(route.name, context.timers.nowMs() - request.receivedMs)
                 answer.begin(status, headers)
             }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.bramleyspur.control.group.EngineCommand
 import org.bramleyspur.control.group.EngineEvidence
+import org.bramleyspur.control.group.EngineLife
 import org.bramleyspur.control.group.EngineOrder
 import org.bramleyspur.control.group.EngineProbe
 import org.bramleyspur.control.group.PlannerInput
@@ -32,6 +33,7 @@
     private var state = PlannerState()
     private var evidence: PersistentMap<String, EngineEvidence> = persistentMapOf()
     private var trafficStarted = false
+    private var engines: Map<String, KnownBackend> = emptyMap()
     private var decoded: Pair<StoredDocument, Document>? = null
 
     /** Engines to which the entries should try to connect. */
@@ -100,15 +102,17 @@
         state = step.state
         logGroups(before)
         checks = step.checks
+        this.engines = engines
         step.probes.forEach { probe(it) }
-        step.orders.forEach { send(it, engines[it.engineId]?.announcement?.bornMs ?: 0L) }
+        step.orders.forEach { send(it, EngineLife(it.engineId, engines.getValue(it.engineId).announcement.bornMs)) }
     }
 
     private fun probe(probe: EngineProbe) {
         val sentMs = timers.nowMs()
         sender.probe(probe.address) { report, problem ->
             if (report == null) log.write("probe-unanswered", "engine" to probe.life.id, "reason" to problem)
-            state = onProbeResult(state, probe.life, report, sentMs, timers.nowMs())
+            val announced = engines[probe.life.id]?.announcement?.place?.id
+            state = onProbeResult(state, probe.life, report, announced, sentMs, timers.nowMs())
             replan()
         }
     }
@@ -137,7 +141,7 @@
         for (id in before.groups.keys - state.groups.keys) log.write("group", "name" to id.name, "phase" to "ENDED")
     }
 
-    private fun send(order: EngineOrder, bornMs: Long) {
+    private fun send(order: EngineOrder, life: EngineLife) {
         val sentMs = timers.nowMs()
         val sentTerm = term
         sender.send(order) { result, text ->
@@ -149,7 +153,7 @@
                 "detail" to text,
                 "ms" to timers.nowMs() - sentMs,
             )
-            if (term == sentTerm) state = onOrderResult(state, order.engineId, bornMs, result)
+            if (term == sentTerm) state = onOrderResult(state, life, result)
         }
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
@@ -81,7 +81,7 @@
     }
 
     private fun onProbeAnswer(result: OrderResult, text: String, onResult: (EngineReport?, String) -> Unit) {
-        if (result != OrderResult.ACCEPTED) return onResult(null, text)
+        if (result != OrderResult.HOLDS) return onResult(null, text)
         dialect.decodeReport(text.encodeToByteArray()).fold({ onResult(it, "") }, { onResult(null, it) })
     }
 
@@ -129,13 +129,15 @@
 
         /** Many times a round trip between data centres. */
         const val PROBE_TIMEOUT_MS = 300L
+        const val STATUS_OK = 200
         const val MISDIRECTED = 421
 
         /** A state has some hundred characters. */
         const val MAX_BODY_CHARS = 16 * 1024
 
         fun resultOf(status: Int): OrderResult = when (status) {
-            in 200..299 -> OrderResult.ACCEPTED
+            STATUS_OK -> OrderResult.HOLDS
+            in 201..299 -> OrderResult.ACCEPTED
             MISDIRECTED -> OrderResult.ABSENT
             else -> OrderResult.REFUSED
         }
