Keep groups within one domain before traffic, and choose heads by their observed pace

Change: no group over domains and no limit of loads before traffic; a group over domains ends when its members can make one within a domain; entries weigh a group's factor, its observed time between events and the length of the answer.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineOrder.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineOrder.kt
@@ -49,8 +49,8 @@
     /** The order has begun. */
     ACCEPTED,
 
-    /** The state that was ordered already holds. */
-    HOLDS,
+    /** The order is done, or the state that was ordered already held. */
+    DONE,
 
     /** The engine refused the order: it does not fit its state, its epoch or its fencing number. */
     REFUSED,
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -57,12 +57,16 @@
 
 private const val REPORT_LAG_MS = 300L
 
-/** The state after the engine [life] took an order with [result]. */
-fun onOrderResult(state: PlannerState, life: EngineLife, result: OrderResult): PlannerState {
+/** The state after the engine [life] took the order [command] with [result]. */
+fun onOrderResult(state: PlannerState, life: EngineLife, command: EngineCommand, result: OrderResult): PlannerState {
     val known = state.verified[life]
     val next = when (result) {
         OrderResult.ACCEPTED -> known?.copy(orders = known.orders + 1, inFlight = known.inFlight - 1)
-        OrderResult.HOLDS -> known?.copy(inFlight = known.inFlight - 1)
+        // Leaving is done at once; for the others, the state held before and nothing has begun.
+        OrderResult.DONE -> known?.copy(
+            orders = known.orders + if (command is EngineCommand.Leave) 1 else 0,
+            inFlight = known.inFlight - 1,
+        )
         // Whether the order has begun, or will begin later, is not known.
         OrderResult.ABSENT, OrderResult.REFUSED, OrderResult.UNANSWERED -> null
     }
@@ -242,7 +246,7 @@
 
     /** Repeats a join that got no answer, unless the engine has joined and its announcement is on the way. */
     private fun joinAgain(life: EngineLife, group: PlannedGroup) {
-        if (state.sent[life.id]?.let { input.nowMs - it.atMs < REPEAT_MS } == true) return
+        if (state.sent[life.id]?.let { input.nowMs - it.atMs < JOIN_REPEAT_MS } == true) return
         if (!isVerified(life)) return
         order(life, EngineCommand.Join(group.id, group.model, group.members.map { it.id }.toImmutableList()))
     }
@@ -310,11 +314,8 @@
      * Neither control nor any entry reaches the engine, and none has for a while. An engine that control alone cannot
      * reach may be serving.
      */
-    private fun isPresumedDead(life: EngineLife): Boolean {
-        if (answersSince(life, input.nowMs - UNSEEN_MS)) return false
-        val cutOff = isUnreachable(life) && life.id in input.unreachable
-        return cutOff || silenceMs(life) > PRESUMED_DEAD_MS && !answersSince(life, input.nowMs - PRESUMED_DEAD_MS)
-    }
+    private fun isPresumedDead(life: EngineLife): Boolean =
+        isUnreachable(life) && life.id in input.unreachable && !answersSince(life, input.nowMs - UNSEEN_MS)
 
     private fun release(group: PlannedGroup) {
         val released = enter(group, GroupPhase.RELEASING)
@@ -368,8 +369,9 @@
             val (spread, compact) = groupsOf(service, model).partition { spansDomains(it) }
             val serving = compact.count { it.phase == GroupPhase.SERVING }
             when {
-                missing > spread.size -> formAcrossDomains(service, model)
+                missing > spread.size && input.trafficStarted -> formAcrossDomains(service, model)
                 totals.getValue(model.name) - serving < spread.size -> closeSpread(spread)
+                serving > 0 -> closeSpread(spread.filter { canBeCompact(service, model, it) })
             }
         }
         stageWeights(service, wanted)
@@ -411,6 +413,13 @@
         form(service, model, engines.sortedByDescending { perDomain.getValue(it.domain) }.take(model.size))
     }
 
+    /** Whether the members of a spread group and the free engines would make a group within one domain. */
+    private fun canBeCompact(service: DocumentService, model: ModelShape, spread: PlannedGroup): Boolean {
+        val members = spread.members.mapNotNull { current(it) }
+        val domains = (quickEngines(service, model) + members).groupingBy { it.domain }.eachCount()
+        return domains.values.any { it >= model.size }
+    }
+
     private fun closeSpread(spread: List<PlannedGroup>) {
         val group = spread.firstOrNull { it.phase == GroupPhase.SERVING } ?: return
         order(group.members.first(), EngineCommand.Close(group.id))
@@ -495,6 +504,7 @@
 
     /** Counts a load from the weight store if their rate stays within what the service declares. */
     private fun allowLoad(service: DocumentService): Boolean {
+        if (!input.trafficStarted) return true
         val perSecond = service.costs?.loadsPerSecond ?: return true
         val limit = perSecond * LOAD_WINDOW_MS / MS_PER_SECOND * LOAD_SAFETY
         if (state.loadStartsMs.size + 1 > limit) return false
@@ -506,7 +516,11 @@
     private fun order(life: EngineLife, command: EngineCommand) {
         val known = current(life) ?: return
         val last = state.sent[life.id]
-        val repeatMs = if (isUnreachable(life)) UNREACHABLE_REPEAT_MS else REPEAT_MS
+        val repeatMs = when {
+            isUnreachable(life) -> UNREACHABLE_REPEAT_MS
+            command is EngineCommand.Join -> JOIN_REPEAT_MS
+            else -> REPEAT_MS
+        }
         if (last != null && last.command == command && input.nowMs - last.atMs < repeatMs) return
         val verified = state.verified[life]
         val expected = if (command is EngineCommand.Join) verified?.orders else null
@@ -528,6 +542,9 @@
         /** An order without an answer is repeated; an engine answers within some ms, also from another data centre. */
         const val REPEAT_MS = 600L
 
+        /** A join that was refused is repeated once the engine's report includes the orders before it. */
+        const val JOIN_REPEAT_MS = 350L
+
         /** A load takes 12 to 16 s, and longer while several run. */
         const val STAGE_REPEAT_MS = 40_000L
 
@@ -548,9 +565,6 @@
         /** A head that served an entry within this time is up, though control may not reach it. */
         const val UNSEEN_MS = 1_000L
 
-        /** Longer than a head stalls before it breaks by itself, so a head without its members serves no more. */
-        const val PRESUMED_DEAD_MS = 9_000L
-
         /** What an entry saw this long ago says nothing about now. */
         const val EVIDENCE_MS = 2_000L
 
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
@@ -38,7 +38,7 @@
         SERVICE to DocumentService(
             SERVICE,
             392,
-            EngineCosts(34, 1_000_000, 6.0, 0.34, 0.007, 46.0, 3.0, 6, 2.5),
+            EngineCosts(34, 1_000_000, 3, 6.0, 0.34, 0.007, 46.0, 3.0, 6, 2.5),
             MODELS.toImmutableList(),
         ),
     ),
@@ -238,13 +238,13 @@
         val delayMs = if (unanswered) 2_000L + random.nextInt(10_000) else STEP_MS
         if (unanswered) {
             late += nowMs + 1_000 to {
-                if (sender == term) state = onOrderResult(state, life, OrderResult.UNANSWERED)
+                if (sender == term) state = onOrderResult(state, life, order.command, OrderResult.UNANSWERED)
             }
         }
         if (!reached) return
         late += nowMs + delayMs to {
             val result = if (engine.up && engine.bornMs == life.bornMs) carryOut(engine, order) else OrderResult.ABSENT
-            if (sender == term && !unanswered) state = onOrderResult(state, life, result)
+            if (sender == term && !unanswered) state = onOrderResult(state, life, order.command, result)
         }
     }
 
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/BackendDirectory.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/BackendDirectory.kt
@@ -10,6 +10,13 @@
 /** A backend server and the time in milliseconds at which its last announcement reached a control instance. */
 data class KnownBackend(val announcement: Announcement, val heardMs: Long)
 
+/**
+ * The head of a group.
+ *
+ * @property spansDomains whether the group has members in several fabric domains, which makes it slower
+ */
+data class GroupHead(val announcement: Announcement, val spansDomains: Boolean)
+
 /**
  * Backend servers by id. One that has left stays as [BackendState.GONE] for [TOMBSTONE_MS], so that a late announcement
  * does not bring it back.
@@ -46,22 +53,20 @@
         backends.values.filter { it.announcement.service == service && it.announcement.state == BackendState.READY }
 
     /** Heads of open and complete groups of [model] in [service]; [size] is the number of engines in a group. */
-    fun heads(service: String, model: String, size: Int): List<KnownBackend> {
+    fun heads(service: String, model: String, size: Int): List<GroupHead> {
         val members = membersByGroup(service)
-        return backends.values.filter { known ->
-            val announcement = known.announcement
+        return backends.values.map { it.announcement }.filter { announcement ->
             val place = announcement.place
             announcement.service == service && announcement.state == BackendState.READY && place != null &&
                 place.rank == 0 && place.state == GroupState.OPEN && place.model == model &&
-                members.getValue(place.id) >= size
-        }
+                members.getValue(place.id).size >= size
+        }.map { head -> GroupHead(head, members.getValue(head.place!!.id).distinctBy { it.domain }.size > 1) }
     }
 
-    private fun membersByGroup(service: String): Map<GroupId, Int> = backends.values
-        .filter { it.announcement.service == service && it.announcement.state != BackendState.GONE }
-        .mapNotNull { it.announcement.place?.id }
-        .groupingBy { it }
-        .eachCount()
+    private fun membersByGroup(service: String): Map<GroupId, List<Announcement>> = backends.values
+        .map { it.announcement }
+        .filter { it.service == service && it.state != BackendState.GONE && it.place != null }
+        .groupBy { it.place!!.id }
 
     private companion object {
         /** An announcement can be several seconds late; a minute covers every delay that was seen. */
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/Document.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/Document.kt
@@ -75,6 +75,7 @@
  *
  * @property slots requests in a batch
  * @property memoryTokens tokens that the memory of a group holds
+ * @property stepsPerPass steps of a pass, each of which writes a token of every request
  * @property stepMs time of a step without requests, in milliseconds
  * @property perRequestMs additional time of a step for each request that writes, in milliseconds
  * @property perThousandContextMs additional time of a step for each 1,000 tokens of context, in milliseconds
@@ -86,6 +87,7 @@
 data class EngineCosts(
     val slots: Int,
     val memoryTokens: Long,
+    val stepsPerPass: Int,
     val stepMs: Double,
     val perRequestMs: Double,
     val perThousandContextMs: Double,
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -31,6 +31,10 @@
 
     /** Until when other backend servers are preferred. */
     var suspectUntilMs = 0L
+
+    /** Observed time between events over the predicted one; above 1 for a slow one. */
+    var pace = 1.0
+        private set
     private var failures = 0.0
     private var silences = 0
     private var reported = 0
@@ -56,6 +60,12 @@
         if (failures < SUSPECT_FAILURES) suspectUntilMs = 0
     }
 
+    /** Counts an event that came [gapMs] after the one before it, where [predictedMs] was predicted. */
+    fun onPass(gapMs: Long, predictedMs: Double) {
+        val sample = (gapMs / predictedMs).coerceIn(MIN_PACE, MAX_PACE)
+        pace += (sample - pace) * PACE_WEIGHT
+    }
+
     /** Counts a complete answer. */
     fun onServed() {
         failures *= FAILURE_DECAY
@@ -79,6 +89,13 @@
         const val REPORT_LIFE_MS = 1_000L
         const val FAILURE_DECAY = 0.75
 
+        /** About a second of the events of one request. */
+        const val PACE_WEIGHT = 0.03
+
+        /** Pauses for the prompts of others make gaps longer than predicted; a fast engine is hardly ever below half. */
+        const val MIN_PACE = 0.5
+        const val MAX_PACE = 10.0
+
         /** Two failures in close succession stay below, three reach it. */
         const val SUSPECT_FAILURES = 2.0
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -11,11 +11,21 @@
 import org.bramleyspur.traffic.forward.SecondSendBudget
 import org.bramleyspur.traffic.forward.chooseBackend
 import org.bramleyspur.traffic.forward.firstEventMs
+import org.bramleyspur.traffic.forward.generationCost
 import org.bramleyspur.traffic.forward.plainAnswerMs
+import org.bramleyspur.traffic.forward.stepMs
 import java.util.random.RandomGenerator
 
-/** A chosen backend server and the predicted time in milliseconds to its answer or first event. */
-internal class Choice(val load: BackendLoad, val predictedMs: Double, val timeFactor: Double)
+/**
+ * A chosen backend server.
+ *
+ * @property predictedMs predicted time in milliseconds to its answer or first event
+ * @property passMs predicted time in milliseconds between events, without the observed pace; null for plain services
+ */
+internal class Choice(val load: BackendLoad, val predictedMs: Double, val passMs: Double?)
+
+/** The size of a generation in tokens; none for a plain request. */
+internal class TokenCounts(val prompt: Long, val output: Long)
 
 /** What the requests of an entry share. Used by the traffic thread. */
 internal class ForwardContext(
@@ -49,10 +59,10 @@
     fun budget(service: String): SecondSendBudget = budgets.getOrPut(service, newBudget)
 
     /** Chooses a backend server of [service] for a request, not one of [tried] if there is another. */
-    fun choose(service: DocumentService, model: String?, promptTokens: Long, tried: Set<String>): Choice? {
+    fun choose(service: DocumentService, model: String?, tokens: TokenCounts, tried: Set<String>): Choice? {
         val costs = service.costs
         return if (costs != null && model != null) {
-            chooseHead(service, costs, model, promptTokens, tried)
+            chooseHead(service, costs, model, tokens, tried)
         } else {
             choosePlain(service, tried)
         }
@@ -62,17 +72,24 @@
         service: DocumentService,
         costs: EngineCosts,
         model: String,
-        promptTokens: Long,
+        tokens: TokenCounts,
         tried: Set<String>,
     ): Choice? {
         val shape = service.models.firstOrNull { it.name == model } ?: return null
-        val heads = directory.heads(service.name, model, shape.size).map { it.announcement }
-        val known = heads.filter { it.id !in tried }.mapNotNull { head ->
-            loads.of(head)?.let { it to candidate(it, costs.slots, shape.timeFactor, head.dataCentre) }
-        }.filter { (load, own) -> !own.suspect || load.answeredMs > load.silentMs }
-        val chosen = chooseBackend(known.map { it.second }, point()) { firstEventMs(it, promptTokens, costs) }
-        return known.firstOrNull { it.second === chosen }
-            ?.let { (load, own) -> Choice(load, firstEventMs(own, promptTokens, costs), shape.timeFactor) }
+        val known = directory.heads(service.name, model, shape.size).filter { it.announcement.id !in tried }
+            .mapNotNull { head ->
+                val factor = shape.timeFactor * if (head.spansDomains) costs.crossDomainFactor else 1.0
+                loads.of(head.announcement)?.let {
+                    it to candidate(it, costs.slots, factor * it.pace, head.announcement.dataCentre)
+                }
+            }.filter { (load, own) -> !own.suspect || load.answeredMs > load.silentMs }
+        val chosen = chooseBackend(known.map { it.second }, point()) {
+            generationCost(it, tokens.prompt, tokens.output, costs)
+        }
+        return known.firstOrNull { it.second === chosen }?.let { (load, own) ->
+            val passMs = costs.stepsPerPass * stepMs(own, costs) * own.timeFactor / load.pace
+            Choice(load, firstEventMs(own, tokens.prompt, costs), passMs)
+        }
     }
 
     private fun choosePlain(service: DocumentService, tried: Set<String>): Choice? {
@@ -83,7 +100,7 @@
         }
         val chosen = chooseBackend(known.map { it.second }, point()) { plainAnswerMs(it, PLAIN_WORK_MS) }
         return known.firstOrNull { it.second === chosen }
-            ?.let { (load, own) -> Choice(load, plainAnswerMs(own, PLAIN_WORK_MS), 1.0) }
+            ?.let { (load, own) -> Choice(load, plainAnswerMs(own, PLAIN_WORK_MS), passMs = null) }
     }
 
     private fun candidate(load: BackendLoad, slots: Int, factor: Double, backendDataCentre: String): Candidate {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -40,7 +40,8 @@
     private val names = context.headers
     private val id = request.headers.get(names.attemptId).orEmpty()
     private val model: String? = request.headers.get(names.model)
-    private val promptTokens = promptTokensOf(request.headers.get(names.tokenCounts))
+    private val tokens = tokenCountsOf(request.headers.get(names.tokenCounts))
+    private val promptTokens = tokens.prompt
     private val streaming = route.kind == RouteKind.STREAMING
     private val deadlineMs = deadlineMs()
     private val tried = LinkedHashSet<String>()
@@ -82,7 +83,7 @@
     }
 
     private fun send() {
-        val choice = context.choose(service, model, promptTokens, tried)
+        val choice = context.choose(service, model, tokens, tried)
         when {
             choice == null -> onAttemptEnd(AttemptEnd.NoCandidate, "no backend server takes ${model ?: service.name}")
             choice.predictedMs > remainingMs() ->
@@ -204,6 +205,7 @@
         private var head: Pair<Int, HttpHeaders>? = null
         private var passing = false
         private var heardMs = context.timers.nowMs()
+        private var lastEventMs: Long? = null
 
         /** Whether the request may have reached the backend server. */
         var sent = false
@@ -276,7 +278,7 @@
         private fun canMove(): Boolean {
             if (sends >= route.maxAttempts) return false
             if (!context.budget(service.name).allows(context.timers.nowMs())) return false
-            val other = context.choose(service, model, promptTokens, tried) ?: return false
+            val other = context.choose(service, model, tokens, tried) ?: return false
             return context.timers.nowMs() >= other.load.suspectUntilMs && other.predictedMs < remainingMs()
         }
 
@@ -344,6 +346,7 @@
 
         private fun passEvents(bytes: ByteArray) {
             val events = splitter.feed(bytes)
+            notePace(events.size)
             if (splitter.overflowed) return drop("${load.id} sent an event above the limit")
             for (event in events) {
                 markRead()
@@ -357,6 +360,14 @@
             if (route.repeatable && events.isNotEmpty()) watchForStall(STREAM_STALL_MS)
         }
 
+        private fun notePace(events: Int) {
+            val passMs = choice.passMs ?: return
+            if (events == 0) return
+            val now = context.timers.nowMs()
+            lastEventMs?.let { load.onPass((now - it) / events, passMs) }
+            lastEventMs = now
+        }
+
         private fun markRead() {
             load.unreadTokens -= unread
             unread = 0
@@ -446,8 +457,10 @@
 
 private const val MS_PER_SECOND = 1_000.0
 
-private fun promptTokensOf(counts: String?): Long =
-    counts?.substringBefore(',')?.trim()?.toLongOrNull()?.coerceAtLeast(0) ?: 0
+private fun tokenCountsOf(header: String?): TokenCounts {
+    val counts = header?.split(',')?.map { it.trim().toLongOrNull()?.coerceAtLeast(0) ?: 0 }.orEmpty()
+    return TokenCounts(counts.getOrElse(0) { 0 }, counts.getOrElse(1) { 0 })
+}
 
 /** Running and waiting requests of a load report; null when there is none. */
 private fun runningOf(load: String?): Int? {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -86,7 +86,11 @@
         entries: Set<String>,
     ) {
         if (document == null) return
-        if (term != leadingTerm) state = PlannerState()
+        if (term != leadingTerm) {
+            state = PlannerState()
+            // Groups of an earlier leader show that the system has been running.
+            if (engines.values.any { it.announcement.place != null }) trafficStarted = true
+        }
         term = leadingTerm
         val input = PlannerInput(
             timers.nowMs(),
@@ -153,7 +157,7 @@
                 "detail" to text,
                 "ms" to timers.nowMs() - sentMs,
             )
-            if (term == sentTerm) state = onOrderResult(state, life, result)
+            if (term == sentTerm) state = onOrderResult(state, life, order.command, result)
         }
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
@@ -81,7 +81,7 @@
     }
 
     private fun onProbeAnswer(result: OrderResult, text: String, onResult: (EngineReport?, String) -> Unit) {
-        if (result != OrderResult.HOLDS) return onResult(null, text)
+        if (result != OrderResult.DONE) return onResult(null, text)
         dialect.decodeReport(text.encodeToByteArray()).fold({ onResult(it, "") }, { onResult(null, it) })
     }
 
@@ -136,7 +136,7 @@
         const val MAX_BODY_CHARS = 16 * 1024
 
         fun resultOf(status: Int): OrderResult = when (status) {
-            STATUS_OK -> OrderResult.HOLDS
+            STATUS_OK -> OrderResult.DONE
             in 201..299 -> OrderResult.ACCEPTED
             MISDIRECTED -> OrderResult.ABSENT
             else -> OrderResult.REFUSED
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/HeadChoice.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/HeadChoice.kt
@@ -36,6 +36,14 @@
         candidate.timeFactor * queue
 }
 
+/**
+ * Cost of a request on the candidate, in milliseconds: the time to its first event, and a part of the time to its last
+ * one, since a request that writes for long is late or cut off on a slow group.
+ */
+fun generationCost(candidate: Candidate, promptTokens: Long, outputTokens: Long, costs: EngineCosts): Double =
+    firstEventMs(candidate, promptTokens, costs) +
+        WRITING_WEIGHT * outputTokens * candidate.timeFactor * stepMs(candidate, costs)
+
 /** Predicted time of a step in milliseconds, before the candidate's own factor. */
 fun stepMs(candidate: Candidate, costs: EngineCosts): Double {
     val writers = minOf(candidate.running + 1, candidate.slots)
@@ -62,6 +70,8 @@
     return near[(point * near.size).toInt().coerceAtMost(near.size - 1)]
 }
 
+/** Callers judge the first event against its target, and the whole against a deadline that is some ten times later. */
+private const val WRITING_WEIGHT = 0.1
 private const val TOKENS_PER_THOUSAND = 1000.0
 
 /** A pass in progress ends before a new prompt is read, and the first event needs a step of its own. */
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/HeadChoiceTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/HeadChoiceTest.kt
@@ -13,6 +13,7 @@
     private val costs = EngineCosts(
         slots = 34,
         memoryTokens = 1_000_000,
+        stepsPerPass = 3,
         stepMs = 6.0,
         perRequestMs = 0.34,
         perThousandContextMs = 0.007,
@@ -34,7 +35,7 @@
     @TestFactory
     fun `better candidate`() = cases.map { (name, candidates) ->
         DynamicTest.dynamicTest(name) {
-            val chosen = chooseBackend(candidates.reversed(), 0.99) { firstEventMs(it, 1_000, costs) }
+            val chosen = chooseBackend(candidates.reversed(), 0.99) { generationCost(it, 1_000, 90, costs) }
             expectThat(chosen?.id).isEqualTo("a")
         }
     }
