--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -350,7 +350,8 @@
         if (input.trafficStarted) return false
         val births = input.engines.values.filter { it.announcement.service == service.name }
             .mapNotNull { state.firstSeenMs[it.announcement.id] }
-        return births.isEmpty() || input.nowMs - births.max() < GATHER_MS && input.nowMs - births.min() < GATHER_LIMIT_MS
+        return births.isEmpty() ||
+            input.nowMs - births.max() < GATHER_MS && input.nowMs - births.min() < GATHER_LIMIT_MS
     }
 
     fun noteEngines() {
@@ -453,16 +454,20 @@
         return true
     }
 
-    /** Loads weights onto the hosts of free engines, so that missing groups can form and lost members be replaced. */
+    /**
+     * Loads weights onto the hosts of free engines: first what the groups of their domain miss, then so that the models
+     * have engines by their share of the work. A model with large groups loses members more often, and so needs more.
+     */
     private fun stageWeights(service: DocumentService, wanted: DomainTargets) {
         val free = freeEngines(service.name)
+        val engines = service.models.associate { it.name to enginesOf(service, it, free) }.toMutableMap()
         for ((domain, spares) in free.groupBy { it.domain }) {
             val surplus = service.models.associate { it.name to surplus(service, it, domain, wanted, spares) }
                 .toMutableMap()
             for (spare in spares.sortedBy { it.id }) {
                 val staged = stagedModel(service, spare)
                 val model = if (staged == null) {
-                    service.models.minByOrNull { surplus.getValue(it.name) - it.workShare }
+                    service.models.minByOrNull { minOf(surplus.getValue(it.name), 0) * URGENT + perWork(it, engines) }
                 } else {
                     modelToRestage(service, surplus, staged)
                 }
@@ -470,11 +475,19 @@
                 if (!allowLoad(service)) return
                 order(EngineLife(spare.id, spare.bornMs), EngineCommand.Stage(model.name))
                 surplus.merge(model.name, 1, Int::plus)
+                engines.merge(model.name, 1, Int::plus)
                 staged?.let { surplus.merge(it, -1, Int::plus) }
             }
         }
     }
 
+    /** Engines that are in groups of the model or staged for it. */
+    private fun enginesOf(service: DocumentService, model: ModelShape, free: List<Announcement>): Int =
+        groupsOf(service, model).sumOf { it.members.size } + free.count { stagedModel(service, it) == model.name }
+
+    private fun perWork(model: ModelShape, engines: Map<String, Int>): Double =
+        engines.getValue(model.name) / model.workShare.coerceAtLeast(MIN_SHARE)
+
     /** Engines of the domain that are in groups of the model or staged for it, beyond those that its groups need. */
     private fun surplus(
         service: DocumentService,
@@ -585,6 +598,10 @@
         const val FORMING_MARGIN_MS = 5_000L
         const val LOAD_WINDOW_MS = 5_000L
         const val LOAD_SAFETY = 0.9
+
+        /** Weighs an engine that a group misses above any balance of the spare ones. */
+        const val URGENT = 1_000.0
+        const val MIN_SHARE = 0.01
         const val MS_PER_SECOND = 1_000.0
 
         /** Lives whose engine is gone are forgotten in batches. */
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
@@ -221,7 +221,11 @@
             val answers = engine.up && engine.cutUntilMs <= nowMs && engine.bornMs == probe.life.bornMs
             val report = if (answers) EngineReport(engine.orders, engine.group) else null
             late += nowMs + STEP_MS to {
-                if (asked == term) state = onProbeResult(state, probe.life, report, announced(probe.life.id), sentMs, nowMs)
+                if (asked ==
+                    term
+                ) {
+                    state = onProbeResult(state, probe.life, report, announced(probe.life.id), sentMs, nowMs)
+                }
             }
         }
         step.orders.forEach { deliver(it) }
--- a/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/backend/BackendDirectoryTest.kt
+++ b/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/backend/BackendDirectoryTest.kt
@@ -8,8 +8,8 @@
 import strikt.assertions.isEqualTo
 
 /**
- * Guards against work for a backend server that has left, whose address another one has, or whose group is not complete,
- * with announcements that arrive late and out of order.
+ * Guards against work for a backend server that has left, whose address another one has, or whose group is not
+ * complete, with announcements that arrive late and out of order.
  */
 class BackendDirectoryTest {
     private val first = Announcement(
@@ -39,7 +39,9 @@
 
     @Test
     fun `a late announcement does not bring back what has left`() {
-        expectThat(directory(first, first.copy(sequence = 9, state = BackendState.GONE), first.copy(sequence = 8)).ids())
+        expectThat(
+            directory(first, first.copy(sequence = 9, state = BackendState.GONE), first.copy(sequence = 8)).ids(),
+        )
             .isEmpty()
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
@@ -30,10 +30,8 @@
 typealias ControlPlaneHandler = (call: ControlPlaneCall, answer: (ControlPlaneAnswer) -> Unit) -> Unit
 
 /** Serves backend servers and operators over HTTP; the calls run on the threads of the event loop group. */
-class ControlPlaneServer(
-    private val decode: ControlPlaneDecoder,
-    private val handle: ControlPlaneHandler,
-) : AutoCloseable {
+class ControlPlaneServer(private val decode: ControlPlaneDecoder, private val handle: ControlPlaneHandler) :
+    AutoCloseable {
     private var listener: Channel? = null
     private var address: Address? = null
 
@@ -67,7 +65,8 @@
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
             val keepAlive = HttpUtil.isKeepAlive(request)
             val path = request.uri()
-            val call = decode(request.method().name(), path.substringBefore('?'), ByteBufUtil.getBytes(request.content()))
+            val call =
+                decode(request.method().name(), path.substringBefore('?'), ByteBufUtil.getBytes(request.content()))
             handle(call) { answer ->
                 val response = response(answer, path)
                 if (!keepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -35,6 +35,10 @@
     /** Observed time between events over the predicted one; above 1 for a slow one. */
     var pace = 1.0
         private set
+
+    /** Mean of the observed time to the first event less the predicted one, in milliseconds. */
+    var firstExcessMs = 0.0
+        private set
     private var failures = 0.0
     private var silences = 0
     private var reported = 0
@@ -66,6 +70,11 @@
         pace += (sample - pace) * PACE_WEIGHT
     }
 
+    /** Counts a first event that came after [tookMs], where [predictedMs] was predicted without the excess. */
+    fun onFirst(tookMs: Long, predictedMs: Double) {
+        firstExcessMs += (tookMs - predictedMs - firstExcessMs) * FIRST_WEIGHT
+    }
+
     /** Counts a complete answer. */
     fun onServed() {
         failures *= FAILURE_DECAY
@@ -93,6 +102,8 @@
         const val PACE_WEIGHT = 0.03
 
         /** Pauses for the prompts of others make gaps longer than predicted; a fast engine is hardly ever below half. */
+        const val FIRST_WEIGHT = 0.2
+
         const val MIN_PACE = 0.5
         const val MAX_PACE = 10.0
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -22,7 +22,10 @@
  * @property predictedMs predicted time in milliseconds to its answer or first event
  * @property passMs predicted time in milliseconds between events, without the observed pace; null for plain services
  */
-internal class Choice(val load: BackendLoad, val predictedMs: Double, val passMs: Double?)
+internal class Choice(val load: BackendLoad, val predictedMs: Double, val passMs: Double?) {
+    /** [predictedMs] with what the backend server's first events have lately taken beyond their prediction. */
+    val expectedMs: Double get() = predictedMs + load.firstExcessMs
+}
 
 /** The size of a generation in tokens; none for a plain request. */
 internal class TokenCounts(val prompt: Long, val output: Long)
@@ -84,7 +87,7 @@
                 }
             }.filter { (load, own) -> !own.suspect || load.answeredMs > load.silentMs }
         val chosen = chooseBackend(known.map { it.second }, point()) {
-            generationCost(it, tokens.prompt, tokens.output, costs)
+            generationCost(it, tokens.prompt, tokens.output, costs) + it.excessMs
         }
         return known.firstOrNull { it.second === chosen }?.let { (load, own) ->
             val passMs = costs.stepsPerPass * stepMs(own, costs) * own.timeFactor / load.pace
@@ -114,6 +117,7 @@
             timeFactor = factor,
             distanceMs = if (backendDataCentre == dataCentre) 0.0 else REMOTE_MS,
             suspect = now < load.suspectUntilMs,
+            excessMs = load.firstExcessMs,
         )
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -86,16 +86,23 @@
         val choice = context.choose(service, model, tokens, tried)
         when {
             choice == null -> onAttemptEnd(AttemptEnd.NoCandidate, "no backend server takes ${model ?: service.name}")
-            choice.predictedMs > remainingMs() ->
-                onAttemptEnd(AttemptEnd.NoCandidate, "predicted ${choice.predictedMs.toLong()} ms to the answer")
+            choice.expectedMs > longestWaitMs() ->
+                onAttemptEnd(AttemptEnd.NoCandidate, "expected ${choice.expectedMs.toLong()} ms to the first event")
             else -> {
                 tried += choice.load.id
-                predictedMs = choice.predictedMs
+                predictedMs = choice.expectedMs
                 attempt = Attempt(choice).also { it.begin() }
             }
         }
     }
 
+    /** Callers leave a stream that does not begin; one that has begun continues as long as its deadline allows. */
+    private fun longestWaitMs(): Double = if (streaming && !answerStarted) {
+        minOf(remainingMs().toDouble(), route.targetLatencyMs * LONGEST_WAIT_TARGETS)
+    } else {
+        remainingMs().toDouble()
+    }
+
     private fun onAttemptEnd(end: AttemptEnd, detail: String) {
         if (done) return
         follow(decide(end), end, detail)
@@ -205,6 +212,7 @@
         private var head: Pair<Int, HttpHeaders>? = null
         private var passing = false
         private var heardMs = context.timers.nowMs()
+        private val begunMs = context.timers.nowMs()
         private var lastEventMs: Long? = null
 
         /** Whether the request may have reached the backend server. */
@@ -245,7 +253,7 @@
 
         /** Longest wait for the first piece of an answer before another backend server is tried. */
         private fun firstAnswerLimitMs(): Long = if (streaming) {
-            (choice.predictedMs * PREDICTION_MARGIN).toLong() + STREAM_STALL_MS
+            (maxOf(choice.expectedMs, choice.predictedMs) * PREDICTION_MARGIN).toLong() + STREAM_STALL_MS
         } else {
             maxOf(MIN_PLAIN_STALL_MS, route.targetLatencyMs)
         }
@@ -279,7 +287,7 @@
             if (sends >= route.maxAttempts) return false
             if (!context.budget(service.name).allows(context.timers.nowMs())) return false
             val other = context.choose(service, model, tokens, tried) ?: return false
-            return context.timers.nowMs() >= other.load.suspectUntilMs && other.predictedMs < remainingMs()
+            return context.timers.nowMs() >= other.load.suspectUntilMs && other.expectedMs < remainingMs()
         }
 
         override fun onHead(status: Int, headers: HttpHeaders) {
@@ -364,6 +372,7 @@
             val passMs = choice.passMs ?: return
             if (events == 0) return
             val now = context.timers.nowMs()
+            if (lastEventMs == null) load.onFirst(now - begunMs, choice.predictedMs)
             lastEventMs?.let { load.onPass((now - it) / events, passMs) }
             lastEventMs = now
         }
@@ -451,7 +460,10 @@
         const val STREAM_STALL_MS = 450L
         const val STALL_RECHECK_MS = 100L
         const val MIN_PLAIN_STALL_MS = 150L
-        const val PREDICTION_MARGIN = 3.0
+        const val PREDICTION_MARGIN = 2.0
+
+        /** A first event after this many times its target is of little use, and keeps the others waiting. */
+        const val LONGEST_WAIT_TARGETS = 3.0
     }
 }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -79,12 +79,7 @@
     }
 
     /** Plans and sends the orders of the leader of [leadingTerm]; [entries] are the entries that it hears. */
-    fun plan(
-        leadingTerm: Long,
-        document: StoredDocument?,
-        engines: Map<String, KnownBackend>,
-        entries: Set<String>,
-    ) {
+    fun plan(leadingTerm: Long, document: StoredDocument?, engines: Map<String, KnownBackend>, entries: Set<String>) {
         if (document == null) return
         if (term != leadingTerm) {
             state = PlannerState()
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/HeadChoice.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/HeadChoice.kt
@@ -14,6 +14,7 @@
  * @property contextTokens tokens of the requests in its batch
  * @property timeFactor factor on its published times: of the model, of its observed pace
  * @property distanceMs round trip to it in milliseconds
+ * @property excessMs time in milliseconds by which its first events have lately come after their prediction
  * @property suspect whether it recently failed or has stopped answering
  */
 data class Candidate(
@@ -25,6 +26,7 @@
     val timeFactor: Double,
     val distanceMs: Double,
     val suspect: Boolean,
+    val excessMs: Double = 0.0,
 )
 
 /** Predicted time in milliseconds to the first event of a request with [promptTokens]. */
@@ -52,9 +54,13 @@
 }
 
 /** Predicted answer time in milliseconds of a plain service whose calls take [workMs]. */
-fun plainAnswerMs(candidate: Candidate, workMs: Double): Double =
-    candidate.distanceMs + workMs * (1 + maxOf(0, candidate.running + 1 - candidate.slots).toDouble() / candidate.slots) +
-        workMs * LOAD_SLOWDOWN * candidate.running / candidate.slots
+fun plainAnswerMs(candidate: Candidate, workMs: Double): Double = candidate.distanceMs + workMs * (
+    1 + maxOf(
+        0,
+        candidate.running + 1 - candidate.slots,
+    ).toDouble() / candidate.slots
+    ) +
+    workMs * LOAD_SLOWDOWN * candidate.running / candidate.slots
 
 /**
  * The candidate with the lowest [predictedMs]; suspect ones only when there is no other. Candidates within
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/AttemptRulesTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/AttemptRulesTest.kt
@@ -45,7 +45,13 @@
         Case("stream, no answer twice", stream.copy(sends = 2), AttemptEnd.NoAnswer, true, NextStep.FailUnknown),
         Case("stream, own failure", stream, AttemptEnd.Failed, true, NextStep.SendAgain(paid = true)),
         Case("stream, own failure twice", stream.copy(sends = 2), AttemptEnd.Failed, true, NextStep.PassFailure),
-        Case("stream, resumed", stream.copy(answerStarted = true), AttemptEnd.BrokenOff, true, NextStep.SendAgain(true)),
+        Case(
+            "stream, resumed",
+            stream.copy(answerStarted = true),
+            AttemptEnd.BrokenOff,
+            true,
+            NextStep.SendAgain(true),
+        ),
         Case(
             "stream, broken twice",
             stream.copy(sends = 2, answerStarted = true, mayHaveRun = true),
@@ -54,7 +60,13 @@
             NextStep.BreakOff,
         ),
         Case("rejected after a run", stream.copy(sends = 2, mayHaveRun = true), rejected, true, NextStep.FailUnknown),
-        Case("no candidate after a run", stream.copy(mayHaveRun = true), AttemptEnd.NoCandidate, true, NextStep.FailUnknown),
+        Case(
+            "no candidate after a run",
+            stream.copy(mayHaveRun = true),
+            AttemptEnd.NoCandidate,
+            true,
+            NextStep.FailUnknown,
+        ),
         Case(
             "no candidate midway",
             stream.copy(mayHaveRun = true, answerStarted = true),
@@ -63,7 +75,13 @@
             NextStep.BreakOff,
         ),
         Case("no time left", stream.copy(remainingMs = 5), rejected, true, NextStep.RefuseNotRun),
-        Case("no time left after a send", stream.copy(remainingMs = 5), AttemptEnd.NoAnswer, true, NextStep.FailUnknown),
+        Case(
+            "no time left after a send",
+            stream.copy(remainingMs = 5),
+            AttemptEnd.NoAnswer,
+            true,
+            NextStep.FailUnknown,
+        ),
         Case("not sent again", stream.copy(unsent = 1), AttemptEnd.NotSent, true, NextStep.SendAgain(paid = true)),
     )
 
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/EventSplitterTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/EventSplitterTest.kt
@@ -29,7 +29,12 @@
     }
 
     @Property(tries = 300, seed = "17")
-    fun `any cut gives the same events`(@ForAll @Size(max = 8) cuts: List<@IntRange(min = 0, max = 60) Int>) {
+    fun `any cut gives the same events`(
+        @ForAll @Size(max = 8) cuts: List<
+            @IntRange(min = 0, max = 60)
+            Int,
+            >,
+    ) {
         val splitter = EventSplitter()
         val events = feed(splitter, cuts)
         expectThat(events.joinToString("") { it.bytes.decodeToString() }).isEqualTo(text)
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/HeadChoiceTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/HeadChoiceTest.kt
@@ -2,8 +2,8 @@
 
 import org.bramleyspur.core.document.EngineCosts
 import org.junit.jupiter.api.DynamicTest
-import org.junit.jupiter.api.TestFactory
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
