Keep the group of a head that has withdrawn until it has left, and continue only answers that may be resumed

Change: withdrawal only stops new work; a group ends when the leave order of its head is done or the head is gone. The attempt rules know whether a started answer may be continued.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineOrder.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineOrder.kt
@@ -32,8 +32,8 @@
 /**
  * An order to the engine [engineId] at [address] (`host:port`).
  *
- * @property expectedOrders orders that the engine must have begun, so that an earlier order that acts late does not come
- * between a decision and its order; null for orders that are safe without
+ * @property expectedOrders orders that the engine must have begun, so that an earlier order that acts late does not
+ * come between a decision and its order; null for orders that are safe without
  * @property fencingNumber term of the control leader; an engine that checks it refuses a lower one
  */
 data class EngineOrder(
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -3,8 +3,8 @@
  * leader's own earlier orders; runs at each announcement and at short intervals.
  *
  * An engine is given to another group only when the head of its former group is known to have left it: its announcement
- * says so, it started anew, or nothing listens at its address. Epochs grow with every formation, over all leaders, so an
- * order that is carried out late finds a higher epoch and is refused by the engine.
+ * says so, it started anew, or nothing listens at its address. Epochs grow with every formation, over all leaders, and
+ * a join names the number of orders that the engine has begun, so an order that is carried out late is refused.
  */
 package org.bramleyspur.control.group
 
@@ -34,8 +34,8 @@
 }
 
 /**
- * The state after the engine [life] answered a probe that was sent at [sentMs] with [report], or did not in time (null).
- * [announced] is the group that its last announcement names.
+ * The state after the engine [life] answered a probe that was sent at [sentMs] with [report], or did not in time
+ * (null). [announced] is the group that its last announcement names.
  */
 fun onProbeResult(
     state: PlannerState,
@@ -76,7 +76,9 @@
     val answered = command is EngineCommand.Join && result != OrderResult.UNANSWERED
     val openJoins = if (answered) state.openJoins.remove(life) else state.openJoins
     val absent = if (result == OrderResult.ABSENT) state.absent.put(life.id, life.bornMs) else state.absent
-    return state.copy(verified = verified, absent = absent, openJoins = openJoins)
+    val done = result == OrderResult.DONE || result == OrderResult.ACCEPTED
+    val left = if (command is EngineCommand.Leave && done) state.left.put(life, command.group) else state.left
+    return state.copy(verified = verified, absent = absent, openJoins = openJoins, left = left)
 }
 
 /** Work on one plan. */
@@ -90,17 +92,20 @@
     /** The announcement of exactly this life, unless the engine has started anew. */
     private fun current(life: EngineLife): Announcement? = announcement(life.id)?.takeIf { it.bornMs == life.bornMs }
 
-    private fun isGone(life: EngineLife): Boolean {
-        val known = current(life) ?: return true
-        return known.state == BackendState.GONE || state.absent[life.id] == life.bornMs
-    }
+    /**
+     * Whether this life has ended. A backend server that has withdrawn may serve on for some seconds, so that alone is
+     * no proof.
+     */
+    private fun isGone(life: EngineLife): Boolean = current(life) == null || state.absent[life.id] == life.bornMs
 
     private fun heardMs(life: EngineLife): Long =
         maxOf(input.engines[life.id]?.heardMs ?: 0L, state.probes[life]?.answeredMs ?: 0L)
 
     private fun silenceMs(life: EngineLife): Long = input.nowMs - heardMs(life)
 
-    /** Whether control gets no sign of the engine: [failures] questions in a row, or several announcements, are missing. */
+    /**
+     * Whether control gets no sign of the engine: [failures] questions in a row, or several announcements, are missing.
+     */
     private fun isUnreachable(life: EngineLife, failures: Int = PROBE_FAILURES): Boolean {
         val probe = state.probes[life]
         return silenceMs(life) > UNREACHABLE_MS || probe != null && probe.failures >= failures
@@ -112,9 +117,11 @@
             .filter { it.phase == GroupPhase.SERVING && isSilentForEntries(it.members.first()) }
             .flatMap { it.members }
             .toSet()
+        val members = state.groups.values.flatMap { it.members }.toSet()
         for (known in input.engines.values) {
             val announcement = known.announcement
             val life = EngineLife(announcement.id, announcement.bornMs)
+            if (announcement.state == BackendState.GONE && life !in members) continue
             val costs = input.document.services[announcement.service]?.costs
             val doubtful = life in stalled || input.nowMs - known.heardMs > OVERDUE_MS
             val last = state.probes[life]
@@ -122,8 +129,7 @@
                 state = state.copy(probes = state.probes.remove(life))
             }
             val due = last == null || input.nowMs - last.sentMs >= probeGapMs(last)
-            if (costs == null || announcement.state == BackendState.GONE || !doubtful || !due) continue
-            probe(life, announcement.address)
+            if (costs != null && doubtful && due) probe(life, announcement.address)
         }
     }
 
@@ -149,7 +155,9 @@
     private fun probeGapMs(record: ProbeRecord): Long =
         if (record.failures <= PROBE_FAILURES) PROBE_GAP_MS else DEAD_PROBE_GAP_MS
 
-    /** Whether an entry got a piece of an answer from the engine after [sinceMs] and none has called it silent since. */
+    /**
+     * Whether an entry got a piece of an answer from the engine after [sinceMs] and none has called it silent since.
+     */
     private fun answersSince(life: EngineLife, sinceMs: Long): Boolean {
         val evidence = input.evidence[life.id] ?: return false
         val answered = evidence.answeredMs ?: return false
@@ -322,7 +330,7 @@
             others.any { isGone(it) } || otherLeft || headPlace?.state == GroupState.BROKEN -> release(group)
             stalled && doubtful -> release(group)
             unreachable && !answersSince(head, input.nowMs - UNSEEN_MS) -> release(group)
-            group.members.any { current(it)?.state == BackendState.LEAVING } -> {
+            group.members.any { current(it)?.state != BackendState.READY } -> {
                 order(head, EngineCommand.Close(group.id))
                 enter(group, GroupPhase.CLOSING)
             }
@@ -335,7 +343,7 @@
         val head = group.members.first()
         val place = current(head)?.place
         val closed = place?.id != group.id || place.state != GroupState.CLOSING && place.state != GroupState.OPEN
-        if (isGone(head) || closed || input.nowMs - group.sinceMs > CLOSING_LIMIT_MS) {
+        if (isGone(head) || isUnreachable(head) || closed || input.nowMs - group.sinceMs > CLOSING_LIMIT_MS) {
             release(group)
         } else if (place.state == GroupState.OPEN) {
             order(head, EngineCommand.Close(group.id))
@@ -347,6 +355,7 @@
         val known = current(head)
         when {
             isGone(head) || known == null || known.place?.id != group.id -> end(group.id)
+            state.left[head] == group.id -> end(group.id)
             isPresumedDead(head) -> {
                 end(group.id)
                 state = state.copy(presumedDeadMs = state.presumedDeadMs.put(head, input.nowMs))
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -56,9 +56,11 @@
  * @property firstSeenMs when each engine was first known to this leader
  * @property verified what is known of the engines' orders, which joins depend on
  * @property openJoins joins without a result, which may still be carried out
+ * @property left the last group that each engine has left by order
  * @property endedGroups groups whose head is known to have left; their members are free
  * @property headlessSinceMs when a group was first seen of which no head has announced itself
- * @property presumedDeadMs lives that nobody could reach, and when that was decided; one that is heard again is not dead
+ * @property presumedDeadMs lives that nobody could reach, and when that was decided; one that is heard again is not
+ * dead
  * @property probes questions to engines whose announcement is overdue or whose group stalls
  */
 data class PlannerState(
@@ -72,6 +74,7 @@
     val probes: PersistentMap<EngineLife, ProbeRecord> = persistentMapOf(),
     val verified: PersistentMap<EngineLife, Verified> = persistentMapOf(),
     val openJoins: PersistentMap<EngineLife, OpenJoin> = persistentMapOf(),
+    val left: PersistentMap<EngineLife, GroupId> = persistentMapOf(),
     val endedGroups: PersistentSet<GroupId> = persistentSetOf(),
     val headlessSinceMs: PersistentMap<GroupId, Long> = persistentMapOf(),
     val presumedDeadMs: PersistentMap<EngineLife, Long> = persistentMapOf(),
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/member/MemberReplacement.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/member/MemberReplacement.kt
@@ -8,15 +8,6 @@
 import org.bramleyspur.log.MemberStatus
 import org.bramleyspur.log.consensus.MembershipChange
 
-/** Answer to an instance that asks for admission. */
-sealed interface Admission {
-    /** The instance is a member. */
-    data object Member : Admission
-
-    /** The membership has to change first; the instance asks again. */
-    data class Change(val change: MembershipChange) : Admission
-}
-
 /**
  * Decides on the admission of the member [id] at [address]. A voter of another id at the same address has lost its disk
  * and is replaced; a learner there never had a vote and is removed.
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
@@ -51,6 +51,9 @@
 internal class SimulatedEngine(val id: String, val domain: String, var bornMs: Long) {
     var up = true
 
+    /** Whether it has said that it ends; it serves on for some seconds and says nothing more. */
+    var withdrawn = false
+
     /** Until when control does not reach it, though entries do. */
     var cutUntilMs = 0L
     var group: GroupId? = null
@@ -76,6 +79,7 @@
         up = true
         bornMs = nowMs
         group = null
+        withdrawn = false
         lastModel = null
         sequence = 0
         orders = 0
@@ -146,9 +150,12 @@
             state = PlannerState()
         }
         if (random.nextInt(600) == 0) restartControl()
+        if (random.nextInt(200) == 0) withdraw(engines[random.nextInt(engines.size)])
     }
 
-    /** All control instances start anew: they know no backend server until these announce themselves or entries tell. */
+    /**
+     * All control instances start anew: they know no backend server until these announce themselves or entries tell.
+     */
     fun restartControl() {
         val known = directory
         directory = BackendDirectory()
@@ -160,6 +167,16 @@
         }
     }
 
+    /** The engine says that it ends, serves on, and starts anew later. */
+    fun withdraw(engine: SimulatedEngine) {
+        if (!engine.up || engine.withdrawn) return
+        engine.withdrawn = true
+        engine.sequence++
+        directory = directory.with(announcement(engine).copy(state = BackendState.GONE), nowMs)
+        late += nowMs + 3_000 to { engine.up = false }
+        late += nowMs + 6_000 to { engine.restart(nowMs) }
+    }
+
     private fun progress(engine: SimulatedEngine) {
         if (engine.stagingModel != null && engine.stagedAtMs <= nowMs) {
             engine.staged = engine.stagingModel
@@ -175,7 +192,7 @@
             everReady += Triple(engine.id, group, engine.members)
         }
         stall(engine)
-        if (engine.nextBeatMs <= nowMs && engine.cutUntilMs <= nowMs) {
+        if (!engine.withdrawn && engine.nextBeatMs <= nowMs && engine.cutUntilMs <= nowMs) {
             engine.sequence++
             engine.nextBeatMs = nowMs + BEAT_MS
             directory = directory.with(announcement(engine), nowMs)
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/GroupPlannerTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/GroupPlannerTest.kt
@@ -11,8 +11,8 @@
 import java.util.Random
 
 /**
- * Guards against a group that serves without all its members, a member that is taken from a group that serves, and groups
- * that are not formed again, with crashes, cuts, late orders and changes of the leader.
+ * Guards against a group that serves without all its members, a member that is taken from a group that serves, and
+ * groups that are not formed again, with crashes, cuts, late orders and changes of the leader.
  */
 class GroupPlannerTest {
     private fun world(seed: Long, engines: Int = 24, faults: Boolean = true) =
@@ -70,6 +70,16 @@
         expectThat(world.servingHeads().map { it.id to it.group }).isEqualTo(before)
     }
 
+    @Test
+    fun `members of a head that has withdrawn stay until it has left`() {
+        val world = world(1, faults = false)
+        world.run(45_000)
+        world.servingHeads().forEach { world.withdraw(it) }
+        world.run(40_000)
+        expectThat(world.violations).isEmpty()
+        expectThat(world.servingHeads().count { it.model == "large" }).isGreaterThanOrEqualTo(2)
+    }
+
     @TestFactory
     fun `faults at any moment`() = (1L..150L).map { seed ->
         DynamicTest.dynamicTest("seed $seed") {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
@@ -1,7 +1,7 @@
 /*
  * Tells entries and the other control instances what backend servers announce here, and the configuration document.
- * Every watcher connects to every control instance, so an announcement needs one hop only, and a watcher that is cut off
- * from some instances hears of it through the others.
+ * Every watcher connects to every control instance, so an announcement needs one hop only, and a watcher that is cut
+ * off from some instances hears of it through the others.
  */
 package org.bramleyspur.daemon.directory
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -101,7 +101,9 @@
         /** About a second of the events of one request. */
         const val PACE_WEIGHT = 0.03
 
-        /** Pauses for the prompts of others make gaps longer than predicted; a fast engine is hardly ever below half. */
+        /**
+         * Pauses for the prompts of others make gaps longer than predicted; a fast engine is hardly ever below half.
+         */
         const val FIRST_WEIGHT = 0.2
 
         const val MIN_PACE = 0.5
@@ -141,8 +143,9 @@
         const val CONNECT_TIMEOUT_MS = 300
     }
 
+    /** Backend servers echo the attempt's id, except in some refusals, which carry no seal. */
     private fun belongs(request: HttpRequest, response: HttpHeaders): Boolean {
-        val echoed = response.get(headers.attemptId) ?: return true
+        val echoed = response.get(headers.attemptId) ?: return !response.contains(headers.seal)
         return echoed == request.headers().get(headers.attemptId)
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -111,6 +111,7 @@
     private fun decide(end: AttemptEnd): NextStep {
         val facts = RequestFacts(
             repeatable = route.repeatable,
+            resumable = streaming && route.resumable,
             maxAttempts = route.maxAttempts,
             sends = sends,
             unsent = unsent,
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedControl.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedControl.kt
@@ -1,7 +1,7 @@
 /*
- * The control role of a deployment whose backend servers announce themselves: a member of the replicated log that admits
- * and replaces members without an operator, keeps the directory of backend servers, and orders engines into groups while
- * it leads. All state belongs to the control thread.
+ * The control role of a deployment whose backend servers announce themselves: a member of the replicated log that
+ * admits and replaces members without an operator, keeps the directory of backend servers, and orders engines into
+ * groups while it leads. All state belongs to the control thread.
  */
 package org.bramleyspur.daemon.process
 
@@ -333,7 +333,8 @@
     private fun withdraw(call: ControlPlaneCall.Withdraw) {
         val known = directory.backends[call.id]?.announcement ?: return
         if (call.bornMs != null && call.bornMs != known.bornMs) return
-        val gone = known.copy(state = BackendState.GONE, sequence = known.sequence + 1, place = null)
+        // It may serve for some time, so it keeps its place in a group until the head is known to have left.
+        val gone = known.copy(state = BackendState.GONE, sequence = known.sequence + 1)
         if (learn(gone, timers.nowMs())) server.onAnnouncement(gone)
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedEntry.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedEntry.kt
@@ -1,6 +1,6 @@
 /*
- * The entry role of a deployment whose backend servers announce themselves: forwards callers' requests over HTTP straight
- * to the backend servers. All state belongs to the traffic thread.
+ * The entry role of a deployment whose backend servers announce themselves: forwards callers' requests over HTTP
+ * straight to the backend servers. All state belongs to the traffic thread.
  */
 package org.bramleyspur.daemon.process
 
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/AttemptRules.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/AttemptRules.kt
@@ -29,6 +29,7 @@
  * What is known about a request when one of its attempts ends.
  *
  * @property repeatable whether it may run more than once
+ * @property resumable whether an answer that has started may be continued by another backend server
  * @property sends attempts of which something was sent
  * @property unsent attempts of which nothing was sent
  * @property mayHaveRun whether an attempt before this one may have run
@@ -37,6 +38,7 @@
  */
 data class RequestFacts(
     val repeatable: Boolean,
+    val resumable: Boolean,
     val maxAttempts: Int,
     val sends: Int,
     val unsent: Int,
@@ -68,25 +70,26 @@
     val time = facts.remainingMs >= MIN_ATTEMPT_MS
     val again = time && budgetLeft && facts.sends < facts.maxAttempts
     return when (end) {
-        AttemptEnd.NotSent -> when {
-            time && facts.unsent < MAX_UNSENT -> NextStep.SendAgain(paid = facts.sends > 0)
-            else -> giveUp(facts)
-        }
+        AttemptEnd.NotSent ->
+            if (time && facts.unsent < MAX_UNSENT) NextStep.SendAgain(paid = facts.sends > 0) else giveUp(facts)
+
         is AttemptEnd.Rejected -> if (again) NextStep.SendAgain(paid = true) else giveUp(facts)
-        AttemptEnd.NoAnswer, AttemptEnd.BrokenOff -> when {
-            again && facts.repeatable -> NextStep.SendAgain(paid = true)
-            facts.answerStarted -> NextStep.BreakOff
-            else -> NextStep.FailUnknown
-        }
-        AttemptEnd.Failed -> when {
-            again && facts.repeatable && !facts.answerStarted -> NextStep.SendAgain(paid = true)
-            facts.answerStarted -> NextStep.BreakOff
-            else -> NextStep.PassFailure
-        }
+
+        AttemptEnd.NoAnswer, AttemptEnd.BrokenOff -> afterRun(facts, again, NextStep.FailUnknown)
+
+        AttemptEnd.Failed -> afterRun(facts, again && !facts.answerStarted, NextStep.PassFailure)
+
         AttemptEnd.NoCandidate -> giveUp(facts)
     }
 }
 
+/** The next step when the backend server ran the request, or may have. */
+private fun afterRun(facts: RequestFacts, again: Boolean, failure: NextStep): NextStep = when {
+    again && facts.repeatable && (facts.resumable || !facts.answerStarted) -> NextStep.SendAgain(paid = true)
+    facts.answerStarted -> NextStep.BreakOff
+    else -> failure
+}
+
 private fun giveUp(facts: RequestFacts): NextStep = when {
     facts.answerStarted -> NextStep.BreakOff
     facts.mayHaveRun -> NextStep.FailUnknown
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/AttemptRulesTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/AttemptRulesTest.kt
@@ -6,8 +6,8 @@
 import strikt.assertions.isEqualTo
 
 /**
- * Guards against a second run of a request that may run once, against a refusal as not run of one that may have run, and
- * against an answer that looks complete after a part of it was lost.
+ * Guards against a second run of a request that may run once, against a refusal as not run of one that may have run,
+ * and against an answer that looks complete after a part of it was lost.
  */
 class AttemptRulesTest {
     private class Case(
@@ -20,6 +20,7 @@
 
     private val stream = RequestFacts(
         repeatable = true,
+        resumable = true,
         maxAttempts = 2,
         sends = 1,
         unsent = 0,
@@ -27,7 +28,8 @@
         answerStarted = false,
         remainingMs = 5_000,
     )
-    private val once = stream.copy(repeatable = false)
+    private val once = stream.copy(repeatable = false, resumable = false)
+    private val plain = stream.copy(resumable = false)
     private val rejected = AttemptEnd.Rejected(null)
 
     private val cases = listOf(
@@ -36,6 +38,8 @@
         Case("once, rejected, no budget", once, rejected, false, NextStep.RefuseNotRun),
         Case("once, rejected, one attempt", once.copy(maxAttempts = 1), rejected, true, NextStep.RefuseNotRun),
         Case("once, own failure", once, AttemptEnd.Failed, true, NextStep.PassFailure),
+        Case("plain, no answer", plain, AttemptEnd.NoAnswer, true, NextStep.SendAgain(paid = true)),
+        Case("plain, broken off", plain.copy(answerStarted = true), AttemptEnd.BrokenOff, true, NextStep.BreakOff),
         Case("once, broken off", once.copy(answerStarted = true), AttemptEnd.BrokenOff, true, NextStep.BreakOff),
         Case("once, not sent", once.copy(sends = 0, unsent = 1), AttemptEnd.NotSent, false, NextStep.SendAgain(false)),
         Case("once, never sent", once.copy(sends = 0, unsent = 4), AttemptEnd.NotSent, true, NextStep.RefuseNotRun),
