--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -16,6 +16,7 @@
 import org.bramleyspur.core.backend.BackendState
 import org.bramleyspur.core.backend.GroupId
 import org.bramleyspur.core.backend.GroupState
+import org.bramleyspur.core.backend.KnownBackend
 import org.bramleyspur.core.document.DocumentService
 import org.bramleyspur.core.document.ModelShape
 
@@ -113,26 +114,28 @@
 
     /** Asks engines whose announcement is overdue, and the members of a group that entries see stalled. */
     fun probeDoubtful() {
+        val members = state.groups.values.flatMap { it.members }.toSet()
         val stalled = state.groups.values
             .filter { it.phase == GroupPhase.SERVING && isSilentForEntries(it.members.first()) }
             .flatMap { it.members }
             .toSet()
-        val members = state.groups.values.flatMap { it.members }.toSet()
         for (known in input.engines.values) {
-            val announcement = known.announcement
-            val life = EngineLife(announcement.id, announcement.bornMs)
-            if (announcement.state == BackendState.GONE && life !in members) continue
-            val costs = input.document.services[announcement.service]?.costs
-            val doubtful = life in stalled || input.nowMs - known.heardMs > OVERDUE_MS
-            val last = state.probes[life]
-            if (last != null && last.failures > 0 && known.heardMs > last.sentMs && life !in stalled) {
-                state = state.copy(probes = state.probes.remove(life))
-            }
-            val due = last == null || input.nowMs - last.sentMs >= probeGapMs(last)
-            if (costs != null && doubtful && due) probe(life, announcement.address)
+            val life = EngineLife(known.announcement.id, known.announcement.bornMs)
+            val ended = known.announcement.state == BackendState.GONE && life !in members
+            val isEngine = input.document.services[known.announcement.service]?.costs != null
+            if (isEngine && !ended) probeIfDoubtful(life, known, life in stalled)
         }
     }
 
+    private fun probeIfDoubtful(life: EngineLife, known: KnownBackend, stalled: Boolean) {
+        val last = state.probes[life]
+        val heardSince = last != null && last.failures > 0 && known.heardMs > last.sentMs
+        if (heardSince && !stalled) state = state.copy(probes = state.probes.remove(life))
+        val due = last == null || input.nowMs - last.sentMs >= probeGapMs(last)
+        val doubtful = stalled || input.nowMs - known.heardMs > OVERDUE_MS
+        if (doubtful && due) probe(life, known.announcement.address)
+    }
+
     private fun probe(life: EngineLife, address: String) {
         val record = state.probes[life]?.copy(sentMs = input.nowMs) ?: ProbeRecord(input.nowMs)
         state = state.copy(probes = state.probes.put(life, record))
@@ -318,32 +321,40 @@
 
     private fun advanceServing(group: PlannedGroup) {
         val head = group.members.first()
-        val others = group.members.drop(1)
-        val headPlace = current(head)?.place
-        val headLeft = current(head) != null && headPlace?.id != group.id
-        val otherLeft = others.any { current(it)?.let { known -> known.place?.id != group.id } ?: false }
-        val unreachable = group.members.any { isUnreachable(it) }
-        val doubtful = group.members.any { isUnreachable(it, failures = 1) }
-        val stalled = isSilentForEntries(head) && !answersSince(head, input.nowMs - STALL_EVIDENCE_MS)
+        val place = current(head)?.place
         when {
-            headLeft || isGone(head) -> release(group)
-            others.any { isGone(it) } || otherLeft || headPlace?.state == GroupState.BROKEN -> release(group)
-            stalled && doubtful -> release(group)
-            unreachable && !answersSince(head, input.nowMs - UNSEEN_MS) -> release(group)
+            hasLostMember(group) || place?.state == GroupState.BROKEN || isStalled(group) -> release(group)
             group.members.any { current(it)?.state != BackendState.READY } -> {
                 order(head, EngineCommand.Close(group.id))
                 enter(group, GroupPhase.CLOSING)
             }
-            headPlace?.state == GroupState.READY && input.nowMs - group.sinceMs > OPEN_AGAIN_MS ->
+            place?.state == GroupState.READY && input.nowMs - group.sinceMs > OPEN_AGAIN_MS ->
                 order(head, EngineCommand.Open(group.id))
         }
     }
 
+    /** Whether a member has ended, or says that it is not in the group. */
+    private fun hasLostMember(group: PlannedGroup): Boolean =
+        group.members.any { isGone(it) || current(it)?.place?.id != group.id }
+
+    /**
+     * Whether the head has stopped answering entries, or is not seen to answer, and a member does not answer control.
+     */
+    private fun isStalled(group: PlannedGroup): Boolean {
+        val head = group.members.first()
+        val silent = isSilentForEntries(head) && !answersSince(head, input.nowMs - STALL_EVIDENCE_MS)
+        val unseen = !answersSince(head, input.nowMs - UNSEEN_MS)
+        val doubtful = group.members.any { isUnreachable(it, failures = 1) }
+        return silent && doubtful || unseen && group.members.any { isUnreachable(it) }
+    }
+
     private fun advanceClosing(group: PlannedGroup) {
         val head = group.members.first()
         val place = current(head)?.place
-        val closed = place?.id != group.id || place.state != GroupState.CLOSING && place.state != GroupState.OPEN
-        if (isGone(head) || isUnreachable(head) || closed || input.nowMs - group.sinceMs > CLOSING_LIMIT_MS) {
+        val serves = place?.id == group.id && (place.state == GroupState.CLOSING || place.state == GroupState.OPEN)
+        val overdue = input.nowMs - group.sinceMs > CLOSING_LIMIT_MS
+        val lost = isGone(head) || isUnreachable(head)
+        if (!serves || overdue || lost) {
             release(group)
         } else if (place.state == GroupState.OPEN) {
             order(head, EngineCommand.Close(group.id))
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
@@ -163,7 +163,9 @@
         evidence.clear()
         term++
         late += nowMs + ENTRY_RECONNECT_MS to {
-            directory = known.backends.values.fold(directory) { merged, it -> merged.with(it.announcement, it.heardMs) }
+            directory = known.backends.values.fold(directory) { merged, backend ->
+                merged.with(backend.announcement, backend.heardMs)
+            }
         }
     }
 
@@ -233,9 +235,10 @@
     /** What entries see: heads that serve answer, others that are known as open are silent. */
     private fun observe() {
         if (nowMs % 250 != 0L) return
-        for (known in directory.backends.values) {
-            val place = known.announcement.place ?: continue
-            if (place.rank != 0 || place.state != GroupState.OPEN) continue
+        val heads = directory.backends.values.filter {
+            it.announcement.place?.rank == 0 && it.announcement.place?.state == GroupState.OPEN
+        }
+        for (known in heads) {
             val before = evidence[known.announcement.id] ?: EngineEvidence()
             val serves = isServing(byId.getValue(known.announcement.id))
             evidence[known.announcement.id] =
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
@@ -115,11 +115,10 @@
         /** Whether the request may be sent again, for which the body is kept. */
         private var repeatable = false
 
-        /** Whether the message being read is a 1xx response, which precedes the response proper. */
-        private var interim = false
-
-        /** Whether the message being read answers another request. */
-        private var foreign = false
+        /**
+         * Whether the message being read is a 1xx response, which precedes the response, or answers another request.
+         */
+        private var skipping = false
         private var idleMs = idleLimitMs
         private val pending = ArrayDeque<HttpContent>()
 
@@ -182,19 +181,23 @@
         fun read(message: Any) {
             if (done) return
             if (message is HttpObject && message.decoderResult().isFailure) return malformed(message)
-            if (message is HttpResponse) {
-                interim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
-                foreign = !interim && !belongs(request, message.headers())
-                if (interim || foreign) return
-                dropBody()
-                keepAlive = HttpUtil.isKeepAlive(message)
-                idleMs = minOf(idleLimitMs, declaredIdleMs(message.headers()) ?: idleLimitMs)
-                listener.onHead(message.status().code(), message.headers())
-            }
-            if (message is HttpContent && !done && !interim && !foreign) {
-                if (message.content().isReadable) listener.onData(message.content())
-                if (message is LastHttpContent && !done) complete()
-            }
+            if (message is HttpResponse) readHead(message)
+            if (message is HttpContent && !skipping) readContent(message)
+        }
+
+        private fun readHead(message: HttpResponse) {
+            val interim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
+            skipping = interim || !belongs(request, message.headers())
+            if (skipping) return
+            dropBody()
+            keepAlive = HttpUtil.isKeepAlive(message)
+            idleMs = minOf(idleLimitMs, declaredIdleMs(message.headers()) ?: idleLimitMs)
+            listener.onHead(message.status().code(), message.headers())
+        }
+
+        private fun readContent(message: HttpContent) {
+            if (!done && message.content().isReadable) listener.onData(message.content())
+            if (!done && message is LastHttpContent) complete()
         }
 
         private fun malformed(message: HttpObject) {
