--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import org.bramleyspur.core.document.ClientLimits
 import org.bramleyspur.core.settings.Address
+import java.net.InetSocketAddress
 
 /** Serves callers over HTTP/1.1 on the one thread of [group]. */
 internal class FrontServer(private val group: EventLoopGroup, private val context: ForwardContext) {
@@ -26,9 +27,9 @@
     /** Whether answers ask callers to use another connection from now on. */
     val closesConnections: Boolean get() = stopping
 
-    /** Starts to listen on [address]. */
-    fun start(address: Address) {
-        listener = ServerBootstrap()
+    /** Starts to listen on [address]; returns the bound port. */
+    fun start(address: Address): Int {
+        val bound = ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -44,7 +45,9 @@
             ).bind(address.toSocketAddress())
             .sync()
             .channel()
+        listener = bound
         context.timers.every(SWEEP_MS) { connections.toList().forEach { it.sweep() } }
+        return (bound.localAddress() as InetSocketAddress).port
     }
 
     /** A connection has opened. */
--- /dev/null
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ScriptedBackend.kt
@@ -0,0 +1,67 @@
+package org.bramleyspur.daemon.forward
+
+import java.io.BufferedInputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+
+/** What a backend server does with a request: sends [bytes], then closes the connection or keeps it. */
+internal class Script(val bytes: String, val close: Boolean = false)
+
+/** A backend server on loopback that answers each request by a script; the last script repeats. */
+internal class ScriptedBackend(vararg scripts: Script) : AutoCloseable {
+    private val remaining = ArrayDeque(scripts.toList())
+    private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+
+    /** Heads of the requests that arrived. */
+    val requests = CopyOnWriteArrayList<String>()
+    val address: String = "127.0.0.1:${server.localPort}"
+
+    init {
+        thread(isDaemon = true) {
+            while (!server.isClosed) {
+                val socket = runCatching { server.accept() }.getOrNull() ?: return@thread
+                thread(isDaemon = true) { serve(socket) }
+            }
+        }
+    }
+
+    private fun serve(socket: Socket) = socket.use {
+        val input = BufferedInputStream(it.getInputStream())
+        while (true) {
+            val head = readHead(input) ?: return@use
+            requests += head
+            val script = synchronized(remaining) {
+                if (remaining.size >
+                    1
+                ) {
+                    remaining.removeFirst()
+                } else {
+                    remaining.first()
+                }
+            }
+            it.getOutputStream().write(script.bytes.encodeToByteArray())
+            it.getOutputStream().flush()
+            if (script.close) return@use
+        }
+    }
+
+    @Synchronized
+    private fun next(): Script = if (remaining.size > 1) remaining.removeFirst() else remaining.first()
+
+    private fun readHead(input: BufferedInputStream): String? {
+        val head = StringBuilder()
+        while (!head.endsWith("\r\n\r\n")) {
+            val byte = input.read()
+            if (byte < 0) return null
+            head.append(byte.toChar())
+        }
+        val length = Regex("(?i)content-length: (\\d+)").find(head)?.groupValues?.get(1)?.toInt() ?: 0
+        input.readNBytes(length)
+        return head.toString()
+    }
+
+    override fun close() = server.close()
+}
