--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardedRequestTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardedRequestTest.kt
@@ -24,7 +24,6 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
-import strikt.assertions.doesNotContain
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
@@ -152,7 +151,8 @@
         expectThat(answer.status to answer.body).isEqualTo(200 to "hello")
         expectThat(answer.header(SEAL)).isEqualTo("s")
         val request = backends[0].requests.single().lowercase()
-        expectThat(request).contains("x-target: b0").contains("x-account: acme").doesNotContain("authorization")
+        expectThat(request).contains("x-target: b0").contains("x-account: acme")
+        expectThat("authorization" in request).isFalse()
     }
 
     @Test
