--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ScriptedBackend.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ScriptedBackend.kt
@@ -49,7 +49,7 @@
     }
 
     @Synchronized
-    private fun next(): Script = if (remaining.size > 1) remaining.removeFirst() else remaining.first()
+    private fun nextScript(): Script = if (remaining.size > 1) remaining.removeFirst() else remaining.first()
 
     private fun readHead(input: BufferedInputStream): String? {
         val head = StringBuilder()
