--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ScriptedBackend.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ScriptedBackend.kt
@@ -33,15 +33,7 @@
         while (true) {
             val head = readHead(input) ?: return@use
             requests += head
-            val script = synchronized(remaining) {
-                if (remaining.size >
-                    1
-                ) {
-                    remaining.removeFirst()
-                } else {
-                    remaining.first()
-                }
-            }
+            val script = nextScript()
             it.getOutputStream().write(script.bytes.encodeToByteArray())
             it.getOutputStream().flush()
             if (script.close) return@use
