Share what the announced roles wrote twice, and compute group members once a directory

Cause: read-through of the change. Four maps of the planner were trimmed by four copies of one loop; three servers built the same whole response; heads and plain backend servers were picked by two copies; every request grouped all engines anew; a field, a function and an elvis operator were dead; two comments stood over the wrong constant. Behaviour is meant to be the same.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -8,6 +8,7 @@
  */
 package org.bramleyspur.control.group
 
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
@@ -54,7 +55,7 @@
     // A report can be some hundred milliseconds old, so it does not count what was ordered shortly before it.
     val orderedSince = (state.sent[life.id]?.atMs ?: 0L) >= sentMs - REPORT_LAG_MS
     if (orderedSince) return answered
-    val verified = Verified(report.orders, 0, report.group != announced, nowMs)
+    val verified = Verified(report.orders, inFlight = 0, mismatch = report.group != announced)
     return answered.copy(verified = state.verified.put(life, verified))
 }
 
@@ -173,36 +174,30 @@
         return input.nowMs - silent < EVIDENCE_MS && silent > (evidence.answeredMs ?: 0L)
     }
 
+    /** Forgets what belongs to lives of engines that have ended, and notes the models of those that are in groups. */
     fun forgetOldLives() {
-        val absent = state.absent.filter { (id, bornMs) -> announcement(id)?.bornMs == bornMs }
-        val models = state.lastModel.filter { (life, _) -> announcement(life.id)?.bornMs == life.bornMs }
-        input.engines.values.forEach { known ->
-            // An announcement that arrives after nothing had listened shows that the engine is back.
-            val place = known.announcement.place
-            val life = EngineLife(known.announcement.id, known.announcement.bornMs)
-            if (place?.model != null && place.state != GroupState.JOINING) {
-                state = state.copy(lastModel = state.lastModel.put(life, place.model!!))
-            }
-        }
-        if (absent.size < state.absent.size) {
-            state = state.copy(absent = state.absent.filterKeysIn(absent.keys))
-        }
-        val oldJoins = state.openJoins.keys.filter { announcement(it.id)?.bornMs != it.bornMs }
-        if (oldJoins.size > MAX_OLD_LIVES) {
-            state = state.copy(openJoins = oldJoins.fold(state.openJoins) { map, life -> map.remove(life) })
-        }
-        val oldVerified = state.verified.keys.filter { announcement(it.id)?.bornMs != it.bornMs }
-        if (oldVerified.size > MAX_OLD_LIVES) {
-            state = state.copy(verified = oldVerified.fold(state.verified) { map, life -> map.remove(life) })
-        }
-        if (models.size + MAX_OLD_LIVES < state.lastModel.size) {
-            val old = state.lastModel.keys - models.keys
-            state = state.copy(lastModel = old.fold(state.lastModel) { map, life -> map.remove(life) })
-        }
+        input.engines.values.forEach { noteModel(it.announcement) }
         val firstCountedMs = input.nowMs - LOAD_WINDOW_MS
-        if (state.loadStartsMs.any { it < firstCountedMs }) {
-            state = state.copy(loadStartsMs = state.loadStartsMs.filter { it >= firstCountedMs }.toPersistentList())
-        }
+        state = state.copy(
+            absent = state.absent.filter { (id, bornMs) -> announcement(id)?.bornMs == bornMs }.toPersistentMap(),
+            lastModel = state.lastModel.withoutOldLives(),
+            openJoins = state.openJoins.withoutOldLives(),
+            verified = state.verified.withoutOldLives(),
+            loadStartsMs = state.loadStartsMs.filter { it >= firstCountedMs }.toPersistentList(),
+        )
+    }
+
+    private fun noteModel(engine: Announcement) {
+        val place = engine.place ?: return
+        val model = place.model ?: return
+        if (place.state == GroupState.JOINING) return
+        state = state.copy(lastModel = state.lastModel.put(EngineLife(engine.id, engine.bornMs), model))
+    }
+
+    /** Lives that have ended are removed in batches, so that most plans copy nothing. */
+    private fun <V> PersistentMap<EngineLife, V>.withoutOldLives(): PersistentMap<EngineLife, V> {
+        val old = keys.filter { current(it) == null }
+        return if (old.size > MAX_OLD_LIVES) old.fold(this) { map, life -> map.remove(life) } else this
     }
 
     /** Takes over groups that an earlier leader formed. */
@@ -515,6 +510,7 @@
 
     /** Orders the engines to join; false when one of them has to be asked for its state first. */
     private fun form(service: DocumentService, model: ModelShape, engines: List<Announcement>): Boolean {
+        // All engines are asked at once, so this counts them instead of stopping at the first.
         if (engines.count { !isVerified(EngineLife(it.id, it.bornMs)) } > 0) return false
         val epoch = input.term * EPOCHS_PER_TERM + state.epochs + 1
         val id = GroupId("g$epoch", epoch)
@@ -620,9 +616,6 @@
         orders += EngineOrder(life.id, known.address, input.term, command, expected)
     }
 
-    private fun <V> kotlinx.collections.immutable.PersistentMap<String, V>.filterKeysIn(kept: Set<String>) =
-        keys.filter { it !in kept }.fold(this) { map, key -> map.remove(key) }
-
     private companion object {
         /** Room for a million formations in a term; terms are far below the 43 bits that are left. */
         const val EPOCHS_PER_TERM = 1L shl 20
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -87,7 +87,7 @@
  * @property inFlight orders of this leader whose results have not come
  * @property mismatch whether the engine's report named another group than its announcement; it is asked again
  */
-data class Verified(val orders: Long, val inFlight: Int, val mismatch: Boolean, val atMs: Long)
+data class Verified(val orders: Long, val inFlight: Int, val mismatch: Boolean)
 
 /** A join that names [expectedOrders]; it is void once the engine has begun more orders. */
 data class OpenJoin(val group: GroupId, val expectedOrders: Long)
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/BackendDirectory.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/BackendDirectory.kt
@@ -22,6 +22,14 @@
  * does not bring it back.
  */
 data class BackendDirectory(val backends: PersistentMap<String, KnownBackend> = persistentMapOf()) {
+    /** Computed once for each version of the directory, since every request asks for heads. */
+    private val membersByGroup: Map<Pair<String, GroupId>, List<Announcement>> by lazy(LazyThreadSafetyMode.NONE) {
+        backends.values
+            .map { it.announcement }
+            .filter { it.state != BackendState.GONE && it.place != null }
+            .groupBy { it.service to it.place!!.id }
+    }
+
     /** The directory with [announcement], unless it is older than what is known; [heardMs] is when it arrived. */
     fun with(announcement: Announcement, heardMs: Long): BackendDirectory {
         val known = backends[announcement.id]
@@ -54,20 +62,17 @@
 
     /** Heads of open and complete groups of [model] in [service]; [size] is the number of engines in a group. */
     fun heads(service: String, model: String, size: Int): List<GroupHead> {
-        val members = membersByGroup(service)
+        val members = membersByGroup
         return backends.values.map { it.announcement }.filter { announcement ->
             val place = announcement.place
             announcement.service == service && announcement.state == BackendState.READY && place != null &&
                 place.rank == 0 && place.state == GroupState.OPEN && place.model == model &&
-                members.getValue(place.id).size >= size
-        }.map { head -> GroupHead(head, members.getValue(head.place!!.id).distinctBy { it.domain }.size > 1) }
+                members.getValue(service to place.id).size >= size
+        }.map { head ->
+            GroupHead(head, members.getValue(service to head.place!!.id).distinctBy { it.domain }.size > 1)
+        }
     }
 
-    private fun membersByGroup(service: String): Map<GroupId, List<Announcement>> = backends.values
-        .map { it.announcement }
-        .filter { it.service == service && it.state != BackendState.GONE && it.place != null }
-        .groupBy { it.place!!.id }
-
     private companion object {
         /** An announcement can be several seconds late; a minute covers every delay that was seen. */
         const val TOMBSTONE_MS = 60_000L
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/Document.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/Document.kt
@@ -4,6 +4,7 @@
  */
 package org.bramleyspur.core.document
 
+import com.github.michaelbull.result.Result
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.ImmutableMap
 
@@ -146,4 +147,4 @@
 data class DocumentError(val message: String)
 
 /** Reads a document from the bytes of an adapter's format. */
-typealias DocumentDecoder = (bytes: ByteArray) -> com.github.michaelbull.result.Result<Document, DocumentError>
+typealias DocumentDecoder = (bytes: ByteArray) -> Result<Document, DocumentError>
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.ByteBufUtil
-import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
@@ -19,11 +18,11 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.timeout.ReadTimeoutHandler
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import org.bramleyspur.core.settings.Address
+import org.bramleyspur.daemon.http.fullResponse
 import java.util.concurrent.TimeUnit
 
 /** Answers a call through [answer], which is called once on any thread. */
@@ -95,12 +94,8 @@
     private fun message(status: HttpResponseStatus, text: String) =
         json(status, buildJsonObject { put("error", text) }.toString().encodeToByteArray())
 
-    private fun json(status: HttpResponseStatus, body: ByteArray): DefaultFullHttpResponse {
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body))
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
-        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.size)
-        return response
-    }
+    private fun json(status: HttpResponseStatus, body: ByteArray) =
+        fullResponse(status, body, HttpHeaderValues.APPLICATION_JSON)
 
     private companion object {
         /** Largest document, with room for its framing. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryClient.kt
@@ -31,9 +31,6 @@
     private val watches = LinkedHashMap<String, Watch>()
     private var seedAddresses = seeds.toSet()
 
-    /** Control instances that were heard of within [withinMs]. */
-    fun heardWithin(withinMs: Long): Int = watches.values.count { timers.nowMs() - it.heardMs <= withinMs }
-
     /** `host:port` of the control instances that are watched. */
     val addresses: Set<String> get() = watches.keys
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
@@ -5,8 +5,8 @@
  */
 package org.bramleyspur.daemon.directory
 
-import com.google.protobuf.ByteString
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.grpc.Status
 import io.grpc.stub.ServerCallStreamObserver
 import io.grpc.stub.StreamObserver
 import org.bramleyspur.control.state.StoredDocument
@@ -99,7 +99,7 @@
             // A watcher that has been silent reconnects by itself; its old stream must not collect events.
             if (timers.nowMs() - heardMs > WATCHER_SILENT_MS) {
                 watchers -= this
-                down.onError(io.grpc.Status.DEADLINE_EXCEEDED.asRuntimeException())
+                down.onError(Status.DEADLINE_EXCEEDED.asRuntimeException())
             } else {
                 down.onNext(event)
             }
@@ -131,4 +131,4 @@
 }
 
 private fun StoredDocument.toEvent(): ConfigurationDocument =
-    ConfigurationDocument.newBuilder().setVersion(version).setContent(content ?: ByteString.EMPTY).build()
+    ConfigurationDocument.newBuilder().setVersion(version).setContent(content).build()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -101,11 +101,10 @@
         /** About a second of the events of one request. */
         const val PACE_WEIGHT = 0.03
 
-        /**
-         * Pauses for the prompts of others make gaps longer than predicted; a fast engine is hardly ever below half.
-         */
+        /** Five first events; their times vary more than those between events. */
         const val FIRST_WEIGHT = 0.2
 
+        /** Pauses for the prompts of others make gaps longer than predicted; few gaps are below half of it. */
         const val MIN_PACE = 0.5
         const val MAX_PACE = 10.0
 
@@ -138,11 +137,6 @@
         return BackendLoad(announcement.id, announcement.address, client).also { loads[announcement.id] = it }
     }
 
-    private companion object {
-        /** Many round trips between data centres; then another backend server is tried. */
-        const val CONNECT_TIMEOUT_MS = 300
-    }
-
     /** Backend servers echo the attempt's id, except in some refusals, which carry no seal. */
     private fun belongs(request: HttpRequest, response: HttpHeaders): Boolean {
         val echoed = response.get(headers.attemptId) ?: return !response.contains(headers.seal)
@@ -166,4 +160,9 @@
         val gone = loads.values.filter { it.id !in ids && it.inFlight == 0 }
         gone.forEach { loads.remove(it.id)?.client?.close() }
     }
+
+    private companion object {
+        /** Many round trips between data centres; then another backend server is tried. */
+        const val CONNECT_TIMEOUT_MS = 300
+    }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -86,24 +86,27 @@
                     it to candidate(it, costs.slots, factor * it.pace, head.announcement.dataCentre)
                 }
             }.filter { (load, own) -> !own.suspect || load.answeredMs > load.silentMs }
-        val chosen = chooseBackend(known.map { it.second }, point()) {
-            generationCost(it, tokens.prompt, tokens.output, costs) + it.excessMs
-        }
-        return known.firstOrNull { it.second === chosen }?.let { (load, own) ->
-            val passMs = costs.stepsPerPass * stepMs(own, costs) * own.timeFactor / load.pace
-            Choice(load, firstEventMs(own, tokens.prompt, costs), passMs)
-        }
+        val (load, own) = pick(known) { generationCost(it, tokens.prompt, tokens.output, costs) + it.excessMs }
+            ?: return null
+        val passMs = costs.stepsPerPass * stepMs(own, costs) * own.timeFactor / load.pace
+        return Choice(load, firstEventMs(own, tokens.prompt, costs), passMs)
     }
 
     private fun choosePlain(service: DocumentService, tried: Set<String>): Choice? {
-        val backends = directory.plain(service.name).map { it.announcement }
-        val untried = backends.filter { it.id !in tried }
-        val known = untried.mapNotNull { backend ->
-            loads.of(backend)?.let { it to candidate(it, maxOf(1, backend.slots), 1.0, backend.dataCentre) }
-        }
-        val chosen = chooseBackend(known.map { it.second }, point()) { plainAnswerMs(it, PLAIN_WORK_MS) }
+        val known = directory.plain(service.name).map { it.announcement }.filter { it.id !in tried }
+            .mapNotNull { backend ->
+                loads.of(backend)?.let { it to candidate(it, maxOf(1, backend.slots), 1.0, backend.dataCentre) }
+            }
+        val (load, own) = pick(known) { plainAnswerMs(it, PLAIN_WORK_MS) } ?: return null
+        return Choice(load, plainAnswerMs(own, PLAIN_WORK_MS), passMs = null)
+    }
+
+    private fun pick(
+        known: List<Pair<BackendLoad, Candidate>>,
+        cost: (Candidate) -> Double,
+    ): Pair<BackendLoad, Candidate>? {
+        val chosen = chooseBackend(known.map { it.second }, point(), cost)
         return known.firstOrNull { it.second === chosen }
-            ?.let { (load, own) -> Choice(load, plainAnswerMs(own, PLAIN_WORK_MS), passMs = null) }
     }
 
     private fun candidate(load: BackendLoad, slots: Int, factor: Double, backendDataCentre: String): Candidate {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -212,8 +212,8 @@
         private var ended = false
         private var head: Pair<Int, HttpHeaders>? = null
         private var passing = false
-        private var heardMs = context.timers.nowMs()
         private val begunMs = context.timers.nowMs()
+        private var heardMs = begunMs
         private var lastEventMs: Long? = null
 
         /** Whether the request may have reached the backend server. */
@@ -331,8 +331,9 @@
             if (!answerStarted) {
                 answerStarted = true
                 if (isStream()) headers.remove(HttpHeaderNames.CONTENT_LENGTH)
-                firstMs = context.timers.nowMs() - request.receivedMs
-                context.metrics.onFirstByte(route.name, context.timers.nowMs() - request.receivedMs)
+                val tookMs = context.timers.nowMs() - request.receivedMs
+                firstMs = tookMs
+                context.metrics.onFirstByte(route.name, tookMs)
                 answer.begin(status, headers)
             }
         }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -4,8 +4,8 @@
 package org.bramleyspur.daemon.forward
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -25,6 +25,8 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ReferenceCountUtil
 import org.bramleyspur.core.document.DocumentAccount
+import org.bramleyspur.daemon.http.fullResponse
+import org.bramleyspur.traffic.forward.targetService
 import java.io.ByteArrayOutputStream
 import java.util.Locale
 
@@ -177,9 +179,7 @@
             account = bearerKey(request.headers)?.let { routes.account(it) }
                 ?: return reject(HttpResponseStatus.UNAUTHORIZED, "the key is unknown", request)
         }
-        val service = routes.document.services.getValue(
-            org.bramleyspur.traffic.forward.targetService(route, context.point()),
-        )
+        val service = routes.document.services.getValue(targetService(route, context.point()))
         val next = ForwardedRequest(context, request, route, service, account, Answer(), ::onAnswered)
         forwarded = next
         next.start()
@@ -225,14 +225,8 @@
         override val writable: Boolean get() = channel.isWritable
 
         override fun refuse(status: Int, text: String, retryAfterMs: Long?) {
-            val bytes = "$text\n".encodeToByteArray()
-            val response = DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(status),
-                Unpooled.wrappedBuffer(bytes),
-            )
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
-            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, bytes.size)
+            val body = "$text\n".encodeToByteArray()
+            val response = fullResponse(HttpResponseStatus.valueOf(status), body, TEXT_CONTENT_TYPE)
             retryAfterMs?.let {
                 response.headers().set(HttpHeaderNames.RETRY_AFTER, "%.3f".format(Locale.ROOT, it / MS_PER_SECOND))
             }
@@ -265,12 +259,13 @@
             channel.close()
         }
 
-        private fun ended(written: io.netty.channel.ChannelFuture) {
+        private fun ended(written: ChannelFuture) {
             if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
         }
     }
 
     private companion object {
+        const val TEXT_CONTENT_TYPE = "text/plain; charset=utf-8"
         const val MAX_WAITING = 64
         const val STATUS_UNAVAILABLE = 503
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/platform/PlatformServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/platform/PlatformServer.kt
@@ -4,7 +4,6 @@
 package org.bramleyspur.daemon.platform
 
 import io.netty.bootstrap.ServerBootstrap
-import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
@@ -15,14 +14,13 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
-import io.netty.handler.codec.http.HttpVersion
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.bramleyspur.core.settings.Address
+import org.bramleyspur.daemon.http.fullResponse
 import java.io.ByteArrayOutputStream
 
 private const val MAX_REQUEST_BYTES = 16 * 1024
@@ -72,17 +70,11 @@
         val writer = PrometheusTextFormatWriter.create()
         val out = ByteArrayOutputStream()
         writer.write(out, registry.scrape())
-        return response(HttpResponseStatus.OK, out.toByteArray(), writer.contentType)
+        return fullResponse(HttpResponseStatus.OK, out.toByteArray(), writer.contentType)
     }
 
-    private fun text(status: HttpResponseStatus, body: String) = response(status, body.toByteArray(), TEXT_CONTENT_TYPE)
-
-    private fun response(status: HttpResponseStatus, body: ByteArray, contentType: String): DefaultFullHttpResponse {
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body))
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
-        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.size)
-        return response
-    }
+    private fun text(status: HttpResponseStatus, body: String) =
+        fullResponse(status, body.toByteArray(), TEXT_CONTENT_TYPE)
 
     private inner class Initializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedControl.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedControl.kt
@@ -5,9 +5,12 @@
  */
 package org.bramleyspur.daemon.process
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
-import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.mapError
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.grpc.Status
 import io.grpc.stub.StreamObserver
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.bramleyspur.control.member.Admission
@@ -45,6 +48,7 @@
 import org.bramleyspur.log.storage.DiskFileSystem
 import org.bramleyspur.log.storage.FirstStart
 import org.bramleyspur.log.storage.LogStorage
+import org.bramleyspur.log.storage.StorageError
 import org.bramleyspur.protocol.AdmissionReply
 import org.bramleyspur.protocol.AdmissionRequest
 import org.bramleyspur.protocol.ConsensusMessage
@@ -190,13 +194,10 @@
     }
 
     @Suppress("TooGenericExceptionCaught") // The folder of a failed disk can refuse any operation.
-    private fun openStorage(): com.github.michaelbull.result.Result<LogStorage, String> = try {
-        LogStorage.open(DiskFileSystem(Path.of(settings.dataDir)), firstStart()).fold(
-            { com.github.michaelbull.result.Ok(it) },
-            { com.github.michaelbull.result.Err(it.message) },
-        )
+    private fun openStorage(): Result<LogStorage, String> = try {
+        LogStorage.open(DiskFileSystem(Path.of(settings.dataDir)), firstStart()).mapError { it.message }
     } catch (e: Exception) {
-        com.github.michaelbull.result.Err(e.toString())
+        Err(e.toString())
     }
 
     private fun firstStart(): FirstStart {
@@ -226,7 +227,7 @@
         log.write("log-open", "member" to memberId, "document" to (started.state.document?.version ?: 0L))
     }
 
-    private fun onStorageFailure(error: org.bramleyspur.log.storage.StorageError) {
+    private fun onStorageFailure(error: StorageError) {
         log.write("log-failed", "reason" to error.message, "retry_ms" to REOPEN_MS)
         node = null
         timers.after(REOPEN_MS) { openLog() }
@@ -427,11 +428,11 @@
         private fun operators() = node?.let { OperatorService(it, System::currentTimeMillis) { null } }
 
         override fun submit(request: SubmitRequest, reply: StreamObserver<SubmitReply>) {
-            operators()?.submit(request, reply) ?: reply.onError(io.grpc.Status.UNAVAILABLE.asRuntimeException())
+            operators()?.submit(request, reply) ?: reply.onError(Status.UNAVAILABLE.asRuntimeException())
         }
 
         override fun query(request: QueryRequest, reply: StreamObserver<QueryReply>) {
-            operators()?.query(request, reply) ?: reply.onError(io.grpc.Status.UNAVAILABLE.asRuntimeException())
+            operators()?.query(request, reply) ?: reply.onError(Status.UNAVAILABLE.asRuntimeException())
         }
     }
 
