Close the control instances' connections to engines that are gone

Cause: the function that does it was never called, so a leader kept a client for each engine address that it had ever ordered; entries already do the same for theirs.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -71,6 +71,9 @@
 
     private fun known(id: String) = evidence[id] ?: EngineEvidence()
 
+    /** Closes the connections to engines that are not among [engines]. */
+    fun keepOnly(engines: Collection<KnownBackend>) = sender.keepOnly(engines.map { it.announcement.address }.toSet())
+
     /** Forgets the plans of an earlier term. */
     fun forget() {
         if (term == null) return
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedControl.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedControl.kt
@@ -169,7 +169,7 @@
             watches.start()
             timers.every(PLAN_MS) { plan() }
             timers.every(ADMISSION_MS) { askForAdmission() }
-            timers.every(EXPIRE_MS) { directory = directory.expire(timers.nowMs()) }
+            timers.every(EXPIRE_MS) { expire() }
         }.get()
         log.write("started", "role" to "control", "instance" to settings.instance, "bootstrap" to settings.bootstrap)
     }
@@ -303,6 +303,11 @@
         return true
     }
 
+    private fun expire() {
+        directory = directory.expire(timers.nowMs())
+        driver.keepOnly(directory.backends.values)
+    }
+
     private fun plan() {
         val current = node ?: return
         val term = current.leadingTerm() ?: return driver.forget()
