Give the load test's engine a slot for every call, and check the outcomes

A run that starts 3 s late sends all 107 calls at once, and the stand-in engine answers 429 beyond its 100 slots; how many run together depends on the speed of the machine. Ruled out: a call lost by the load tool. Change: 200 slots; the test now also expects every outcome to be complete, which is stricter than the count of first tokens.

--- a/bramleyspur-testbed/src/test/kotlin/org/bramleyspur/testbed/bench/LoadRunTest.kt
+++ b/bramleyspur-testbed/src/test/kotlin/org/bramleyspur/testbed/bench/LoadRunTest.kt
@@ -15,7 +15,9 @@
 class LoadRunTest {
     private val accounts = listOf(BenchAccount("a", "k"), BenchAccount("b", "l"))
     private val shape = CallShape(maxTokens = 5, promptBytes = 60, sharedBytes = 40)
-    private val settings = EngineSettings(slots = 100, decodeMs = 0.2, model = "m")
+
+    /** More slots than calls: a run that starts late sends all its calls at once, and a full engine answers 429. */
+    private val settings = EngineSettings(slots = 200, decodeMs = 0.2, model = "m")
 
     /** Guards against a load that cannot be repeated from its seed. */
     @Test
@@ -31,6 +33,7 @@
         val report = run(calls(1), "v1", System.nanoTime() - lateNanos)
         expectThat(report.firstToken.p50).isGreaterThanOrEqualTo(1000.0)
         expectThat(report.firstToken.max).isGreaterThanOrEqualTo(2500.0)
+        expectThat(report.outcomes).isEqualTo(mapOf("complete" to report.offered))
         expectThat(report.firstToken.count).isEqualTo(report.offered)
     }
 
