Order members of an unreachable head to leave, notice stalled heads sooner, and let spares join once before they are needed

Waiting for the head's stall of 4 s was weighed; a member that has left needs no wait. Cause 2: entries reported a silent head at the earliest 600 ms after its last event, since the same report still called it answering, and the planner discards a silence that is not newer than an answer. Cause 3: a spare with staged weights joins within 1.1 to 1.6 s, a former member of such a group within 0.2 s. Change: members of a group whose head does not answer are ordered to leave and are free once they have; a refused connection is no proof that an engine has ended; the entries' connection checks are gone. Entries report heads whose streams pause for 220 ms; the leader plans at once on such a report and on results of orders. Spares join a group of their own once. Groups over domains are not formed in the first 0.7 s after a group ends.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineOrder.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineOrder.kt
@@ -55,7 +55,7 @@
     /** The engine refused the order: it does not fit its state, its epoch or its fencing number. */
     REFUSED,
 
-    /** Nothing listens at the engine's address, or another backend server does. */
+    /** Another backend server answers at the engine's address. */
     ABSENT,
 
     /** No answer came; the order may still be carried out. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -2,9 +2,11 @@
  * Forms, repairs and releases the groups of engines. A pure function of the announcements, what entries saw and the
  * leader's own earlier orders; runs at each announcement and at short intervals.
  *
- * An engine is given to another group only when the head of its former group is known to have left it: its announcement
- * says so, it started anew, or nothing listens at its address. Epochs grow with every formation, over all leaders, and
- * a join names the number of orders that the engine has begun, so an order that is carried out late is refused.
+ * An engine is given to another group only when it has left its former one, or the head of that group has: its
+ * announcement says so, it answered a leave order, or it started anew. A head that nobody reaches may still be open, so
+ * the members of its group are ordered to leave; without them it serves nothing. Epochs grow with every formation, over
+ * all leaders, and a join names the number of orders that the engine has begun, so an order that is carried out late is
+ * refused.
  */
 package org.bramleyspur.control.group
 
@@ -32,7 +34,7 @@
     input.document.services.values.filter { it.costs != null && it.models.isNotEmpty() }.forEach {
         planning.formGroups(it)
     }
-    return PlanStep(planning.state, planning.orders, planning.probes, planning.checks)
+    return PlanStep(planning.state, planning.orders, planning.probes)
 }
 
 /**
@@ -87,7 +89,6 @@
 private class Planning(var state: PlannerState, val input: PlannerInput) {
     val orders = ArrayList<EngineOrder>()
     val probes = ArrayList<EngineProbe>()
-    val checks = LinkedHashSet<String>()
 
     private fun announcement(id: String): Announcement? = input.engines[id]?.announcement
 
@@ -121,7 +122,7 @@
             .flatMap { it.members }
             .toSet()
         for (known in input.engines.values) {
-            val life = EngineLife(known.announcement.id, known.announcement.bornMs)
+            val life = known.announcement.life
             val ended = known.announcement.state == BackendState.GONE && life !in members
             val isEngine = input.document.services[known.announcement.service]?.costs != null
             if (isEngine && !ended) probeIfDoubtful(life, known, life in stalled)
@@ -171,7 +172,7 @@
     private fun isSilentForEntries(life: EngineLife): Boolean {
         val evidence = input.evidence[life.id] ?: return false
         val silent = evidence.silentMs ?: return false
-        return input.nowMs - silent < EVIDENCE_MS && silent > (evidence.answeredMs ?: 0L)
+        return input.nowMs - silent < EVIDENCE_MS && silent > (evidence.answeredMs ?: 0L) - REPORT_AGE_MS
     }
 
     /** Forgets what belongs to lives of engines that have ended, and notes the models of those that are in groups. */
@@ -191,7 +192,7 @@
         val place = engine.place ?: return
         val model = place.model ?: return
         if (place.state == GroupState.JOINING) return
-        state = state.copy(lastModel = state.lastModel.put(EngineLife(engine.id, engine.bornMs), model))
+        state = state.copy(lastModel = state.lastModel.put(engine.life, model))
     }
 
     /** Lives that have ended are removed in batches, so that most plans copy nothing. */
@@ -212,7 +213,7 @@
 
     /**
      * Notes groups of which only members have announced themselves. After a restart of control the head may be serving
-     * and not have been heard yet, so the members are free only some time later.
+     * and not have been heard yet, so the members are ordered to leave only some time later.
      */
     private fun noteHeadless(places: Map<GroupId, List<Announcement>>) {
         val headless = places.filter { (_, members) -> members.none { it.place!!.rank == 0 } }.keys
@@ -225,17 +226,25 @@
                 state.endedGroups
             },
         )
+        for (id in headless.filter { input.nowMs - state.headlessSinceMs.getValue(it) > HEADLESS_MS }) {
+            if (id !in state.groups && id !in state.endedGroups) leaveAll(id, places.getValue(id).map { it.life })
+        }
     }
 
+    /** Orders the engines of a group to leave it one by one, since its head cannot be ordered. */
+    private fun leaveAll(id: GroupId, members: List<EngineLife>) =
+        members.filter { !hasLeft(it, id) && !isUnreachable(it) }.forEach { order(it, EngineCommand.Leave(id)) }
+
+    private fun hasLeft(life: EngineLife, id: GroupId): Boolean = state.left[life] == id
+
     private fun adopt(id: GroupId, head: Announcement, members: List<Announcement>) {
-        val life = EngineLife(head.id, head.bornMs)
-        val deadMs = state.presumedDeadMs[life]
-        if (isGone(life) || deadMs != null && heardMs(life) <= deadMs) return end(id)
+        val life = head.life
+        if (isGone(life)) return end(id)
         val model = members.firstNotNullOfOrNull { it.place!!.model } ?: return
         val shape = shape(head.service, model)
         val ranks = members.map { it.place!!.rank }.toSet()
         val whole = shape != null && (0 until shape.size).all { it in ranks }
-        val lives = members.sortedBy { it.place!!.rank }.map { EngineLife(it.id, it.bornMs) }.toImmutableList()
+        val lives = members.sortedBy { it.place!!.rank }.map { it.life }.toImmutableList()
         val phase = when {
             !whole -> GroupPhase.RELEASING
             head.place!!.state == GroupState.OPEN -> GroupPhase.SERVING
@@ -257,6 +266,7 @@
     fun advanceGroups() {
         for (group in state.groups.values.toList()) {
             when (group.phase) {
+                GroupPhase.WARMING -> advanceWarming(group)
                 GroupPhase.FORMING -> advanceForming(group)
                 GroupPhase.SERVING -> advanceServing(group)
                 GroupPhase.CLOSING -> advanceClosing(group)
@@ -265,6 +275,13 @@
         }
     }
 
+    private fun advanceWarming(group: PlannedGroup) {
+        val engine = group.members.single()
+        val ready = placeIs(engine, group.id, GroupState.READY)
+        val overdue = input.nowMs - group.sinceMs > WARMING_LIMIT_MS
+        if (ready || overdue || isGone(engine) || isUnreachable(engine)) release(group)
+    }
+
     private fun advanceForming(group: PlannedGroup) {
         val head = group.members.first()
         val shape = shape(group.service, group.model)
@@ -286,7 +303,7 @@
     private fun isElsewhere(life: EngineLife, group: PlannedGroup): Boolean {
         val known = current(life) ?: return true
         val place = known.place ?: return false
-        return place.id != group.id && !headHasLeft(known)
+        return place.id != group.id && !headHasLeft(known) && !hasLeft(life, place.id)
     }
 
     /**
@@ -337,7 +354,7 @@
      */
     private fun isStalled(group: PlannedGroup): Boolean {
         val head = group.members.first()
-        val silent = isSilentForEntries(head) && !answersSince(head, input.nowMs - STALL_EVIDENCE_MS)
+        val silent = isSilentForEntries(head)
         val unseen = !answersSince(head, input.nowMs - UNSEEN_MS)
         val doubtful = group.members.any { isUnreachable(it, failures = 1) }
         return silent && doubtful || unseen && group.members.any { isUnreachable(it) }
@@ -359,27 +376,12 @@
     private fun advanceReleasing(group: PlannedGroup) {
         val head = group.members.first()
         val known = current(head)
-        when {
-            isGone(head) || known == null || known.place?.id != group.id -> end(group.id)
-            state.left[head] == group.id -> end(group.id)
-            isPresumedDead(head) -> {
-                end(group.id)
-                state = state.copy(presumedDeadMs = state.presumedDeadMs.put(head, input.nowMs))
-            }
-            else -> {
-                if (isUnreachable(head, failures = 1)) checks += head.id
-                order(head, EngineCommand.Leave(group.id))
-            }
-        }
+        if (isGone(head) || known?.place?.id != group.id || hasLeft(head, group.id)) return end(group.id)
+        order(head, EngineCommand.Leave(group.id))
+        // It may be cut off and open; without its members it serves nothing, so they are free once they have left.
+        if (isUnreachable(head, failures = 1)) leaveAll(group.id, group.members.drop(1))
     }
 
-    /**
-     * Neither control nor any entry reaches the engine, and none has for a while. An engine that control alone cannot
-     * reach may be serving.
-     */
-    private fun isPresumedDead(life: EngineLife): Boolean =
-        isUnreachable(life) && life.id in input.unreachable && !answersSince(life, input.nowMs - UNSEEN_MS)
-
     private fun release(group: PlannedGroup) {
         val released = enter(group, GroupPhase.RELEASING)
         advanceReleasing(released)
@@ -393,20 +395,27 @@
 
     /** Engines of [service] that are in no group and answer control. */
     private fun freeEngines(service: String): List<Announcement> {
-        val taken = state.groups.values.flatMap { it.members }.toSet()
+        val taken = state.groups.values.flatMap { group -> group.members.filter { mayBeIn(it, group) } }.toSet()
         return input.engines.values
             .filter { it.announcement.service == service && it.announcement.state == BackendState.READY }
             .map { it.announcement }
-            .filter { !isUnreachable(EngineLife(it.id, it.bornMs), failures = 1) }
-            .filter { EngineLife(it.id, it.bornMs) !in taken && state.absent[it.id] != it.bornMs }
-            .filter { it.place == null || headHasLeft(it) }
+            .filter { !isUnreachable(it.life, failures = 1) }
+            .filter { it.life !in taken && state.absent[it.id] != it.bornMs }
+            .filter { it.place == null || hasLeft(it.life, it.place!!.id) || headHasLeft(it) }
+    }
+
+    /** Whether a member of the group may still be in it, as far as its announcements and orders tell. */
+    private fun mayBeIn(life: EngineLife, group: PlannedGroup): Boolean {
+        if (hasLeft(life, group.id)) return false
+        val told = group.phase == GroupPhase.RELEASING && input.nowMs - group.sinceMs > UNREACHABLE_MS
+        val named = current(life)?.place?.id == group.id || state.openJoins[life]?.group == group.id
+        return !told || named
     }
 
     /** Whether the head of the group that [member] still names has left it. */
     private fun headHasLeft(member: Announcement): Boolean {
         val id = member.place!!.id
-        val headlessMs = state.headlessSinceMs[id]?.let { input.nowMs - it } ?: 0L
-        return id !in state.groups && (id in state.endedGroups || headlessMs > HEADLESS_MS)
+        return id !in state.groups && id in state.endedGroups
     }
 
     /**
@@ -437,17 +446,24 @@
             val (spread, compact) = groupsOf(service, model).partition { spansDomains(it) }
             val serving = compact.count { it.phase == GroupPhase.SERVING }
             when {
-                missing > spread.size && input.trafficStarted -> formAcrossDomains(service, model)
+                missing > spread.size && input.trafficStarted && !isSettling(service) ->
+                    formAcrossDomains(service, model)
                 totals.getValue(model.name) - serving < spread.size -> closeSpread(spread)
                 serving > 0 -> closeSpread(spread.filter { canBeCompact(service, model, it) })
             }
         }
         stageWeights(service, wanted)
+        warmSpares(service)
+    }
+
+    /** Whether members of a group that has just ended will be free within some ms, for a group within their domain. */
+    private fun isSettling(service: DocumentService): Boolean = state.groups.values.any {
+        it.service == service.name && it.phase == GroupPhase.RELEASING && input.nowMs - it.sinceMs < SETTLE_MS
     }
 
     private fun usableByDomain(service: DocumentService): Map<String, Int> = input.engines.values
         .filter { it.announcement.service == service.name && it.announcement.state == BackendState.READY }
-        .filter { !isUnreachable(EngineLife(it.announcement.id, it.announcement.bornMs)) }
+        .filter { !isUnreachable(it.announcement.life) }
         .groupingBy { it.announcement.domain }
         .eachCount()
 
@@ -503,7 +519,7 @@
 
     /** Time in milliseconds until the engine is ready in a group of the model. */
     private fun joinCost(engine: Announcement, model: ModelShape): Long = when {
-        state.lastModel[EngineLife(engine.id, engine.bornMs)] == model.name -> REJOIN_MS
+        state.lastModel[engine.life] == model.name -> REJOIN_MS
         model.name in engine.staged -> model.warmMs
         else -> model.loadMs
     }
@@ -511,15 +527,31 @@
     /** Orders the engines to join; false when one of them has to be asked for its state first. */
     private fun form(service: DocumentService, model: ModelShape, engines: List<Announcement>): Boolean {
         // All engines are asked at once, so this counts them instead of stopping at the first.
-        if (engines.count { !isVerified(EngineLife(it.id, it.bornMs)) } > 0) return false
+        if (engines.count { !isVerified(it.life) } > 0) return false
+        join(service, model, engines, GroupPhase.FORMING)
+        return true
+    }
+
+    private fun join(service: DocumentService, model: ModelShape, engines: List<Announcement>, phase: GroupPhase) {
         val epoch = input.term * EPOCHS_PER_TERM + state.epochs + 1
         val id = GroupId("g$epoch", epoch)
-        val members = engines.map { EngineLife(it.id, it.bornMs) }.toImmutableList()
-        val group = PlannedGroup(id, service.name, model.name, members, GroupPhase.FORMING, input.nowMs)
+        val members = engines.map { it.life }.toImmutableList()
+        val group = PlannedGroup(id, service.name, model.name, members, phase, input.nowMs)
         state = state.copy(groups = state.groups.put(id, group), epochs = state.epochs + 1)
         val ids = members.map { it.id }.toImmutableList()
         members.forEach { order(it, EngineCommand.Join(id, model.name, ids)) }
-        return true
+    }
+
+    /**
+     * Lets each free engine with staged weights join a group of its own once. An engine joins a group of the model of
+     * its last group within [REJOIN_MS], so it then replaces a lost member sooner.
+     */
+    private fun warmSpares(service: DocumentService) {
+        for (spare in freeEngines(service.name)) {
+            val model = service.models.firstOrNull { it.name in spare.staged } ?: continue
+            val waiting = joinCost(spare, model) == model.warmMs && stagedModel(service, spare) == model.name
+            if (waiting && isVerified(spare.life)) join(service, model, listOf(spare), GroupPhase.WARMING)
+        }
     }
 
     /**
@@ -541,7 +573,7 @@
                 }
                 if (model == null) continue
                 if (!allowLoad(service)) return
-                order(EngineLife(spare.id, spare.bornMs), EngineCommand.Stage(model.name))
+                order(spare.life, EngineCommand.Stage(model.name))
                 surplus.merge(model.name, 1, Int::plus)
                 engines.merge(model.name, 1, Int::plus)
                 staged?.let { surplus.merge(it, -1, Int::plus) }
@@ -551,7 +583,12 @@
 
     /** Engines that are in groups of the model or staged for it. */
     private fun enginesOf(service: DocumentService, model: ModelShape, free: List<Announcement>): Int =
-        groupsOf(service, model).sumOf { it.members.size } + free.count { stagedModel(service, it) == model.name }
+        holdersOf(service, model).size + free.count { stagedModel(service, it) == model.name }
+
+    /** Engines that are in groups of the model, or join one alone to be ready for others. */
+    private fun holdersOf(service: DocumentService, model: ModelShape): List<EngineLife> = state.groups.values
+        .filter { it.service == service.name && it.model == model.name && it.phase in HOLDING_PHASES }
+        .flatMap { it.members }
 
     private fun perWork(model: ModelShape, engines: Map<String, Int>): Double =
         engines.getValue(model.name) / model.workShare.coerceAtLeast(MIN_SHARE)
@@ -564,7 +601,7 @@
         wanted: DomainTargets,
         spares: List<Announcement>,
     ): Int {
-        val members = groupsOf(service, model).flatMap { it.members }.count { announcement(it.id)?.domain == domain }
+        val members = holdersOf(service, model).count { announcement(it.id)?.domain == domain }
         val staged = spares.count { stagedModel(service, it) == model.name }
         return members + staged - (wanted[domain]?.get(model.name) ?: 0) * model.size
     }
@@ -640,7 +677,7 @@
 
         /** A question is answered within some ms; two that are not, on connections of their own, are no accident. */
         const val PROBE_FAILURES = 2
-        const val PROBE_GAP_MS = 350L
+        const val PROBE_GAP_MS = 250L
         const val DEAD_PROBE_GAP_MS = 2_000L
 
         /** A head that served an entry within this time is up, though control may not reach it. */
@@ -649,8 +686,8 @@
         /** What an entry saw this long ago says nothing about now. */
         const val EVIDENCE_MS = 2_000L
 
-        /** A head that answered an entry within this time has all its members. */
-        const val STALL_EVIDENCE_MS = 300L
+        /** Another entry's last answer from a head can be this much older than its report of it. */
+        const val REPORT_AGE_MS = 300L
         const val REJOIN_MS = 200L
 
         /** Two announcements; entries also tell a restarted instance of the heads that they know. */
@@ -661,6 +698,14 @@
         const val GATHER_LIMIT_MS = 2_500L
         const val OPEN_AGAIN_MS = 1_000L
 
+        val HOLDING_PHASES = setOf(GroupPhase.WARMING, GroupPhase.FORMING, GroupPhase.SERVING)
+
+        /** A join of staged weights takes up to about 2 s. */
+        const val WARMING_LIMIT_MS = 4_000L
+
+        /** Three probes and a leave order. */
+        const val SETTLE_MS = 700L
+
         /** Longest a head finishes its requests; a member that drains stays for at most 10 s. */
         const val CLOSING_LIMIT_MS = 8_000L
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -7,6 +7,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
+import org.bramleyspur.core.backend.Announcement
 import org.bramleyspur.core.backend.GroupId
 import org.bramleyspur.core.backend.KnownBackend
 import org.bramleyspur.core.document.Document
@@ -14,8 +15,14 @@
 /** One start of an engine: an engine that starts again may keep its id. */
 data class EngineLife(val id: String, val bornMs: Long)
 
+/** The start of the engine that announced itself. */
+internal val Announcement.life: EngineLife get() = EngineLife(id, bornMs)
+
 /** Where a group is on its way from its first join to its end. */
 enum class GroupPhase {
+    /** One engine joins alone, so that it joins others of the model sooner later; it never opens. */
+    WARMING,
+
     /** Members were ordered to join; the group opens when all are ready. */
     FORMING,
 
@@ -52,15 +59,13 @@
  * @property lastModel model of the last group in which a life of an engine was ready; it joins again within 0.2 s
  * @property loadStartsMs times of loads from the weight store
  * @property sent last order to each engine and when, for repeats
- * @property absent lives at whose address nothing listened
+ * @property absent lives at whose address another backend server answers
  * @property firstSeenMs when each engine was first known to this leader
  * @property verified what is known of the engines' orders, which joins depend on
  * @property openJoins joins without a result, which may still be carried out
  * @property left the last group that each engine has left by order
  * @property endedGroups groups whose head is known to have left; their members are free
  * @property headlessSinceMs when a group was first seen of which no head has announced itself
- * @property presumedDeadMs lives that nobody could reach, and when that was decided; one that is heard again is not
- * dead
  * @property probes questions to engines whose announcement is overdue or whose group stalls
  */
 data class PlannerState(
@@ -77,7 +82,6 @@
     val left: PersistentMap<EngineLife, GroupId> = persistentMapOf(),
     val endedGroups: PersistentSet<GroupId> = persistentSetOf(),
     val headlessSinceMs: PersistentMap<GroupId, Long> = persistentMapOf(),
-    val presumedDeadMs: PersistentMap<EngineLife, Long> = persistentMapOf(),
 )
 
 /**
@@ -116,7 +120,6 @@
  *
  * @property term term of the control leader
  * @property engines all backend servers that have announced themselves
- * @property unreachable engines to which no entry can connect, as all of them said a short time ago
  * @property trafficStarted whether a request was served; before, loads are fast and are not limited
  */
 data class PlannerInput(
@@ -125,21 +128,11 @@
     val document: Document,
     val engines: Map<String, KnownBackend>,
     val evidence: Map<String, EngineEvidence>,
-    val unreachable: Set<String>,
     val trafficStarted: Boolean,
 )
 
 /** A question for the state of the engine [life] at [address]. */
 data class EngineProbe(val life: EngineLife, val address: String)
 
-/**
- * The next state and what to send.
- *
- * @property checks engines to which the entries should try to connect
- */
-data class PlanStep(
-    val state: PlannerState,
-    val orders: List<EngineOrder>,
-    val probes: List<EngineProbe>,
-    val checks: Set<String>,
-)
+/** The next state and what to send. */
+data class PlanStep(val state: PlannerState, val orders: List<EngineOrder>, val probes: List<EngineProbe>)
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
@@ -56,6 +56,9 @@
 
     /** Until when control does not reach it, though entries do. */
     var cutUntilMs = 0L
+
+    /** Until when nobody reaches it, though it runs. */
+    var darkUntilMs = 0L
     var group: GroupId? = null
     var rank = 0
     var state = GroupState.JOINING
@@ -145,6 +148,7 @@
         if (random.nextInt(150) == 0) {
             engines[random.nextInt(engines.size)].cutUntilMs = nowMs + 1_000 + random.nextInt(9_000)
         }
+        if (random.nextInt(250) == 0) cutOff(engines[random.nextInt(engines.size)], 1_000L + random.nextInt(9_000))
         if (random.nextInt(300) == 0) {
             term++
             state = PlannerState()
@@ -169,6 +173,12 @@
         }
     }
 
+    /** Nobody reaches the engine for [durationMs]; it runs on. */
+    fun cutOff(engine: SimulatedEngine, durationMs: Long) {
+        engine.cutUntilMs = nowMs + durationMs
+        engine.darkUntilMs = nowMs + durationMs
+    }
+
     /** The engine says that it ends, serves on, and starts anew later. */
     fun withdraw(engine: SimulatedEngine) {
         if (!engine.up || engine.withdrawn) return
@@ -240,15 +250,15 @@
         }
         for (known in heads) {
             val before = evidence[known.announcement.id] ?: EngineEvidence()
-            val serves = isServing(byId.getValue(known.announcement.id))
+            val engine = byId.getValue(known.announcement.id)
+            val serves = isServing(engine) && engine.darkUntilMs <= nowMs
             evidence[known.announcement.id] =
                 if (serves) before.copy(answeredMs = nowMs) else before.copy(silentMs = nowMs)
         }
     }
 
     private fun plan() {
-        val unreachable = engines.filter { !it.up }.map { it.id }.toSet()
-        val input = PlannerInput(nowMs, term, DOCUMENT, directory.backends, evidence, unreachable, true)
+        val input = PlannerInput(nowMs, term, DOCUMENT, directory.backends, evidence, true)
         val before = state
         val step = planGroups(state, input)
         state = step.state
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/GroupPlannerTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/GroupPlannerTest.kt
@@ -48,6 +48,31 @@
         expectThat(world.servingHeads().size).isEqualTo(before)
     }
 
+    @Test
+    fun `members of a head that nobody reaches leave before they join another group`() {
+        val world = world(1, faults = false)
+        world.run(45_000)
+        val before = world.servingHeads().size
+        val head = world.servingHeads().first { it.model == "large" }
+        world.cutOff(head, 6_000)
+        world.run(3_000)
+        expectThat(world.servingHeads().size).isEqualTo(before)
+        world.run(12_000)
+        expectThat(world.violations).isEmpty()
+        expectThat(world.servingHeads().size).isGreaterThanOrEqualTo(before)
+    }
+
+    @Test
+    fun `a spare with staged weights replaces a lost member as fast as a former member`() {
+        val world = world(1, faults = false)
+        world.run(45_000)
+        val head = world.servingHeads().first { it.model == "large" }
+        val before = world.servingHeads().size
+        world.engines.first { it.id == head.members[2] }.up = false
+        world.run(1_600)
+        expectThat(world.servingHeads().size).isEqualTo(before)
+    }
+
     @Test
     fun `a group that control cannot reach serves on`() {
         val world = world(1, faults = false)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
@@ -27,14 +27,12 @@
  * @property known all backend servers that it knows, sent to a new watcher
  * @property confirmed whether it leads with a valid lease
  * @property members `host:port` of the members of the control log
- * @property checks backend servers to which the entries should try to connect
  */
 class DirectoryView(
     val known: () -> BackendDirectory,
     val document: () -> StoredDocument?,
     val confirmed: () -> Boolean,
     val members: () -> List<String>,
-    val checks: () -> Set<String>,
 )
 
 /** Serves the watchers of one control instance; all functions and callbacks run on the control thread. */
@@ -48,12 +46,6 @@
     /** Entries that watch this control instance. */
     val entries: Int get() = watchers.count { it.isEntry }
 
-    /** Names of the entries that watch this control instance. */
-    val entryNames: Set<String> get() = watchers.filter { it.isEntry }.map { it.instance }.toSet()
-
-    /** Sends the present state at once, for checks that cannot wait for the next regular event. */
-    fun refresh() = broadcast(base().build())
-
     /** Starts the regular events by which watchers notice a dead connection. */
     fun start() {
         timers.every(TICK_MS) { broadcast(base().build()) }
@@ -82,7 +74,6 @@
         .newBuilder()
         .setConfirmed(view.confirmed())
         .addAllMembers(view.members())
-        .addAllCheckBackends(view.checks())
         .setEntries(entries)
 
     private fun broadcast(event: DirectoryEvent) = watchers.toList().forEach { it.send(event) }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -23,6 +23,9 @@
     /** Prompt tokens of this entry's requests. */
     var contextTokens = 0L
 
+    /** Streams of this entry that have begun. */
+    var writing = 0
+
     /** When it last sent anything; 0 for never. */
     var answeredMs = 0L
 
@@ -86,6 +89,13 @@
         if (failures >= SUSPECT_FAILURES) suspectUntilMs = nowMs + SUSPECT_MS
     }
 
+    /**
+     * Whether streams that have begun get no event, though several passes of the batch should have ended. A slow one is
+     * given its observed pace.
+     */
+    fun isQuiet(nowMs: Long): Boolean =
+        writing > 0 && silentMs <= answeredMs && nowMs - answeredMs > QUIET_MS * maxOf(1.0, pace)
+
     /** It accepted no connection or stopped answering. */
     fun onSilent(nowMs: Long) {
         silences = if (answeredMs > silentMs) 0 else minOf(silences + 1, MAX_DOUBLINGS)
@@ -114,6 +124,9 @@
         /** A suspect is tried again after this time; it then costs one attempt. */
         const val SUSPECT_MS = 1_500L
 
+        /** Above a pass of three steps of a full batch that also reads prompts, about 200 ms. */
+        const val QUIET_MS = 220L
+
         /** One that never answers is tried every 12 s. */
         const val MAX_DOUBLINGS = 3
     }
@@ -155,6 +168,14 @@
         return loads.values.filter { it.silentMs > it.answeredMs && now - it.silentMs <= withinMs }.map { it.id }
     }
 
+    /** Marks the backend servers whose streams have stopped; true if there are such that were not marked before. */
+    fun noteQuiet(): Boolean {
+        val now = timers.nowMs()
+        val quiet = loads.values.filter { it.isQuiet(now) }
+        quiet.forEach { it.onSilent(now) }
+        return quiet.isNotEmpty()
+    }
+
     /** Closes the connections to backend servers that are not in [ids]. */
     fun keepOnly(ids: Set<String>) {
         val gone = loads.values.filter { it.id !in ids && it.inFlight == 0 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -208,6 +208,7 @@
         private var call: HttpCall? = null
         private var stallTimer: Subscription? = null
         private var counted = false
+        private var writes = false
         private var unread = 0L
         private var ended = false
         private var head: Pair<Int, HttpHeaders>? = null
@@ -358,6 +359,10 @@
             val events = splitter.feed(bytes)
             notePace(events.size)
             if (splitter.overflowed) return drop("${load.id} sent an event above the limit")
+            if (events.isNotEmpty() && !writes) {
+                writes = true
+                load.writing++
+            }
             for (event in events) {
                 markRead()
                 val known = lastEventId
@@ -438,6 +443,7 @@
             stallTimer?.cancel()
             if (!counted) return
             counted = false
+            if (writes) load.writing--
             load.inFlight--
             load.contextTokens -= promptTokens
             markRead()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -36,37 +36,13 @@
     private var engines: Map<String, KnownBackend> = emptyMap()
     private var decoded: Pair<StoredDocument, Document>? = null
 
-    /** Engines to which the entries should try to connect. */
-    var checks: Set<String> = emptySet()
-        private set
-
-    private val verdicts = HashMap<String, Map<String, Verdict>>()
-
-    /** Whether an entry could connect to an engine, and when it said so. */
-    private class Verdict(val reachable: Boolean, val atMs: Long)
-
     /** Takes what an entry saw of engines. */
     fun onEvidence(report: DirectoryRequest) {
         val now = timers.nowMs()
         if (report.answeringBackendsCount > 0) trafficStarted = true
         report.answeringBackendsList.forEach { id -> evidence = evidence.put(id, known(id).copy(answeredMs = now)) }
         report.silentBackendsList.forEach { id -> evidence = evidence.put(id, known(id).copy(silentMs = now)) }
-        val earlier = verdicts[report.instance].orEmpty().filterValues { now - it.atMs < VERDICT_LIFE_MS }
-        verdicts[report.instance] = earlier +
-            report.reachableBackendsList.associateWith { Verdict(reachable = true, now) } +
-            report.unreachableBackendsList.associateWith { Verdict(reachable = false, now) }
-    }
-
-    /** Engines to which none of the entries could connect. */
-    private fun unreachable(entries: Set<String>): Set<String> {
-        if (entries.isEmpty()) return emptySet()
-        val now = timers.nowMs()
-        return checks.filter { id ->
-            entries.all { entry ->
-                val verdict = verdicts[entry]?.get(id)
-                verdict != null && !verdict.reachable && now - verdict.atMs < VERDICT_LIFE_MS
-            }
-        }.toSet()
+        if (report.silentBackendsCount > 0) replan()
     }
 
     private fun known(id: String) = evidence[id] ?: EngineEvidence()
@@ -81,8 +57,8 @@
         state = PlannerState()
     }
 
-    /** Plans and sends the orders of the leader of [leadingTerm]; [entries] are the entries that it hears. */
-    fun plan(leadingTerm: Long, document: StoredDocument?, engines: Map<String, KnownBackend>, entries: Set<String>) {
+    /** Plans and sends the orders of the leader of [leadingTerm]. */
+    fun plan(leadingTerm: Long, document: StoredDocument?, engines: Map<String, KnownBackend>) {
         if (document == null) return
         if (term != leadingTerm) {
             state = PlannerState()
@@ -96,14 +72,12 @@
             documentOf(document) ?: return,
             engines,
             evidence,
-            unreachable(entries),
             trafficStarted,
         )
         val before = state
         val step = planGroups(state, input)
         state = step.state
         logGroups(before)
-        checks = step.checks
         this.engines = engines
         step.probes.forEach { probe(it) }
         step.orders.forEach { send(it, EngineLife(it.engineId, engines.getValue(it.engineId).announcement.bornMs)) }
@@ -155,7 +129,10 @@
                 "detail" to text,
                 "ms" to timers.nowMs() - sentMs,
             )
-            if (term == sentTerm) state = onOrderResult(state, life, order.command, result)
+            if (term == sentTerm) {
+                state = onOrderResult(state, life, order.command, result)
+                replan()
+            }
         }
     }
 
@@ -166,9 +143,4 @@
         is EngineCommand.Leave -> "leave ${command.group.name}"
         is EngineCommand.Stage -> "stage ${command.model}"
     }
-
-    private companion object {
-        /** An entry repeats its verdict with each report while it is asked. */
-        const val VERDICT_LIFE_MS = 1_500L
-    }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
@@ -114,13 +114,8 @@
 
         override fun onEnd() = end(resultOf(status), body.ifEmpty { "status $status" }.toString())
 
-        override fun onFailure(failure: HttpFailure, message: String) = end(
-            if (failure == HttpFailure.NOT_SENT && isRefusal(message)) OrderResult.ABSENT else OrderResult.UNANSWERED,
-            message,
-        )
-
-        /** A time-out of the connection says nothing about the engine: the path to it may be cut. */
-        private fun isRefusal(message: String) = message.contains("refused") || message.contains("reset")
+        /** A connection that is refused or times out says nothing about the engine: the path to it may be cut. */
+        override fun onFailure(failure: HttpFailure, message: String) = end(OrderResult.UNANSWERED, message)
     }
 
     private companion object {
@@ -128,7 +123,7 @@
         const val ANSWER_TIMEOUT_MS = 1_000L
 
         /** Many times a round trip between data centres. */
-        const val PROBE_TIMEOUT_MS = 300L
+        const val PROBE_TIMEOUT_MS = 200L
         const val STATUS_OK = 200
         const val MISDIRECTED = 421
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedControl.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedControl.kt
@@ -124,7 +124,6 @@
             document = { node?.state?.document },
             confirmed = { node?.leadingTerm() != null },
             members = ::memberAddresses,
-            checks = { checks() },
         ),
         ::onEvidence,
     )
@@ -311,13 +310,9 @@
     private fun plan() {
         val current = node ?: return
         val term = current.leadingTerm() ?: return driver.forget()
-        val asked = driver.checks
-        driver.plan(term, current.state.document, directory.backends, server.entryNames)
-        if (!asked.containsAll(driver.checks)) server.refresh()
+        driver.plan(term, current.state.document, directory.backends)
     }
 
-    private fun checks(): Set<String> = if (node?.leadingTerm() == null) emptySet() else driver.checks
-
     private fun handle(call: ControlPlaneCall, answer: (ControlPlaneAnswer) -> Unit) = when (call) {
         is ControlPlaneCall.Announce -> {
             if (learn(call.announcement, timers.nowMs())) server.onAnnouncement(call.announcement)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedEntry.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedEntry.kt
@@ -19,7 +19,6 @@
 import org.bramleyspur.daemon.forward.ForwardHeaders
 import org.bramleyspur.daemon.forward.ForwardMetrics
 import org.bramleyspur.daemon.forward.FrontServer
-import org.bramleyspur.daemon.forward.Reachability
 import org.bramleyspur.daemon.platform.PlatformServer
 import org.bramleyspur.daemon.platform.Readiness
 import org.bramleyspur.protocol.DirectoryEvent
@@ -80,9 +79,6 @@
     ) {
         SecondSendBudget(settings.secondSendRatio, settings.secondSendSlack, settings.secondSendWindowMs) { entries }
     }
-    private val reachability = Reachability(loops.trafficGroup, timers) { id ->
-        context.directory.backends[id]?.announcement?.address
-    }
     private val front = FrontServer(loops.trafficGroup, context)
     private val platform = PlatformServer(::readiness, registry, settings.readyPath)
     private val watches =
@@ -106,6 +102,7 @@
         loops.traffic.submit {
             watches.start()
             timers.every(EXPIRE_MS) { expire() }
+            timers.every(QUIET_CHECK_MS) { if (loads.noteQuiet()) onSilent() }
         }.get()
         front.start(settings.front)
         log.write("started", "role" to "entry", "instance" to settings.instance)
@@ -121,10 +118,8 @@
         return report
             .setInstance(settings.instance)
             .setEntry(true)
-            .addAllAnsweringBackends(loads.answering(EVIDENCE_MS))
+            .addAllAnsweringBackends(loads.answering(ANSWERS_MS))
             .addAllSilentBackends(loads.silent(EVIDENCE_MS))
-            .addAllReachableBackends(reachability.reachable())
-            .addAllUnreachableBackends(reachability.unreachable())
             .build()
     }
 
@@ -158,7 +153,6 @@
                 )
             }
         }
-        reachability.check(event.checkBackendsList)
         if (event.hasDocument()) takeDocument(event, address)
         if (event.confirmed) {
             confirmed = true
@@ -206,6 +200,12 @@
     private companion object {
         const val EXPIRE_MS = 2_000L
 
+        /** A step of a slow batch takes about this long. */
+        const val QUIET_CHECK_MS = 50L
+
+        /** Covers the interval of reports; a longer one would tell of answers that ended before. */
+        const val ANSWERS_MS = 300L
+
         /** Covers two reports, so that one lost report loses no evidence. */
         const val EVIDENCE_MS = 600L
 
