Keep orders to one engine apart, and predict the wait behind a full batch from the usual answer

Cause: the planner remembered one last order and one left group for each engine. A stage order was also forgotten by the next order. Change: repeats are counted for each order of an engine's life; engines that have left are kept for each group until it ends. A refused stage is repeated after 1.5 s. The wait for a place in a full batch is predicted from the usual number of answer tokens, not from 40 steps, and a stream is refused when its first event is expected after 1.5 times its target instead of 3 times.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -11,6 +11,8 @@
 package org.bramleyspur.control.group
 
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
@@ -55,7 +57,7 @@
     }
     val answered = state.copy(probes = state.probes.put(life, record.copy(failures = 0, answeredMs = nowMs)))
     // A report can be some hundred milliseconds old, so it does not count what was ordered shortly before it.
-    val orderedSince = (state.sent[life.id]?.atMs ?: 0L) >= sentMs - REPORT_LAG_MS
+    val orderedSince = (state.orderedMs[life] ?: 0L) >= sentMs - REPORT_LAG_MS
     if (orderedSince) return answered
     val verified = Verified(report.orders, inFlight = 0, mismatch = report.group != announced)
     return answered.copy(verified = state.verified.put(life, verified))
@@ -63,8 +65,14 @@
 
 private const val REPORT_LAG_MS = 300L
 
-/** The state after the engine [life] took the order [command] with [result]. */
-fun onOrderResult(state: PlannerState, life: EngineLife, command: EngineCommand, result: OrderResult): PlannerState {
+/** The state after the engine [life] took the order [command] with [result], known at [nowMs]. */
+fun onOrderResult(
+    state: PlannerState,
+    life: EngineLife,
+    command: EngineCommand,
+    result: OrderResult,
+    nowMs: Long,
+): PlannerState {
     val known = state.verified[life]
     val next = when (result) {
         OrderResult.ACCEPTED -> known?.copy(orders = known.orders + 1, inFlight = known.inFlight - 1)
@@ -81,10 +89,26 @@
     val openJoins = if (answered) state.openJoins.remove(life) else state.openJoins
     val absent = if (result == OrderResult.ABSENT) state.absent.put(life.id, life.bornMs) else state.absent
     val done = result == OrderResult.DONE || result == OrderResult.ACCEPTED
-    val left = if (command is EngineCommand.Leave && done) state.left.put(life, command.group) else state.left
-    return state.copy(verified = verified, absent = absent, openJoins = openJoins, left = left)
+    val left = if (command is EngineCommand.Leave && done) state.left.with(command.group, life) else state.left
+    val sent = SentOrder(life, command)
+    // A host refuses to stage while it is busy; until the order is repeated, the weights count as on their way.
+    val sentMs = if (command is EngineCommand.Stage && !done && sent in state.sentMs) {
+        state.sentMs.put(sent, nowMs + STAGE_RETRY_MS - STAGE_REPEAT_MS)
+    } else {
+        state.sentMs
+    }
+    return state.copy(verified = verified, absent = absent, openJoins = openJoins, left = left, sentMs = sentMs)
 }
 
+/** A load takes 12 to 16 s, and longer while several run. */
+private const val STAGE_REPEAT_MS = 40_000L
+
+/** A host that was busy, or did not answer, is asked again after this time. */
+private const val STAGE_RETRY_MS = 1_500L
+
+private fun PersistentMap<GroupId, PersistentSet<EngineLife>>.with(group: GroupId, life: EngineLife) =
+    put(group, (this[group] ?: persistentSetOf()).add(life))
+
 /** Work on one plan. */
 private class Planning(var state: PlannerState, val input: PlannerInput) {
     val orders = ArrayList<EngineOrder>()
@@ -184,6 +208,8 @@
             lastModel = state.lastModel.withoutOldLives(),
             openJoins = state.openJoins.withoutOldLives(),
             verified = state.verified.withoutOldLives(),
+            orderedMs = state.orderedMs.withoutOldLives(),
+            sentMs = state.sentMs.withoutOldOrders(),
             loadStartsMs = state.loadStartsMs.filter { it >= firstCountedMs }.toPersistentList(),
         )
     }
@@ -201,6 +227,9 @@
         return if (old.size > MAX_OLD_LIVES) old.fold(this) { map, life -> map.remove(life) } else this
     }
 
+    private fun PersistentMap<SentOrder, Long>.withoutOldOrders(): PersistentMap<SentOrder, Long> =
+        if (size > MAX_SENT_ORDERS) filterValues { input.nowMs - it < STAGE_REPEAT_MS }.toPersistentMap() else this
+
     /** Takes over groups that an earlier leader formed. */
     fun adoptGroups() {
         val places = input.engines.values.map { it.announcement }.filter { it.place != null }.groupBy { it.place!!.id }
@@ -235,7 +264,7 @@
     private fun leaveAll(id: GroupId, members: List<EngineLife>) =
         members.filter { !hasLeft(it, id) && !isUnreachable(it) }.forEach { order(it, EngineCommand.Leave(id)) }
 
-    private fun hasLeft(life: EngineLife, id: GroupId): Boolean = state.left[life] == id
+    private fun hasLeft(life: EngineLife, id: GroupId): Boolean = state.left[id]?.contains(life) == true
 
     private fun adopt(id: GroupId, head: Announcement, members: List<Announcement>) {
         val life = head.life
@@ -257,7 +286,11 @@
     }
 
     private fun end(id: GroupId) {
-        state = state.copy(groups = state.groups.remove(id), endedGroups = state.endedGroups.add(id))
+        state = state.copy(
+            groups = state.groups.remove(id),
+            endedGroups = state.endedGroups.add(id),
+            left = state.left.remove(id),
+        )
     }
 
     private fun shape(service: String, model: String): ModelShape? =
@@ -318,7 +351,7 @@
 
     /** Repeats a join that got no answer, unless the engine has joined and its announcement is on the way. */
     private fun joinAgain(life: EngineLife, group: PlannedGroup) {
-        if (state.sent[life.id]?.let { input.nowMs - it.atMs < JOIN_REPEAT_MS } == true) return
+        if (state.orderedMs[life]?.let { input.nowMs - it < JOIN_REPEAT_MS } == true) return
         if (!isVerified(life)) return
         order(life, EngineCommand.Join(group.id, group.model, group.members.map { it.id }.toImmutableList()))
     }
@@ -608,9 +641,11 @@
 
     /** The model that is on the engine's host or on its way there; null for none. */
     private fun stagedModel(service: DocumentService, engine: Announcement): String? {
-        val sent = state.sent[engine.id]?.takeIf { input.nowMs - it.atMs < STAGE_REPEAT_MS }?.command
-        val pending = (sent as? EngineCommand.Stage)?.model
-        return pending ?: service.models.firstOrNull { it.name in engine.staged }?.name
+        val pending = service.models.firstOrNull { model ->
+            val sentMs = state.sentMs[SentOrder(engine.life, EngineCommand.Stage(model.name))]
+            sentMs != null && input.nowMs - sentMs < STAGE_REPEAT_MS
+        }
+        return (pending ?: service.models.firstOrNull { it.name in engine.staged })?.name
     }
 
     /** Another model than [staged], which has engines to spare, for which a group misses engines. */
@@ -633,16 +668,20 @@
     /** Sends [command] unless the same one was sent a short time ago. */
     private fun order(life: EngineLife, command: EngineCommand) {
         val known = current(life) ?: return
-        val last = state.sent[life.id]
+        val sent = SentOrder(life, command)
+        val lastMs = state.sentMs[sent]
         val repeatMs = when {
             isUnreachable(life) -> UNREACHABLE_REPEAT_MS
             command is EngineCommand.Join -> JOIN_REPEAT_MS
             else -> REPEAT_MS
         }
-        if (last != null && last.command == command && input.nowMs - last.atMs < repeatMs) return
+        if (lastMs != null && input.nowMs - lastMs < repeatMs) return
         val verified = state.verified[life]
         val expected = if (command is EngineCommand.Join) verified?.orders else null
-        state = state.copy(sent = state.sent.put(life.id, SentOrder(command, input.nowMs)))
+        state = state.copy(
+            sentMs = state.sentMs.put(sent, input.nowMs),
+            orderedMs = state.orderedMs.put(life, input.nowMs),
+        )
         if (command is EngineCommand.Join && expected != null) {
             state = state.copy(openJoins = state.openJoins.put(life, OpenJoin(command.group, expected)))
         }
@@ -663,9 +702,6 @@
         /** A join that was refused is repeated once the engine's report includes the orders before it. */
         const val JOIN_REPEAT_MS = 350L
 
-        /** A load takes 12 to 16 s, and longer while several run. */
-        const val STAGE_REPEAT_MS = 40_000L
-
         /** Two announcements in a row are missing. */
         const val UNREACHABLE_MS = 2_700L
 
@@ -720,6 +756,9 @@
         const val MIN_SHARE = 0.01
         const val MS_PER_SECOND = 1_000.0
 
+        /** Orders that are too old to matter are forgotten in batches. */
+        const val MAX_SENT_ORDERS = 2_000
+
         /** Lives whose engine is gone are forgotten in batches. */
         const val MAX_OLD_LIVES = 100
     }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -58,12 +58,13 @@
  * @property epochs epochs given out in this term
  * @property lastModel model of the last group in which a life of an engine was ready; it joins again within 0.2 s
  * @property loadStartsMs times of loads from the weight store
- * @property sent last order to each engine and when, for repeats
+ * @property sentMs when each order was last sent, for repeats
+ * @property orderedMs when each engine was last sent an order
  * @property absent lives at whose address another backend server answers
  * @property firstSeenMs when each engine was first known to this leader
  * @property verified what is known of the engines' orders, which joins depend on
  * @property openJoins joins without a result, which may still be carried out
- * @property left the last group that each engine has left by order
+ * @property left engines that have left a group by order while its head may still be in it
  * @property endedGroups groups whose head is known to have left; their members are free
  * @property headlessSinceMs when a group was first seen of which no head has announced itself
  * @property probes questions to engines whose announcement is overdue or whose group stalls
@@ -73,13 +74,14 @@
     val epochs: Int = 0,
     val lastModel: PersistentMap<EngineLife, String> = persistentMapOf(),
     val loadStartsMs: PersistentList<Long> = persistentListOf(),
-    val sent: PersistentMap<String, SentOrder> = persistentMapOf(),
+    val sentMs: PersistentMap<SentOrder, Long> = persistentMapOf(),
+    val orderedMs: PersistentMap<EngineLife, Long> = persistentMapOf(),
     val absent: PersistentMap<String, Long> = persistentMapOf(),
     val firstSeenMs: PersistentMap<String, Long> = persistentMapOf(),
     val probes: PersistentMap<EngineLife, ProbeRecord> = persistentMapOf(),
     val verified: PersistentMap<EngineLife, Verified> = persistentMapOf(),
     val openJoins: PersistentMap<EngineLife, OpenJoin> = persistentMapOf(),
-    val left: PersistentMap<EngineLife, GroupId> = persistentMapOf(),
+    val left: PersistentMap<GroupId, PersistentSet<EngineLife>> = persistentMapOf(),
     val endedGroups: PersistentSet<GroupId> = persistentSetOf(),
     val headlessSinceMs: PersistentMap<GroupId, Long> = persistentMapOf(),
 )
@@ -104,8 +106,8 @@
  */
 data class ProbeRecord(val sentMs: Long, val failures: Int = 0, val answeredMs: Long? = null)
 
-/** An order and when it was sent. */
-data class SentOrder(val command: EngineCommand, val atMs: Long)
+/** An order to an engine, told apart from its other orders so that orders sent in turn are not repeated at each plan. */
+data class SentOrder(val life: EngineLife, val command: EngineCommand)
 
 /**
  * What entries saw of an engine.
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
@@ -39,7 +39,7 @@
         SERVICE to DocumentService(
             SERVICE,
             392,
-            EngineCosts(34, 1_000_000, 3, 6.0, 0.34, 0.007, 46.0, 3.0, 6, 2.5),
+            EngineCosts(34, 1_000_000, 3, 6.0, 0.34, 0.007, 46.0, 3.0, 6, 2.5, 85.0),
             MODELS.toImmutableList(),
         ),
     ),
@@ -99,6 +99,10 @@
     private val byId = this.engines.associateBy { it.id }
     val violations = ArrayList<String>()
 
+    /** Orders that the planner has sent. */
+    var ordersSent = 0
+        private set
+
     /** What happened to each engine, for the trace of a violation. */
     val history = ArrayList<String>()
     var nowMs = 100_000L
@@ -278,6 +282,7 @@
                 }
             }
         }
+        ordersSent += step.orders.size
         step.orders.forEach { deliver(it) }
     }
 
@@ -292,13 +297,13 @@
         val delayMs = if (unanswered) 2_000L + random.nextInt(10_000) else STEP_MS
         if (unanswered) {
             late += nowMs + 1_000 to {
-                if (sender == term) state = onOrderResult(state, life, order.command, OrderResult.UNANSWERED)
+                if (sender == term) state = onOrderResult(state, life, order.command, OrderResult.UNANSWERED, nowMs)
             }
         }
         if (!reached) return
         late += nowMs + delayMs to {
             val result = if (engine.up && engine.bornMs == life.bornMs) carryOut(engine, order) else OrderResult.ABSENT
-            if (sender == term && !unanswered) state = onOrderResult(state, life, order.command, result)
+            if (sender == term && !unanswered) state = onOrderResult(state, life, order.command, result, nowMs)
         }
     }
 
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/GroupPlannerTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/GroupPlannerTest.kt
@@ -62,6 +62,22 @@
         expectThat(world.servingHeads().size).isGreaterThanOrEqualTo(before)
     }
 
+    /** Two groups in turn lose their head; orders to leave the one and the other must not alternate for ever. */
+    @Test
+    fun `members that have left two groups get no more orders`() {
+        val world = world(1, faults = false)
+        world.run(45_000)
+        val first = world.servingHeads().first { it.model == "large" }
+        val member = first.members.last()
+        first.up = false
+        world.run(4_000)
+        world.servingHeads().first { member in it.members }.up = false
+        world.run(4_000)
+        val before = world.ordersSent
+        world.run(10_000)
+        expectThat(world.ordersSent - before).isLessThanOrEqualTo(30)
+    }
+
     @Test
     fun `a spare with staged weights replaces a lost member as fast as a former member`() {
         val world = world(1, faults = false)
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/Document.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/Document.kt
@@ -84,6 +84,7 @@
  * @property loadsPerSecond loads from the weight store that may start in a second
  * @property loadsAtOnce loads that run at full speed together
  * @property crossDomainFactor factor on the times of a group that spans fabric domains
+ * @property usualAnswerTokens mean number of tokens of an answer
  */
 data class EngineCosts(
     val slots: Int,
@@ -96,6 +97,7 @@
     val loadsPerSecond: Double,
     val loadsAtOnce: Int,
     val crossDomainFactor: Double,
+    val usualAnswerTokens: Double,
 )
 
 /**
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -471,7 +471,7 @@
         const val PREDICTION_MARGIN = 2.0
 
         /** A first event after this many times its target is of little use, and keeps the others waiting. */
-        const val LONGEST_WAIT_TARGETS = 3.0
+        const val LONGEST_WAIT_TARGETS = 1.5
     }
 }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -130,7 +130,7 @@
                 "ms" to timers.nowMs() - sentMs,
             )
             if (term == sentTerm) {
-                state = onOrderResult(state, life, order.command, result)
+                state = onOrderResult(state, life, order.command, result, timers.nowMs())
                 replan()
             }
         }
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/HeadChoice.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/HeadChoice.kt
@@ -9,7 +9,8 @@
 fun firstEventMs(candidate: Candidate, promptTokens: Long, costs: EngineCosts): Double {
     val reading = (candidate.unreadTokens + promptTokens) / costs.readTokensPerMs
     val waiting = maxOf(0, candidate.running + 1 - candidate.slots)
-    val queue = waiting * QUEUED_REQUEST_STEPS * stepMs(candidate, costs) / candidate.slots
+    // The requests of a full batch end one after the other, each after a step for every token of its answer.
+    val queue = waiting * costs.usualAnswerTokens * stepMs(candidate, costs) / candidate.slots
     return candidate.distanceMs + candidate.timeFactor * (reading + stepMs(candidate, costs) * STEPS_BEFORE_FIRST) +
         candidate.timeFactor * queue
 }
@@ -59,9 +60,6 @@
 /** A pass in progress ends before a new prompt is read, and the first event needs a step of its own. */
 private const val STEPS_BEFORE_FIRST = 4
 
-/** Mean steps that a running request still takes when it is the one to wait for. */
-private const val QUEUED_REQUEST_STEPS = 40
-
 /** A plain backend server with all slots taken is this much slower than an idle one. */
 private const val LOAD_SLOWDOWN = 0.5
 private const val TIE_SHARE = 0.05
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/HeadChoiceTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/HeadChoiceTest.kt
@@ -21,6 +21,7 @@
         loadsPerSecond = 3.0,
         loadsAtOnce = 6,
         crossDomainFactor = 2.5,
+        usualAnswerTokens = 85.0,
     )
     private val idle = Candidate("a", 0, 34, 0, 0, 1.0, 0.0, suspect = false)
 
@@ -40,6 +41,15 @@
         }
     }
 
+    /** Guards against requests that wait behind a full batch for much longer than was predicted. */
+    @Test
+    fun `a full batch frees one place for each part of an answer`() {
+        val stepMs = stepMs(idle.copy(running = 34), costs)
+        val full = firstEventMs(idle.copy(running = 34), 0, costs)
+        val queued = firstEventMs(idle.copy(running = 44), 0, costs)
+        expectThat(queued - full).isEqualTo(10 * 85.0 / 34 * stepMs, 1.0)
+    }
+
     @Test
     fun `equal candidates share the requests`() {
         val candidates = listOf(idle, idle.copy(id = "b"))
