--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -490,8 +490,10 @@
     }
 
     /** Whether members of a group that has just ended will be free within some ms, for a group within their domain. */
-    private fun isSettling(service: DocumentService): Boolean = state.groups.values.any {
-        it.service == service.name && it.phase == GroupPhase.RELEASING && input.nowMs - it.sinceMs < SETTLE_MS
+    private fun isSettling(service: DocumentService): Boolean = state.groups.values.any { group ->
+        group.service == service.name && group.phase == GroupPhase.RELEASING &&
+            input.nowMs - group.sinceMs < SETTLE_MS &&
+            group.members.any { mayBeIn(it, group) && !isUnreachable(it, failures = 1) }
     }
 
     private fun usableByDomain(service: DocumentService): Map<String, Int> = input.engines.values
