Go back to a fifth of the engines as spares, and let long prompts wait as long as short ones

The wait limit of 1.5 targets counted the reading of the request's own prompt, so that long prompts were refused first. Change: the share is 0.2 again; the limit applies to the wait without the request's own reading.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -11,8 +11,6 @@
 package org.bramleyspur.control.group
 
 import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.PersistentSet
-import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
@@ -39,76 +37,6 @@
     return PlanStep(planning.state, planning.orders, planning.probes)
 }
 
-/**
- * The state after the engine [life] answered a probe that was sent at [sentMs] with [report], or did not in time
- * (null). [announced] is the group that its last announcement names.
- */
-fun onProbeResult(
-    state: PlannerState,
-    life: EngineLife,
-    report: EngineReport?,
-    announced: GroupId?,
-    sentMs: Long,
-    nowMs: Long,
-): PlannerState {
-    val record = state.probes[life] ?: ProbeRecord(sentMs)
-    if (report == null) {
-        return state.copy(probes = state.probes.put(life, record.copy(failures = record.failures + 1)))
-    }
-    val answered = state.copy(probes = state.probes.put(life, record.copy(failures = 0, answeredMs = nowMs)))
-    // A report can be some hundred milliseconds old, so it does not count what was ordered shortly before it.
-    val orderedSince = (state.orderedMs[life] ?: 0L) >= sentMs - REPORT_LAG_MS
-    if (orderedSince) return answered
-    val verified = Verified(report.orders, inFlight = 0, mismatch = report.group != announced)
-    return answered.copy(verified = state.verified.put(life, verified))
-}
-
-private const val REPORT_LAG_MS = 300L
-
-/** The state after the engine [life] took the order [command] with [result], known at [nowMs]. */
-fun onOrderResult(
-    state: PlannerState,
-    life: EngineLife,
-    command: EngineCommand,
-    result: OrderResult,
-    nowMs: Long,
-): PlannerState {
-    val known = state.verified[life]
-    val next = when (result) {
-        OrderResult.ACCEPTED -> known?.copy(orders = known.orders + 1, inFlight = known.inFlight - 1)
-        // Leaving is done at once; for the others, the state held before and nothing has begun.
-        OrderResult.DONE -> known?.copy(
-            orders = known.orders + if (command is EngineCommand.Leave) 1 else 0,
-            inFlight = known.inFlight - 1,
-        )
-        // Whether the order has begun, or will begin later, is not known.
-        OrderResult.ABSENT, OrderResult.REFUSED, OrderResult.UNANSWERED -> null
-    }
-    val verified = if (next == null) state.verified.remove(life) else state.verified.put(life, next)
-    val answered = command is EngineCommand.Join && result != OrderResult.UNANSWERED
-    val openJoins = if (answered) state.openJoins.remove(life) else state.openJoins
-    val absent = if (result == OrderResult.ABSENT) state.absent.put(life.id, life.bornMs) else state.absent
-    val done = result == OrderResult.DONE || result == OrderResult.ACCEPTED
-    val left = if (command is EngineCommand.Leave && done) state.left.with(command.group, life) else state.left
-    val sent = SentOrder(life, command)
-    // A host refuses to stage while it is busy; until the order is repeated, the weights count as on their way.
-    val sentMs = if (command is EngineCommand.Stage && !done && sent in state.sentMs) {
-        state.sentMs.put(sent, nowMs + STAGE_RETRY_MS - STAGE_REPEAT_MS)
-    } else {
-        state.sentMs
-    }
-    return state.copy(verified = verified, absent = absent, openJoins = openJoins, left = left, sentMs = sentMs)
-}
-
-/** A load takes 12 to 16 s, and longer while several run. */
-private const val STAGE_REPEAT_MS = 40_000L
-
-/** A host that was busy, or did not answer, is asked again after this time. */
-private const val STAGE_RETRY_MS = 1_500L
-
-private fun PersistentMap<GroupId, PersistentSet<EngineLife>>.with(group: GroupId, life: EngineLife) =
-    put(group, (this[group] ?: persistentSetOf()).add(life))
-
 /** Work on one plan. */
 private class Planning(var state: PlannerState, val input: PlannerInput) {
     val orders = ArrayList<EngineOrder>()
@@ -310,9 +238,9 @@
 
     private fun advanceWarming(group: PlannedGroup) {
         val engine = group.members.single()
-        val ready = placeIs(engine, group.id, GroupState.READY)
+        val lost = isGone(engine) || isUnreachable(engine)
         val overdue = input.nowMs - group.sinceMs > WARMING_LIMIT_MS
-        if (ready || overdue || isGone(engine) || isUnreachable(engine)) release(group)
+        if (lost || overdue || placeIs(engine, group.id, GroupState.READY)) release(group)
     }
 
     private fun advanceForming(group: PlannedGroup) {
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
@@ -7,11 +7,8 @@
 
 import org.bramleyspur.core.document.ModelShape
 
-/**
- * Part of the engines that stays out of groups. The other members of a group that loses one are spares as well, so a
- * few are enough for the first losses.
- */
-const val SPARE_SHARE = 0.1
+/** Part of the engines that stays out of groups. With half as many, large groups wait for members after losses. */
+const val SPARE_SHARE = 0.2
 
 /** Wanted groups of each model, by domain and model name. */
 typealias DomainTargets = Map<String, Map<String, Int>>
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -106,7 +106,7 @@
  */
 data class ProbeRecord(val sentMs: Long, val failures: Int = 0, val answeredMs: Long? = null)
 
-/** An order to an engine, told apart from its other orders so that orders sent in turn are not repeated at each plan. */
+/** An order to an engine. Each is counted by itself, so that two that are sent in turn are not repeated at once. */
 data class SentOrder(val life: EngineLife, val command: EngineCommand)
 
 /**
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -21,10 +21,19 @@
  *
  * @property predictedMs predicted time in milliseconds to its answer or first event
  * @property passMs predicted time in milliseconds between events, without the observed pace; null for plain services
+ * @property readingMs the part of [predictedMs] in which the request's own prompt is read
  */
-internal class Choice(val load: BackendLoad, val predictedMs: Double, val passMs: Double?) {
+internal class Choice(
+    val load: BackendLoad,
+    val predictedMs: Double,
+    val passMs: Double?,
+    private val readingMs: Double = 0.0,
+) {
     /** [predictedMs] with what the backend server's first events have lately taken beyond their prediction. */
     val expectedMs: Double get() = predictedMs + load.firstExcessMs
+
+    /** The part of [expectedMs] that does not depend on the length of the prompt. */
+    val waitMs: Double get() = expectedMs - readingMs
 }
 
 /** The size of a generation in tokens; none for a plain request. */
@@ -89,7 +98,8 @@
         val (load, own) = pick(known) { generationCost(it, tokens.prompt, tokens.output, costs) + it.excessMs }
             ?: return null
         val passMs = costs.stepsPerPass * stepMs(own, costs) * own.timeFactor / load.pace
-        return Choice(load, firstEventMs(own, tokens.prompt, costs), passMs)
+        val readingMs = own.timeFactor * tokens.prompt / costs.readTokensPerMs
+        return Choice(load, firstEventMs(own, tokens.prompt, costs), passMs, readingMs)
     }
 
     private fun choosePlain(service: DocumentService, tried: Set<String>): Choice? {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -86,7 +86,7 @@
         val choice = context.choose(service, model, tokens, tried)
         when {
             choice == null -> onAttemptEnd(AttemptEnd.NoCandidate, "no backend server takes ${model ?: service.name}")
-            choice.expectedMs > longestWaitMs() ->
+            choice.expectedMs > remainingMs() || choice.waitMs > longestWaitMs() ->
                 onAttemptEnd(AttemptEnd.NoCandidate, "expected ${choice.expectedMs.toLong()} ms to the first event")
             else -> {
                 tried += choice.load.id
@@ -96,12 +96,12 @@
         }
     }
 
-    /** Callers leave a stream that does not begin; one that has begun continues as long as its deadline allows. */
-    private fun longestWaitMs(): Double = if (streaming && !answerStarted) {
-        minOf(remainingMs().toDouble(), route.targetLatencyMs * LONGEST_WAIT_TARGETS)
-    } else {
-        remainingMs().toDouble()
-    }
+    /**
+     * Longest wait for a place on a backend server, in milliseconds. Callers leave a stream that does not begin; one
+     * that has begun continues as long as its deadline allows. Long prompts wait as long as short ones.
+     */
+    private fun longestWaitMs(): Double =
+        if (streaming && !answerStarted) route.targetLatencyMs * LONGEST_WAIT_TARGETS else Double.MAX_VALUE
 
     private fun onAttemptEnd(end: AttemptEnd, detail: String) {
         if (done) return
