--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEvent.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEvent.java
@@ -20,8 +20,6 @@
     announcements_ = java.util.Collections.emptyList();
     members_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
-    checkBackends_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   @java.lang.Override
@@ -191,59 +189,6 @@
     return entries_;
   }
 
-  public static final int CHECK_BACKENDS_FIELD_NUMBER = 6;
-  @SuppressWarnings("serial")
-  private com.google.protobuf.LazyStringArrayList checkBackends_ =
-      com.google.protobuf.LazyStringArrayList.emptyList();
-  /**
-   * <pre>
-   * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-   * </pre>
-   *
-   * <code>repeated string check_backends = 6;</code>
-   * @return A list containing the checkBackends.
-   */
-  public com.google.protobuf.ProtocolStringList
-      getCheckBackendsList() {
-    return checkBackends_;
-  }
-  /**
-   * <pre>
-   * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-   * </pre>
-   *
-   * <code>repeated string check_backends = 6;</code>
-   * @return The count of checkBackends.
-   */
-  public int getCheckBackendsCount() {
-    return checkBackends_.size();
-  }
-  /**
-   * <pre>
-   * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-   * </pre>
-   *
-   * <code>repeated string check_backends = 6;</code>
-   * @param index The index of the element to return.
-   * @return The checkBackends at the given index.
-   */
-  public java.lang.String getCheckBackends(int index) {
-    return checkBackends_.get(index);
-  }
-  /**
-   * <pre>
-   * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-   * </pre>
-   *
-   * <code>repeated string check_backends = 6;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the checkBackends at the given index.
-   */
-  public com.google.protobuf.ByteString
-      getCheckBackendsBytes(int index) {
-    return checkBackends_.getByteString(index);
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -273,9 +218,6 @@
     if (entries_ != 0) {
       output.writeUInt32(5, entries_);
     }
-    for (int i = 0; i < checkBackends_.size(); i++) {
-      com.google.protobuf.GeneratedMessageV3.writeString(output, 6, checkBackends_.getRaw(i));
-    }
     getUnknownFields().writeTo(output);
   }
 
@@ -309,14 +251,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(5, entries_);
     }
-    {
-      int dataSize = 0;
-      for (int i = 0; i < checkBackends_.size(); i++) {
-        dataSize += computeStringSizeNoTag(checkBackends_.getRaw(i));
-      }
-      size += dataSize;
-      size += 1 * getCheckBackendsList().size();
-    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -345,8 +279,6 @@
         .equals(other.getMembersList())) return false;
     if (getEntries()
         != other.getEntries()) return false;
-    if (!getCheckBackendsList()
-        .equals(other.getCheckBackendsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -375,10 +307,6 @@
     }
     hash = (37 * hash) + ENTRIES_FIELD_NUMBER;
     hash = (53 * hash) + getEntries();
-    if (getCheckBackendsCount() > 0) {
-      hash = (37 * hash) + CHECK_BACKENDS_FIELD_NUMBER;
-      hash = (53 * hash) + getCheckBackendsList().hashCode();
-    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -533,8 +461,6 @@
       members_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       entries_ = 0;
-      checkBackends_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -598,10 +524,6 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.entries_ = entries_;
       }
-      if (((from_bitField0_ & 0x00000020) != 0)) {
-        checkBackends_.makeImmutable();
-        result.checkBackends_ = checkBackends_;
-      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -694,16 +616,6 @@
       if (other.getEntries() != 0) {
         setEntries(other.getEntries());
       }
-      if (!other.checkBackends_.isEmpty()) {
-        if (checkBackends_.isEmpty()) {
-          checkBackends_ = other.checkBackends_;
-          bitField0_ |= 0x00000020;
-        } else {
-          ensureCheckBackendsIsMutable();
-          checkBackends_.addAll(other.checkBackends_);
-        }
-        onChanged();
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -766,12 +678,6 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
-            case 50: {
-              java.lang.String s = input.readStringRequireUtf8();
-              ensureCheckBackendsIsMutable();
-              checkBackends_.add(s);
-              break;
-            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1372,153 +1278,6 @@
       onChanged();
       return this;
     }
-
-    private com.google.protobuf.LazyStringArrayList checkBackends_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-    private void ensureCheckBackendsIsMutable() {
-      if (!checkBackends_.isModifiable()) {
-        checkBackends_ = new com.google.protobuf.LazyStringArrayList(checkBackends_);
-      }
-      bitField0_ |= 0x00000020;
-    }
-    /**
-     * <pre>
-     * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-     * </pre>
-     *
-     * <code>repeated string check_backends = 6;</code>
-     * @return A list containing the checkBackends.
-     */
-    public com.google.protobuf.ProtocolStringList
-        getCheckBackendsList() {
-      checkBackends_.makeImmutable();
-      return checkBackends_;
-    }
-    /**
-     * <pre>
-     * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-     * </pre>
-     *
-     * <code>repeated string check_backends = 6;</code>
-     * @return The count of checkBackends.
-     */
-    public int getCheckBackendsCount() {
-      return checkBackends_.size();
-    }
-    /**
-     * <pre>
-     * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-     * </pre>
-     *
-     * <code>repeated string check_backends = 6;</code>
-     * @param index The index of the element to return.
-     * @return The checkBackends at the given index.
-     */
-    public java.lang.String getCheckBackends(int index) {
-      return checkBackends_.get(index);
-    }
-    /**
-     * <pre>
-     * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-     * </pre>
-     *
-     * <code>repeated string check_backends = 6;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the checkBackends at the given index.
-     */
-    public com.google.protobuf.ByteString
-        getCheckBackendsBytes(int index) {
-      return checkBackends_.getByteString(index);
-    }
-    /**
-     * <pre>
-     * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-     * </pre>
-     *
-     * <code>repeated string check_backends = 6;</code>
-     * @param index The index to set the value at.
-     * @param value The checkBackends to set.
-     * @return This builder for chaining.
-     */
-    public Builder setCheckBackends(
-        int index, java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureCheckBackendsIsMutable();
-      checkBackends_.set(index, value);
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-     * </pre>
-     *
-     * <code>repeated string check_backends = 6;</code>
-     * @param value The checkBackends to add.
-     * @return This builder for chaining.
-     */
-    public Builder addCheckBackends(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureCheckBackendsIsMutable();
-      checkBackends_.add(value);
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-     * </pre>
-     *
-     * <code>repeated string check_backends = 6;</code>
-     * @param values The checkBackends to add.
-     * @return This builder for chaining.
-     */
-    public Builder addAllCheckBackends(
-        java.lang.Iterable<java.lang.String> values) {
-      ensureCheckBackendsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, checkBackends_);
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-     * </pre>
-     *
-     * <code>repeated string check_backends = 6;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearCheckBackends() {
-      checkBackends_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-      bitField0_ = (bitField0_ & ~0x00000020);;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-     * </pre>
-     *
-     * <code>repeated string check_backends = 6;</code>
-     * @param value The bytes of the checkBackends to add.
-     * @return This builder for chaining.
-     */
-    public Builder addCheckBackendsBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      ensureCheckBackendsIsMutable();
-      checkBackends_.add(value);
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
-    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEventOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEventOrBuilder.java
@@ -103,45 +103,4 @@
    * @return The entries.
    */
   int getEntries();
-
-  /**
-   * <pre>
-   * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-   * </pre>
-   *
-   * <code>repeated string check_backends = 6;</code>
-   * @return A list containing the checkBackends.
-   */
-  java.util.List<java.lang.String>
-      getCheckBackendsList();
-  /**
-   * <pre>
-   * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-   * </pre>
-   *
-   * <code>repeated string check_backends = 6;</code>
-   * @return The count of checkBackends.
-   */
-  int getCheckBackendsCount();
-  /**
-   * <pre>
-   * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-   * </pre>
-   *
-   * <code>repeated string check_backends = 6;</code>
-   * @param index The index of the element to return.
-   * @return The checkBackends at the given index.
-   */
-  java.lang.String getCheckBackends(int index);
-  /**
-   * <pre>
-   * Backend servers to which the receiver is asked to connect, to tell a dead one from one that control cannot reach.
-   * </pre>
-   *
-   * <code>repeated string check_backends = 6;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the checkBackends at the given index.
-   */
-  com.google.protobuf.ByteString
-      getCheckBackendsBytes(int index);
 }
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryProto.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryProto.java
@@ -70,25 +70,24 @@
       "\030\n \003(\t\022(\n\005group\030\013 \001(\0132\031.bramleyspur.Back" +
       "endGroup\022\016\n\006age_ms\030\014 \001(\r\"9\n\025Configuratio" +
       "nDocument\022\017\n\007version\030\001 \001(\004\022\017\n\007content\030\002 " +
-      "\001(\014\"\333\001\n\020DirectoryRequest\022\020\n\010instance\030\001 \001" +
+      "\001(\014\"\255\001\n\020DirectoryRequest\022\020\n\010instance\030\001 \001" +
       "(\t\022\r\n\005entry\030\002 \001(\010\022\032\n\022answering_backends\030" +
-      "\003 \003(\t\022\027\n\017silent_backends\030\004 \003(\t\022\032\n\022reacha" +
-      "ble_backends\030\005 \003(\t\022\034\n\024unreachable_backen" +
-      "ds\030\006 \003(\t\0227\n\rannouncements\030\007 \003(\0132 .bramle" +
-      "yspur.BackendAnnouncement\"\314\001\n\016DirectoryE" +
-      "vent\0227\n\rannouncements\030\001 \003(\0132 .bramleyspu" +
-      "r.BackendAnnouncement\0224\n\010document\030\002 \001(\0132" +
-      "\".bramleyspur.ConfigurationDocument\022\021\n\tc" +
-      "onfirmed\030\003 \001(\010\022\017\n\007members\030\004 \003(\t\022\017\n\007entri" +
-      "es\030\005 \001(\r\022\026\n\016check_backends\030\006 \003(\t\"3\n\020Admi" +
-      "ssionRequest\022\016\n\006member\030\001 \001(\t\022\017\n\007address\030" +
-      "\002 \001(\t\"2\n\016AdmissionReply\022\020\n\010admitted\030\001 \001(" +
-      "\010\022\016\n\006leader\030\002 \001(\t2\240\001\n\020DirectoryService\022G" +
-      "\n\005Watch\022\035.bramleyspur.DirectoryRequest\032\033" +
-      ".bramleyspur.DirectoryEvent(\0010\001\022C\n\005Admit" +
-      "\022\035.bramleyspur.AdmissionRequest\032\033.bramle" +
-      "yspur.AdmissionReplyB,\n\030org.bramleyspur." +
-      "protocolB\016DirectoryProtoP\001b\006proto3"
+      "\003 \003(\t\022\027\n\017silent_backends\030\004 \003(\t\0227\n\rannoun" +
+      "cements\030\007 \003(\0132 .bramleyspur.BackendAnnou" +
+      "ncementJ\004\010\005\020\006J\004\010\006\020\007\"\272\001\n\016DirectoryEvent\0227" +
+      "\n\rannouncements\030\001 \003(\0132 .bramleyspur.Back" +
+      "endAnnouncement\0224\n\010document\030\002 \001(\0132\".bram" +
+      "leyspur.ConfigurationDocument\022\021\n\tconfirm" +
+      "ed\030\003 \001(\010\022\017\n\007members\030\004 \003(\t\022\017\n\007entries\030\005 \001" +
+      "(\rJ\004\010\006\020\007\"3\n\020AdmissionRequest\022\016\n\006member\030\001" +
+      " \001(\t\022\017\n\007address\030\002 \001(\t\"2\n\016AdmissionReply\022" +
+      "\020\n\010admitted\030\001 \001(\010\022\016\n\006leader\030\002 \001(\t2\240\001\n\020Di" +
+      "rectoryService\022G\n\005Watch\022\035.bramleyspur.Di" +
+      "rectoryRequest\032\033.bramleyspur.DirectoryEv" +
+      "ent(\0010\001\022C\n\005Admit\022\035.bramleyspur.Admission" +
+      "Request\032\033.bramleyspur.AdmissionReplyB,\n\030" +
+      "org.bramleyspur.protocolB\016DirectoryProto" +
+      "P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -117,13 +116,13 @@
     internal_static_bramleyspur_DirectoryRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_DirectoryRequest_descriptor,
-        new java.lang.String[] { "Instance", "Entry", "AnsweringBackends", "SilentBackends", "ReachableBackends", "UnreachableBackends", "Announcements", });
+        new java.lang.String[] { "Instance", "Entry", "AnsweringBackends", "SilentBackends", "Announcements", });
     internal_static_bramleyspur_DirectoryEvent_descriptor =
       getDescriptor().getMessageTypes().get(4);
     internal_static_bramleyspur_DirectoryEvent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_DirectoryEvent_descriptor,
-        new java.lang.String[] { "Announcements", "Document", "Confirmed", "Members", "Entries", "CheckBackends", });
+        new java.lang.String[] { "Announcements", "Document", "Confirmed", "Members", "Entries", });
     internal_static_bramleyspur_AdmissionRequest_descriptor =
       getDescriptor().getMessageTypes().get(5);
     internal_static_bramleyspur_AdmissionRequest_fieldAccessorTable = new
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequest.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequest.java
@@ -22,10 +22,6 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     silentBackends_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
-    reachableBackends_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-    unreachableBackends_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
     announcements_ = java.util.Collections.emptyList();
   }
 
@@ -162,7 +158,7 @@
       com.google.protobuf.LazyStringArrayList.emptyList();
   /**
    * <pre>
-   * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+   * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
    * </pre>
    *
    * <code>repeated string silent_backends = 4;</code>
@@ -174,7 +170,7 @@
   }
   /**
    * <pre>
-   * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+   * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
    * </pre>
    *
    * <code>repeated string silent_backends = 4;</code>
@@ -185,7 +181,7 @@
   }
   /**
    * <pre>
-   * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+   * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
    * </pre>
    *
    * <code>repeated string silent_backends = 4;</code>
@@ -197,7 +193,7 @@
   }
   /**
    * <pre>
-   * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+   * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
    * </pre>
    *
    * <code>repeated string silent_backends = 4;</code>
@@ -209,96 +205,6 @@
     return silentBackends_.getByteString(index);
   }
 
-  public static final int REACHABLE_BACKENDS_FIELD_NUMBER = 5;
-  @SuppressWarnings("serial")
-  private com.google.protobuf.LazyStringArrayList reachableBackends_ =
-      com.google.protobuf.LazyStringArrayList.emptyList();
-  /**
-   * <pre>
-   * Results of the connections that the receiver asked for.
-   * </pre>
-   *
-   * <code>repeated string reachable_backends = 5;</code>
-   * @return A list containing the reachableBackends.
-   */
-  public com.google.protobuf.ProtocolStringList
-      getReachableBackendsList() {
-    return reachableBackends_;
-  }
-  /**
-   * <pre>
-   * Results of the connections that the receiver asked for.
-   * </pre>
-   *
-   * <code>repeated string reachable_backends = 5;</code>
-   * @return The count of reachableBackends.
-   */
-  public int getReachableBackendsCount() {
-    return reachableBackends_.size();
-  }
-  /**
-   * <pre>
-   * Results of the connections that the receiver asked for.
-   * </pre>
-   *
-   * <code>repeated string reachable_backends = 5;</code>
-   * @param index The index of the element to return.
-   * @return The reachableBackends at the given index.
-   */
-  public java.lang.String getReachableBackends(int index) {
-    return reachableBackends_.get(index);
-  }
-  /**
-   * <pre>
-   * Results of the connections that the receiver asked for.
-   * </pre>
-   *
-   * <code>repeated string reachable_backends = 5;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the reachableBackends at the given index.
-   */
-  public com.google.protobuf.ByteString
-      getReachableBackendsBytes(int index) {
-    return reachableBackends_.getByteString(index);
-  }
-
-  public static final int UNREACHABLE_BACKENDS_FIELD_NUMBER = 6;
-  @SuppressWarnings("serial")
-  private com.google.protobuf.LazyStringArrayList unreachableBackends_ =
-      com.google.protobuf.LazyStringArrayList.emptyList();
-  /**
-   * <code>repeated string unreachable_backends = 6;</code>
-   * @return A list containing the unreachableBackends.
-   */
-  public com.google.protobuf.ProtocolStringList
-      getUnreachableBackendsList() {
-    return unreachableBackends_;
-  }
-  /**
-   * <code>repeated string unreachable_backends = 6;</code>
-   * @return The count of unreachableBackends.
-   */
-  public int getUnreachableBackendsCount() {
-    return unreachableBackends_.size();
-  }
-  /**
-   * <code>repeated string unreachable_backends = 6;</code>
-   * @param index The index of the element to return.
-   * @return The unreachableBackends at the given index.
-   */
-  public java.lang.String getUnreachableBackends(int index) {
-    return unreachableBackends_.get(index);
-  }
-  /**
-   * <code>repeated string unreachable_backends = 6;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the unreachableBackends at the given index.
-   */
-  public com.google.protobuf.ByteString
-      getUnreachableBackendsBytes(int index) {
-    return unreachableBackends_.getByteString(index);
-  }
-
   public static final int ANNOUNCEMENTS_FIELD_NUMBER = 7;
   @SuppressWarnings("serial")
   private java.util.List<org.bramleyspur.protocol.BackendAnnouncement> announcements_;
@@ -386,12 +292,6 @@
     for (int i = 0; i < silentBackends_.size(); i++) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 4, silentBackends_.getRaw(i));
     }
-    for (int i = 0; i < reachableBackends_.size(); i++) {
-      com.google.protobuf.GeneratedMessageV3.writeString(output, 5, reachableBackends_.getRaw(i));
-    }
-    for (int i = 0; i < unreachableBackends_.size(); i++) {
-      com.google.protobuf.GeneratedMessageV3.writeString(output, 6, unreachableBackends_.getRaw(i));
-    }
     for (int i = 0; i < announcements_.size(); i++) {
       output.writeMessage(7, announcements_.get(i));
     }
@@ -427,22 +327,6 @@
       size += dataSize;
       size += 1 * getSilentBackendsList().size();
     }
-    {
-      int dataSize = 0;
-      for (int i = 0; i < reachableBackends_.size(); i++) {
-        dataSize += computeStringSizeNoTag(reachableBackends_.getRaw(i));
-      }
-      size += dataSize;
-      size += 1 * getReachableBackendsList().size();
-    }
-    {
-      int dataSize = 0;
-      for (int i = 0; i < unreachableBackends_.size(); i++) {
-        dataSize += computeStringSizeNoTag(unreachableBackends_.getRaw(i));
-      }
-      size += dataSize;
-      size += 1 * getUnreachableBackendsList().size();
-    }
     for (int i = 0; i < announcements_.size(); i++) {
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(7, announcements_.get(i));
@@ -470,10 +354,6 @@
         .equals(other.getAnsweringBackendsList())) return false;
     if (!getSilentBackendsList()
         .equals(other.getSilentBackendsList())) return false;
-    if (!getReachableBackendsList()
-        .equals(other.getReachableBackendsList())) return false;
-    if (!getUnreachableBackendsList()
-        .equals(other.getUnreachableBackendsList())) return false;
     if (!getAnnouncementsList()
         .equals(other.getAnnouncementsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -500,14 +380,6 @@
       hash = (37 * hash) + SILENT_BACKENDS_FIELD_NUMBER;
       hash = (53 * hash) + getSilentBackendsList().hashCode();
     }
-    if (getReachableBackendsCount() > 0) {
-      hash = (37 * hash) + REACHABLE_BACKENDS_FIELD_NUMBER;
-      hash = (53 * hash) + getReachableBackendsList().hashCode();
-    }
-    if (getUnreachableBackendsCount() > 0) {
-      hash = (37 * hash) + UNREACHABLE_BACKENDS_FIELD_NUMBER;
-      hash = (53 * hash) + getUnreachableBackendsList().hashCode();
-    }
     if (getAnnouncementsCount() > 0) {
       hash = (37 * hash) + ANNOUNCEMENTS_FIELD_NUMBER;
       hash = (53 * hash) + getAnnouncementsList().hashCode();
@@ -649,17 +521,13 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       silentBackends_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
-      reachableBackends_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
-      unreachableBackends_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
       if (announcementsBuilder_ == null) {
         announcements_ = java.util.Collections.emptyList();
       } else {
         announcements_ = null;
         announcementsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000040);
+      bitField0_ = (bitField0_ & ~0x00000010);
       return this;
     }
 
@@ -694,9 +562,9 @@
 
     private void buildPartialRepeatedFields(org.bramleyspur.protocol.DirectoryRequest result) {
       if (announcementsBuilder_ == null) {
-        if (((bitField0_ & 0x00000040) != 0)) {
+        if (((bitField0_ & 0x00000010) != 0)) {
           announcements_ = java.util.Collections.unmodifiableList(announcements_);
-          bitField0_ = (bitField0_ & ~0x00000040);
+          bitField0_ = (bitField0_ & ~0x00000010);
         }
         result.announcements_ = announcements_;
       } else {
@@ -720,14 +588,6 @@
         silentBackends_.makeImmutable();
         result.silentBackends_ = silentBackends_;
       }
-      if (((from_bitField0_ & 0x00000010) != 0)) {
-        reachableBackends_.makeImmutable();
-        result.reachableBackends_ = reachableBackends_;
-      }
-      if (((from_bitField0_ & 0x00000020) != 0)) {
-        unreachableBackends_.makeImmutable();
-        result.unreachableBackends_ = unreachableBackends_;
-      }
     }
 
     @java.lang.Override
@@ -802,31 +662,11 @@
         }
         onChanged();
       }
-      if (!other.reachableBackends_.isEmpty()) {
-        if (reachableBackends_.isEmpty()) {
-          reachableBackends_ = other.reachableBackends_;
-          bitField0_ |= 0x00000010;
-        } else {
-          ensureReachableBackendsIsMutable();
-          reachableBackends_.addAll(other.reachableBackends_);
-        }
-        onChanged();
-      }
-      if (!other.unreachableBackends_.isEmpty()) {
-        if (unreachableBackends_.isEmpty()) {
-          unreachableBackends_ = other.unreachableBackends_;
-          bitField0_ |= 0x00000020;
-        } else {
-          ensureUnreachableBackendsIsMutable();
-          unreachableBackends_.addAll(other.unreachableBackends_);
-        }
-        onChanged();
-      }
       if (announcementsBuilder_ == null) {
         if (!other.announcements_.isEmpty()) {
           if (announcements_.isEmpty()) {
             announcements_ = other.announcements_;
-            bitField0_ = (bitField0_ & ~0x00000040);
+            bitField0_ = (bitField0_ & ~0x00000010);
           } else {
             ensureAnnouncementsIsMutable();
             announcements_.addAll(other.announcements_);
@@ -839,7 +679,7 @@
             announcementsBuilder_.dispose();
             announcementsBuilder_ = null;
             announcements_ = other.announcements_;
-            bitField0_ = (bitField0_ & ~0x00000040);
+            bitField0_ = (bitField0_ & ~0x00000010);
             announcementsBuilder_ = 
               com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
                  getAnnouncementsFieldBuilder() : null;
@@ -896,18 +736,6 @@
               silentBackends_.add(s);
               break;
             } // case 34
-            case 42: {
-              java.lang.String s = input.readStringRequireUtf8();
-              ensureReachableBackendsIsMutable();
-              reachableBackends_.add(s);
-              break;
-            } // case 42
-            case 50: {
-              java.lang.String s = input.readStringRequireUtf8();
-              ensureUnreachableBackendsIsMutable();
-              unreachableBackends_.add(s);
-              break;
-            } // case 50
             case 58: {
               org.bramleyspur.protocol.BackendAnnouncement m =
                   input.readMessage(
@@ -1211,7 +1039,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1224,7 +1052,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1235,7 +1063,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1247,7 +1075,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1260,7 +1088,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1279,7 +1107,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1297,7 +1125,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1315,7 +1143,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1330,7 +1158,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1348,270 +1176,12 @@
       return this;
     }
 
-    private com.google.protobuf.LazyStringArrayList reachableBackends_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-    private void ensureReachableBackendsIsMutable() {
-      if (!reachableBackends_.isModifiable()) {
-        reachableBackends_ = new com.google.protobuf.LazyStringArrayList(reachableBackends_);
-      }
-      bitField0_ |= 0x00000010;
-    }
-    /**
-     * <pre>
-     * Results of the connections that the receiver asked for.
-     * </pre>
-     *
-     * <code>repeated string reachable_backends = 5;</code>
-     * @return A list containing the reachableBackends.
-     */
-    public com.google.protobuf.ProtocolStringList
-        getReachableBackendsList() {
-      reachableBackends_.makeImmutable();
-      return reachableBackends_;
-    }
-    /**
-     * <pre>
-     * Results of the connections that the receiver asked for.
-     * </pre>
-     *
-     * <code>repeated string reachable_backends = 5;</code>
-     * @return The count of reachableBackends.
-     */
-    public int getReachableBackendsCount() {
-      return reachableBackends_.size();
-    }
-    /**
-     * <pre>
-     * Results of the connections that the receiver asked for.
-     * </pre>
-     *
-     * <code>repeated string reachable_backends = 5;</code>
-     * @param index The index of the element to return.
-     * @return The reachableBackends at the given index.
-     */
-    public java.lang.String getReachableBackends(int index) {
-      return reachableBackends_.get(index);
-    }
-    /**
-     * <pre>
-     * Results of the connections that the receiver asked for.
-     * </pre>
-     *
-     * <code>repeated string reachable_backends = 5;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the reachableBackends at the given index.
-     */
-    public com.google.protobuf.ByteString
-        getReachableBackendsBytes(int index) {
-      return reachableBackends_.getByteString(index);
-    }
-    /**
-     * <pre>
-     * Results of the connections that the receiver asked for.
-     * </pre>
-     *
-     * <code>repeated string reachable_backends = 5;</code>
-     * @param index The index to set the value at.
-     * @param value The reachableBackends to set.
-     * @return This builder for chaining.
-     */
-    public Builder setReachableBackends(
-        int index, java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureReachableBackendsIsMutable();
-      reachableBackends_.set(index, value);
-      bitField0_ |= 0x00000010;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Results of the connections that the receiver asked for.
-     * </pre>
-     *
-     * <code>repeated string reachable_backends = 5;</code>
-     * @param value The reachableBackends to add.
-     * @return This builder for chaining.
-     */
-    public Builder addReachableBackends(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureReachableBackendsIsMutable();
-      reachableBackends_.add(value);
-      bitField0_ |= 0x00000010;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Results of the connections that the receiver asked for.
-     * </pre>
-     *
-     * <code>repeated string reachable_backends = 5;</code>
-     * @param values The reachableBackends to add.
-     * @return This builder for chaining.
-     */
-    public Builder addAllReachableBackends(
-        java.lang.Iterable<java.lang.String> values) {
-      ensureReachableBackendsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, reachableBackends_);
-      bitField0_ |= 0x00000010;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Results of the connections that the receiver asked for.
-     * </pre>
-     *
-     * <code>repeated string reachable_backends = 5;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearReachableBackends() {
-      reachableBackends_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-      bitField0_ = (bitField0_ & ~0x00000010);;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Results of the connections that the receiver asked for.
-     * </pre>
-     *
-     * <code>repeated string reachable_backends = 5;</code>
-     * @param value The bytes of the reachableBackends to add.
-     * @return This builder for chaining.
-     */
-    public Builder addReachableBackendsBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      ensureReachableBackendsIsMutable();
-      reachableBackends_.add(value);
-      bitField0_ |= 0x00000010;
-      onChanged();
-      return this;
-    }
-
-    private com.google.protobuf.LazyStringArrayList unreachableBackends_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-    private void ensureUnreachableBackendsIsMutable() {
-      if (!unreachableBackends_.isModifiable()) {
-        unreachableBackends_ = new com.google.protobuf.LazyStringArrayList(unreachableBackends_);
-      }
-      bitField0_ |= 0x00000020;
-    }
-    /**
-     * <code>repeated string unreachable_backends = 6;</code>
-     * @return A list containing the unreachableBackends.
-     */
-    public com.google.protobuf.ProtocolStringList
-        getUnreachableBackendsList() {
-      unreachableBackends_.makeImmutable();
-      return unreachableBackends_;
-    }
-    /**
-     * <code>repeated string unreachable_backends = 6;</code>
-     * @return The count of unreachableBackends.
-     */
-    public int getUnreachableBackendsCount() {
-      return unreachableBackends_.size();
-    }
-    /**
-     * <code>repeated string unreachable_backends = 6;</code>
-     * @param index The index of the element to return.
-     * @return The unreachableBackends at the given index.
-     */
-    public java.lang.String getUnreachableBackends(int index) {
-      return unreachableBackends_.get(index);
-    }
-    /**
-     * <code>repeated string unreachable_backends = 6;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the unreachableBackends at the given index.
-     */
-    public com.google.protobuf.ByteString
-        getUnreachableBackendsBytes(int index) {
-      return unreachableBackends_.getByteString(index);
-    }
-    /**
-     * <code>repeated string unreachable_backends = 6;</code>
-     * @param index The index to set the value at.
-     * @param value The unreachableBackends to set.
-     * @return This builder for chaining.
-     */
-    public Builder setUnreachableBackends(
-        int index, java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureUnreachableBackendsIsMutable();
-      unreachableBackends_.set(index, value);
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated string unreachable_backends = 6;</code>
-     * @param value The unreachableBackends to add.
-     * @return This builder for chaining.
-     */
-    public Builder addUnreachableBackends(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureUnreachableBackendsIsMutable();
-      unreachableBackends_.add(value);
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated string unreachable_backends = 6;</code>
-     * @param values The unreachableBackends to add.
-     * @return This builder for chaining.
-     */
-    public Builder addAllUnreachableBackends(
-        java.lang.Iterable<java.lang.String> values) {
-      ensureUnreachableBackendsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, unreachableBackends_);
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated string unreachable_backends = 6;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearUnreachableBackends() {
-      unreachableBackends_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-      bitField0_ = (bitField0_ & ~0x00000020);;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated string unreachable_backends = 6;</code>
-     * @param value The bytes of the unreachableBackends to add.
-     * @return This builder for chaining.
-     */
-    public Builder addUnreachableBackendsBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      ensureUnreachableBackendsIsMutable();
-      unreachableBackends_.add(value);
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
-    }
-
     private java.util.List<org.bramleyspur.protocol.BackendAnnouncement> announcements_ =
       java.util.Collections.emptyList();
     private void ensureAnnouncementsIsMutable() {
-      if (!((bitField0_ & 0x00000040) != 0)) {
+      if (!((bitField0_ & 0x00000010) != 0)) {
         announcements_ = new java.util.ArrayList<org.bramleyspur.protocol.BackendAnnouncement>(announcements_);
-        bitField0_ |= 0x00000040;
+        bitField0_ |= 0x00000010;
        }
     }
 
@@ -1805,7 +1375,7 @@
     public Builder clearAnnouncements() {
       if (announcementsBuilder_ == null) {
         announcements_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000040);
+        bitField0_ = (bitField0_ & ~0x00000010);
         onChanged();
       } else {
         announcementsBuilder_.clear();
@@ -1910,7 +1480,7 @@
         announcementsBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
             org.bramleyspur.protocol.BackendAnnouncement, org.bramleyspur.protocol.BackendAnnouncement.Builder, org.bramleyspur.protocol.BackendAnnouncementOrBuilder>(
                 announcements_,
-                ((bitField0_ & 0x00000040) != 0),
+                ((bitField0_ & 0x00000010) != 0),
                 getParentForChildren(),
                 isClean());
         announcements_ = null;
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequestOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequestOrBuilder.java
@@ -73,7 +73,7 @@
 
   /**
    * <pre>
-   * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+   * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
    * </pre>
    *
    * <code>repeated string silent_backends = 4;</code>
@@ -83,7 +83,7 @@
       getSilentBackendsList();
   /**
    * <pre>
-   * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+   * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
    * </pre>
    *
    * <code>repeated string silent_backends = 4;</code>
@@ -92,7 +92,7 @@
   int getSilentBackendsCount();
   /**
    * <pre>
-   * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+   * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
    * </pre>
    *
    * <code>repeated string silent_backends = 4;</code>
@@ -102,7 +102,7 @@
   java.lang.String getSilentBackends(int index);
   /**
    * <pre>
-   * Backend servers that accepted no connection or stopped answering, as this entry last saw them.
+   * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
    * </pre>
    *
    * <code>repeated string silent_backends = 4;</code>
@@ -112,72 +112,6 @@
   com.google.protobuf.ByteString
       getSilentBackendsBytes(int index);
 
-  /**
-   * <pre>
-   * Results of the connections that the receiver asked for.
-   * </pre>
-   *
-   * <code>repeated string reachable_backends = 5;</code>
-   * @return A list containing the reachableBackends.
-   */
-  java.util.List<java.lang.String>
-      getReachableBackendsList();
-  /**
-   * <pre>
-   * Results of the connections that the receiver asked for.
-   * </pre>
-   *
-   * <code>repeated string reachable_backends = 5;</code>
-   * @return The count of reachableBackends.
-   */
-  int getReachableBackendsCount();
-  /**
-   * <pre>
-   * Results of the connections that the receiver asked for.
-   * </pre>
-   *
-   * <code>repeated string reachable_backends = 5;</code>
-   * @param index The index of the element to return.
-   * @return The reachableBackends at the given index.
-   */
-  java.lang.String getReachableBackends(int index);
-  /**
-   * <pre>
-   * Results of the connections that the receiver asked for.
-   * </pre>
-   *
-   * <code>repeated string reachable_backends = 5;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the reachableBackends at the given index.
-   */
-  com.google.protobuf.ByteString
-      getReachableBackendsBytes(int index);
-
-  /**
-   * <code>repeated string unreachable_backends = 6;</code>
-   * @return A list containing the unreachableBackends.
-   */
-  java.util.List<java.lang.String>
-      getUnreachableBackendsList();
-  /**
-   * <code>repeated string unreachable_backends = 6;</code>
-   * @return The count of unreachableBackends.
-   */
-  int getUnreachableBackendsCount();
-  /**
-   * <code>repeated string unreachable_backends = 6;</code>
-   * @param index The index of the element to return.
-   * @return The unreachableBackends at the given index.
-   */
-  java.lang.String getUnreachableBackends(int index);
-  /**
-   * <code>repeated string unreachable_backends = 6;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the unreachableBackends at the given index.
-   */
-  com.google.protobuf.ByteString
-      getUnreachableBackendsBytes(int index);
-
   /**
    * <pre>
    * All that the sender knows, in its first message on a stream: the receiver may have started anew.
