Ask a host that refuses to stage again after five seconds, not at every plan

Ruled out: groups over domains that form and close in turn; the log shows none. Change: refusals are noted with their time, and a host that has refused is left alone for 5 s; of two pending stage orders the later one counts.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -137,6 +137,7 @@
             openJoins = state.openJoins.withoutOldLives(),
             verified = state.verified.withoutOldLives(),
             orderedMs = state.orderedMs.withoutOldLives(),
+            stageRefusedMs = state.stageRefusedMs.withoutOldLives(),
             sentMs = state.sentMs.withoutOldOrders(),
             loadStartsMs = state.loadStartsMs.filter { it >= firstCountedMs }.toPersistentList(),
         )
@@ -527,7 +528,7 @@
         for ((domain, spares) in free.groupBy { it.domain }) {
             val surplus = service.models.associate { it.name to surplus(service, it, domain, wanted, spares) }
                 .toMutableMap()
-            for (spare in spares.sortedBy { it.id }) {
+            for (spare in spares.filterNot { refusesStage(it.life) }.sortedBy { it.id }) {
                 val staged = stagedModel(service, spare)
                 val model = if (staged == null) {
                     service.models.minByOrNull { minOf(surplus.getValue(it.name), 0) * URGENT + perWork(it, engines) }
@@ -571,13 +572,16 @@
 
     /** The model that is on the engine's host or on its way there; null for none. */
     private fun stagedModel(service: DocumentService, engine: Announcement): String? {
-        val pending = service.models.firstOrNull { model ->
-            val sentMs = state.sentMs[SentOrder(engine.life, EngineCommand.Stage(model.name))]
-            sentMs != null && input.nowMs - sentMs < STAGE_REPEAT_MS
-        }
+        val pending = service.models.mapNotNull { model ->
+            state.sentMs[SentOrder(engine.life, EngineCommand.Stage(model.name))]?.let { model to it }
+        }.filter { (_, sentMs) -> input.nowMs - sentMs < STAGE_REPEAT_MS }.maxByOrNull { (_, sentMs) -> sentMs }?.first
         return (pending ?: service.models.firstOrNull { it.name in engine.staged })?.name
     }
 
+    /** Whether the host has lately refused to stage: it is busy with other weights. */
+    private fun refusesStage(life: EngineLife): Boolean =
+        state.stageRefusedMs[life]?.let { input.nowMs - it < STAGE_RETRY_MS } == true
+
     /** Another model than [staged], which has engines to spare, for which a group misses engines. */
     private fun modelToRestage(service: DocumentService, surplus: Map<String, Int>, staged: String): ModelShape? {
         if (surplus.getValue(staged) <= 0) return null
@@ -664,6 +668,8 @@
         const val GATHER_LIMIT_MS = 2_500L
         const val OPEN_AGAIN_MS = 1_000L
 
+        /** A host that loads other weights refuses for up to 16 s; it is asked again after this time. */
+        const val STAGE_RETRY_MS = 5_000L
         val HOLDING_PHASES = setOf(GroupPhase.WARMING, GroupPhase.FORMING, GroupPhase.SERVING)
 
         /** A join of staged weights takes up to about 2 s. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerResults.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerResults.kt
@@ -67,12 +67,8 @@
 private fun PlannerState.withLeft(group: GroupId, life: EngineLife) =
     copy(left = left.put(group, (left[group] ?: persistentSetOf()).add(life)))
 
-/** A host refuses to stage while it is busy; until the order is repeated, the weights count as on their way. */
 private fun PlannerState.withRefusedStage(sent: SentOrder, nowMs: Long) =
-    if (sent in sentMs) copy(sentMs = sentMs.put(sent, nowMs + STAGE_RETRY_MS - STAGE_REPEAT_MS)) else this
+    copy(sentMs = sentMs.remove(sent), stageRefusedMs = stageRefusedMs.put(sent.life, nowMs))
 
 /** A load takes 12 to 16 s, and longer while several run. */
 internal const val STAGE_REPEAT_MS = 40_000L
-
-/** A host that was busy, or did not answer, is asked again after this time. */
-private const val STAGE_RETRY_MS = 1_500L
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -59,6 +59,7 @@
  * @property lastModel model of the last group in which a life of an engine was ready; it joins again within 0.2 s
  * @property loadStartsMs times of loads from the weight store
  * @property sentMs when each order was last sent, for repeats
+ * @property stageRefusedMs when each engine last refused, or left unanswered, an order to stage weights
  * @property orderedMs when each engine was last sent an order
  * @property absent lives at whose address another backend server answers
  * @property firstSeenMs when each engine was first known to this leader
@@ -75,6 +76,7 @@
     val lastModel: PersistentMap<EngineLife, String> = persistentMapOf(),
     val loadStartsMs: PersistentList<Long> = persistentListOf(),
     val sentMs: PersistentMap<SentOrder, Long> = persistentMapOf(),
+    val stageRefusedMs: PersistentMap<EngineLife, Long> = persistentMapOf(),
     val orderedMs: PersistentMap<EngineLife, Long> = persistentMapOf(),
     val absent: PersistentMap<String, Long> = persistentMapOf(),
     val firstSeenMs: PersistentMap<String, Long> = persistentMapOf(),
