--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -313,13 +313,12 @@
 
     /**
      * Whether the head has stopped answering entries, or is not seen to answer, and a member does not answer control.
+     * One unanswered question is not enough: a lost packet delays an answer as well as the events of a stream.
      */
     private fun isStalled(group: PlannedGroup): Boolean {
         val head = group.members.first()
-        val silent = isSilentForEntries(head)
-        val unseen = !answersSince(head, input.nowMs - UNSEEN_MS)
-        val doubtful = group.members.any { isUnreachable(it, failures = 1) }
-        return silent && doubtful || unseen && group.members.any { isUnreachable(it) }
+        val quiet = isSilentForEntries(head) || !answersSince(head, input.nowMs - UNSEEN_MS)
+        return quiet && group.members.any { isUnreachable(it) }
     }
 
     private fun advanceClosing(group: PlannedGroup) {
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
@@ -309,8 +309,9 @@
 
     private fun carryOut(engine: SimulatedEngine, order: EngineOrder): OrderResult {
         if (order.expectedOrders != null && order.expectedOrders != engine.orders) return OrderResult.REFUSED
-        val busy = order.command is EngineCommand.Stage && engine.stagingModel != null
-        if (busy && engine.stagingModel != (order.command as EngineCommand.Stage).model) return OrderResult.REFUSED
+        val command = order.command
+        val busy = engine.stagingModel != null
+        if (command is EngineCommand.Stage && busy && engine.stagingModel != command.model) return OrderResult.REFUSED
         engine.orders++
         history += "$nowMs ${engine.id} of ${order.fencingNumber} executes ${order.command} #${engine.orders}"
         execute(engine, order)
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/GroupPlannerTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/GroupPlannerTest.kt
@@ -78,18 +78,6 @@
         expectThat(world.ordersSent - before).isLessThanOrEqualTo(30)
     }
 
-    /** A new leader does not know which weights a host loads; a host that is busy with others refuses. */
-    @Test
-    fun `a host that refuses to stage is not asked at every plan`() {
-        val world = world(1, faults = false)
-        world.run(3_000)
-        world.engines.forEach { it.stagingModel = if (it.stagingModel == "large") "small" else "large" }
-        world.restartControl()
-        val before = world.ordersSent
-        world.run(10_000)
-        expectThat(world.ordersSent - before).isLessThanOrEqualTo(200)
-    }
-
     @Test
     fun `a spare with staged weights replaces a lost member as fast as a former member`() {
         val world = world(1, faults = false)
--- /dev/null
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/StageOrderTest.kt
@@ -0,0 +1,74 @@
+package org.bramleyspur.control.group
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import org.bramleyspur.core.backend.Announcement
+import org.bramleyspur.core.backend.BackendState
+import org.bramleyspur.core.backend.KnownBackend
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+/** Guards against a refused order to stage weights that is sent again at every plan, and one that is never repeated. */
+class StageOrderTest {
+    private val small = EngineCommand.Stage("small")
+
+    private fun engine(number: Int) = Announcement(
+        id = "e$number",
+        bornMs = 1,
+        sequence = 1,
+        service = "s",
+        address = "10.0.0.$number:1",
+        dataCentre = "d",
+        slots = 34,
+        state = BackendState.READY,
+        domain = "d",
+        staged = persistentListOf("large"),
+        place = null,
+    )
+
+    private val engines = (1..2).map(::engine)
+
+    /** The hosts have loaded the weights of the large model by an earlier order, and the small one misses a group. */
+    private val loaded = PlannerState(
+        sentMs = persistentMapOf(
+            SentOrder(engines[0].life, EngineCommand.Stage("large")) to START_MS - 20_000,
+            SentOrder(engines[1].life, EngineCommand.Stage("large")) to START_MS - 20_000,
+        ),
+    )
+
+    private fun plan(state: PlannerState, nowMs: Long): PlanStep {
+        val known = engines.associate { it.id to KnownBackend(it, nowMs) }
+        return planGroups(state, PlannerInput(nowMs, 1, DOCUMENT, known, emptyMap(), trafficStarted = true))
+    }
+
+    private fun PlanStep.stages() = orders.count { it.command == small }
+
+    private class Case(val result: OrderResult, val laterMs: Long, val orders: Int)
+
+    private val cases = listOf(
+        Case(OrderResult.REFUSED, laterMs = 100, orders = 0),
+        Case(OrderResult.REFUSED, laterMs = 4_000, orders = 0),
+        Case(OrderResult.REFUSED, laterMs = 6_000, orders = 2),
+        Case(OrderResult.UNANSWERED, laterMs = 100, orders = 0),
+        Case(OrderResult.UNANSWERED, laterMs = 6_000, orders = 2),
+        Case(OrderResult.ACCEPTED, laterMs = 6_000, orders = 0),
+    )
+
+    @TestFactory
+    fun `orders to stage are repeated`() = cases.map { case ->
+        DynamicTest.dynamicTest("${case.result}, ${case.laterMs} ms later") {
+            val first = plan(loaded, START_MS)
+            expectThat(first.stages()).isEqualTo(2)
+            val answered = engines.fold(first.state) { state, engine ->
+                onOrderResult(state, engine.life, small, case.result, START_MS + 10)
+            }
+            expectThat(plan(answered, START_MS + case.laterMs).stages()).isEqualTo(case.orders)
+        }
+    }
+
+    private companion object {
+        const val START_MS = 100_000L
+    }
+}
