Log a backend server that is taken for silent, with the pause, the streams and the pace that decided it

Cause: the belief that starts the release of a group had no line of its own at the entry. Change: event backend-quiet.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -168,12 +168,10 @@
         return loads.values.filter { it.silentMs > it.answeredMs && now - it.silentMs <= withinMs }.map { it.id }
     }
 
-    /** Marks the backend servers whose streams have stopped; true if there are such that were not marked before. */
-    fun noteQuiet(): Boolean {
+    /** Marks the backend servers whose streams have stopped; returns those that were not marked before. */
+    fun noteQuiet(): List<BackendLoad> {
         val now = timers.nowMs()
-        val quiet = loads.values.filter { it.isQuiet(now) }
-        quiet.forEach { it.onSilent(now) }
-        return quiet.isNotEmpty()
+        return loads.values.filter { it.isQuiet(now) }.onEach { it.onSilent(now) }
     }
 
     /** Closes the connections to backend servers that are not in [ids]. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedEntry.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AnnouncedEntry.kt
@@ -102,12 +102,27 @@
         loops.traffic.submit {
             watches.start()
             timers.every(EXPIRE_MS) { expire() }
-            timers.every(QUIET_CHECK_MS) { if (loads.noteQuiet()) onSilent() }
+            timers.every(QUIET_CHECK_MS) { reportQuiet() }
         }.get()
         front.start(settings.front)
         log.write("started", "role" to "entry", "instance" to settings.instance)
     }
 
+    /** Tells the control instances of backend servers whose streams have stopped, before a request gives them up. */
+    private fun reportQuiet() {
+        val quiet = loads.noteQuiet()
+        quiet.forEach {
+            log.write(
+                "backend-quiet",
+                "id" to it.id,
+                "quiet_ms" to timers.nowMs() - it.answeredMs,
+                "streams" to it.writing,
+                "pace" to it.pace,
+            )
+        }
+        if (quiet.isNotEmpty()) onSilent()
+    }
+
     /** Uses other seeds from now on. */
     fun useSeeds(seeds: List<String>) = loops.traffic.execute { watches.useSeeds(seeds) }
 
