Drop a field of the directory's watchers that nothing reads, and say when a member of a released group is free

Cause: read-through of the change; the field served the entries' connection checks, which are gone. No change of behaviour.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -32,7 +32,7 @@
     /** The head finishes its requests and takes no new ones. */
     CLOSING,
 
-    /** The head was ordered to leave; its members are free once it is known to have left. */
+    /** The head was ordered to leave; a member is free once the head, or the member itself, is known to have left. */
     RELEASING,
 }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
@@ -82,8 +82,6 @@
         StreamObserver<DirectoryRequest> {
         var isEntry = false
             private set
-        var instance = ""
-            private set
         private var heardMs = timers.nowMs()
 
         fun send(event: DirectoryEvent) {
@@ -99,7 +97,6 @@
         override fun onNext(request: DirectoryRequest) {
             heardMs = timers.nowMs()
             isEntry = request.entry
-            instance = request.instance
             onEvidence(request)
         }
 
