Ask the members of a stalled group twice in a row, and expect events within a predicted pass

Cause: a group that has lost a member serves nobody until it is released. An entry noticed the loss after 220 ms whatever the batch, and control asked the second time only 250 ms after the first question had been sent, each with 200 ms to answer. Ruled out: one unanswered question as a verdict (groups were released on lossy links that had lost nobody). Change: the time without events that makes a head suspect follows the predicted longest pass (120 ms at least); a member of a stalled group that missed one question is asked again at once; the time for an answer follows what the last answer took. Results that come later than any time limit count for nothing, since a paused process has not read its answers.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -85,14 +85,15 @@
         val last = state.probes[life]
         val heardSince = last != null && last.failures > 0 && known.heardMs > last.sentMs
         if (heardSince && !stalled) state = state.copy(probes = state.probes.remove(life))
-        val due = last == null || input.nowMs - last.sentMs >= probeGapMs(last)
+        val due = last == null || isUnconfirmed(last, stalled) || input.nowMs - last.sentMs >= probeGapMs(last)
         val doubtful = stalled || input.nowMs - known.heardMs > OVERDUE_MS
         if (doubtful && due) probe(life, known.announcement.address)
     }
 
     private fun probe(life: EngineLife, address: String) {
-        val record = state.probes[life]?.copy(sentMs = input.nowMs) ?: ProbeRecord(input.nowMs)
-        state = state.copy(probes = state.probes.put(life, record))
+        val record = state.probes[life] ?: ProbeRecord(input.nowMs)
+        val asked = record.copy(sentMs = input.nowMs, waiting = true)
+        state = state.copy(probes = state.probes.put(life, asked))
         probes += EngineProbe(life, address)
     }
 
@@ -109,6 +110,13 @@
         return false
     }
 
+    /**
+     * Whether a member of a stalled group has missed too few questions for a verdict. It is asked again at once, since
+     * the group serves nobody until the verdict.
+     */
+    private fun isUnconfirmed(last: ProbeRecord, stalled: Boolean): Boolean =
+        stalled && !last.waiting && last.failures in 1 until PROBE_FAILURES
+
     private fun probeGapMs(record: ProbeRecord): Long =
         if (record.failures <= PROBE_FAILURES) PROBE_GAP_MS else DEAD_PROBE_GAP_MS
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerResults.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerResults.kt
@@ -18,9 +18,11 @@
     sentMs: Long,
     nowMs: Long,
 ): PlannerState {
-    val record = state.probes[life] ?: ProbeRecord(sentMs)
+    val record = (state.probes[life] ?: ProbeRecord(sentMs)).copy(waiting = false)
     if (report == null) {
-        return state.copy(probes = state.probes.put(life, record.copy(failures = record.failures + 1)))
+        // Answers may wait unread in a process that was paused, so a result that comes late counts for nothing.
+        val failures = record.failures + if (nowMs - sentMs <= PAUSED_MS) 1 else 0
+        return state.copy(probes = state.probes.put(life, record.copy(failures = failures)))
     }
     val answered = state.copy(probes = state.probes.put(life, record.copy(failures = 0, answeredMs = nowMs)))
     // A report can be some hundred milliseconds old, so it does not count what was ordered shortly before it.
@@ -32,6 +34,9 @@
 
 private const val REPORT_LAG_MS = 300L
 
+/** Longer than any time limit of a question, with some delay of its timer. */
+private const val PAUSED_MS = 700L
+
 /** The state after the engine [life] took the order [command] with [result], known at [nowMs]. */
 fun onOrderResult(
     state: PlannerState,
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -105,8 +105,14 @@
  *
  * @property failures questions in a row that got no answer
  * @property answeredMs when it last answered one; null for never
+ * @property waiting whether the result of the last question is awaited
  */
-data class ProbeRecord(val sentMs: Long, val failures: Int = 0, val answeredMs: Long? = null)
+data class ProbeRecord(
+    val sentMs: Long,
+    val failures: Int = 0,
+    val answeredMs: Long? = null,
+    val waiting: Boolean = false,
+)
 
 /** An order to an engine. Each is counted by itself, so that two that are sent in turn are not repeated at once. */
 data class SentOrder(val life: EngineLife, val command: EngineCommand)
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineWorld.kt
@@ -39,7 +39,7 @@
         SERVICE to DocumentService(
             SERVICE,
             392,
-            EngineCosts(34, 1_000_000, 3, 6.0, 0.34, 0.007, 46.0, 3.0, 6, 2.5, 85.0),
+            EngineCosts(34, 1_000_000, 3, 6.0, 0.34, 0.007, 46.0, 2_048, 3.0, 6, 2.5, 85.0),
             MODELS.toImmutableList(),
         ),
     ),
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/Document.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/Document.kt
@@ -81,6 +81,7 @@
  * @property perRequestMs additional time of a step for each request that writes, in milliseconds
  * @property perThousandContextMs additional time of a step for each 1,000 tokens of context, in milliseconds
  * @property readTokensPerMs prompt tokens that are read in a millisecond
+ * @property chunkTokens most prompt tokens that are read in a step
  * @property loadsPerSecond loads from the weight store that may start in a second
  * @property loadsAtOnce loads that run at full speed together
  * @property crossDomainFactor factor on the times of a group that spans fabric domains
@@ -94,6 +95,7 @@
     val perRequestMs: Double,
     val perThousandContextMs: Double,
     val readTokensPerMs: Double,
+    val chunkTokens: Int,
     val loadsPerSecond: Double,
     val loadsAtOnce: Int,
     val crossDomainFactor: Double,
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -26,6 +26,9 @@
     /** Streams of this entry that have begun. */
     var writing = 0
 
+    /** Longest predicted time in milliseconds between events, without the observed pace; 0 while nothing was sent. */
+    var longestPassMs = 0.0
+
     /** When it last sent anything; 0 for never. */
     var answeredMs = 0L
 
@@ -94,7 +97,12 @@
      * given its observed pace.
      */
     fun isQuiet(nowMs: Long): Boolean =
-        writing > 0 && silentMs <= answeredMs && nowMs - answeredMs > QUIET_MS * maxOf(1.0, pace)
+        writing > 0 && silentMs <= answeredMs && nowMs - answeredMs > quietLimitMs() * maxOf(1.0, pace)
+
+    private fun quietLimitMs(): Double = when (longestPassMs) {
+        0.0 -> QUIET_MS
+        else -> maxOf(QUIET_MIN_MS, QUIET_PASSES * longestPassMs)
+    }
 
     /** It accepted no connection or stopped answering. */
     fun onSilent(nowMs: Long) {
@@ -125,7 +133,11 @@
         const val SUSPECT_MS = 1_500L
 
         /** Above a pass of three steps of a full batch that also reads prompts, about 200 ms. */
-        const val QUIET_MS = 220L
+        const val QUIET_MS = 220.0
+
+        /** A pass is predicted without the delays of the network, of the prompts of other entries and of this process. */
+        const val QUIET_PASSES = 1.5
+        const val QUIET_MIN_MS = 120.0
 
         /** One that never answers is tried every 12 s. */
         const val MAX_DOUBLINGS = 3
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -12,6 +12,7 @@
 import org.bramleyspur.traffic.forward.chooseBackend
 import org.bramleyspur.traffic.forward.firstEventMs
 import org.bramleyspur.traffic.forward.generationCost
+import org.bramleyspur.traffic.forward.longestPassMs
 import org.bramleyspur.traffic.forward.plainAnswerMs
 import org.bramleyspur.traffic.forward.stepMs
 import java.util.random.RandomGenerator
@@ -21,12 +22,15 @@
  *
  * @property predictedMs predicted time in milliseconds to its answer or first event
  * @property passMs predicted time in milliseconds between events, without the observed pace; null for plain services
+ * @property longestPassMs longest time in milliseconds between events, without the observed pace; null for plain
+ * services
  * @property readingMs the part of [predictedMs] in which the request's own prompt is read
  */
 internal class Choice(
     val load: BackendLoad,
     val predictedMs: Double,
     val passMs: Double?,
+    val longestPassMs: Double? = null,
     private val readingMs: Double = 0.0,
 ) {
     /** [predictedMs] with what the backend server's first events have lately taken beyond their prediction. */
@@ -99,7 +103,8 @@
             ?: return null
         val passMs = costs.stepsPerPass * stepMs(own, costs) * own.timeFactor / load.pace
         val readingMs = own.timeFactor * tokens.prompt / costs.readTokensPerMs
-        return Choice(load, firstEventMs(own, tokens.prompt, costs), passMs, readingMs)
+        val longestPassMs = longestPassMs(own, tokens.prompt, costs) / load.pace
+        return Choice(load, firstEventMs(own, tokens.prompt, costs), passMs, longestPassMs, readingMs)
     }
 
     private fun choosePlain(service: DocumentService, tried: Set<String>): Choice? {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -229,6 +229,7 @@
             unread = promptTokens
             load.unreadTokens += unread
             load.contextTokens += promptTokens
+            choice.longestPassMs?.let { load.longestPassMs = it }
             // A kept connection can have been closed unseen; a request that may run once only gets a new one.
             val fresh = !route.repeatable
             call = load.client.call(requestHead(), Unpooled.wrappedBuffer(request.body), fresh, this)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
@@ -47,6 +47,9 @@
 ) {
     private val clients = HashMap<String, HttpClient>()
 
+    /** Time in milliseconds that the last answer from each address took. */
+    private val answerTimesMs = HashMap<String, Long>()
+
     /** Sends [order]; [onResult] runs once with the result and a text for the log. */
     fun send(order: EngineOrder, onResult: (OrderResult, String) -> Unit) {
         val address = Address.parse(order.address).getOrElse {
@@ -72,14 +75,24 @@
         val client = clients.getOrPut(engineAddress) { HttpClient(address, group) }
         val request = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, dialect.statePath)
         request.headers().set(HttpHeaderNames.HOST, engineAddress)
-        val exchange = Exchange { result, text -> onProbeAnswer(result, text, onResult) }
+        val sentMs = timers.nowMs()
+        val exchange = Exchange { result, text ->
+            if (result != OrderResult.UNANSWERED) answerTimesMs[engineAddress] = timers.nowMs() - sentMs
+            onProbeAnswer(result, text, onResult)
+        }
         val call = client.call(request, Unpooled.EMPTY_BUFFER, fresh = false, exchange)
-        exchange.timeout = timers.after(PROBE_TIMEOUT_MS) {
+        val limitMs = probeLimitMs(engineAddress)
+        exchange.timeout = timers.after(limitMs) {
             call.cancel()
-            exchange.end(OrderResult.UNANSWERED, "no answer within $PROBE_TIMEOUT_MS ms")
+            exchange.end(OrderResult.UNANSWERED, "no answer within $limitMs ms")
         }
     }
 
+    /** Longer for an engine whose last answer took longer; the longest for one that has not answered yet. */
+    private fun probeLimitMs(address: String): Long = answerTimesMs[address]
+        ?.let { (MIN_PROBE_TIMEOUT_MS + it * ANSWER_TIMES).coerceAtMost(PROBE_TIMEOUT_MS) }
+        ?: PROBE_TIMEOUT_MS
+
     private fun onProbeAnswer(result: OrderResult, text: String, onResult: (EngineReport?, String) -> Unit) {
         if (result != OrderResult.DONE) return onResult(null, text)
         dialect.decodeReport(text.encodeToByteArray()).fold({ onResult(it, "") }, { onResult(null, it) })
@@ -89,6 +102,7 @@
     fun keepOnly(addresses: Set<String>) {
         val gone = clients.keys - addresses
         gone.forEach { clients.remove(it)?.close() }
+        answerTimesMs.keys.retainAll(addresses)
     }
 
     private class Exchange(private val onResult: (OrderResult, String) -> Unit) : HttpListener {
@@ -124,6 +138,12 @@
 
         /** Many times a round trip between data centres. */
         const val PROBE_TIMEOUT_MS = 200L
+
+        /** Above a pause of this process or of the engine; a lost packet takes longer, and is not the engine's fault. */
+        const val MIN_PROBE_TIMEOUT_MS = 80L
+
+        /** A question on a new connection takes twice as long as one on a kept connection. */
+        const val ANSWER_TIMES = 4
         const val STATUS_OK = 200
         const val MISDIRECTED = 421
 
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/BackendLoadTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/BackendLoadTest.kt
@@ -27,7 +27,14 @@
 
     private fun load() = BackendLoad("e1", "10.0.0.1:1", HttpClient(Address("10.0.0.1", 1), group))
 
-    private class Case(val name: String, val writing: Int, val pauseMs: Long, val slow: Boolean, val quiet: Boolean)
+    private class Case(
+        val name: String,
+        val writing: Int,
+        val pauseMs: Long,
+        val slow: Boolean,
+        val quiet: Boolean,
+        val longestPassMs: Double = 0.0,
+    )
 
     private val cases = listOf(
         Case("a pass ends late", writing = 3, pauseMs = 200, slow = false, quiet = false),
@@ -35,6 +42,15 @@
         Case("only first events are awaited", writing = 0, pauseMs = 2_000, slow = false, quiet = false),
         Case("a slow head pauses as usual", writing = 3, pauseMs = 500, slow = true, quiet = false),
         Case("a slow head has stopped", writing = 3, pauseMs = 2_500, slow = true, quiet = true),
+        Case(
+            "a head with short passes has stopped",
+            3,
+            pauseMs = 130,
+            slow = false,
+            quiet = true,
+            longestPassMs = 50.0,
+        ),
+        Case("a head reads long prompts", 3, pauseMs = 230, slow = false, quiet = false, longestPassMs = 180.0),
     )
 
     @TestFactory
@@ -43,6 +59,7 @@
             val load = load()
             if (case.slow) repeat(500) { load.onPass(400, 50.0) }
             load.writing = case.writing
+            load.longestPassMs = case.longestPassMs
             load.onAnswering(10_000)
             expectThat(load.isQuiet(10_000 + case.pauseMs)).isEqualTo(case.quiet)
         }
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/HeadChoice.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/HeadChoice.kt
@@ -30,6 +30,15 @@
         candidate.contextTokens / TOKENS_PER_THOUSAND * costs.perThousandContextMs
 }
 
+/**
+ * Time in milliseconds within which a head that works sends an event to each request that writes: a pass that also
+ * reads a prompt of [promptTokens], the prompts before it, and as much of other entries' prompts as a step takes.
+ */
+fun longestPassMs(candidate: Candidate, promptTokens: Long, costs: EngineCosts): Double {
+    val reading = (candidate.unreadTokens + promptTokens + costs.chunkTokens) / costs.readTokensPerMs
+    return candidate.timeFactor * (costs.stepsPerPass * stepMs(candidate, costs) + reading)
+}
+
 /** Predicted answer time in milliseconds of a plain service whose calls take [workMs]. */
 fun plainAnswerMs(candidate: Candidate, workMs: Double): Double = candidate.distanceMs + workMs * (
     1 + maxOf(
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/HeadChoiceTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/HeadChoiceTest.kt
@@ -18,6 +18,7 @@
         perRequestMs = 0.34,
         perThousandContextMs = 0.007,
         readTokensPerMs = 46.0,
+        chunkTokens = 2_048,
         loadsPerSecond = 3.0,
         loadsAtOnce = 6,
         crossDomainFactor = 2.5,
