--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -135,7 +135,7 @@
         /** Above a pass of three steps of a full batch that also reads prompts, about 200 ms. */
         const val QUIET_MS = 220.0
 
-        /** A pass is predicted without the delays of the network, of the prompts of other entries and of this process. */
+        /** A pass is predicted without the delays of the network and of this process. */
         const val QUIET_PASSES = 1.5
         const val QUIET_MIN_MS = 120.0
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
@@ -139,7 +139,7 @@
         /** Many times a round trip between data centres. */
         const val PROBE_TIMEOUT_MS = 200L
 
-        /** Above a pause of this process or of the engine; a lost packet takes longer, and is not the engine's fault. */
+        /** Above a pause of this process or of the engine; a lost packet takes longer. */
         const val MIN_PROBE_TIMEOUT_MS = 80L
 
         /** A question on a new connection takes twice as long as one on a kept connection. */
