--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
@@ -106,8 +106,8 @@
     state.stageRefusedMs[life]?.let { input.nowMs - it < STAGE_RETRY_MS } == true
 
 /**
- * Another model than [staged], of whose engines the domain has enough, for which a whole group misses engines. A missing
- * spare is no reason: an engine serves nobody while it loads, and the targets change with every loss.
+ * Another model than [staged], of whose engines the domain has enough, for which a whole group misses engines. A
+ * missing spare is no reason: an engine serves nobody while it loads, and the targets change with every loss.
  */
 private fun Planning.modelToRestage(
     service: DocumentService,
