Read targets, free engines and time limits in one place each, and build test engines once

Found by reading the change again: the lookup of a target stood four times, the free engines of a service were computed anew for each domain within one decision, the time limit of orders and of questions was written twice, a zero stood for a pass time that is not known, and three tests built an announcement alike. Change: DomainTargets.groups, quickAmong and a list handed on, OrderSender.endAfter, a nullable longestPassMs, readyEngine for the planner's tests. The limit for gathering engines states its reason.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -60,8 +60,9 @@
     model.workShare / (groupsOf(service, model).size * model.size).coerceAtLeast(1)
 
 private fun Planning.formSurplusGroup(service: DocumentService, model: ModelShape, wanted: DomainTargets): Boolean {
-    val members = quickEngines(service, model).groupBy { it.domain }
-        .filter { (domain, engines) -> engines.size - kept(service, model, domain, wanted) >= model.size }
+    val free = freeEngines(service.name)
+    val members = quickAmong(free, model).groupBy { it.domain }
+        .filter { (domain, engines) -> engines.size - kept(service, model, domain, wanted, free) >= model.size }
         .values.maxByOrNull { it.size }?.take(model.size) ?: return false
     return form(service, model, members)
 }
@@ -70,8 +71,14 @@
  * Engines of the domain that are given the weights of other models instead. Once there is traffic they serve nobody for
  * many seconds meanwhile, so that is done only for models whose groups have more work.
  */
-private fun Planning.kept(service: DocumentService, model: ModelShape, domain: String, wanted: DomainTargets): Int {
-    val spares = freeEngines(service.name).filter { it.domain == domain }
+private fun Planning.kept(
+    service: DocumentService,
+    model: ModelShape,
+    domain: String,
+    wanted: DomainTargets,
+    free: List<Announcement>,
+): Int {
+    val spares = free.filter { it.domain == domain }
     val ownWork = workPerEngine(service, model)
     return service.models.filter { it.name != model.name }
         .filter { !input.trafficStarted || workPerEngine(service, it) > ownWork }
@@ -98,12 +105,12 @@
 private fun Planning.formWithinDomain(service: DocumentService, model: ModelShape, wanted: DomainTargets): Boolean {
     val best = quickEngines(service, model).groupBy { it.domain }
         .filter { it.value.size >= model.size }
-        .filter { (domain, _) -> inDomain(service, model, domain) < (wanted[domain]?.get(model.name) ?: 0) }
+        .filter { (domain, _) -> inDomain(service, model, domain) < wanted.groups(domain, model) }
         .map { (domain, engines) -> domain to engines.take(model.size) }
         .minWithOrNull(
             compareBy(
                 { (_, members) -> members.maxOf { joinCost(it, model) } },
-                { (domain, _) -> inDomain(service, model, domain) - (wanted[domain]?.get(model.name) ?: 0) },
+                { (domain, _) -> inDomain(service, model, domain) - wanted.groups(domain, model) },
                 { (_, members) -> members.sumOf { joinCost(it, model) } },
             ),
         )?.second ?: return false
@@ -133,7 +140,10 @@
 
 /** Free engines that join a group of the model without a load, the fastest first. */
 private fun Planning.quickEngines(service: DocumentService, model: ModelShape): List<Announcement> =
-    freeEngines(service.name).filter { joinCost(it, model) < model.loadMs }.sortedBy { joinCost(it, model) }
+    quickAmong(freeEngines(service.name), model)
+
+private fun Planning.quickAmong(free: List<Announcement>, model: ModelShape): List<Announcement> =
+    free.filter { joinCost(it, model) < model.loadMs }.sortedBy { joinCost(it, model) }
 
 private fun Planning.inDomain(service: DocumentService, model: ModelShape, domain: String): Int =
     groupsOf(service, model).count { group -> group.members.any { announcement(it.id)?.domain == domain } }
@@ -181,6 +191,8 @@
 
 /** Engines that start together announce themselves within about an announcement interval. */
 private const val GATHER_MS = 700L
+
+/** Engines of a start came in over 3.4 s; decisions on a part of them gave domains the wrong weights. */
 private const val GATHER_LIMIT_MS = 4_500L
 
 /** Three probes and a leave order. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
@@ -10,6 +10,9 @@
 /** Wanted groups of each model, by domain and model name. */
 typealias DomainTargets = Map<String, Map<String, Int>>
 
+/** Wanted groups of the model in the domain. */
+internal fun DomainTargets.groups(domain: String, model: ModelShape): Int = this[domain]?.get(model.name) ?: 0
+
 /** Spares that a domain with groups of the model keeps for them: a larger group loses members more often. */
 fun sparesOf(model: ModelShape): Int = (model.size + MEMBERS_PER_SPARE - 1) / MEMBERS_PER_SPARE
 
@@ -56,21 +59,17 @@
 private class Place(val domain: String, val engines: Int)
 
 /** The domain with room and the fewest groups of the model, so that one dark domain takes few of them. */
-private fun domainFor(
-    free: Map<String, Int>,
-    wanted: Map<String, Map<String, Int>>,
-    model: ModelShape,
-    withSpares: Boolean,
-): Place? = free.entries
-    .map { (domain, left) ->
-        val spares = if (withSpares && model.name !in wanted.getValue(domain)) sparesOf(model) else 0
-        Place(domain, model.size + spares) to left
-    }
-    .filter { (place, left) -> left >= place.engines }
-    .minWithOrNull(
-        compareBy(
-            { (place, _) -> wanted.getValue(place.domain)[model.name] ?: 0 },
-            { (_, left) -> -left },
-            { (place, _) -> place.domain },
-        ),
-    )?.first
+private fun domainFor(free: Map<String, Int>, wanted: DomainTargets, model: ModelShape, withSpares: Boolean): Place? =
+    free.entries
+        .map { (domain, left) ->
+            val spares = if (withSpares && model.name !in wanted.getValue(domain)) sparesOf(model) else 0
+            Place(domain, model.size + spares) to left
+        }
+        .filter { (place, left) -> left >= place.engines }
+        .minWithOrNull(
+            compareBy(
+                { (place, _) -> wanted.groups(place.domain, model) },
+                { (_, left) -> -left },
+                { (place, _) -> place.domain },
+            ),
+        )?.first
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
@@ -20,7 +20,7 @@
         for (spare in spares.filterNot { refusesStage(it.life) }.sortedBy { it.id }) {
             val staged = stagedModel(service, spare)
             val model = if (staged == null) {
-                modelToStage(service, domain, wanted, surplus, engines)
+                modelToStage(service, domain, spares, wanted, surplus, engines)
             } else {
                 modelToRestage(service, spare, staged, surplus)
             }
@@ -41,13 +41,13 @@
 private fun Planning.modelToStage(
     service: DocumentService,
     domain: String,
+    spares: List<Announcement>,
     wanted: DomainTargets,
     surplus: Map<String, Int>,
     engines: Map<String, Int>,
 ): ModelShape? {
-    val free = freeEngines(service.name).filter { it.domain == domain }
-    fun waiting(model: ModelShape) = free.count { stagedModel(service, it) == model.name } % model.size
-    fun serves(model: ModelShape) = holdersIn(service, model, domain) + (wanted[domain]?.get(model.name) ?: 0) > 0
+    fun waiting(model: ModelShape) = spares.count { stagedModel(service, it) == model.name } % model.size
+    fun serves(model: ModelShape) = holdersIn(service, model, domain) + wanted.groups(domain, model) > 0
     return service.models.minWithOrNull(
         compareBy(
             { minOf(surplus.getValue(it.name), 0) },
@@ -61,7 +61,7 @@
 
 /** Engines that the wanted groups of a domain need, with their spares. */
 private fun Planning.wantedEngines(model: ModelShape, domain: String, wanted: DomainTargets): Int {
-    val groups = wanted[domain]?.get(model.name) ?: 0
+    val groups = wanted.groups(domain, model)
     return if (groups == 0) 0 else groups * model.size + sparesOf(model)
 }
 
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/StageOrderTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/StageOrderTest.kt
@@ -1,9 +1,6 @@
 package org.bramleyspur.control.group
 
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
-import org.bramleyspur.core.backend.Announcement
-import org.bramleyspur.core.backend.BackendState
 import org.bramleyspur.core.backend.KnownBackend
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
@@ -14,21 +11,7 @@
 class StageOrderTest {
     private val small = EngineCommand.Stage("small")
 
-    private fun engine(number: Int) = Announcement(
-        id = "e$number",
-        bornMs = 1,
-        sequence = 1,
-        service = "s",
-        address = "10.0.0.$number:1",
-        dataCentre = "d",
-        slots = 34,
-        state = BackendState.READY,
-        domain = "d",
-        staged = persistentListOf("large"),
-        place = null,
-    )
-
-    private val engines = (1..2).map(::engine)
+    private val engines = (1..2).map { readyEngine("e$it", it, listOf("large")) }
 
     /** The hosts have loaded the weights of the large model by an earlier order, and the small one misses a group. */
     private val loaded = PlannerState(
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/StalledGroupTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/StalledGroupTest.kt
@@ -2,8 +2,6 @@
 
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
-import org.bramleyspur.core.backend.Announcement
-import org.bramleyspur.core.backend.BackendState
 import org.bramleyspur.core.backend.GroupId
 import org.bramleyspur.core.backend.GroupPlace
 import org.bramleyspur.core.backend.GroupState
@@ -20,21 +18,9 @@
 class StalledGroupTest {
     private val group = GroupId("g1", 1)
 
-    private fun engine(rank: Int) = Announcement(
-        id = "e$rank",
-        bornMs = 1,
-        sequence = 1,
-        service = "s",
-        address = "10.0.0.$rank:1",
-        dataCentre = "d",
-        slots = 34,
-        state = BackendState.READY,
-        domain = "d",
-        staged = persistentListOf("small"),
-        place = GroupPlace(group, rank, GroupState.OPEN, "small"),
-    )
-
-    private val members = (0..1).map(::engine)
+    private val members = (0..1).map { rank ->
+        readyEngine("e$rank", rank + 1, listOf("small"), place = GroupPlace(group, rank, GroupState.OPEN, "small"))
+    }
     private val serving = PlannedGroup(
         group,
         "s",
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/SurplusGroupTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/SurplusGroupTest.kt
@@ -1,9 +1,7 @@
 package org.bramleyspur.control.group
 
-import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import org.bramleyspur.core.backend.Announcement
-import org.bramleyspur.core.backend.BackendState
 import org.bramleyspur.core.backend.KnownBackend
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
@@ -61,19 +59,7 @@
 
     private fun engines(case: Case): List<Announcement> = case.staged.flatMap { (domain, models) ->
         models.mapIndexed { index, model ->
-            Announcement(
-                id = "$domain$index",
-                bornMs = 1,
-                sequence = 1,
-                service = "s",
-                address = "10.0.0.1:${index + 1}",
-                dataCentre = domain,
-                slots = 34,
-                state = BackendState.READY,
-                domain = domain,
-                staged = listOf(model).filter { it.isNotEmpty() }.toPersistentList(),
-                place = null,
-            )
+            readyEngine("$domain$index", index + 1, listOf(model).filter { it.isNotEmpty() }, domain)
         }
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -26,8 +26,8 @@
     /** Streams of this entry that have begun. */
     var writing = 0
 
-    /** Longest predicted time in milliseconds between events, without the observed pace; 0 while nothing was sent. */
-    var longestPassMs = 0.0
+    /** Longest predicted time in ms between events, without the observed pace; null while nothing was sent. */
+    var longestPassMs: Double? = null
 
     /** When it last sent anything; 0 for never. */
     var answeredMs = 0L
@@ -99,10 +99,7 @@
     fun isQuiet(nowMs: Long): Boolean =
         writing > 0 && silentMs <= answeredMs && nowMs - answeredMs > quietLimitMs() * maxOf(1.0, pace)
 
-    private fun quietLimitMs(): Double = when (longestPassMs) {
-        0.0 -> QUIET_MS
-        else -> maxOf(QUIET_MIN_MS, QUIET_PASSES * longestPassMs)
-    }
+    private fun quietLimitMs(): Double = longestPassMs?.let { maxOf(QUIET_MIN_MS, QUIET_PASSES * it) } ?: QUIET_MS
 
     /** It accepted no connection or stopped answering. */
     fun onSilent(nowMs: Long) {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
@@ -17,6 +17,7 @@
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.core.time.Subscription
 import org.bramleyspur.core.time.TimerService
+import org.bramleyspur.daemon.http.HttpCall
 import org.bramleyspur.daemon.http.HttpClient
 import org.bramleyspur.daemon.http.HttpFailure
 import org.bramleyspur.daemon.http.HttpListener
@@ -63,9 +64,13 @@
         message.headers.forEach { (name, value) -> request.headers().set(name, value) }
         val exchange = Exchange(onResult)
         val call = client.call(request, Unpooled.wrappedBuffer(message.body), fresh = false, exchange)
-        exchange.timeout = timers.after(ANSWER_TIMEOUT_MS) {
+        endAfter(ANSWER_TIMEOUT_MS, exchange, call)
+    }
+
+    private fun endAfter(limitMs: Long, exchange: Exchange, call: HttpCall) {
+        exchange.timeout = timers.after(limitMs) {
             call.cancel()
-            exchange.end(OrderResult.UNANSWERED, "no answer within $ANSWER_TIMEOUT_MS ms")
+            exchange.end(OrderResult.UNANSWERED, "no answer within $limitMs ms")
         }
     }
 
@@ -81,11 +86,7 @@
             onProbeAnswer(result, text, onResult)
         }
         val call = client.call(request, Unpooled.EMPTY_BUFFER, fresh = false, exchange)
-        val limitMs = probeLimitMs(engineAddress)
-        exchange.timeout = timers.after(limitMs) {
-            call.cancel()
-            exchange.end(OrderResult.UNANSWERED, "no answer within $limitMs ms")
-        }
+        endAfter(probeLimitMs(engineAddress), exchange, call)
     }
 
     /** Longer for an engine whose last answer took longer; the longest for one that has not answered yet. */
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/BackendLoadTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/BackendLoadTest.kt
@@ -33,7 +33,7 @@
         val pauseMs: Long,
         val slow: Boolean,
         val quiet: Boolean,
-        val longestPassMs: Double = 0.0,
+        val longestPassMs: Double? = null,
     )
 
     private val cases = listOf(
