Keep the engines of each model in proportion to its work after losses

Cause: the targets and the orders to load weights looked at one domain at a time. With spares reserved first, a third large group fitted no domain of seven engines, so the greedy targets filled up with small groups: 2 large and 5 small at 21 engines, ten engines for a third of the work. Each loss moved the domain without a large group, and free members of a lost large group were ordered to load the small model at once (12 s), new engines too. The large engines left, three in each domain, could form groups across domains only, which are 2.5 times slower. The class of fault: a reserve for one kind is taken from its work and given to the work of another kind, and a decision with a cost of 16 s follows a state that lasts for milliseconds.

Change: a model with much more work per engine than another gets its group at the cost of spares, and none gets further groups while it has much less; domains that hold the engines of a model are preferred for its groups; a new engine loads the model with the fewest engines for its work; weights are replaced only after a shortage of 2.5 s, only for a model with fewer engines for its work, then also those of a spare.

StageOrderTest plans once more before, since a shortage has to last; its expected orders are unchanged.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -94,11 +94,19 @@
         group.members.any { mayBeIn(it, group) && !isUnreachable(it, failures = 1) }
 }
 
-private fun Planning.usableEnginesByDomain(service: DocumentService): Map<String, Int> = input.engines.values
-    .filter { it.announcement.service == service.name && it.announcement.state == BackendState.READY }
-    .filter { !isUnreachable(it.announcement.incarnation) }
-    .groupingBy { it.announcement.fabricDomain }
-    .eachCount()
+private fun Planning.usableEnginesByDomain(service: DocumentService): Map<String, DomainEngines> {
+    val groupModels = state.groups.values.filter { it.phase != GroupPhase.RELEASING }
+        .flatMap { group -> group.members.map { it to group.model } }
+        .toMap()
+    return input.engines.values
+        .map { it.announcement }
+        .filter { it.service == service.name && it.state == BackendState.READY && !isUnreachable(it.incarnation) }
+        .groupBy { it.fabricDomain }
+        .mapValues { (_, engines) ->
+            val models = engines.mapNotNull { groupModels[it.incarnation] ?: stagedModel(service, it) }
+            DomainEngines(engines.size, models.groupingBy { it }.eachCount())
+        }
+}
 
 private fun Planning.spansDomains(group: PlannedGroup): Boolean =
     group.members.mapNotNull { announcement(it.id)?.fabricDomain }.distinct().size > 1
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
@@ -19,64 +19,108 @@
 /** With one spare per four members, a group of four and a group of two with their spares fill a domain of eight. */
 private const val MEMBERS_PER_SPARE = 4
 
+/** Number of spares of a domain, given the models that have groups in it. */
+private typealias SpareRule = (models: Set<ModelSpec>) -> Int
+
+private val allSpares: SpareRule = { models -> models.sumOf { sparesOf(it) } }
+private val oneSpare: SpareRule = { 1 }
+private val noSpares: SpareRule = { 0 }
+
 /**
- * Wanted groups for [engines], the number of usable engines of each domain. A group lies within one domain. Models get
- * groups in order of their share of the work per engine; every model gets one group before any gets a second. Groups
- * with spares are placed first, and the remaining engines form groups without spares. If a model would get no group, no
- * spares are reserved.
+ * The usable engines of a fabric domain.
+ *
+ * @property byModel number of engines that are in groups of a model or have its weights staged, by model name
  */
-fun wantedGroups(engines: Map<String, Int>, models: List<ModelSpec>): DomainTargets {
-    val targets = fillDomains(engines, models, spares = listOf(true, false))
-    val someModelUnserved = models.any { model -> targets.values.none { model.name in it } }
-    return if (someModelUnserved) fillDomains(engines, models, spares = listOf(false)) else targets
-}
+data class DomainEngines(val count: Int, val byModel: Map<String, Int> = emptyMap())
 
-/** Places groups in one pass per element of [spares], which states whether groups get spares in that pass. */
-private fun fillDomains(engines: Map<String, Int>, models: List<ModelSpec>, spares: List<Boolean>): DomainTargets {
-    val free = engines.toMutableMap()
-    val groupCounts = models.associate { it.name to 0 }.toMutableMap()
-    val wanted = engines.keys.associateWith { HashMap<String, Int>() }
-    for (withSpares in spares) {
+/**
+ * Wanted groups for the [engines] of each domain. A group lies within one domain. Models get groups in order of their
+ * share of the work per engine; every model gets one group before any gets a second. While the shares of the work per
+ * engine are out of balance, spares are given up for groups of the model that lacks them, since groups of another model
+ * cannot take over its work. Among domains with equally many groups of a model, those that hold most of its engines are
+ * preferred, so that a loss moves few groups to other domains.
+ */
+fun wantedGroups(engines: Map<String, DomainEngines>, models: List<ModelSpec>): DomainTargets {
+    var targets = GroupTargets(engines, models, models.associateWith { 0 })
+    while (true) {
+        targets = targets.withGroupOf(targets.byNeed().firstOrNull() ?: break, allSpares) ?: break
+    }
+    for (spares in listOf(oneSpare, noSpares)) {
         while (true) {
-            val byNeed = models.sortedWith(
-                compareBy(
-                    { if (groupCounts.getValue(it.name) == 0) 0 else 1 },
-                    { -workPerEngineWithOneMore(it, groupCounts.getValue(it.name)) },
-                ),
-            )
-            val (model, allocation) = byNeed.firstNotNullOfOrNull { model ->
-                domainFor(free, wanted, model, withSpares)?.let { model to it }
-            } ?: break
-            free[allocation.domain] = free.getValue(allocation.domain) - allocation.engines
-            groupCounts[model.name] = groupCounts.getValue(model.name) + 1
-            wanted.getValue(allocation.domain).merge(model.name, 1, Int::plus)
+            targets = targets.starvedModels().firstNotNullOfOrNull { targets.withGroupOf(it, spares) } ?: break
         }
     }
-    return wanted
+    while (true) {
+        targets = targets.modelsToExtend().firstNotNullOfOrNull { targets.withGroupOf(it, allSpares) } ?: break
+    }
+    return targets.byDomain
 }
 
-/** Work per engine if the model had one more group. */
-private fun workPerEngineWithOneMore(model: ModelSpec, groups: Int) = model.workShare / (model.groupSize * (groups + 1))
-
-/** Number of engines that one more group takes from a domain. */
-private class DomainAllocation(val domain: String, val engines: Int)
-
-/** The domain with room and the fewest groups of the model, so that the failure of a domain affects few of them. */
-private fun domainFor(
-    free: Map<String, Int>,
-    wanted: DomainTargets,
-    model: ModelSpec,
-    withSpares: Boolean,
-): DomainAllocation? = free.entries
-    .map { (domain, freeCount) ->
-        val spares = if (withSpares && model.name !in wanted.getValue(domain)) sparesOf(model) else 0
-        DomainAllocation(domain, model.groupSize + spares) to freeCount
-    }
-    .filter { (allocation, freeCount) -> freeCount >= allocation.engines }
-    .minWithOrNull(
+/** Numbers of groups by model, and their placement in domains. */
+private class GroupTargets(
+    private val engines: Map<String, DomainEngines>,
+    private val models: List<ModelSpec>,
+    private val counts: Map<ModelSpec, Int>,
+    val byDomain: DomainTargets = engines.mapValues { emptyMap() },
+) {
+    private fun workPerEngine(model: ModelSpec, groups: Int): Double =
+        if (groups == 0) Double.MAX_VALUE else model.workShare / (model.groupSize * groups)
+
+    private fun workPerEngine(model: ModelSpec) = workPerEngine(model, counts.getValue(model))
+
+    /** The models, the one with the most work per engine first. */
+    fun byNeed(): List<ModelSpec> = models.sortedWith(
         compareBy(
-            { (allocation, _) -> wanted.groups(allocation.domain, model) },
-            { (_, freeCount) -> -freeCount },
-            { (allocation, _) -> allocation.domain },
+            { if (counts.getValue(it) == 0) 0 else 1 },
+            { -workPerEngine(it, counts.getValue(it) + 1) },
         ),
-    )?.first
+    )
+
+    /** Models that have not much less work per engine than another model with groups; the neediest first. */
+    fun modelsToExtend(): List<ModelSpec> {
+        val most = models.filter { counts.getValue(it) > 0 }.maxOfOrNull { workPerEngine(it) } ?: 0.0
+        return byNeed().filter { workPerEngine(it) * MAX_IMBALANCE >= most }
+    }
+
+    /** Models without a group, or with much more work per engine than another model; the neediest first. */
+    fun starvedModels(): List<ModelSpec> {
+        val least = models.minOf { workPerEngine(it) }
+        return byNeed().filter { counts.getValue(it) == 0 || workPerEngine(it) > least * MAX_IMBALANCE }
+    }
+
+    /** These targets with one more group of [model]; null if the domains have no room for it beside their spares. */
+    fun withGroupOf(model: ModelSpec, spares: SpareRule): GroupTargets? {
+        val next = counts + (model to counts.getValue(model) + 1)
+        return place(next, spares)?.let { GroupTargets(engines, models, next, it) }
+    }
+
+    /** Places the largest groups first, in the domain with the fewest groups of their model and most of its engines. */
+    private fun place(counts: Map<ModelSpec, Int>, spares: SpareRule): DomainTargets? {
+        val placed = engines.mapValues { HashMap<ModelSpec, Int>() }
+        fun room(domain: String, model: ModelSpec): Int {
+            val groups = placed.getValue(domain)
+            val occupied = groups.entries.sumOf { (other, count) -> other.groupSize * count }
+            return engines.getValue(domain).count - occupied - spares(groups.keys + model)
+        }
+        for ((model, count) in counts.entries.sortedByDescending { it.key.groupSize }) {
+            repeat(count) {
+                val domain = engines.keys.filter { room(it, model) >= model.groupSize }
+                    .minWithOrNull(
+                        compareBy(
+                            { placed.getValue(it)[model] ?: 0 },
+                            { -(engines.getValue(it).byModel[model.name] ?: 0) },
+                            { -room(it, model) },
+                            { it },
+                        ),
+                    ) ?: return null
+                placed.getValue(domain).merge(model, 1, Int::plus)
+            }
+        }
+        return placed.mapValues { (_, groups) -> groups.mapKeys { it.key.name } }
+    }
+
+    private companion object {
+        /** Ratio between the work per engine of two models up to which a missing group does not starve a model. */
+        const val MAX_IMBALANCE = 1.25
+    }
+}
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -60,6 +60,7 @@
  * @property loadStartsMs start times of recent loads from the weight store
  * @property sentMs when each order was last sent, to time its repetition
  * @property stageRefusedMs when each engine last refused, or did not respond to, an order to stage weights
+ * @property shortageSinceMs since when each model has lacked engines for its wanted groups in a domain
  * @property lastOrderMs when each engine was last sent an order
  * @property absent start times of engines, by id, at whose address another backend server responds
  * @property firstSeenMs when each engine was first known to this leader
@@ -77,6 +78,7 @@
     val loadStartsMs: PersistentList<Long> = persistentListOf(),
     val sentMs: PersistentMap<SentOrder, Long> = persistentMapOf(),
     val stageRefusedMs: PersistentMap<EngineIncarnation, Long> = persistentMapOf(),
+    val shortageSinceMs: PersistentMap<ModelInDomain, Long> = persistentMapOf(),
     val lastOrderMs: PersistentMap<EngineIncarnation, Long> = persistentMapOf(),
     val absent: PersistentMap<String, Long> = persistentMapOf(),
     val firstSeenMs: PersistentMap<String, Long> = persistentMapOf(),
@@ -97,6 +99,9 @@
  */
 data class KnownOrders(val startedOrders: Long, val inFlight: Int, val groupMismatch: Boolean)
 
+/** A model of a service in a fabric domain. */
+data class ModelInDomain(val service: String, val model: String, val domain: String)
+
 /** A join that the engine refuses once it has started more than [expectedOrders] orders. */
 data class PendingJoin(val group: GroupId, val expectedOrders: Long)
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
@@ -8,50 +8,58 @@
 import org.bramleyspur.core.document.ModelSpec
 
 /**
- * Loads weights onto the hosts of free engines: first those that the groups of their domain need, then in proportion to
- * the models' shares of the work. A model with large groups loses members more often and so needs more spares.
+ * Loads weights onto the hosts of free engines, in proportion to the models' shares of the work, and replaces weights
+ * that are worth more as those of another model.
  */
 internal fun Planning.stageWeights(service: DocumentService, wanted: DomainTargets) {
     val free = freeEngines(service.name)
     val engineCounts = service.models.associate { it.name to enginesOf(service, it, free) }.toMutableMap()
-    for ((domain, spares) in free.groupBy { it.fabricDomain }) {
+    val countsBefore = engineCounts.toMap()
+    val freeByDomain = free.groupBy { it.fabricDomain }
+    for (domain in wanted.keys + freeByDomain.keys) {
+        val spares = freeByDomain[domain].orEmpty()
         val surplus = service.models.associate { it.name to surplus(service, it, domain, wanted, spares) }
             .toMutableMap()
+        trackShortages(service, domain, surplus)
         for (spare in spares.filterNot { hasRecentlyRefusedStage(it.incarnation) }.sortedBy { it.id }) {
             val staged = stagedModel(service, spare)
             val model = if (staged == null) {
-                modelToStage(service, domain, spares, wanted, surplus, engineCounts)
+                modelToStage(service, domain, wanted, surplus, engineCounts)
             } else {
-                modelToRestage(service, spare, staged, surplus)
+                modelToRestage(service, domain, spare, staged, surplus, countsBefore)
             }
             if (model == null) continue
             if (!reserveLoad(service)) return
             order(spare.incarnation, EngineCommand.Stage(model.name))
             surplus.merge(model.name, 1, Int::plus)
             engineCounts.merge(model.name, 1, Int::plus)
-            staged?.let { surplus.merge(it, -1, Int::plus) }
+            staged?.let {
+                surplus.merge(it, -1, Int::plus)
+                engineCounts.merge(it, -1, Int::plus)
+            }
         }
     }
 }
 
 /**
- * The model whose weights a free engine of [domain] should load: one whose groups there lack engines, then one for
- * which several engines lack only the last member of a group, else the one with the fewest spares in the domain.
+ * The model whose weights a free engine of [domain] should load: the one with the fewest engines for its work, then one
+ * whose groups there lack engines, else the one with the fewest spares in the domain.
  */
 private fun Planning.modelToStage(
     service: DocumentService,
     domain: String,
-    spares: List<Announcement>,
     wanted: DomainTargets,
     surplus: Map<String, Int>,
     engineCounts: Map<String, Int>,
 ): ModelSpec? {
-    fun incompleteMembers(model: ModelSpec) = spares.count { stagedModel(service, it) == model.name } % model.groupSize
     fun isUsed(model: ModelSpec) = assignedIn(service, model, domain) + wanted.groups(domain, model) > 0
+
+    // Until the first request, loads are fast, so the groups that are wanted in the domain come first.
+    fun enginesIfLoadsAreSlow(model: ModelSpec) = if (input.trafficStarted) enginesPerWork(model, engineCounts) else 0.0
     return service.models.minWithOrNull(
         compareBy(
+            { enginesIfLoadsAreSlow(it) },
             { minOf(surplus.getValue(it.name), 0) },
-            { if (incompleteMembers(it) == it.groupSize - 1 && incompleteMembers(it) > 1) 0 else 1 },
             { if (isUsed(it)) 0 else 1 },
             { surplus.getValue(it.name) % it.groupSize },
             { enginesPerWork(it, engineCounts) },
@@ -107,21 +115,48 @@
     state.stageRefusedMs[incarnation]?.let { input.nowMs - it < STAGE_RETRY_MS } == true
 
 /**
- * A model whose groups in the domain lack engines even without spares, if the domain has a surplus of [staged] engines;
- * else null. A missing spare is not enough: an engine serves no requests while it loads, and targets change with every
- * loss.
+ * A model whose groups in the domain have lacked engines for some time, even without spares, if it has fewer engines
+ * for its work than [staged] and the groups of [staged] in the domain can spare one; else null. A missing spare is not
+ * enough: an engine serves no requests while it loads, and targets change with every loss.
  */
 private fun Planning.modelToRestage(
     service: DocumentService,
+    domain: String,
     engine: Announcement,
     staged: String,
     surplus: Map<String, Int>,
+    engineCounts: Map<String, Int>,
 ): ModelSpec? {
-    if (surplus.getValue(staged) <= 0 || isLoading(service, engine.incarnation)) return null
-    return service.models.filter { it.name != staged && surplus.getValue(it.name) + sparesOf(it) < 0 }
+    val current = service.models.firstOrNull { it.name == staged } ?: return null
+    if (surplus.getValue(staged) + sparesOf(current) <= 0 || isLoading(service, engine.incarnation)) return null
+    return service.models
+        .filter { it.name != staged && isShort(it, surplus) && isShortageLasting(service, it, domain) }
+        .filter { !input.trafficStarted || enginesPerWork(it, engineCounts) < enginesPerWork(current, engineCounts) }
         .minByOrNull { surplus.getValue(it.name) }
 }
 
+private fun isShort(model: ModelSpec, surplus: Map<String, Int>): Boolean =
+    surplus.getValue(model.name) + sparesOf(model) < 0
+
+/** Records since when each model has lacked engines in the domain. */
+private fun Planning.trackShortages(service: DocumentService, domain: String, surplus: Map<String, Int>) {
+    for (model in service.models) {
+        val key = ModelInDomain(service.name, model.name, domain)
+        val since = state.shortageSinceMs
+        val next = if (isShort(model, surplus)) since.put(key, since[key] ?: input.nowMs) else since.remove(key)
+        state = state.copy(shortageSinceMs = next)
+    }
+}
+
+/**
+ * Whether the shortage has outlasted the time in which the members of a lost group are free, or in which a new leader
+ * receives the announcements of all engines.
+ */
+private fun Planning.isShortageLasting(service: DocumentService, model: ModelSpec, domain: String): Boolean {
+    val sinceMs = state.shortageSinceMs[ModelInDomain(service.name, model.name, domain)] ?: return false
+    return !input.trafficStarted || input.nowMs - sinceMs >= SHORTAGE_CONFIRMATION_MS
+}
+
 /** Whether the engine is probably loading weights, during which it refuses others. */
 private fun Planning.isLoading(service: DocumentService, incarnation: EngineIncarnation): Boolean =
     service.models.any { model ->
@@ -141,6 +176,9 @@
 
 /** Retry interval for a host that refuses to stage, which it does for up to 16 s while it loads other weights. */
 private const val STAGE_RETRY_MS = 5_000L
+
+/** Longer than the members of a lost group take to join another one, or all engines to announce themselves. */
+private const val SHORTAGE_CONFIRMATION_MS = 2_500L
 private val ASSIGNED_PHASES = setOf(GroupPhase.WARMING, GroupPhase.FORMING, GroupPhase.SERVING)
 
 /** Fraction of the declared load rate that the planner uses. */
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/StageOrderTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/StageOrderTest.kt
@@ -42,7 +42,7 @@
     @TestFactory
     fun `stage orders are repeated after the retry interval`() = cases.map { case ->
         DynamicTest.dynamicTest("${case.result}, ${case.laterMs} ms later") {
-            val first = plan(loaded, START_MS)
+            val first = plan(plan(loaded, START_MS - SHORTAGE_MS).state, START_MS)
             expectThat(first.stages()).isEqualTo(2)
             val afterResults = engines.fold(first.state) { state, engine ->
                 onOrderResult(state, engine.incarnation, small, case.result, START_MS + 10)
@@ -53,5 +53,8 @@
 
     private companion object {
         const val START_MS = 100_000L
+
+        /** Weights are replaced only when the other model has lacked engines for some time. */
+        const val SHORTAGE_MS = 3_000L
     }
 }
