--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
@@ -18,6 +18,7 @@
 import org.bramleyspur.protocol.ConfigurationDocument
 import org.bramleyspur.protocol.DirectoryEvent
 import org.bramleyspur.protocol.DirectoryRequest
+import org.bramleyspur.traffic.quarantine.PartObservation
 
 private val logger = KotlinLogging.logger {}
 
@@ -25,11 +26,13 @@
  * Supplies the state that a control instance sends to its watchers.
  *
  * @property backends all known backend servers, sent to a new watcher
+ * @property promptParts what is known about suspect prompt parts, sent to a new watcher
  * @property confirmed whether this instance leads with a valid lease
  * @property members `host:port` of the members of the control log
  */
 class DirectorySource(
     val backends: () -> BackendDirectory,
+    val promptParts: () -> List<PartObservation>,
     val document: () -> StoredDocument?,
     val confirmed: () -> Boolean,
     val members: () -> List<String>,
@@ -58,6 +61,7 @@
         events.setOnCancelHandler { watchers -= watcher }
         val now = timers.nowMs()
         val event = newEvent().addAllAnnouncements(source.backends().toMessages(now))
+        event.addAllPromptParts(source.promptParts().map { it.toMessage() })
         source.document()?.let { event.setDocument(it.toEvent()) }
         watcher.send(event.build())
         return watcher
@@ -67,6 +71,10 @@
     fun onAnnouncement(announcement: Announcement) =
         broadcast(newEvent().addAnnouncements(announcement.toMessage(0)).build())
 
+    /** Sends new observations of prompt parts to all watchers. */
+    fun onPromptParts(observations: List<PartObservation>) =
+        broadcast(newEvent().addAllPromptParts(observations.map { it.toMessage() }).build())
+
     /** Sends a committed document to all watchers. */
     fun onDocument(document: StoredDocument) = broadcast(newEvent().setDocument(document.toEvent()).build())
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -15,6 +15,7 @@
 import org.bramleyspur.traffic.forward.longestEventIntervalMs
 import org.bramleyspur.traffic.forward.plainResponseMs
 import org.bramleyspur.traffic.forward.stepMs
+import org.bramleyspur.traffic.quarantine.EngineLife
 import java.util.random.RandomGenerator
 
 /**
@@ -51,6 +52,7 @@
     val loads: BackendLoads,
     val log: DecisionLog,
     val metrics: ForwardMetrics,
+    val promptParts: PromptPartGuard,
     private val dataCentre: String,
     private val random: RandomGenerator,
     private val onUnresponsive: () -> Unit,
@@ -69,6 +71,10 @@
         onUnresponsive()
     }
 
+    /** The life of the backend server [id] that is announced now. */
+    fun engineLife(id: String): EngineLife =
+        EngineLife(id, directory.backends[id]?.announcement?.startedAtMs ?: UNKNOWN_START_MS)
+
     /** A uniform random number from 0 (inclusive) to 1 (exclusive). */
     fun randomFraction(): Double = random.nextDouble()
 
@@ -156,6 +162,8 @@
         (accountPriority ?: route.priority).coerceIn(0, LOWEST_URGENCY)
 
     private companion object {
+        const val UNKNOWN_START_MS = 0L
+
         /** Typical round trip between data centres of one region. */
         const val REMOTE_ROUND_TRIP_MS = 10.0
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardHeaders.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardHeaders.kt
@@ -9,6 +9,7 @@
  * @property account name of the client account, set by the entry
  * @property model name of the requested model
  * @property tokenCounts prompt tokens and maximum output tokens, separated by a comma
+ * @property promptParts parts of the prompt in order, as `ID:TOKENS` entries; the last one belongs to the request alone
  * @property lastEventId id of the last event that was received on a stream
  * @property notExecuted present in a response when the backend server did not execute the request
  * @property load running requests, queued requests and slots, separated by commas
@@ -22,6 +23,7 @@
     val account: String,
     val model: String,
     val tokenCounts: String,
+    val promptParts: String,
     val lastEventId: String,
     val notExecuted: String,
     val load: String,
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
@@ -24,12 +24,21 @@
         .labelNames("service")
         .register(registry)
 
+    private val partBlocked = Counter.builder()
+        .name("bramleyspur_prompt_part_refusals_total")
+        .help("Requests refused because a part of their prompt crashes engines, by route.")
+        .labelNames("route")
+        .register(registry)
+
     fun onRequestEnd(route: String, outcome: String) = requests.labelValues(route, outcome).inc()
 
     /** Records the time from the receipt of a request to the first byte of its response. */
     fun onFirstByte(route: String, latencyMs: Long) =
         firstByteSeconds.labelValues(route).observe(latencyMs / MS_PER_SECOND)
 
+    /** Records a refusal because a part of the prompt crashes engines. */
+    fun onPartBlocked(route: String) = partBlocked.labelValues(route).inc()
+
     fun onRetry(service: String) = retries.labelValues(service).inc()
 
     private companion object {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -26,6 +26,8 @@
 import org.bramleyspur.traffic.forward.NextStep
 import org.bramleyspur.traffic.forward.RequestProgress
 import org.bramleyspur.traffic.forward.nextStep
+import org.bramleyspur.traffic.quarantine.PartVerdict
+import org.bramleyspur.traffic.quarantine.sharedParts
 
 /** An admitted request that is being forwarded. Confined to the traffic thread. */
 internal class ForwardedRequest(
@@ -43,6 +45,7 @@
     private val tokens = tokenCountsOf(request.headers.get(headerNames.tokenCounts))
     private val promptTokens = tokens.prompt
     private val streaming = route.kind == RouteKind.STREAMING
+    private val parts = if (streaming) sharedParts(request.headers.get(headerNames.promptParts)) else emptyList()
     private val deadlineMs = deadlineMs()
     private val triedBackends = LinkedHashSet<String>()
     private var deadlineTimer: TimerHandle? = null
@@ -83,6 +86,7 @@
     }
 
     private fun send() {
+        if (isKeptFromEngines()) return
         val choice = context.choose(service, model, tokens, triedBackends)
         when {
             choice == null -> onAttemptEnd(AttemptEnd.NoCandidate, "no backend server takes ${model ?: service.name}")
@@ -96,6 +100,22 @@
         }
     }
 
+    /** Ends the request if a part of its prompt crashes engines, or may have crashed one under this request. */
+    private fun isKeptFromEngines(): Boolean {
+        if (sentAttempts > 0) {
+            if (context.promptParts.allowsRetry(parts)) return false
+            onAttemptEnd(
+                AttemptEnd.PartBlocked(null),
+                "a part of its prompt may have crashed ${triedBackends.lastOrNull()}",
+            )
+            return true
+        }
+        val verdict = context.promptParts.admit(parts) as? PartVerdict.Blocked ?: return false
+        context.metrics.onPartBlocked(route.name)
+        onAttemptEnd(AttemptEnd.PartBlocked(verdict.retryAfterMs), "its prompt part ${verdict.part} crashes engines")
+        return true
+    }
+
     /**
      * Longest acceptable queueing time on a backend server, in milliseconds. Callers give up on a stream that does not
      * begin; one that has begun may wait until its deadline. The limit does not depend on the length of the prompt.
@@ -157,7 +177,12 @@
     )
 
     private fun refuse(end: AttemptEnd, detail: String) {
-        val retryAfterMs = (end as? AttemptEnd.Rejected)?.retryAfterMs ?: RETRY_AFTER_MS
+        val knownRetryAfterMs = when (end) {
+            is AttemptEnd.Rejected -> end.retryAfterMs
+            is AttemptEnd.PartBlocked -> end.retryAfterMs
+            else -> null
+        }
+        val retryAfterMs = knownRetryAfterMs ?: RETRY_AFTER_MS
         response.refuse(STATUS_NOT_RUN, "not run: $detail", retryAfterMs)
         end("not-run", detail)
     }
@@ -216,6 +241,8 @@
         private val startedAtMs = context.timers.nowMs()
         private var lastDataMs = startedAtMs
         private var lastEventMs: Long? = null
+        private var receivedEvents = 0
+        private val engine = context.engineLife(load.id)
 
         /** Whether the request may have reached the backend server. */
         var sent = false
@@ -360,6 +387,7 @@
 
         private fun forwardEvents(bytes: ByteArray) {
             val events = splitter.feed(bytes)
+            onEventsReceived(events.size)
             recordEventInterval(events.size)
             if (splitter.overflowed) return discard("${load.id} sent an event above the limit")
             if (events.isNotEmpty() && !countedAsActiveStream) {
@@ -378,6 +406,13 @@
             if (route.idempotent && events.isNotEmpty()) startStallTimer(STREAM_STALL_TIMEOUT_MS)
         }
 
+        /** An engine that crashes under a request does so when it begins the response, so it sends no second event. */
+        private fun onEventsReceived(count: Int) {
+            val begun = receivedEvents >= EVENTS_AFTER_START
+            receivedEvents += count
+            if (!begun && receivedEvents >= EVENTS_AFTER_START) context.promptParts.onSurvived(parts)
+        }
+
         private fun recordEventInterval(events: Int) {
             val eventIntervalMs = choice.eventIntervalMs ?: return
             if (events == 0) return
@@ -398,6 +433,7 @@
             forwardHead()
             releaseLoad()
             load.onSuccess()
+            context.promptParts.onSurvived(parts)
             response.finish()
             val status = responseHead?.first ?: 0
             end(if (status < STATUS_SERVER_ERROR) "served" else "ran-and-failed", "status $status")
@@ -415,6 +451,7 @@
                 onAttemptEnd(AttemptEnd.NotSent, message)
             } else {
                 load.onFailure(now)
+                if (receivedEvents < EVENTS_AFTER_START) context.promptParts.onEngineEnded(parts, engine)
                 onAttemptEnd(if (responseStarted) AttemptEnd.BrokenOff else AttemptEnd.NoAnswer, message)
             }
         }
@@ -470,6 +507,7 @@
         /** Several steps of a full batch; a working engine sends events much more often. */
         const val STREAM_STALL_TIMEOUT_MS = 450L
         const val STALL_RECHECK_INTERVAL_MS = 100L
+        const val EVENTS_AFTER_START = 2
         const val MIN_PLAIN_STALL_TIMEOUT_MS = 150L
         const val PREDICTION_MARGIN_FACTOR = 2.0
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -34,6 +34,8 @@
 import org.bramleyspur.daemon.directory.DirectoryClient
 import org.bramleyspur.daemon.directory.DirectoryServer
 import org.bramleyspur.daemon.directory.DirectorySource
+import org.bramleyspur.daemon.directory.toMessage
+import org.bramleyspur.daemon.directory.toModel
 import org.bramleyspur.daemon.member.ControlNode
 import org.bramleyspur.daemon.member.ControlNodeListener
 import org.bramleyspur.daemon.member.MemberAdmission
@@ -56,10 +58,12 @@
 import org.bramleyspur.protocol.DirectoryEvent
 import org.bramleyspur.protocol.DirectoryRequest
 import org.bramleyspur.protocol.DirectoryServiceGrpc
+import org.bramleyspur.protocol.PromptPartReport
 import org.bramleyspur.protocol.QueryReply
 import org.bramleyspur.protocol.QueryRequest
 import org.bramleyspur.protocol.SubmitReply
 import org.bramleyspur.protocol.SubmitRequest
+import org.bramleyspur.traffic.quarantine.PartQuarantine
 import java.nio.file.Path
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
@@ -117,10 +121,12 @@
     private var node: ControlNode? = null
     private var memberId = ""
     private var directory = BackendDirectory()
+    private var promptParts = PartQuarantine()
     private val directoryServer = DirectoryServer(
         timers,
         DirectorySource(
             backends = { directory },
+            promptParts = { promptParts.observations() },
             document = { node?.state?.document },
             confirmed = { node?.leadingTerm() != null },
             members = ::memberAddresses,
@@ -268,17 +274,32 @@
     private fun onEvent(event: DirectoryEvent) {
         val now = timers.nowMs()
         event.announcementsList.forEach { recordAnnouncement(it.toModel(), now - it.ageMs) }
+        recordPromptParts(event.promptPartsList)
+    }
+
+    /** Passes on what is new, so that an entry that reaches only some control instances learns it from any of them. */
+    private fun recordPromptParts(reports: List<PromptPartReport>) {
+        val changes = reports.map { it.toModel() }.filter { observation ->
+            val before = promptParts
+            promptParts = before.with(observation, timers.nowMs())
+            promptParts !== before
+        }
+        if (changes.isNotEmpty()) directoryServer.onPromptParts(changes)
     }
 
     private fun report(first: Boolean): DirectoryRequest {
         val report = DirectoryRequest.newBuilder().setInstance(settings.instance)
-        if (first) report.addAllAnnouncements(directory.toMessages(timers.nowMs()))
+        if (first) {
+            report.addAllAnnouncements(directory.toMessages(timers.nowMs()))
+            report.addAllPromptParts(promptParts.observations().map { it.toMessage() })
+        }
         return report.build()
     }
 
     private fun onDirectoryRequest(request: DirectoryRequest) {
         val now = timers.nowMs()
         request.announcementsList.forEach { recordAnnouncement(it.toModel(), now - it.ageMs) }
+        recordPromptParts(request.promptPartsList)
         if (request.entry) groupDriver.onEntryReport(request)
     }
 
@@ -308,6 +329,7 @@
 
     private fun expireBackends() {
         directory = directory.expire(timers.nowMs())
+        promptParts = promptParts.expire(timers.nowMs())
         groupDriver.closeAllExcept(directory.backends.values)
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -14,17 +14,21 @@
 import org.bramleyspur.core.wire.toMessages
 import org.bramleyspur.core.wire.toModel
 import org.bramleyspur.daemon.directory.DirectoryClient
+import org.bramleyspur.daemon.directory.toMessage
+import org.bramleyspur.daemon.directory.toModel
 import org.bramleyspur.daemon.forward.BackendLoads
 import org.bramleyspur.daemon.forward.ForwardContext
 import org.bramleyspur.daemon.forward.ForwardHeaders
 import org.bramleyspur.daemon.forward.ForwardMetrics
 import org.bramleyspur.daemon.forward.FrontServer
+import org.bramleyspur.daemon.forward.PromptPartGuard
 import org.bramleyspur.daemon.platform.PlatformServer
 import org.bramleyspur.daemon.platform.Readiness
 import org.bramleyspur.protocol.DirectoryEvent
 import org.bramleyspur.protocol.DirectoryRequest
 import org.bramleyspur.traffic.forward.RouteTable
 import org.bramleyspur.traffic.forward.WindowedRetryBudget
+import org.bramleyspur.traffic.quarantine.PartObservation
 import java.util.random.RandomGenerator
 
 /**
@@ -68,14 +72,18 @@
     private val registry = PrometheusRegistry()
     private var entryCount = 0
     private val loads = BackendLoads(loops.trafficGroup, timers, dialect.headers)
+    private val random = RandomGenerator.getDefault()
+    private val pendingObservations = ArrayList<PartObservation>()
+    private val promptParts = PromptPartGuard(timers, log, delayFactor = 1 + random.nextDouble(), ::publish)
     private val context = ForwardContext(
         timers,
         dialect.headers,
         loads,
         log,
         ForwardMetrics(registry),
+        promptParts,
         settings.dataCentre,
-        RandomGenerator.getDefault(),
+        random,
         onUnresponsive = { onUnresponsive() },
     ) {
         WindowedRetryBudget(settings.retryBudgetRatio, settings.retryBudgetSlack, settings.retryBudgetWindowMs) {
@@ -89,6 +97,12 @@
 
     /** Reports an unresponsive backend server to the control instances at once. */
     private fun onUnresponsive() = directoryClient.sendReports()
+
+    private fun publish(observations: List<PartObservation>) {
+        pendingObservations += observations
+        directoryClient.sendReports()
+    }
+
     private val startedAtMs = timers.nowMs()
     private var leaderConfirmed = false
 
@@ -132,7 +146,13 @@
     private fun report(first: Boolean): DirectoryRequest {
         updateConfigurationUsable()
         val report = DirectoryRequest.newBuilder()
-        if (first) report.addAllAnnouncements(context.directory.toMessages(timers.nowMs()))
+        if (first) {
+            report.addAllAnnouncements(context.directory.toMessages(timers.nowMs()))
+            report.addAllPromptParts(promptParts.observations().map { it.toMessage() })
+        } else {
+            report.addAllPromptParts(pendingObservations.map { it.toMessage() })
+            pendingObservations.clear()
+        }
         return report
             .setInstance(settings.instance)
             .setEntry(true)
@@ -171,6 +191,7 @@
                 )
             }
         }
+        promptParts.receive(event.promptPartsList.map { it.toModel() })
         if (event.hasDocument()) applyDocument(event, address)
         if (event.confirmed) {
             leaderConfirmed = true
@@ -192,6 +213,7 @@
 
     private fun expireBackends() {
         context.directory = context.directory.expire(timers.nowMs())
+        promptParts.expire()
         loads.closeAllExcept(
             context.directory.backends.filter { it.value.announcement.state != BackendState.GONE }.keys,
         )
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Account.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Account.java
@@ -168,7 +168,7 @@
   private int patienceMs_ = 0;
   /**
    * <pre>
-   * Longest predicted queueing time that the account accepts.
+   * Longest predicted queueing time at which the account's requests are accepted.
    * </pre>
    *
    * <code>uint32 patience_ms = 6;</code>
@@ -896,7 +896,7 @@
     private int patienceMs_ ;
     /**
      * <pre>
-     * Longest predicted queueing time that the account accepts.
+     * Longest predicted queueing time at which the account's requests are accepted.
      * </pre>
      *
      * <code>uint32 patience_ms = 6;</code>
@@ -908,7 +908,7 @@
     }
     /**
      * <pre>
-     * Longest predicted queueing time that the account accepts.
+     * Longest predicted queueing time at which the account's requests are accepted.
      * </pre>
      *
      * <code>uint32 patience_ms = 6;</code>
@@ -924,7 +924,7 @@
     }
     /**
      * <pre>
-     * Longest predicted queueing time that the account accepts.
+     * Longest predicted queueing time at which the account's requests are accepted.
      * </pre>
      *
      * <code>uint32 patience_ms = 6;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AccountDemand.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AccountDemand.java
@@ -105,7 +105,7 @@
   private int share_ = 0;
   /**
    * <pre>
-   * Concurrent requests that the entry holds itself entitled to.
+   * Concurrent requests in the share that the entry holds; 0 after its lease has ended.
    * </pre>
    *
    * <code>uint32 share = 4;</code>
@@ -650,7 +650,7 @@
     private int share_ ;
     /**
      * <pre>
-     * Concurrent requests that the entry holds itself entitled to.
+     * Concurrent requests in the share that the entry holds; 0 after its lease has ended.
      * </pre>
      *
      * <code>uint32 share = 4;</code>
@@ -662,7 +662,7 @@
     }
     /**
      * <pre>
-     * Concurrent requests that the entry holds itself entitled to.
+     * Concurrent requests in the share that the entry holds; 0 after its lease has ended.
      * </pre>
      *
      * <code>uint32 share = 4;</code>
@@ -678,7 +678,7 @@
     }
     /**
      * <pre>
-     * Concurrent requests that the entry holds itself entitled to.
+     * Concurrent requests in the share that the entry holds; 0 after its lease has ended.
      * </pre>
      *
      * <code>uint32 share = 4;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AccountDemandOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AccountDemandOrBuilder.java
@@ -34,7 +34,7 @@
 
   /**
    * <pre>
-   * Concurrent requests that the entry holds itself entitled to.
+   * Concurrent requests in the share that the entry holds; 0 after its lease has ended.
    * </pre>
    *
    * <code>uint32 share = 4;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AccountOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AccountOrBuilder.java
@@ -64,7 +64,7 @@
 
   /**
    * <pre>
-   * Longest predicted queueing time that the account accepts.
+   * Longest predicted queueing time at which the account's requests are accepted.
    * </pre>
    *
    * <code>uint32 patience_ms = 6;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AdmissionReply.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AdmissionReply.java
@@ -44,7 +44,7 @@
   private boolean admitted_ = false;
   /**
    * <pre>
-   * True when the member is in the log's membership.
+   * True if the member is part of the log's membership.
    * </pre>
    *
    * <code>bool admitted = 1;</code>
@@ -60,7 +60,7 @@
   private volatile java.lang.Object leader_ = "";
   /**
    * <pre>
-   * host:port of the leader, when the asked member does not lead.
+   * host:port of the leader if the receiver of the request is not the leader.
    * </pre>
    *
    * <code>string leader = 2;</code>
@@ -81,7 +81,7 @@
   }
   /**
    * <pre>
-   * host:port of the leader, when the asked member does not lead.
+   * host:port of the leader if the receiver of the request is not the leader.
    * </pre>
    *
    * <code>string leader = 2;</code>
@@ -455,7 +455,7 @@
     private boolean admitted_ ;
     /**
      * <pre>
-     * True when the member is in the log's membership.
+     * True if the member is part of the log's membership.
      * </pre>
      *
      * <code>bool admitted = 1;</code>
@@ -467,7 +467,7 @@
     }
     /**
      * <pre>
-     * True when the member is in the log's membership.
+     * True if the member is part of the log's membership.
      * </pre>
      *
      * <code>bool admitted = 1;</code>
@@ -483,7 +483,7 @@
     }
     /**
      * <pre>
-     * True when the member is in the log's membership.
+     * True if the member is part of the log's membership.
      * </pre>
      *
      * <code>bool admitted = 1;</code>
@@ -499,7 +499,7 @@
     private java.lang.Object leader_ = "";
     /**
      * <pre>
-     * host:port of the leader, when the asked member does not lead.
+     * host:port of the leader if the receiver of the request is not the leader.
      * </pre>
      *
      * <code>string leader = 2;</code>
@@ -519,7 +519,7 @@
     }
     /**
      * <pre>
-     * host:port of the leader, when the asked member does not lead.
+     * host:port of the leader if the receiver of the request is not the leader.
      * </pre>
      *
      * <code>string leader = 2;</code>
@@ -540,7 +540,7 @@
     }
     /**
      * <pre>
-     * host:port of the leader, when the asked member does not lead.
+     * host:port of the leader if the receiver of the request is not the leader.
      * </pre>
      *
      * <code>string leader = 2;</code>
@@ -557,7 +557,7 @@
     }
     /**
      * <pre>
-     * host:port of the leader, when the asked member does not lead.
+     * host:port of the leader if the receiver of the request is not the leader.
      * </pre>
      *
      * <code>string leader = 2;</code>
@@ -571,7 +571,7 @@
     }
     /**
      * <pre>
-     * host:port of the leader, when the asked member does not lead.
+     * host:port of the leader if the receiver of the request is not the leader.
      * </pre>
      *
      * <code>string leader = 2;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AdmissionReplyOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AdmissionReplyOrBuilder.java
@@ -10,7 +10,7 @@
 
   /**
    * <pre>
-   * True when the member is in the log's membership.
+   * True if the member is part of the log's membership.
    * </pre>
    *
    * <code>bool admitted = 1;</code>
@@ -20,7 +20,7 @@
 
   /**
    * <pre>
-   * host:port of the leader, when the asked member does not lead.
+   * host:port of the leader if the receiver of the request is not the leader.
    * </pre>
    *
    * <code>string leader = 2;</code>
@@ -29,7 +29,7 @@
   java.lang.String getLeader();
   /**
    * <pre>
-   * host:port of the leader, when the asked member does not lead.
+   * host:port of the leader if the receiver of the request is not the leader.
    * </pre>
    *
    * <code>string leader = 2;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AppendRequest.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AppendRequest.java
@@ -169,7 +169,7 @@
   private long round_ = 0L;
   /**
    * <pre>
-   * Numbers the leader's rounds, for quorum leases.
+   * Number of the leader's heartbeat round. A round that a majority acknowledges renews the leader's lease.
    * </pre>
    *
    * <code>uint64 round = 7;</code>
@@ -1141,7 +1141,7 @@
     private long round_ ;
     /**
      * <pre>
-     * Numbers the leader's rounds, for quorum leases.
+     * Number of the leader's heartbeat round. A round that a majority acknowledges renews the leader's lease.
      * </pre>
      *
      * <code>uint64 round = 7;</code>
@@ -1153,7 +1153,7 @@
     }
     /**
      * <pre>
-     * Numbers the leader's rounds, for quorum leases.
+     * Number of the leader's heartbeat round. A round that a majority acknowledges renews the leader's lease.
      * </pre>
      *
      * <code>uint64 round = 7;</code>
@@ -1169,7 +1169,7 @@
     }
     /**
      * <pre>
-     * Numbers the leader's rounds, for quorum leases.
+     * Number of the leader's heartbeat round. A round that a majority acknowledges renews the leader's lease.
      * </pre>
      *
      * <code>uint64 round = 7;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AppendRequestOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AppendRequestOrBuilder.java
@@ -70,7 +70,7 @@
 
   /**
    * <pre>
-   * Numbers the leader's rounds, for quorum leases.
+   * Number of the leader's heartbeat round. A round that a majority acknowledges renews the leader's lease.
    * </pre>
    *
    * <code>uint64 round = 7;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AssignCommand.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AssignCommand.java
@@ -45,7 +45,7 @@
   private java.util.List<org.bramleyspur.protocol.Assignment> assignments_;
   /**
    * <pre>
-   * Without fencing numbers: the log index of the command becomes the fencing number.
+   * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -56,7 +56,7 @@
   }
   /**
    * <pre>
-   * Without fencing numbers: the log index of the command becomes the fencing number.
+   * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -68,7 +68,7 @@
   }
   /**
    * <pre>
-   * Without fencing numbers: the log index of the command becomes the fencing number.
+   * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -79,7 +79,7 @@
   }
   /**
    * <pre>
-   * Without fencing numbers: the log index of the command becomes the fencing number.
+   * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -90,7 +90,7 @@
   }
   /**
    * <pre>
-   * Without fencing numbers: the log index of the command becomes the fencing number.
+   * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -489,7 +489,7 @@
 
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -503,7 +503,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -517,7 +517,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -531,7 +531,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -552,7 +552,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -570,7 +570,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -590,7 +590,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -611,7 +611,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -629,7 +629,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -647,7 +647,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -666,7 +666,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -683,7 +683,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -700,7 +700,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -711,7 +711,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -725,7 +725,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -740,7 +740,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -751,7 +751,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -763,7 +763,7 @@
     }
     /**
      * <pre>
-     * Without fencing numbers: the log index of the command becomes the fencing number.
+     * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AssignCommandOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AssignCommandOrBuilder.java
@@ -10,7 +10,7 @@
 
   /**
    * <pre>
-   * Without fencing numbers: the log index of the command becomes the fencing number.
+   * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -19,7 +19,7 @@
       getAssignmentsList();
   /**
    * <pre>
-   * Without fencing numbers: the log index of the command becomes the fencing number.
+   * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -27,7 +27,7 @@
   org.bramleyspur.protocol.Assignment getAssignments(int index);
   /**
    * <pre>
-   * Without fencing numbers: the log index of the command becomes the fencing number.
+   * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -35,7 +35,7 @@
   int getAssignmentsCount();
   /**
    * <pre>
-   * Without fencing numbers: the log index of the command becomes the fencing number.
+   * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
@@ -44,7 +44,7 @@
       getAssignmentsOrBuilderList();
   /**
    * <pre>
-   * Without fencing numbers: the log index of the command becomes the fencing number.
+   * Assignments without fencing numbers, since the log index of the command becomes their fencing number.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 1;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Assignment.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Assignment.java
@@ -6,7 +6,7 @@
 
 /**
  * <pre>
- * An instance's part in a replica. The first member answers requests.
+ * Assignment of an instance to a replica. The first member serves the requests.
  * </pre>
  *
  * Protobuf type {@code bramleyspur.Assignment}
@@ -259,7 +259,7 @@
   private java.util.List<org.bramleyspur.protocol.Member> members_;
   /**
    * <pre>
-   * The first entry is the first member.
+   * The first element is the first member.
    * </pre>
    *
    * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -270,7 +270,7 @@
   }
   /**
    * <pre>
-   * The first entry is the first member.
+   * The first element is the first member.
    * </pre>
    *
    * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -282,7 +282,7 @@
   }
   /**
    * <pre>
-   * The first entry is the first member.
+   * The first element is the first member.
    * </pre>
    *
    * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -293,7 +293,7 @@
   }
   /**
    * <pre>
-   * The first entry is the first member.
+   * The first element is the first member.
    * </pre>
    *
    * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -304,7 +304,7 @@
   }
   /**
    * <pre>
-   * The first entry is the first member.
+   * The first element is the first member.
    * </pre>
    *
    * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -545,7 +545,7 @@
   }
   /**
    * <pre>
-   * An instance's part in a replica. The first member answers requests.
+   * Assignment of an instance to a replica. The first member serves the requests.
    * </pre>
    *
    * Protobuf type {@code bramleyspur.Assignment}
@@ -1297,7 +1297,7 @@
 
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1311,7 +1311,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1325,7 +1325,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1339,7 +1339,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1360,7 +1360,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1378,7 +1378,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1398,7 +1398,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1419,7 +1419,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1437,7 +1437,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1455,7 +1455,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1474,7 +1474,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1491,7 +1491,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1508,7 +1508,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1519,7 +1519,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1533,7 +1533,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1548,7 +1548,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1559,7 +1559,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -1571,7 +1571,7 @@
     }
     /**
      * <pre>
-     * The first entry is the first member.
+     * The first element is the first member.
      * </pre>
      *
      * <code>repeated .bramleyspur.Member members = 7;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AssignmentOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AssignmentOrBuilder.java
@@ -89,7 +89,7 @@
 
   /**
    * <pre>
-   * The first entry is the first member.
+   * The first element is the first member.
    * </pre>
    *
    * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -98,7 +98,7 @@
       getMembersList();
   /**
    * <pre>
-   * The first entry is the first member.
+   * The first element is the first member.
    * </pre>
    *
    * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -106,7 +106,7 @@
   org.bramleyspur.protocol.Member getMembers(int index);
   /**
    * <pre>
-   * The first entry is the first member.
+   * The first element is the first member.
    * </pre>
    *
    * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -114,7 +114,7 @@
   int getMembersCount();
   /**
    * <pre>
-   * The first entry is the first member.
+   * The first element is the first member.
    * </pre>
    *
    * <code>repeated .bramleyspur.Member members = 7;</code>
@@ -123,7 +123,7 @@
       getMembersOrBuilderList();
   /**
    * <pre>
-   * The first entry is the first member.
+   * The first element is the first member.
    * </pre>
    *
    * <code>repeated .bramleyspur.Member members = 7;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AssignmentStatus.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/AssignmentStatus.java
@@ -49,7 +49,7 @@
       implements com.google.protobuf.ProtocolMessageEnum {
     /**
      * <pre>
-     * The backend server is being ordered into the role.
+     * The backend server is being switched to the role.
      * </pre>
      *
      * <code>LOADING = 0;</code>
@@ -65,7 +65,7 @@
     READY(1),
     /**
      * <pre>
-     * The first member serves: every member confirmed.
+     * The first member serves, since every member has confirmed.
      * </pre>
      *
      * <code>SERVING = 2;</code>
@@ -88,7 +88,7 @@
 
     /**
      * <pre>
-     * The backend server is being ordered into the role.
+     * The backend server is being switched to the role.
      * </pre>
      *
      * <code>LOADING = 0;</code>
@@ -104,7 +104,7 @@
     public static final int READY_VALUE = 1;
     /**
      * <pre>
-     * The first member serves: every member confirmed.
+     * The first member serves, since every member has confirmed.
      * </pre>
      *
      * <code>SERVING = 2;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/BackendAnnouncement.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/BackendAnnouncement.java
@@ -91,7 +91,7 @@
   private long bornMs_ = 0L;
   /**
    * <pre>
-   * Unix milliseconds of the backend server's start; 0 when it is not announced.
+   * Start time of the backend server in Unix milliseconds; 0 if it is not announced.
    * </pre>
    *
    * <code>uint64 born_ms = 2;</code>
@@ -246,7 +246,7 @@
   private volatile java.lang.Object state_ = "";
   /**
    * <pre>
-   * ready, leaving or gone.
+   * One of ready, leaving and gone.
    * </pre>
    *
    * <code>string state = 8;</code>
@@ -267,7 +267,7 @@
   }
   /**
    * <pre>
-   * ready, leaving or gone.
+   * One of ready, leaving and gone.
    * </pre>
    *
    * <code>string state = 8;</code>
@@ -1104,7 +1104,7 @@
     private long bornMs_ ;
     /**
      * <pre>
-     * Unix milliseconds of the backend server's start; 0 when it is not announced.
+     * Start time of the backend server in Unix milliseconds; 0 if it is not announced.
      * </pre>
      *
      * <code>uint64 born_ms = 2;</code>
@@ -1116,7 +1116,7 @@
     }
     /**
      * <pre>
-     * Unix milliseconds of the backend server's start; 0 when it is not announced.
+     * Start time of the backend server in Unix milliseconds; 0 if it is not announced.
      * </pre>
      *
      * <code>uint64 born_ms = 2;</code>
@@ -1132,7 +1132,7 @@
     }
     /**
      * <pre>
-     * Unix milliseconds of the backend server's start; 0 when it is not announced.
+     * Start time of the backend server in Unix milliseconds; 0 if it is not announced.
      * </pre>
      *
      * <code>uint64 born_ms = 2;</code>
@@ -1428,7 +1428,7 @@
     private java.lang.Object state_ = "";
     /**
      * <pre>
-     * ready, leaving or gone.
+     * One of ready, leaving and gone.
      * </pre>
      *
      * <code>string state = 8;</code>
@@ -1448,7 +1448,7 @@
     }
     /**
      * <pre>
-     * ready, leaving or gone.
+     * One of ready, leaving and gone.
      * </pre>
      *
      * <code>string state = 8;</code>
@@ -1469,7 +1469,7 @@
     }
     /**
      * <pre>
-     * ready, leaving or gone.
+     * One of ready, leaving and gone.
      * </pre>
      *
      * <code>string state = 8;</code>
@@ -1486,7 +1486,7 @@
     }
     /**
      * <pre>
-     * ready, leaving or gone.
+     * One of ready, leaving and gone.
      * </pre>
      *
      * <code>string state = 8;</code>
@@ -1500,7 +1500,7 @@
     }
     /**
      * <pre>
-     * ready, leaving or gone.
+     * One of ready, leaving and gone.
      * </pre>
      *
      * <code>string state = 8;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/BackendAnnouncementOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/BackendAnnouncementOrBuilder.java
@@ -22,7 +22,7 @@
 
   /**
    * <pre>
-   * Unix milliseconds of the backend server's start; 0 when it is not announced.
+   * Start time of the backend server in Unix milliseconds; 0 if it is not announced.
    * </pre>
    *
    * <code>uint64 born_ms = 2;</code>
@@ -80,7 +80,7 @@
 
   /**
    * <pre>
-   * ready, leaving or gone.
+   * One of ready, leaving and gone.
    * </pre>
    *
    * <code>string state = 8;</code>
@@ -89,7 +89,7 @@
   java.lang.String getState();
   /**
    * <pre>
-   * ready, leaving or gone.
+   * One of ready, leaving and gone.
    * </pre>
    *
    * <code>string state = 8;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Broken.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Broken.java
@@ -6,7 +6,7 @@
 
 /**
  * <pre>
- * The attempt ended without a whole answer after it had begun.
+ * The attempt had begun and ended without a complete response.
  * </pre>
  *
  * Protobuf type {@code bramleyspur.Broken}
@@ -87,7 +87,7 @@
   private boolean failed_ = false;
   /**
    * <pre>
-   * True when the backend server itself reported a failed run.
+   * True if the backend server itself reported a failed run.
    * </pre>
    *
    * <code>bool failed = 2;</code>
@@ -268,7 +268,7 @@
   }
   /**
    * <pre>
-   * The attempt ended without a whole answer after it had begun.
+   * The attempt had begun and ended without a complete response.
    * </pre>
    *
    * Protobuf type {@code bramleyspur.Broken}
@@ -527,7 +527,7 @@
     private boolean failed_ ;
     /**
      * <pre>
-     * True when the backend server itself reported a failed run.
+     * True if the backend server itself reported a failed run.
      * </pre>
      *
      * <code>bool failed = 2;</code>
@@ -539,7 +539,7 @@
     }
     /**
      * <pre>
-     * True when the backend server itself reported a failed run.
+     * True if the backend server itself reported a failed run.
      * </pre>
      *
      * <code>bool failed = 2;</code>
@@ -555,7 +555,7 @@
     }
     /**
      * <pre>
-     * True when the backend server itself reported a failed run.
+     * True if the backend server itself reported a failed run.
      * </pre>
      *
      * <code>bool failed = 2;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/BrokenOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/BrokenOrBuilder.java
@@ -22,7 +22,7 @@
 
   /**
    * <pre>
-   * True when the backend server itself reported a failed run.
+   * True if the backend server itself reported a failed run.
    * </pre>
    *
    * <code>bool failed = 2;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ClaimReply.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ClaimReply.java
@@ -51,7 +51,7 @@
       implements com.google.protobuf.ProtocolMessageEnum {
     /**
      * <pre>
-     * The caller of Claim may send the request, once.
+     * The caller of Claim may send the request once.
      * </pre>
      *
      * <code>GRANTED = 0;</code>
@@ -75,7 +75,7 @@
     DIGEST_MISMATCH(3),
     /**
      * <pre>
-     * The run's fate is unknown for good.
+     * The outcome of the run is permanently unknown.
      * </pre>
      *
      * <code>UNKNOWN_OUTCOME = 4;</code>
@@ -94,7 +94,7 @@
 
     /**
      * <pre>
-     * The caller of Claim may send the request, once.
+     * The caller of Claim may send the request once.
      * </pre>
      *
      * <code>GRANTED = 0;</code>
@@ -118,7 +118,7 @@
     public static final int DIGEST_MISMATCH_VALUE = 3;
     /**
      * <pre>
-     * The run's fate is unknown for good.
+     * The outcome of the run is permanently unknown.
      * </pre>
      *
      * <code>UNKNOWN_OUTCOME = 4;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/CommandRecord.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/CommandRecord.java
@@ -6,7 +6,7 @@
 
 /**
  * <pre>
- * First answer to an operators' command.
+ * Answer to the first delivery of an operators' command.
  * </pre>
  *
  * Protobuf type {@code bramleyspur.CommandRecord}
@@ -178,7 +178,7 @@
   private volatile java.lang.Object summary_ = "";
   /**
    * <pre>
-   * Beginning of the statements, for lists of changes.
+   * Start of the text of the statements, for lists of changes.
    * </pre>
    *
    * <code>string summary = 7;</code>
@@ -199,7 +199,7 @@
   }
   /**
    * <pre>
-   * Beginning of the statements, for lists of changes.
+   * Start of the text of the statements, for lists of changes.
    * </pre>
    *
    * <code>string summary = 7;</code>
@@ -445,7 +445,7 @@
   }
   /**
    * <pre>
-   * First answer to an operators' command.
+   * Answer to the first delivery of an operators' command.
    * </pre>
    *
    * Protobuf type {@code bramleyspur.CommandRecord}
@@ -980,7 +980,7 @@
     private java.lang.Object summary_ = "";
     /**
      * <pre>
-     * Beginning of the statements, for lists of changes.
+     * Start of the text of the statements, for lists of changes.
      * </pre>
      *
      * <code>string summary = 7;</code>
@@ -1000,7 +1000,7 @@
     }
     /**
      * <pre>
-     * Beginning of the statements, for lists of changes.
+     * Start of the text of the statements, for lists of changes.
      * </pre>
      *
      * <code>string summary = 7;</code>
@@ -1021,7 +1021,7 @@
     }
     /**
      * <pre>
-     * Beginning of the statements, for lists of changes.
+     * Start of the text of the statements, for lists of changes.
      * </pre>
      *
      * <code>string summary = 7;</code>
@@ -1038,7 +1038,7 @@
     }
     /**
      * <pre>
-     * Beginning of the statements, for lists of changes.
+     * Start of the text of the statements, for lists of changes.
      * </pre>
      *
      * <code>string summary = 7;</code>
@@ -1052,7 +1052,7 @@
     }
     /**
      * <pre>
-     * Beginning of the statements, for lists of changes.
+     * Start of the text of the statements, for lists of changes.
      * </pre>
      *
      * <code>string summary = 7;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/CommandRecordOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/CommandRecordOrBuilder.java
@@ -62,7 +62,7 @@
 
   /**
    * <pre>
-   * Beginning of the statements, for lists of changes.
+   * Start of the text of the statements, for lists of changes.
    * </pre>
    *
    * <code>string summary = 7;</code>
@@ -71,7 +71,7 @@
   java.lang.String getSummary();
   /**
    * <pre>
-   * Beginning of the statements, for lists of changes.
+   * Start of the text of the statements, for lists of changes.
    * </pre>
    *
    * <code>string summary = 7;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/CompleteCommand.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/CompleteCommand.java
@@ -188,7 +188,7 @@
   private long grant_ = 0L;
   /**
    * <pre>
-   * Log index of the claim that ends.
+   * Log index of the claim that the command ends.
    * </pre>
    *
    * <code>uint64 grant = 2;</code>
@@ -798,7 +798,7 @@
     private long grant_ ;
     /**
      * <pre>
-     * Log index of the claim that ends.
+     * Log index of the claim that the command ends.
      * </pre>
      *
      * <code>uint64 grant = 2;</code>
@@ -810,7 +810,7 @@
     }
     /**
      * <pre>
-     * Log index of the claim that ends.
+     * Log index of the claim that the command ends.
      * </pre>
      *
      * <code>uint64 grant = 2;</code>
@@ -826,7 +826,7 @@
     }
     /**
      * <pre>
-     * Log index of the claim that ends.
+     * Log index of the claim that the command ends.
      * </pre>
      *
      * <code>uint64 grant = 2;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/CompleteCommandOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/CompleteCommandOrBuilder.java
@@ -25,7 +25,7 @@
 
   /**
    * <pre>
-   * Log index of the claim that ends.
+   * Log index of the claim that the command ends.
    * </pre>
    *
    * <code>uint64 grant = 2;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/CompleteRequest.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/CompleteRequest.java
@@ -55,7 +55,7 @@
     ANSWERED(0),
     /**
      * <pre>
-     * Proved not to have begun; the claim is removed.
+     * The run provably did not begin; the claim is removed.
      * </pre>
      *
      * <code>NOT_RUN = 1;</code>
@@ -74,7 +74,7 @@
     public static final int ANSWERED_VALUE = 0;
     /**
      * <pre>
-     * Proved not to have begun; the claim is removed.
+     * The run provably did not begin; the claim is removed.
      * </pre>
      *
      * <code>NOT_RUN = 1;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Configuration.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Configuration.java
@@ -146,7 +146,7 @@
       com.google.protobuf.LazyStringArrayList.emptyList();
   /**
    * <pre>
-   * Names of instances that must hold no work.
+   * Names of instances that must not run any work.
    * </pre>
    *
    * <code>repeated string drained_instances = 4;</code>
@@ -158,7 +158,7 @@
   }
   /**
    * <pre>
-   * Names of instances that must hold no work.
+   * Names of instances that must not run any work.
    * </pre>
    *
    * <code>repeated string drained_instances = 4;</code>
@@ -169,7 +169,7 @@
   }
   /**
    * <pre>
-   * Names of instances that must hold no work.
+   * Names of instances that must not run any work.
    * </pre>
    *
    * <code>repeated string drained_instances = 4;</code>
@@ -181,7 +181,7 @@
   }
   /**
    * <pre>
-   * Names of instances that must hold no work.
+   * Names of instances that must not run any work.
    * </pre>
    *
    * <code>repeated string drained_instances = 4;</code>
@@ -1232,7 +1232,7 @@
     }
     /**
      * <pre>
-     * Names of instances that must hold no work.
+     * Names of instances that must not run any work.
      * </pre>
      *
      * <code>repeated string drained_instances = 4;</code>
@@ -1245,7 +1245,7 @@
     }
     /**
      * <pre>
-     * Names of instances that must hold no work.
+     * Names of instances that must not run any work.
      * </pre>
      *
      * <code>repeated string drained_instances = 4;</code>
@@ -1256,7 +1256,7 @@
     }
     /**
      * <pre>
-     * Names of instances that must hold no work.
+     * Names of instances that must not run any work.
      * </pre>
      *
      * <code>repeated string drained_instances = 4;</code>
@@ -1268,7 +1268,7 @@
     }
     /**
      * <pre>
-     * Names of instances that must hold no work.
+     * Names of instances that must not run any work.
      * </pre>
      *
      * <code>repeated string drained_instances = 4;</code>
@@ -1281,7 +1281,7 @@
     }
     /**
      * <pre>
-     * Names of instances that must hold no work.
+     * Names of instances that must not run any work.
      * </pre>
      *
      * <code>repeated string drained_instances = 4;</code>
@@ -1300,7 +1300,7 @@
     }
     /**
      * <pre>
-     * Names of instances that must hold no work.
+     * Names of instances that must not run any work.
      * </pre>
      *
      * <code>repeated string drained_instances = 4;</code>
@@ -1318,7 +1318,7 @@
     }
     /**
      * <pre>
-     * Names of instances that must hold no work.
+     * Names of instances that must not run any work.
      * </pre>
      *
      * <code>repeated string drained_instances = 4;</code>
@@ -1336,7 +1336,7 @@
     }
     /**
      * <pre>
-     * Names of instances that must hold no work.
+     * Names of instances that must not run any work.
      * </pre>
      *
      * <code>repeated string drained_instances = 4;</code>
@@ -1351,7 +1351,7 @@
     }
     /**
      * <pre>
-     * Names of instances that must hold no work.
+     * Names of instances that must not run any work.
      * </pre>
      *
      * <code>repeated string drained_instances = 4;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ConfigurationOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ConfigurationOrBuilder.java
@@ -68,7 +68,7 @@
 
   /**
    * <pre>
-   * Names of instances that must hold no work.
+   * Names of instances that must not run any work.
    * </pre>
    *
    * <code>repeated string drained_instances = 4;</code>
@@ -78,7 +78,7 @@
       getDrainedInstancesList();
   /**
    * <pre>
-   * Names of instances that must hold no work.
+   * Names of instances that must not run any work.
    * </pre>
    *
    * <code>repeated string drained_instances = 4;</code>
@@ -87,7 +87,7 @@
   int getDrainedInstancesCount();
   /**
    * <pre>
-   * Names of instances that must hold no work.
+   * Names of instances that must not run any work.
    * </pre>
    *
    * <code>repeated string drained_instances = 4;</code>
@@ -97,7 +97,7 @@
   java.lang.String getDrainedInstances(int index);
   /**
    * <pre>
-   * Names of instances that must hold no work.
+   * Names of instances that must not run any work.
    * </pre>
    *
    * <code>repeated string drained_instances = 4;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ConfirmReply.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ConfirmReply.java
@@ -105,7 +105,7 @@
   private boolean leaving_ = false;
   /**
    * <pre>
-   * True when the member confirms only so that running requests finish.
+   * True if the member is leaving and confirms only so that running requests can finish.
    * </pre>
    *
    * <code>bool leaving = 4;</code>
@@ -653,7 +653,7 @@
     private boolean leaving_ ;
     /**
      * <pre>
-     * True when the member confirms only so that running requests finish.
+     * True if the member is leaving and confirms only so that running requests can finish.
      * </pre>
      *
      * <code>bool leaving = 4;</code>
@@ -665,7 +665,7 @@
     }
     /**
      * <pre>
-     * True when the member confirms only so that running requests finish.
+     * True if the member is leaving and confirms only so that running requests can finish.
      * </pre>
      *
      * <code>bool leaving = 4;</code>
@@ -681,7 +681,7 @@
     }
     /**
      * <pre>
-     * True when the member confirms only so that running requests finish.
+     * True if the member is leaving and confirms only so that running requests can finish.
      * </pre>
      *
      * <code>bool leaving = 4;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ConfirmReplyOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ConfirmReplyOrBuilder.java
@@ -34,7 +34,7 @@
 
   /**
    * <pre>
-   * True when the member confirms only so that running requests finish.
+   * True if the member is leaving and confirms only so that running requests can finish.
    * </pre>
    *
    * <code>bool leaving = 4;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ConfirmRequest.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ConfirmRequest.java
@@ -105,7 +105,7 @@
   private int grantMs_ = 0;
   /**
    * <pre>
-   * Time for which the answer counts, measured by the asker from the sending of the question.
+   * Validity of the confirmation, measured by the requester from the time at which it sent the request.
    * </pre>
    *
    * <code>uint32 grant_ms = 4;</code>
@@ -652,7 +652,7 @@
     private int grantMs_ ;
     /**
      * <pre>
-     * Time for which the answer counts, measured by the asker from the sending of the question.
+     * Validity of the confirmation, measured by the requester from the time at which it sent the request.
      * </pre>
      *
      * <code>uint32 grant_ms = 4;</code>
@@ -664,7 +664,7 @@
     }
     /**
      * <pre>
-     * Time for which the answer counts, measured by the asker from the sending of the question.
+     * Validity of the confirmation, measured by the requester from the time at which it sent the request.
      * </pre>
      *
      * <code>uint32 grant_ms = 4;</code>
@@ -680,7 +680,7 @@
     }
     /**
      * <pre>
-     * Time for which the answer counts, measured by the asker from the sending of the question.
+     * Validity of the confirmation, measured by the requester from the time at which it sent the request.
      * </pre>
      *
      * <code>uint32 grant_ms = 4;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ConfirmRequestOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ConfirmRequestOrBuilder.java
@@ -34,7 +34,7 @@
 
   /**
    * <pre>
-   * Time for which the answer counts, measured by the asker from the sending of the question.
+   * Validity of the confirmation, measured by the requester from the time at which it sent the request.
    * </pre>
    *
    * <code>uint32 grant_ms = 4;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ConsensusServiceGrpc.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ConsensusServiceGrpc.java
@@ -108,7 +108,7 @@
 
     /**
      * <pre>
-     * One long-lived stream in each direction of each pair of control instances.
+     * One long-lived stream in each direction between each pair of control instances.
      * </pre>
      */
     default io.grpc.stub.StreamObserver<org.bramleyspur.protocol.ConsensusMessage> messages(
@@ -146,7 +146,7 @@
 
     /**
      * <pre>
-     * One long-lived stream in each direction of each pair of control instances.
+     * One long-lived stream in each direction between each pair of control instances.
      * </pre>
      */
     public io.grpc.stub.StreamObserver<org.bramleyspur.protocol.ConsensusMessage> messages(
@@ -174,7 +174,7 @@
 
     /**
      * <pre>
-     * One long-lived stream in each direction of each pair of control instances.
+     * One long-lived stream in each direction between each pair of control instances.
      * </pre>
      */
     @io.grpc.ExperimentalApi("https://github.com/grpc/grpc-java/issues/10918")
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEvent.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEvent.java
@@ -20,6 +20,7 @@
     announcements_ = java.util.Collections.emptyList();
     members_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    promptParts_ = java.util.Collections.emptyList();
   }
 
   @java.lang.Override
@@ -114,7 +115,7 @@
   private boolean confirmed_ = false;
   /**
    * <pre>
-   * Whether the sender leads with a valid lease, so that its document is the newest.
+   * True if the sender is the leader and holds a valid lease, so that its document is the latest one.
    * </pre>
    *
    * <code>bool confirmed = 3;</code>
@@ -189,6 +190,47 @@
     return entries_;
   }
 
+  public static final int PROMPT_PARTS_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private java.util.List<org.bramleyspur.protocol.PromptPartReport> promptParts_;
+  /**
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.bramleyspur.protocol.PromptPartReport> getPromptPartsList() {
+    return promptParts_;
+  }
+  /**
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.bramleyspur.protocol.PromptPartReportOrBuilder> 
+      getPromptPartsOrBuilderList() {
+    return promptParts_;
+  }
+  /**
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+   */
+  @java.lang.Override
+  public int getPromptPartsCount() {
+    return promptParts_.size();
+  }
+  /**
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.PromptPartReport getPromptParts(int index) {
+    return promptParts_.get(index);
+  }
+  /**
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.PromptPartReportOrBuilder getPromptPartsOrBuilder(
+      int index) {
+    return promptParts_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -218,6 +260,9 @@
     if (entries_ != 0) {
       output.writeUInt32(5, entries_);
     }
+    for (int i = 0; i < promptParts_.size(); i++) {
+      output.writeMessage(7, promptParts_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -251,6 +296,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(5, entries_);
     }
+    for (int i = 0; i < promptParts_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, promptParts_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -279,6 +328,8 @@
         .equals(other.getMembersList())) return false;
     if (getEntries()
         != other.getEntries()) return false;
+    if (!getPromptPartsList()
+        .equals(other.getPromptPartsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -307,6 +358,10 @@
     }
     hash = (37 * hash) + ENTRIES_FIELD_NUMBER;
     hash = (53 * hash) + getEntries();
+    if (getPromptPartsCount() > 0) {
+      hash = (37 * hash) + PROMPT_PARTS_FIELD_NUMBER;
+      hash = (53 * hash) + getPromptPartsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -439,6 +494,7 @@
               .alwaysUseFieldBuilders) {
         getAnnouncementsFieldBuilder();
         getDocumentFieldBuilder();
+        getPromptPartsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -461,6 +517,13 @@
       members_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       entries_ = 0;
+      if (promptPartsBuilder_ == null) {
+        promptParts_ = java.util.Collections.emptyList();
+      } else {
+        promptParts_ = null;
+        promptPartsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       return this;
     }
 
@@ -503,6 +566,15 @@
       } else {
         result.announcements_ = announcementsBuilder_.build();
       }
+      if (promptPartsBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          promptParts_ = java.util.Collections.unmodifiableList(promptParts_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.promptParts_ = promptParts_;
+      } else {
+        result.promptParts_ = promptPartsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.bramleyspur.protocol.DirectoryEvent result) {
@@ -616,6 +688,32 @@
       if (other.getEntries() != 0) {
         setEntries(other.getEntries());
       }
+      if (promptPartsBuilder_ == null) {
+        if (!other.promptParts_.isEmpty()) {
+          if (promptParts_.isEmpty()) {
+            promptParts_ = other.promptParts_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensurePromptPartsIsMutable();
+            promptParts_.addAll(other.promptParts_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.promptParts_.isEmpty()) {
+          if (promptPartsBuilder_.isEmpty()) {
+            promptPartsBuilder_.dispose();
+            promptPartsBuilder_ = null;
+            promptParts_ = other.promptParts_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            promptPartsBuilder_ = 
+              com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
+                 getPromptPartsFieldBuilder() : null;
+          } else {
+            promptPartsBuilder_.addAllMessages(other.promptParts_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -678,6 +776,19 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 58: {
+              org.bramleyspur.protocol.PromptPartReport m =
+                  input.readMessage(
+                      org.bramleyspur.protocol.PromptPartReport.parser(),
+                      extensionRegistry);
+              if (promptPartsBuilder_ == null) {
+                ensurePromptPartsIsMutable();
+                promptParts_.add(m);
+              } else {
+                promptPartsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1059,7 +1170,7 @@
     private boolean confirmed_ ;
     /**
      * <pre>
-     * Whether the sender leads with a valid lease, so that its document is the newest.
+     * True if the sender is the leader and holds a valid lease, so that its document is the latest one.
      * </pre>
      *
      * <code>bool confirmed = 3;</code>
@@ -1071,7 +1182,7 @@
     }
     /**
      * <pre>
-     * Whether the sender leads with a valid lease, so that its document is the newest.
+     * True if the sender is the leader and holds a valid lease, so that its document is the latest one.
      * </pre>
      *
      * <code>bool confirmed = 3;</code>
@@ -1087,7 +1198,7 @@
     }
     /**
      * <pre>
-     * Whether the sender leads with a valid lease, so that its document is the newest.
+     * True if the sender is the leader and holds a valid lease, so that its document is the latest one.
      * </pre>
      *
      * <code>bool confirmed = 3;</code>
@@ -1278,6 +1389,246 @@
       onChanged();
       return this;
     }
+
+    private java.util.List<org.bramleyspur.protocol.PromptPartReport> promptParts_ =
+      java.util.Collections.emptyList();
+    private void ensurePromptPartsIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        promptParts_ = new java.util.ArrayList<org.bramleyspur.protocol.PromptPartReport>(promptParts_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.bramleyspur.protocol.PromptPartReport, org.bramleyspur.protocol.PromptPartReport.Builder, org.bramleyspur.protocol.PromptPartReportOrBuilder> promptPartsBuilder_;
+
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public java.util.List<org.bramleyspur.protocol.PromptPartReport> getPromptPartsList() {
+      if (promptPartsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(promptParts_);
+      } else {
+        return promptPartsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public int getPromptPartsCount() {
+      if (promptPartsBuilder_ == null) {
+        return promptParts_.size();
+      } else {
+        return promptPartsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public org.bramleyspur.protocol.PromptPartReport getPromptParts(int index) {
+      if (promptPartsBuilder_ == null) {
+        return promptParts_.get(index);
+      } else {
+        return promptPartsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public Builder setPromptParts(
+        int index, org.bramleyspur.protocol.PromptPartReport value) {
+      if (promptPartsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePromptPartsIsMutable();
+        promptParts_.set(index, value);
+        onChanged();
+      } else {
+        promptPartsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public Builder setPromptParts(
+        int index, org.bramleyspur.protocol.PromptPartReport.Builder builderForValue) {
+      if (promptPartsBuilder_ == null) {
+        ensurePromptPartsIsMutable();
+        promptParts_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        promptPartsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public Builder addPromptParts(org.bramleyspur.protocol.PromptPartReport value) {
+      if (promptPartsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePromptPartsIsMutable();
+        promptParts_.add(value);
+        onChanged();
+      } else {
+        promptPartsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public Builder addPromptParts(
+        int index, org.bramleyspur.protocol.PromptPartReport value) {
+      if (promptPartsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePromptPartsIsMutable();
+        promptParts_.add(index, value);
+        onChanged();
+      } else {
+        promptPartsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public Builder addPromptParts(
+        org.bramleyspur.protocol.PromptPartReport.Builder builderForValue) {
+      if (promptPartsBuilder_ == null) {
+        ensurePromptPartsIsMutable();
+        promptParts_.add(builderForValue.build());
+        onChanged();
+      } else {
+        promptPartsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public Builder addPromptParts(
+        int index, org.bramleyspur.protocol.PromptPartReport.Builder builderForValue) {
+      if (promptPartsBuilder_ == null) {
+        ensurePromptPartsIsMutable();
+        promptParts_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        promptPartsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public Builder addAllPromptParts(
+        java.lang.Iterable<? extends org.bramleyspur.protocol.PromptPartReport> values) {
+      if (promptPartsBuilder_ == null) {
+        ensurePromptPartsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, promptParts_);
+        onChanged();
+      } else {
+        promptPartsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public Builder clearPromptParts() {
+      if (promptPartsBuilder_ == null) {
+        promptParts_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        promptPartsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public Builder removePromptParts(int index) {
+      if (promptPartsBuilder_ == null) {
+        ensurePromptPartsIsMutable();
+        promptParts_.remove(index);
+        onChanged();
+      } else {
+        promptPartsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public org.bramleyspur.protocol.PromptPartReport.Builder getPromptPartsBuilder(
+        int index) {
+      return getPromptPartsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public org.bramleyspur.protocol.PromptPartReportOrBuilder getPromptPartsOrBuilder(
+        int index) {
+      if (promptPartsBuilder_ == null) {
+        return promptParts_.get(index);  } else {
+        return promptPartsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public java.util.List<? extends org.bramleyspur.protocol.PromptPartReportOrBuilder> 
+         getPromptPartsOrBuilderList() {
+      if (promptPartsBuilder_ != null) {
+        return promptPartsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(promptParts_);
+      }
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public org.bramleyspur.protocol.PromptPartReport.Builder addPromptPartsBuilder() {
+      return getPromptPartsFieldBuilder().addBuilder(
+          org.bramleyspur.protocol.PromptPartReport.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public org.bramleyspur.protocol.PromptPartReport.Builder addPromptPartsBuilder(
+        int index) {
+      return getPromptPartsFieldBuilder().addBuilder(
+          index, org.bramleyspur.protocol.PromptPartReport.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+     */
+    public java.util.List<org.bramleyspur.protocol.PromptPartReport.Builder> 
+         getPromptPartsBuilderList() {
+      return getPromptPartsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.bramleyspur.protocol.PromptPartReport, org.bramleyspur.protocol.PromptPartReport.Builder, org.bramleyspur.protocol.PromptPartReportOrBuilder> 
+        getPromptPartsFieldBuilder() {
+      if (promptPartsBuilder_ == null) {
+        promptPartsBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            org.bramleyspur.protocol.PromptPartReport, org.bramleyspur.protocol.PromptPartReport.Builder, org.bramleyspur.protocol.PromptPartReportOrBuilder>(
+                promptParts_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        promptParts_ = null;
+      }
+      return promptPartsBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEventOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEventOrBuilder.java
@@ -49,7 +49,7 @@
 
   /**
    * <pre>
-   * Whether the sender leads with a valid lease, so that its document is the newest.
+   * True if the sender is the leader and holds a valid lease, so that its document is the latest one.
    * </pre>
    *
    * <code>bool confirmed = 3;</code>
@@ -103,4 +103,28 @@
    * @return The entries.
    */
   int getEntries();
+
+  /**
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+   */
+  java.util.List<org.bramleyspur.protocol.PromptPartReport> 
+      getPromptPartsList();
+  /**
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+   */
+  org.bramleyspur.protocol.PromptPartReport getPromptParts(int index);
+  /**
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+   */
+  int getPromptPartsCount();
+  /**
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+   */
+  java.util.List<? extends org.bramleyspur.protocol.PromptPartReportOrBuilder> 
+      getPromptPartsOrBuilderList();
+  /**
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 7;</code>
+   */
+  org.bramleyspur.protocol.PromptPartReportOrBuilder getPromptPartsOrBuilder(
+      int index);
 }
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryProto.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryProto.java
@@ -30,6 +30,11 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_bramleyspur_ConfigurationDocument_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramleyspur_PromptPartReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_bramleyspur_PromptPartReport_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bramleyspur_DirectoryRequest_descriptor;
   static final 
@@ -70,24 +75,28 @@
       "\030\n \003(\t\022(\n\005group\030\013 \001(\0132\031.bramleyspur.Back" +
       "endGroup\022\016\n\006age_ms\030\014 \001(\r\"9\n\025Configuratio" +
       "nDocument\022\017\n\007version\030\001 \001(\004\022\017\n\007content\030\002 " +
-      "\001(\014\"\255\001\n\020DirectoryRequest\022\020\n\010instance\030\001 \001" +
+      "\001(\014\"N\n\020PromptPartReport\022\014\n\004part\030\001 \001(\t\022\016\n" +
+      "\006engine\030\002 \001(\t\022\034\n\024engine_started_at_ms\030\003 " +
+      "\001(\003\"\342\001\n\020DirectoryRequest\022\020\n\010instance\030\001 \001" +
       "(\t\022\r\n\005entry\030\002 \001(\010\022\032\n\022answering_backends\030" +
       "\003 \003(\t\022\027\n\017silent_backends\030\004 \003(\t\0227\n\rannoun" +
       "cements\030\007 \003(\0132 .bramleyspur.BackendAnnou" +
-      "ncementJ\004\010\005\020\006J\004\010\006\020\007\"\272\001\n\016DirectoryEvent\0227" +
-      "\n\rannouncements\030\001 \003(\0132 .bramleyspur.Back" +
-      "endAnnouncement\0224\n\010document\030\002 \001(\0132\".bram" +
-      "leyspur.ConfigurationDocument\022\021\n\tconfirm" +
-      "ed\030\003 \001(\010\022\017\n\007members\030\004 \003(\t\022\017\n\007entries\030\005 \001" +
-      "(\rJ\004\010\006\020\007\"3\n\020AdmissionRequest\022\016\n\006member\030\001" +
-      " \001(\t\022\017\n\007address\030\002 \001(\t\"2\n\016AdmissionReply\022" +
-      "\020\n\010admitted\030\001 \001(\010\022\016\n\006leader\030\002 \001(\t2\240\001\n\020Di" +
-      "rectoryService\022G\n\005Watch\022\035.bramleyspur.Di" +
-      "rectoryRequest\032\033.bramleyspur.DirectoryEv" +
-      "ent(\0010\001\022C\n\005Admit\022\035.bramleyspur.Admission" +
-      "Request\032\033.bramleyspur.AdmissionReplyB,\n\030" +
-      "org.bramleyspur.protocolB\016DirectoryProto" +
-      "P\001b\006proto3"
+      "ncement\0223\n\014prompt_parts\030\010 \003(\0132\035.bramleys" +
+      "pur.PromptPartReportJ\004\010\005\020\006J\004\010\006\020\007\"\357\001\n\016Dir" +
+      "ectoryEvent\0227\n\rannouncements\030\001 \003(\0132 .bra" +
+      "mleyspur.BackendAnnouncement\0224\n\010document" +
+      "\030\002 \001(\0132\".bramleyspur.ConfigurationDocume" +
+      "nt\022\021\n\tconfirmed\030\003 \001(\010\022\017\n\007members\030\004 \003(\t\022\017" +
+      "\n\007entries\030\005 \001(\r\0223\n\014prompt_parts\030\007 \003(\0132\035." +
+      "bramleyspur.PromptPartReportJ\004\010\006\020\007\"3\n\020Ad" +
+      "missionRequest\022\016\n\006member\030\001 \001(\t\022\017\n\007addres" +
+      "s\030\002 \001(\t\"2\n\016AdmissionReply\022\020\n\010admitted\030\001 " +
+      "\001(\010\022\016\n\006leader\030\002 \001(\t2\240\001\n\020DirectoryService" +
+      "\022G\n\005Watch\022\035.bramleyspur.DirectoryRequest" +
+      "\032\033.bramleyspur.DirectoryEvent(\0010\001\022C\n\005Adm" +
+      "it\022\035.bramleyspur.AdmissionRequest\032\033.bram" +
+      "leyspur.AdmissionReplyB,\n\030org.bramleyspu" +
+      "r.protocolB\016DirectoryProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -111,26 +120,32 @@
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_ConfigurationDocument_descriptor,
         new java.lang.String[] { "Version", "Content", });
-    internal_static_bramleyspur_DirectoryRequest_descriptor =
+    internal_static_bramleyspur_PromptPartReport_descriptor =
       getDescriptor().getMessageTypes().get(3);
+    internal_static_bramleyspur_PromptPartReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_bramleyspur_PromptPartReport_descriptor,
+        new java.lang.String[] { "Part", "Engine", "EngineStartedAtMs", });
+    internal_static_bramleyspur_DirectoryRequest_descriptor =
+      getDescriptor().getMessageTypes().get(4);
     internal_static_bramleyspur_DirectoryRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_DirectoryRequest_descriptor,
-        new java.lang.String[] { "Instance", "Entry", "AnsweringBackends", "SilentBackends", "Announcements", });
+        new java.lang.String[] { "Instance", "Entry", "AnsweringBackends", "SilentBackends", "Announcements", "PromptParts", });
     internal_static_bramleyspur_DirectoryEvent_descriptor =
-      getDescriptor().getMessageTypes().get(4);
+      getDescriptor().getMessageTypes().get(5);
     internal_static_bramleyspur_DirectoryEvent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_DirectoryEvent_descriptor,
-        new java.lang.String[] { "Announcements", "Document", "Confirmed", "Members", "Entries", });
+        new java.lang.String[] { "Announcements", "Document", "Confirmed", "Members", "Entries", "PromptParts", });
     internal_static_bramleyspur_AdmissionRequest_descriptor =
-      getDescriptor().getMessageTypes().get(5);
+      getDescriptor().getMessageTypes().get(6);
     internal_static_bramleyspur_AdmissionRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_AdmissionRequest_descriptor,
         new java.lang.String[] { "Member", "Address", });
     internal_static_bramleyspur_AdmissionReply_descriptor =
-      getDescriptor().getMessageTypes().get(6);
+      getDescriptor().getMessageTypes().get(7);
     internal_static_bramleyspur_AdmissionReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_AdmissionReply_descriptor,
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequest.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequest.java
@@ -23,6 +23,7 @@
     silentBackends_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     announcements_ = java.util.Collections.emptyList();
+    promptParts_ = java.util.Collections.emptyList();
   }
 
   @java.lang.Override
@@ -88,7 +89,7 @@
   private boolean entry_ = false;
   /**
    * <pre>
-   * Whether the sender is an entry; else it is a control instance.
+   * True if the sender is an entry, false if it is a control instance.
    * </pre>
    *
    * <code>bool entry = 2;</code>
@@ -158,7 +159,7 @@
       com.google.protobuf.LazyStringArrayList.emptyList();
   /**
    * <pre>
-   * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+   * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
    * </pre>
    *
    * <code>repeated string silent_backends = 4;</code>
@@ -170,7 +171,7 @@
   }
   /**
    * <pre>
-   * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+   * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
    * </pre>
    *
    * <code>repeated string silent_backends = 4;</code>
@@ -181,7 +182,7 @@
   }
   /**
    * <pre>
-   * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+   * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
    * </pre>
    *
    * <code>repeated string silent_backends = 4;</code>
@@ -193,7 +194,7 @@
   }
   /**
    * <pre>
-   * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+   * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
    * </pre>
    *
    * <code>repeated string silent_backends = 4;</code>
@@ -210,7 +211,7 @@
   private java.util.List<org.bramleyspur.protocol.BackendAnnouncement> announcements_;
   /**
    * <pre>
-   * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+   * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
    * </pre>
    *
    * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -221,7 +222,7 @@
   }
   /**
    * <pre>
-   * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+   * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
    * </pre>
    *
    * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -233,7 +234,7 @@
   }
   /**
    * <pre>
-   * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+   * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
    * </pre>
    *
    * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -244,7 +245,7 @@
   }
   /**
    * <pre>
-   * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+   * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
    * </pre>
    *
    * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -255,7 +256,7 @@
   }
   /**
    * <pre>
-   * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+   * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
    * </pre>
    *
    * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -266,6 +267,67 @@
     return announcements_.get(index);
   }
 
+  public static final int PROMPT_PARTS_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.bramleyspur.protocol.PromptPartReport> promptParts_;
+  /**
+   * <pre>
+   * New observations; in the first message on a stream all that the sender still holds.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.bramleyspur.protocol.PromptPartReport> getPromptPartsList() {
+    return promptParts_;
+  }
+  /**
+   * <pre>
+   * New observations; in the first message on a stream all that the sender still holds.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.bramleyspur.protocol.PromptPartReportOrBuilder> 
+      getPromptPartsOrBuilderList() {
+    return promptParts_;
+  }
+  /**
+   * <pre>
+   * New observations; in the first message on a stream all that the sender still holds.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+   */
+  @java.lang.Override
+  public int getPromptPartsCount() {
+    return promptParts_.size();
+  }
+  /**
+   * <pre>
+   * New observations; in the first message on a stream all that the sender still holds.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.PromptPartReport getPromptParts(int index) {
+    return promptParts_.get(index);
+  }
+  /**
+   * <pre>
+   * New observations; in the first message on a stream all that the sender still holds.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.PromptPartReportOrBuilder getPromptPartsOrBuilder(
+      int index) {
+    return promptParts_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -295,6 +357,9 @@
     for (int i = 0; i < announcements_.size(); i++) {
       output.writeMessage(7, announcements_.get(i));
     }
+    for (int i = 0; i < promptParts_.size(); i++) {
+      output.writeMessage(8, promptParts_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -331,6 +396,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(7, announcements_.get(i));
     }
+    for (int i = 0; i < promptParts_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, promptParts_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -356,6 +425,8 @@
         .equals(other.getSilentBackendsList())) return false;
     if (!getAnnouncementsList()
         .equals(other.getAnnouncementsList())) return false;
+    if (!getPromptPartsList()
+        .equals(other.getPromptPartsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -384,6 +455,10 @@
       hash = (37 * hash) + ANNOUNCEMENTS_FIELD_NUMBER;
       hash = (53 * hash) + getAnnouncementsList().hashCode();
     }
+    if (getPromptPartsCount() > 0) {
+      hash = (37 * hash) + PROMPT_PARTS_FIELD_NUMBER;
+      hash = (53 * hash) + getPromptPartsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -528,6 +603,13 @@
         announcementsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      if (promptPartsBuilder_ == null) {
+        promptParts_ = java.util.Collections.emptyList();
+      } else {
+        promptParts_ = null;
+        promptPartsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       return this;
     }
 
@@ -570,6 +652,15 @@
       } else {
         result.announcements_ = announcementsBuilder_.build();
       }
+      if (promptPartsBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          promptParts_ = java.util.Collections.unmodifiableList(promptParts_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.promptParts_ = promptParts_;
+      } else {
+        result.promptParts_ = promptPartsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.bramleyspur.protocol.DirectoryRequest result) {
@@ -688,6 +779,32 @@
           }
         }
       }
+      if (promptPartsBuilder_ == null) {
+        if (!other.promptParts_.isEmpty()) {
+          if (promptParts_.isEmpty()) {
+            promptParts_ = other.promptParts_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensurePromptPartsIsMutable();
+            promptParts_.addAll(other.promptParts_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.promptParts_.isEmpty()) {
+          if (promptPartsBuilder_.isEmpty()) {
+            promptPartsBuilder_.dispose();
+            promptPartsBuilder_ = null;
+            promptParts_ = other.promptParts_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            promptPartsBuilder_ = 
+              com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
+                 getPromptPartsFieldBuilder() : null;
+          } else {
+            promptPartsBuilder_.addAllMessages(other.promptParts_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -749,6 +866,19 @@
               }
               break;
             } // case 58
+            case 66: {
+              org.bramleyspur.protocol.PromptPartReport m =
+                  input.readMessage(
+                      org.bramleyspur.protocol.PromptPartReport.parser(),
+                      extensionRegistry);
+              if (promptPartsBuilder_ == null) {
+                ensurePromptPartsIsMutable();
+                promptParts_.add(m);
+              } else {
+                promptPartsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -841,7 +971,7 @@
     private boolean entry_ ;
     /**
      * <pre>
-     * Whether the sender is an entry; else it is a control instance.
+     * True if the sender is an entry, false if it is a control instance.
      * </pre>
      *
      * <code>bool entry = 2;</code>
@@ -853,7 +983,7 @@
     }
     /**
      * <pre>
-     * Whether the sender is an entry; else it is a control instance.
+     * True if the sender is an entry, false if it is a control instance.
      * </pre>
      *
      * <code>bool entry = 2;</code>
@@ -869,7 +999,7 @@
     }
     /**
      * <pre>
-     * Whether the sender is an entry; else it is a control instance.
+     * True if the sender is an entry, false if it is a control instance.
      * </pre>
      *
      * <code>bool entry = 2;</code>
@@ -1039,7 +1169,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+     * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1052,7 +1182,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+     * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1063,7 +1193,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+     * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1075,7 +1205,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+     * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1088,7 +1218,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+     * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1107,7 +1237,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+     * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1125,7 +1255,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+     * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1143,7 +1273,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+     * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1158,7 +1288,7 @@
     }
     /**
      * <pre>
-     * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+     * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
      * </pre>
      *
      * <code>repeated string silent_backends = 4;</code>
@@ -1190,7 +1320,7 @@
 
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1204,7 +1334,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1218,7 +1348,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1232,7 +1362,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1253,7 +1383,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1271,7 +1401,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1291,7 +1421,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1312,7 +1442,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1330,7 +1460,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1348,7 +1478,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1367,7 +1497,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1384,7 +1514,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1401,7 +1531,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1412,7 +1542,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1426,7 +1556,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1441,7 +1571,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1452,7 +1582,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1464,7 +1594,7 @@
     }
     /**
      * <pre>
-     * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+     * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
      * </pre>
      *
      * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -1487,6 +1617,318 @@
       }
       return announcementsBuilder_;
     }
+
+    private java.util.List<org.bramleyspur.protocol.PromptPartReport> promptParts_ =
+      java.util.Collections.emptyList();
+    private void ensurePromptPartsIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        promptParts_ = new java.util.ArrayList<org.bramleyspur.protocol.PromptPartReport>(promptParts_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.bramleyspur.protocol.PromptPartReport, org.bramleyspur.protocol.PromptPartReport.Builder, org.bramleyspur.protocol.PromptPartReportOrBuilder> promptPartsBuilder_;
+
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public java.util.List<org.bramleyspur.protocol.PromptPartReport> getPromptPartsList() {
+      if (promptPartsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(promptParts_);
+      } else {
+        return promptPartsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public int getPromptPartsCount() {
+      if (promptPartsBuilder_ == null) {
+        return promptParts_.size();
+      } else {
+        return promptPartsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public org.bramleyspur.protocol.PromptPartReport getPromptParts(int index) {
+      if (promptPartsBuilder_ == null) {
+        return promptParts_.get(index);
+      } else {
+        return promptPartsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public Builder setPromptParts(
+        int index, org.bramleyspur.protocol.PromptPartReport value) {
+      if (promptPartsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePromptPartsIsMutable();
+        promptParts_.set(index, value);
+        onChanged();
+      } else {
+        promptPartsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public Builder setPromptParts(
+        int index, org.bramleyspur.protocol.PromptPartReport.Builder builderForValue) {
+      if (promptPartsBuilder_ == null) {
+        ensurePromptPartsIsMutable();
+        promptParts_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        promptPartsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public Builder addPromptParts(org.bramleyspur.protocol.PromptPartReport value) {
+      if (promptPartsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePromptPartsIsMutable();
+        promptParts_.add(value);
+        onChanged();
+      } else {
+        promptPartsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public Builder addPromptParts(
+        int index, org.bramleyspur.protocol.PromptPartReport value) {
+      if (promptPartsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePromptPartsIsMutable();
+        promptParts_.add(index, value);
+        onChanged();
+      } else {
+        promptPartsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public Builder addPromptParts(
+        org.bramleyspur.protocol.PromptPartReport.Builder builderForValue) {
+      if (promptPartsBuilder_ == null) {
+        ensurePromptPartsIsMutable();
+        promptParts_.add(builderForValue.build());
+        onChanged();
+      } else {
+        promptPartsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public Builder addPromptParts(
+        int index, org.bramleyspur.protocol.PromptPartReport.Builder builderForValue) {
+      if (promptPartsBuilder_ == null) {
+        ensurePromptPartsIsMutable();
+        promptParts_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        promptPartsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public Builder addAllPromptParts(
+        java.lang.Iterable<? extends org.bramleyspur.protocol.PromptPartReport> values) {
+      if (promptPartsBuilder_ == null) {
+        ensurePromptPartsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, promptParts_);
+        onChanged();
+      } else {
+        promptPartsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public Builder clearPromptParts() {
+      if (promptPartsBuilder_ == null) {
+        promptParts_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        promptPartsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public Builder removePromptParts(int index) {
+      if (promptPartsBuilder_ == null) {
+        ensurePromptPartsIsMutable();
+        promptParts_.remove(index);
+        onChanged();
+      } else {
+        promptPartsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public org.bramleyspur.protocol.PromptPartReport.Builder getPromptPartsBuilder(
+        int index) {
+      return getPromptPartsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public org.bramleyspur.protocol.PromptPartReportOrBuilder getPromptPartsOrBuilder(
+        int index) {
+      if (promptPartsBuilder_ == null) {
+        return promptParts_.get(index);  } else {
+        return promptPartsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public java.util.List<? extends org.bramleyspur.protocol.PromptPartReportOrBuilder> 
+         getPromptPartsOrBuilderList() {
+      if (promptPartsBuilder_ != null) {
+        return promptPartsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(promptParts_);
+      }
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public org.bramleyspur.protocol.PromptPartReport.Builder addPromptPartsBuilder() {
+      return getPromptPartsFieldBuilder().addBuilder(
+          org.bramleyspur.protocol.PromptPartReport.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public org.bramleyspur.protocol.PromptPartReport.Builder addPromptPartsBuilder(
+        int index) {
+      return getPromptPartsFieldBuilder().addBuilder(
+          index, org.bramleyspur.protocol.PromptPartReport.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * New observations; in the first message on a stream all that the sender still holds.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+     */
+    public java.util.List<org.bramleyspur.protocol.PromptPartReport.Builder> 
+         getPromptPartsBuilderList() {
+      return getPromptPartsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.bramleyspur.protocol.PromptPartReport, org.bramleyspur.protocol.PromptPartReport.Builder, org.bramleyspur.protocol.PromptPartReportOrBuilder> 
+        getPromptPartsFieldBuilder() {
+      if (promptPartsBuilder_ == null) {
+        promptPartsBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            org.bramleyspur.protocol.PromptPartReport, org.bramleyspur.protocol.PromptPartReport.Builder, org.bramleyspur.protocol.PromptPartReportOrBuilder>(
+                promptParts_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        promptParts_ = null;
+      }
+      return promptPartsBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequestOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequestOrBuilder.java
@@ -22,7 +22,7 @@
 
   /**
    * <pre>
-   * Whether the sender is an entry; else it is a control instance.
+   * True if the sender is an entry, false if it is a control instance.
    * </pre>
    *
    * <code>bool entry = 2;</code>
@@ -73,7 +73,7 @@
 
   /**
    * <pre>
-   * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+   * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
    * </pre>
    *
    * <code>repeated string silent_backends = 4;</code>
@@ -83,7 +83,7 @@
       getSilentBackendsList();
   /**
    * <pre>
-   * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+   * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
    * </pre>
    *
    * <code>repeated string silent_backends = 4;</code>
@@ -92,7 +92,7 @@
   int getSilentBackendsCount();
   /**
    * <pre>
-   * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+   * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
    * </pre>
    *
    * <code>repeated string silent_backends = 4;</code>
@@ -102,7 +102,7 @@
   java.lang.String getSilentBackends(int index);
   /**
    * <pre>
-   * Backend servers that accepted no connection or sent no event for too long, as this entry last saw them.
+   * Backend servers that, as last seen by this entry, accepted no connection or sent no event for too long.
    * </pre>
    *
    * <code>repeated string silent_backends = 4;</code>
@@ -114,7 +114,7 @@
 
   /**
    * <pre>
-   * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+   * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
    * </pre>
    *
    * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -123,7 +123,7 @@
       getAnnouncementsList();
   /**
    * <pre>
-   * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+   * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
    * </pre>
    *
    * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -131,7 +131,7 @@
   org.bramleyspur.protocol.BackendAnnouncement getAnnouncements(int index);
   /**
    * <pre>
-   * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+   * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
    * </pre>
    *
    * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -139,7 +139,7 @@
   int getAnnouncementsCount();
   /**
    * <pre>
-   * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+   * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
    * </pre>
    *
    * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
@@ -148,11 +148,55 @@
       getAnnouncementsOrBuilderList();
   /**
    * <pre>
-   * All that the sender knows, in its first message on a stream: the receiver may have started anew.
+   * All announcements that the sender knows, in its first message on a stream, since the receiver may have restarted.
    * </pre>
    *
    * <code>repeated .bramleyspur.BackendAnnouncement announcements = 7;</code>
    */
   org.bramleyspur.protocol.BackendAnnouncementOrBuilder getAnnouncementsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * New observations; in the first message on a stream all that the sender still holds.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+   */
+  java.util.List<org.bramleyspur.protocol.PromptPartReport> 
+      getPromptPartsList();
+  /**
+   * <pre>
+   * New observations; in the first message on a stream all that the sender still holds.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+   */
+  org.bramleyspur.protocol.PromptPartReport getPromptParts(int index);
+  /**
+   * <pre>
+   * New observations; in the first message on a stream all that the sender still holds.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+   */
+  int getPromptPartsCount();
+  /**
+   * <pre>
+   * New observations; in the first message on a stream all that the sender still holds.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+   */
+  java.util.List<? extends org.bramleyspur.protocol.PromptPartReportOrBuilder> 
+      getPromptPartsOrBuilderList();
+  /**
+   * <pre>
+   * New observations; in the first message on a stream all that the sender still holds.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.PromptPartReport prompt_parts = 8;</code>
+   */
+  org.bramleyspur.protocol.PromptPartReportOrBuilder getPromptPartsOrBuilder(
+      int index);
 }
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/HeartbeatReply.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/HeartbeatReply.java
@@ -67,7 +67,7 @@
   private int leaseMs_ = 0;
   /**
    * <pre>
-   * Validity of the lease, measured from the sending of the heartbeat.
+   * Validity of the lease, measured from the time at which the heartbeat was sent.
    * </pre>
    *
    * <code>uint32 lease_ms = 3;</code>
@@ -124,7 +124,7 @@
   private java.util.List<org.bramleyspur.protocol.Assignment> assignments_;
   /**
    * <pre>
-   * Assignments that the instance should hold; any other one must end.
+   * Assignments that the instance should hold; any other assignment must end.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -135,7 +135,7 @@
   }
   /**
    * <pre>
-   * Assignments that the instance should hold; any other one must end.
+   * Assignments that the instance should hold; any other assignment must end.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -147,7 +147,7 @@
   }
   /**
    * <pre>
-   * Assignments that the instance should hold; any other one must end.
+   * Assignments that the instance should hold; any other assignment must end.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -158,7 +158,7 @@
   }
   /**
    * <pre>
-   * Assignments that the instance should hold; any other one must end.
+   * Assignments that the instance should hold; any other assignment must end.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -169,7 +169,7 @@
   }
   /**
    * <pre>
-   * Assignments that the instance should hold; any other one must end.
+   * Assignments that the instance should hold; any other assignment must end.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -760,7 +760,7 @@
     private int leaseMs_ ;
     /**
      * <pre>
-     * Validity of the lease, measured from the sending of the heartbeat.
+     * Validity of the lease, measured from the time at which the heartbeat was sent.
      * </pre>
      *
      * <code>uint32 lease_ms = 3;</code>
@@ -772,7 +772,7 @@
     }
     /**
      * <pre>
-     * Validity of the lease, measured from the sending of the heartbeat.
+     * Validity of the lease, measured from the time at which the heartbeat was sent.
      * </pre>
      *
      * <code>uint32 lease_ms = 3;</code>
@@ -788,7 +788,7 @@
     }
     /**
      * <pre>
-     * Validity of the lease, measured from the sending of the heartbeat.
+     * Validity of the lease, measured from the time at which the heartbeat was sent.
      * </pre>
      *
      * <code>uint32 lease_ms = 3;</code>
@@ -1055,7 +1055,7 @@
 
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1069,7 +1069,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1083,7 +1083,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1097,7 +1097,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1118,7 +1118,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1136,7 +1136,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1156,7 +1156,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1177,7 +1177,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1195,7 +1195,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1213,7 +1213,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1232,7 +1232,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1249,7 +1249,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1266,7 +1266,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1277,7 +1277,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1291,7 +1291,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1306,7 +1306,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1317,7 +1317,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -1329,7 +1329,7 @@
     }
     /**
      * <pre>
-     * Assignments that the instance should hold; any other one must end.
+     * Assignments that the instance should hold; any other assignment must end.
      * </pre>
      *
      * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/HeartbeatReplyOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/HeartbeatReplyOrBuilder.java
@@ -22,7 +22,7 @@
 
   /**
    * <pre>
-   * Validity of the lease, measured from the sending of the heartbeat.
+   * Validity of the lease, measured from the time at which the heartbeat was sent.
    * </pre>
    *
    * <code>uint32 lease_ms = 3;</code>
@@ -56,7 +56,7 @@
 
   /**
    * <pre>
-   * Assignments that the instance should hold; any other one must end.
+   * Assignments that the instance should hold; any other assignment must end.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -65,7 +65,7 @@
       getAssignmentsList();
   /**
    * <pre>
-   * Assignments that the instance should hold; any other one must end.
+   * Assignments that the instance should hold; any other assignment must end.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -73,7 +73,7 @@
   org.bramleyspur.protocol.Assignment getAssignments(int index);
   /**
    * <pre>
-   * Assignments that the instance should hold; any other one must end.
+   * Assignments that the instance should hold; any other assignment must end.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -81,7 +81,7 @@
   int getAssignmentsCount();
   /**
    * <pre>
-   * Assignments that the instance should hold; any other one must end.
+   * Assignments that the instance should hold; any other assignment must end.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
@@ -90,7 +90,7 @@
       getAssignmentsOrBuilderList();
   /**
    * <pre>
-   * Assignments that the instance should hold; any other one must end.
+   * Assignments that the instance should hold; any other assignment must end.
    * </pre>
    *
    * <code>repeated .bramleyspur.Assignment assignments = 5;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Hello.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Hello.java
@@ -528,7 +528,7 @@
   private int leaseMs_ = 0;
   /**
    * <pre>
-   * Milliseconds within which the process stops serving on its own when the control leader stops answering.
+   * Longest time until the process stops serving on its own after the control leader has stopped answering.
    * </pre>
    *
    * <code>uint32 lease_ms = 12;</code>
@@ -1963,7 +1963,7 @@
     private int leaseMs_ ;
     /**
      * <pre>
-     * Milliseconds within which the process stops serving on its own when the control leader stops answering.
+     * Longest time until the process stops serving on its own after the control leader has stopped answering.
      * </pre>
      *
      * <code>uint32 lease_ms = 12;</code>
@@ -1975,7 +1975,7 @@
     }
     /**
      * <pre>
-     * Milliseconds within which the process stops serving on its own when the control leader stops answering.
+     * Longest time until the process stops serving on its own after the control leader has stopped answering.
      * </pre>
      *
      * <code>uint32 lease_ms = 12;</code>
@@ -1991,7 +1991,7 @@
     }
     /**
      * <pre>
-     * Milliseconds within which the process stops serving on its own when the control leader stops answering.
+     * Longest time until the process stops serving on its own after the control leader has stopped answering.
      * </pre>
      *
      * <code>uint32 lease_ms = 12;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/HelloOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/HelloOrBuilder.java
@@ -164,7 +164,7 @@
 
   /**
    * <pre>
-   * Milliseconds within which the process stops serving on its own when the control leader stops answering.
+   * Longest time until the process stops serving on its own after the control leader has stopped answering.
    * </pre>
    *
    * <code>uint32 lease_ms = 12;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/LoadReport.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/LoadReport.java
@@ -92,7 +92,7 @@
   private long received_ = 0L;
   /**
    * <pre>
-   * Attempts received from the connected entry, so that it can correct its own in-flight count.
+   * Number of attempts received from the connected entry, so that it can correct its own in-flight count.
    * </pre>
    *
    * <code>uint64 received = 5;</code>
@@ -108,7 +108,7 @@
   private java.util.List<org.bramleyspur.protocol.CacheEvent> cacheEvents_;
   /**
    * <pre>
-   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * Cache events that have not been sent to the connected entry yet, or only the latest of them.
    * </pre>
    *
    * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -119,7 +119,7 @@
   }
   /**
    * <pre>
-   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * Cache events that have not been sent to the connected entry yet, or only the latest of them.
    * </pre>
    *
    * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -131,7 +131,7 @@
   }
   /**
    * <pre>
-   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * Cache events that have not been sent to the connected entry yet, or only the latest of them.
    * </pre>
    *
    * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -142,7 +142,7 @@
   }
   /**
    * <pre>
-   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * Cache events that have not been sent to the connected entry yet, or only the latest of them.
    * </pre>
    *
    * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -153,7 +153,7 @@
   }
   /**
    * <pre>
-   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * Cache events that have not been sent to the connected entry yet, or only the latest of them.
    * </pre>
    *
    * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -797,7 +797,7 @@
     private long received_ ;
     /**
      * <pre>
-     * Attempts received from the connected entry, so that it can correct its own in-flight count.
+     * Number of attempts received from the connected entry, so that it can correct its own in-flight count.
      * </pre>
      *
      * <code>uint64 received = 5;</code>
@@ -809,7 +809,7 @@
     }
     /**
      * <pre>
-     * Attempts received from the connected entry, so that it can correct its own in-flight count.
+     * Number of attempts received from the connected entry, so that it can correct its own in-flight count.
      * </pre>
      *
      * <code>uint64 received = 5;</code>
@@ -825,7 +825,7 @@
     }
     /**
      * <pre>
-     * Attempts received from the connected entry, so that it can correct its own in-flight count.
+     * Number of attempts received from the connected entry, so that it can correct its own in-flight count.
      * </pre>
      *
      * <code>uint64 received = 5;</code>
@@ -852,7 +852,7 @@
 
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -866,7 +866,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -880,7 +880,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -894,7 +894,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -915,7 +915,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -933,7 +933,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -953,7 +953,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -974,7 +974,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -992,7 +992,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -1010,7 +1010,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -1029,7 +1029,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -1046,7 +1046,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -1063,7 +1063,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -1074,7 +1074,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -1088,7 +1088,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -1103,7 +1103,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -1114,7 +1114,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -1126,7 +1126,7 @@
     }
     /**
      * <pre>
-     * Cache events that the connected entry has not been sent yet, or the latest of them.
+     * Cache events that have not been sent to the connected entry yet, or only the latest of them.
      * </pre>
      *
      * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/LoadReportOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/LoadReportOrBuilder.java
@@ -38,7 +38,7 @@
 
   /**
    * <pre>
-   * Attempts received from the connected entry, so that it can correct its own in-flight count.
+   * Number of attempts received from the connected entry, so that it can correct its own in-flight count.
    * </pre>
    *
    * <code>uint64 received = 5;</code>
@@ -48,7 +48,7 @@
 
   /**
    * <pre>
-   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * Cache events that have not been sent to the connected entry yet, or only the latest of them.
    * </pre>
    *
    * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -57,7 +57,7 @@
       getCacheEventsList();
   /**
    * <pre>
-   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * Cache events that have not been sent to the connected entry yet, or only the latest of them.
    * </pre>
    *
    * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -65,7 +65,7 @@
   org.bramleyspur.protocol.CacheEvent getCacheEvents(int index);
   /**
    * <pre>
-   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * Cache events that have not been sent to the connected entry yet, or only the latest of them.
    * </pre>
    *
    * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -73,7 +73,7 @@
   int getCacheEventsCount();
   /**
    * <pre>
-   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * Cache events that have not been sent to the connected entry yet, or only the latest of them.
    * </pre>
    *
    * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
@@ -82,7 +82,7 @@
       getCacheEventsOrBuilderList();
   /**
    * <pre>
-   * Cache events that the connected entry has not been sent yet, or the latest of them.
+   * Cache events that have not been sent to the connected entry yet, or only the latest of them.
    * </pre>
    *
    * <code>repeated .bramleyspur.CacheEvent cache_events = 6;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/LookupReply.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/LookupReply.java
@@ -48,7 +48,7 @@
       implements com.google.protobuf.ProtocolMessageEnum {
     /**
      * <pre>
-     * Not known to this incarnation. With cancel set, it never begins.
+     * The attempt is unknown to this incarnation. If cancel was set, it will never begin.
      * </pre>
      *
      * <code>NOT_BEGUN = 0;</code>
@@ -67,7 +67,7 @@
 
     /**
      * <pre>
-     * Not known to this incarnation. With cancel set, it never begins.
+     * The attempt is unknown to this incarnation. If cancel was set, it will never begin.
      * </pre>
      *
      * <code>NOT_BEGUN = 0;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/NotLeader.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/NotLeader.java
@@ -45,7 +45,7 @@
   private volatile java.lang.Object leader_ = "";
   /**
    * <pre>
-   * Address of the current leader; empty when unknown.
+   * Address of the current leader; empty if unknown.
    * </pre>
    *
    * <code>string leader = 1;</code>
@@ -66,7 +66,7 @@
   }
   /**
    * <pre>
-   * Address of the current leader; empty when unknown.
+   * Address of the current leader; empty if unknown.
    * </pre>
    *
    * <code>string leader = 1;</code>
@@ -416,7 +416,7 @@
     private java.lang.Object leader_ = "";
     /**
      * <pre>
-     * Address of the current leader; empty when unknown.
+     * Address of the current leader; empty if unknown.
      * </pre>
      *
      * <code>string leader = 1;</code>
@@ -436,7 +436,7 @@
     }
     /**
      * <pre>
-     * Address of the current leader; empty when unknown.
+     * Address of the current leader; empty if unknown.
      * </pre>
      *
      * <code>string leader = 1;</code>
@@ -457,7 +457,7 @@
     }
     /**
      * <pre>
-     * Address of the current leader; empty when unknown.
+     * Address of the current leader; empty if unknown.
      * </pre>
      *
      * <code>string leader = 1;</code>
@@ -474,7 +474,7 @@
     }
     /**
      * <pre>
-     * Address of the current leader; empty when unknown.
+     * Address of the current leader; empty if unknown.
      * </pre>
      *
      * <code>string leader = 1;</code>
@@ -488,7 +488,7 @@
     }
     /**
      * <pre>
-     * Address of the current leader; empty when unknown.
+     * Address of the current leader; empty if unknown.
      * </pre>
      *
      * <code>string leader = 1;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/NotLeaderOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/NotLeaderOrBuilder.java
@@ -10,7 +10,7 @@
 
   /**
    * <pre>
-   * Address of the current leader; empty when unknown.
+   * Address of the current leader; empty if unknown.
    * </pre>
    *
    * <code>string leader = 1;</code>
@@ -19,7 +19,7 @@
   java.lang.String getLeader();
   /**
    * <pre>
-   * Address of the current leader; empty when unknown.
+   * Address of the current leader; empty if unknown.
    * </pre>
    *
    * <code>string leader = 1;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Placement.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Placement.java
@@ -6,7 +6,7 @@
 
 /**
  * <pre>
- * Replicas that a service wants in one data centre.
+ * Number of replicas of a service in one data centre.
  * </pre>
  *
  * Protobuf type {@code bramleyspur.Placement}
@@ -263,7 +263,7 @@
   }
   /**
    * <pre>
-   * Replicas that a service wants in one data centre.
+   * Number of replicas of a service in one data centre.
    * </pre>
    *
    * Protobuf type {@code bramleyspur.Placement}
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Refused.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Refused.java
@@ -6,7 +6,7 @@
 
 /**
  * <pre>
- * Proof that the attempt has not begun and never will.
+ * Guarantees that the attempt has not begun and never will.
  * </pre>
  *
  * Protobuf type {@code bramleyspur.Refused}
@@ -445,7 +445,7 @@
   }
   /**
    * <pre>
-   * Proof that the attempt has not begun and never will.
+   * Guarantees that the attempt has not begun and never will.
    * </pre>
    *
    * Protobuf type {@code bramleyspur.Refused}
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Rejected.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Rejected.java
@@ -6,7 +6,7 @@
 
 /**
  * <pre>
- * The engine rejected the request as wrong; it was not run.
+ * The engine rejected the request as invalid; the request was not run.
  * </pre>
  *
  * Protobuf type {@code bramleyspur.Rejected}
@@ -263,7 +263,7 @@
   }
   /**
    * <pre>
-   * The engine rejected the request as wrong; it was not run.
+   * The engine rejected the request as invalid; the request was not run.
    * </pre>
    *
    * Protobuf type {@code bramleyspur.Rejected}
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ReplaceDocumentCommand.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ReplaceDocumentCommand.java
@@ -6,7 +6,7 @@
 
 /**
  * <pre>
- * A whole configuration document; it replaces one with a lower version.
+ * A complete configuration document; it replaces one with a lower version.
  * </pre>
  *
  * Protobuf type {@code bramleyspur.ReplaceDocumentCommand}
@@ -237,7 +237,7 @@
   }
   /**
    * <pre>
-   * A whole configuration document; it replaces one with a lower version.
+   * A complete configuration document; it replaces one with a lower version.
    * </pre>
    *
    * Protobuf type {@code bramleyspur.ReplaceDocumentCommand}
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Route.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Route.java
@@ -143,7 +143,7 @@
   private volatile java.lang.Object instance_ = "";
   /**
    * <pre>
-   * Agent of the first member, or of a plain backend server.
+   * Instance of the first member, or of the plain backend server.
    * </pre>
    *
    * <code>string instance = 4;</code>
@@ -164,7 +164,7 @@
   }
   /**
    * <pre>
-   * Agent of the first member, or of a plain backend server.
+   * Instance of the first member, or of the plain backend server.
    * </pre>
    *
    * <code>string instance = 4;</code>
@@ -1187,7 +1187,7 @@
     private java.lang.Object instance_ = "";
     /**
      * <pre>
-     * Agent of the first member, or of a plain backend server.
+     * Instance of the first member, or of the plain backend server.
      * </pre>
      *
      * <code>string instance = 4;</code>
@@ -1207,7 +1207,7 @@
     }
     /**
      * <pre>
-     * Agent of the first member, or of a plain backend server.
+     * Instance of the first member, or of the plain backend server.
      * </pre>
      *
      * <code>string instance = 4;</code>
@@ -1228,7 +1228,7 @@
     }
     /**
      * <pre>
-     * Agent of the first member, or of a plain backend server.
+     * Instance of the first member, or of the plain backend server.
      * </pre>
      *
      * <code>string instance = 4;</code>
@@ -1245,7 +1245,7 @@
     }
     /**
      * <pre>
-     * Agent of the first member, or of a plain backend server.
+     * Instance of the first member, or of the plain backend server.
      * </pre>
      *
      * <code>string instance = 4;</code>
@@ -1259,7 +1259,7 @@
     }
     /**
      * <pre>
-     * Agent of the first member, or of a plain backend server.
+     * Instance of the first member, or of the plain backend server.
      * </pre>
      *
      * <code>string instance = 4;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/RouteOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/RouteOrBuilder.java
@@ -40,7 +40,7 @@
 
   /**
    * <pre>
-   * Agent of the first member, or of a plain backend server.
+   * Instance of the first member, or of the plain backend server.
    * </pre>
    *
    * <code>string instance = 4;</code>
@@ -49,7 +49,7 @@
   java.lang.String getInstance();
   /**
    * <pre>
-   * Agent of the first member, or of a plain backend server.
+   * Instance of the first member, or of the plain backend server.
    * </pre>
    *
    * <code>string instance = 4;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Service.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Service.java
@@ -297,7 +297,7 @@
   private volatile java.lang.Object nextVersion_ = "";
   /**
    * <pre>
-   * Version that a roll-out is moving to; empty when none is in progress.
+   * Target version of a roll-out; empty if none is in progress.
    * </pre>
    *
    * <code>string next_version = 5;</code>
@@ -318,7 +318,7 @@
   }
   /**
    * <pre>
-   * Version that a roll-out is moving to; empty when none is in progress.
+   * Target version of a roll-out; empty if none is in progress.
    * </pre>
    *
    * <code>string next_version = 5;</code>
@@ -380,7 +380,7 @@
   private int instancesPerReplica_ = 0;
   /**
    * <pre>
-   * Instances that one replica spans.
+   * Number of instances that one replica spans.
    * </pre>
    *
    * <code>uint32 instances_per_replica = 7;</code>
@@ -1459,7 +1459,7 @@
     private java.lang.Object nextVersion_ = "";
     /**
      * <pre>
-     * Version that a roll-out is moving to; empty when none is in progress.
+     * Target version of a roll-out; empty if none is in progress.
      * </pre>
      *
      * <code>string next_version = 5;</code>
@@ -1479,7 +1479,7 @@
     }
     /**
      * <pre>
-     * Version that a roll-out is moving to; empty when none is in progress.
+     * Target version of a roll-out; empty if none is in progress.
      * </pre>
      *
      * <code>string next_version = 5;</code>
@@ -1500,7 +1500,7 @@
     }
     /**
      * <pre>
-     * Version that a roll-out is moving to; empty when none is in progress.
+     * Target version of a roll-out; empty if none is in progress.
      * </pre>
      *
      * <code>string next_version = 5;</code>
@@ -1517,7 +1517,7 @@
     }
     /**
      * <pre>
-     * Version that a roll-out is moving to; empty when none is in progress.
+     * Target version of a roll-out; empty if none is in progress.
      * </pre>
      *
      * <code>string next_version = 5;</code>
@@ -1531,7 +1531,7 @@
     }
     /**
      * <pre>
-     * Version that a roll-out is moving to; empty when none is in progress.
+     * Target version of a roll-out; empty if none is in progress.
      * </pre>
      *
      * <code>string next_version = 5;</code>
@@ -1662,7 +1662,7 @@
     private int instancesPerReplica_ ;
     /**
      * <pre>
-     * Instances that one replica spans.
+     * Number of instances that one replica spans.
      * </pre>
      *
      * <code>uint32 instances_per_replica = 7;</code>
@@ -1674,7 +1674,7 @@
     }
     /**
      * <pre>
-     * Instances that one replica spans.
+     * Number of instances that one replica spans.
      * </pre>
      *
      * <code>uint32 instances_per_replica = 7;</code>
@@ -1690,7 +1690,7 @@
     }
     /**
      * <pre>
-     * Instances that one replica spans.
+     * Number of instances that one replica spans.
      * </pre>
      *
      * <code>uint32 instances_per_replica = 7;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ServiceOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ServiceOrBuilder.java
@@ -57,7 +57,7 @@
 
   /**
    * <pre>
-   * Version that a roll-out is moving to; empty when none is in progress.
+   * Target version of a roll-out; empty if none is in progress.
    * </pre>
    *
    * <code>string next_version = 5;</code>
@@ -66,7 +66,7 @@
   java.lang.String getNextVersion();
   /**
    * <pre>
-   * Version that a roll-out is moving to; empty when none is in progress.
+   * Target version of a roll-out; empty if none is in progress.
    * </pre>
    *
    * <code>string next_version = 5;</code>
@@ -102,7 +102,7 @@
 
   /**
    * <pre>
-   * Instances that one replica spans.
+   * Number of instances that one replica spans.
    * </pre>
    *
    * <code>uint32 instances_per_replica = 7;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/SnapshotRequest.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/SnapshotRequest.java
@@ -121,7 +121,7 @@
   private long offset_ = 0L;
   /**
    * <pre>
-   * Part of the snapshot that begins at this byte offset.
+   * Byte offset of the data in the snapshot.
    * </pre>
    *
    * <code>uint64 offset = 5;</code>
@@ -946,7 +946,7 @@
     private long offset_ ;
     /**
      * <pre>
-     * Part of the snapshot that begins at this byte offset.
+     * Byte offset of the data in the snapshot.
      * </pre>
      *
      * <code>uint64 offset = 5;</code>
@@ -958,7 +958,7 @@
     }
     /**
      * <pre>
-     * Part of the snapshot that begins at this byte offset.
+     * Byte offset of the data in the snapshot.
      * </pre>
      *
      * <code>uint64 offset = 5;</code>
@@ -974,7 +974,7 @@
     }
     /**
      * <pre>
-     * Part of the snapshot that begins at this byte offset.
+     * Byte offset of the data in the snapshot.
      * </pre>
      *
      * <code>uint64 offset = 5;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/SnapshotRequestOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/SnapshotRequestOrBuilder.java
@@ -40,7 +40,7 @@
 
   /**
    * <pre>
-   * Part of the snapshot that begins at this byte offset.
+   * Byte offset of the data in the snapshot.
    * </pre>
    *
    * <code>uint64 offset = 5;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Start.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/Start.java
@@ -215,7 +215,7 @@
   private volatile java.lang.Object incarnation_ = "";
   /**
    * <pre>
-   * Agent incarnation that the attempt is meant for; any other one refuses it.
+   * Agent incarnation that the attempt is meant for; any other incarnation refuses it.
    * </pre>
    *
    * <code>string incarnation = 6;</code>
@@ -236,7 +236,7 @@
   }
   /**
    * <pre>
-   * Agent incarnation that the attempt is meant for; any other one refuses it.
+   * Agent incarnation that the attempt is meant for; any other incarnation refuses it.
    * </pre>
    *
    * <code>string incarnation = 6;</code>
@@ -517,7 +517,7 @@
   private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
   /**
    * <pre>
-   * Whole body of a model request; a plain request's body follows in BodyPart messages.
+   * Complete body of a model request; the body of a plain request follows in BodyPart messages.
    * </pre>
    *
    * <code>bytes body = 17;</code>
@@ -543,7 +543,7 @@
   private int resumePosition_ = 0;
   /**
    * <pre>
-   * Tokens that the caller already has; generation continues at this position.
+   * Number of tokens that the caller already has; generation continues at this position.
    * </pre>
    *
    * <code>uint32 resume_position = 19;</code>
@@ -713,8 +713,8 @@
   private volatile java.lang.Object entry_ = "";
   /**
    * <pre>
-   * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
-   * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+   * Incarnation of the entry, and its monotonic time when it sent the attempt. The agent compares the send times of one
+   * entry with its own clock to detect attempts that were delayed in transit, so that they expire in time.
    * </pre>
    *
    * <code>string entry = 24;</code>
@@ -735,8 +735,8 @@
   }
   /**
    * <pre>
-   * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
-   * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+   * Incarnation of the entry, and its monotonic time when it sent the attempt. The agent compares the send times of one
+   * entry with its own clock to detect attempts that were delayed in transit, so that they expire in time.
    * </pre>
    *
    * <code>string entry = 24;</code>
@@ -2049,7 +2049,7 @@
     private java.lang.Object incarnation_ = "";
     /**
      * <pre>
-     * Agent incarnation that the attempt is meant for; any other one refuses it.
+     * Agent incarnation that the attempt is meant for; any other incarnation refuses it.
      * </pre>
      *
      * <code>string incarnation = 6;</code>
@@ -2069,7 +2069,7 @@
     }
     /**
      * <pre>
-     * Agent incarnation that the attempt is meant for; any other one refuses it.
+     * Agent incarnation that the attempt is meant for; any other incarnation refuses it.
      * </pre>
      *
      * <code>string incarnation = 6;</code>
@@ -2090,7 +2090,7 @@
     }
     /**
      * <pre>
-     * Agent incarnation that the attempt is meant for; any other one refuses it.
+     * Agent incarnation that the attempt is meant for; any other incarnation refuses it.
      * </pre>
      *
      * <code>string incarnation = 6;</code>
@@ -2107,7 +2107,7 @@
     }
     /**
      * <pre>
-     * Agent incarnation that the attempt is meant for; any other one refuses it.
+     * Agent incarnation that the attempt is meant for; any other incarnation refuses it.
      * </pre>
      *
      * <code>string incarnation = 6;</code>
@@ -2121,7 +2121,7 @@
     }
     /**
      * <pre>
-     * Agent incarnation that the attempt is meant for; any other one refuses it.
+     * Agent incarnation that the attempt is meant for; any other incarnation refuses it.
      * </pre>
      *
      * <code>string incarnation = 6;</code>
@@ -2841,7 +2841,7 @@
     private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
     /**
      * <pre>
-     * Whole body of a model request; a plain request's body follows in BodyPart messages.
+     * Complete body of a model request; the body of a plain request follows in BodyPart messages.
      * </pre>
      *
      * <code>bytes body = 17;</code>
@@ -2853,7 +2853,7 @@
     }
     /**
      * <pre>
-     * Whole body of a model request; a plain request's body follows in BodyPart messages.
+     * Complete body of a model request; the body of a plain request follows in BodyPart messages.
      * </pre>
      *
      * <code>bytes body = 17;</code>
@@ -2869,7 +2869,7 @@
     }
     /**
      * <pre>
-     * Whole body of a model request; a plain request's body follows in BodyPart messages.
+     * Complete body of a model request; the body of a plain request follows in BodyPart messages.
      * </pre>
      *
      * <code>bytes body = 17;</code>
@@ -2917,7 +2917,7 @@
     private int resumePosition_ ;
     /**
      * <pre>
-     * Tokens that the caller already has; generation continues at this position.
+     * Number of tokens that the caller already has; generation continues at this position.
      * </pre>
      *
      * <code>uint32 resume_position = 19;</code>
@@ -2929,7 +2929,7 @@
     }
     /**
      * <pre>
-     * Tokens that the caller already has; generation continues at this position.
+     * Number of tokens that the caller already has; generation continues at this position.
      * </pre>
      *
      * <code>uint32 resume_position = 19;</code>
@@ -2945,7 +2945,7 @@
     }
     /**
      * <pre>
-     * Tokens that the caller already has; generation continues at this position.
+     * Number of tokens that the caller already has; generation continues at this position.
      * </pre>
      *
      * <code>uint32 resume_position = 19;</code>
@@ -3288,8 +3288,8 @@
     private java.lang.Object entry_ = "";
     /**
      * <pre>
-     * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
-     * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+     * Incarnation of the entry, and its monotonic time when it sent the attempt. The agent compares the send times of one
+     * entry with its own clock to detect attempts that were delayed in transit, so that they expire in time.
      * </pre>
      *
      * <code>string entry = 24;</code>
@@ -3309,8 +3309,8 @@
     }
     /**
      * <pre>
-     * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
-     * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+     * Incarnation of the entry, and its monotonic time when it sent the attempt. The agent compares the send times of one
+     * entry with its own clock to detect attempts that were delayed in transit, so that they expire in time.
      * </pre>
      *
      * <code>string entry = 24;</code>
@@ -3331,8 +3331,8 @@
     }
     /**
      * <pre>
-     * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
-     * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+     * Incarnation of the entry, and its monotonic time when it sent the attempt. The agent compares the send times of one
+     * entry with its own clock to detect attempts that were delayed in transit, so that they expire in time.
      * </pre>
      *
      * <code>string entry = 24;</code>
@@ -3349,8 +3349,8 @@
     }
     /**
      * <pre>
-     * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
-     * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+     * Incarnation of the entry, and its monotonic time when it sent the attempt. The agent compares the send times of one
+     * entry with its own clock to detect attempts that were delayed in transit, so that they expire in time.
      * </pre>
      *
      * <code>string entry = 24;</code>
@@ -3364,8 +3364,8 @@
     }
     /**
      * <pre>
-     * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
-     * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+     * Incarnation of the entry, and its monotonic time when it sent the attempt. The agent compares the send times of one
+     * entry with its own clock to detect attempts that were delayed in transit, so that they expire in time.
      * </pre>
      *
      * <code>string entry = 24;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StartOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StartOrBuilder.java
@@ -74,7 +74,7 @@
 
   /**
    * <pre>
-   * Agent incarnation that the attempt is meant for; any other one refuses it.
+   * Agent incarnation that the attempt is meant for; any other incarnation refuses it.
    * </pre>
    *
    * <code>string incarnation = 6;</code>
@@ -83,7 +83,7 @@
   java.lang.String getIncarnation();
   /**
    * <pre>
-   * Agent incarnation that the attempt is meant for; any other one refuses it.
+   * Agent incarnation that the attempt is meant for; any other incarnation refuses it.
    * </pre>
    *
    * <code>string incarnation = 6;</code>
@@ -200,7 +200,7 @@
 
   /**
    * <pre>
-   * Whole body of a model request; a plain request's body follows in BodyPart messages.
+   * Complete body of a model request; the body of a plain request follows in BodyPart messages.
    * </pre>
    *
    * <code>bytes body = 17;</code>
@@ -216,7 +216,7 @@
 
   /**
    * <pre>
-   * Tokens that the caller already has; generation continues at this position.
+   * Number of tokens that the caller already has; generation continues at this position.
    * </pre>
    *
    * <code>uint32 resume_position = 19;</code>
@@ -287,8 +287,8 @@
 
   /**
    * <pre>
-   * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
-   * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+   * Incarnation of the entry, and its monotonic time when it sent the attempt. The agent compares the send times of one
+   * entry with its own clock to detect attempts that were delayed in transit, so that they expire in time.
    * </pre>
    *
    * <code>string entry = 24;</code>
@@ -297,8 +297,8 @@
   java.lang.String getEntry();
   /**
    * <pre>
-   * Incarnation of the entry, and its monotonic time when it wrote the attempt. The agent compares the sending times
-   * of one entry with its own clock to find attempts that were delayed on the way, so that they expire in time.
+   * Incarnation of the entry, and its monotonic time when it sent the attempt. The agent compares the send times of one
+   * entry with its own clock to detect attempts that were delayed in transit, so that they expire in time.
    * </pre>
    *
    * <code>string entry = 24;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StoredResponse.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StoredResponse.java
@@ -133,7 +133,7 @@
   private com.google.protobuf.ByteString bodyDigest_ = com.google.protobuf.ByteString.EMPTY;
   /**
    * <pre>
-   * SHA-256 digest of a body that was not kept; empty when it is not known.
+   * SHA-256 digest of a body that was not kept; empty if it is not known.
    * </pre>
    *
    * <code>bytes body_digest = 6;</code>
@@ -802,7 +802,7 @@
     private com.google.protobuf.ByteString bodyDigest_ = com.google.protobuf.ByteString.EMPTY;
     /**
      * <pre>
-     * SHA-256 digest of a body that was not kept; empty when it is not known.
+     * SHA-256 digest of a body that was not kept; empty if it is not known.
      * </pre>
      *
      * <code>bytes body_digest = 6;</code>
@@ -814,7 +814,7 @@
     }
     /**
      * <pre>
-     * SHA-256 digest of a body that was not kept; empty when it is not known.
+     * SHA-256 digest of a body that was not kept; empty if it is not known.
      * </pre>
      *
      * <code>bytes body_digest = 6;</code>
@@ -830,7 +830,7 @@
     }
     /**
      * <pre>
-     * SHA-256 digest of a body that was not kept; empty when it is not known.
+     * SHA-256 digest of a body that was not kept; empty if it is not known.
      * </pre>
      *
      * <code>bytes body_digest = 6;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StoredResponseOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StoredResponseOrBuilder.java
@@ -50,7 +50,7 @@
 
   /**
    * <pre>
-   * SHA-256 digest of a body that was not kept; empty when it is not known.
+   * SHA-256 digest of a body that was not kept; empty if it is not known.
    * </pre>
    *
    * <code>bytes body_digest = 6;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/SubmitCommand.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/SubmitCommand.java
@@ -84,7 +84,7 @@
   private long expectedRevision_ = 0L;
   /**
    * <pre>
-   * 0 when no revision is expected.
+   * 0 if no revision is expected.
    * </pre>
    *
    * <code>uint64 expected_revision = 2;</code>
@@ -622,7 +622,7 @@
     private long expectedRevision_ ;
     /**
      * <pre>
-     * 0 when no revision is expected.
+     * 0 if no revision is expected.
      * </pre>
      *
      * <code>uint64 expected_revision = 2;</code>
@@ -634,7 +634,7 @@
     }
     /**
      * <pre>
-     * 0 when no revision is expected.
+     * 0 if no revision is expected.
      * </pre>
      *
      * <code>uint64 expected_revision = 2;</code>
@@ -650,7 +650,7 @@
     }
     /**
      * <pre>
-     * 0 when no revision is expected.
+     * 0 if no revision is expected.
      * </pre>
      *
      * <code>uint64 expected_revision = 2;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/SubmitCommandOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/SubmitCommandOrBuilder.java
@@ -22,7 +22,7 @@
 
   /**
    * <pre>
-   * 0 when no revision is expected.
+   * 0 if no revision is expected.
    * </pre>
    *
    * <code>uint64 expected_revision = 2;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/SubmitReply.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/SubmitReply.java
@@ -279,7 +279,7 @@
   private boolean repeated_ = false;
   /**
    * <pre>
-   * True when the answer was recorded by an earlier delivery of the same command.
+   * True if the answer was recorded for an earlier delivery of the same command.
    * </pre>
    *
    * <code>bool repeated = 5;</code>
@@ -942,7 +942,7 @@
     private boolean repeated_ ;
     /**
      * <pre>
-     * True when the answer was recorded by an earlier delivery of the same command.
+     * True if the answer was recorded for an earlier delivery of the same command.
      * </pre>
      *
      * <code>bool repeated = 5;</code>
@@ -954,7 +954,7 @@
     }
     /**
      * <pre>
-     * True when the answer was recorded by an earlier delivery of the same command.
+     * True if the answer was recorded for an earlier delivery of the same command.
      * </pre>
      *
      * <code>bool repeated = 5;</code>
@@ -970,7 +970,7 @@
     }
     /**
      * <pre>
-     * True when the answer was recorded by an earlier delivery of the same command.
+     * True if the answer was recorded for an earlier delivery of the same command.
      * </pre>
      *
      * <code>bool repeated = 5;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/SubmitReplyOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/SubmitReplyOrBuilder.java
@@ -51,7 +51,7 @@
 
   /**
    * <pre>
-   * True when the answer was recorded by an earlier delivery of the same command.
+   * True if the answer was recorded for an earlier delivery of the same command.
    * </pre>
    *
    * <code>bool repeated = 5;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/SubmitRequest.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/SubmitRequest.java
@@ -131,7 +131,7 @@
   private long expectedRevision_ = 0L;
   /**
    * <pre>
-   * 0 when no revision is expected.
+   * 0 if no revision is expected.
    * </pre>
    *
    * <code>uint64 expected_revision = 3;</code>
@@ -683,7 +683,7 @@
     private long expectedRevision_ ;
     /**
      * <pre>
-     * 0 when no revision is expected.
+     * 0 if no revision is expected.
      * </pre>
      *
      * <code>uint64 expected_revision = 3;</code>
@@ -695,7 +695,7 @@
     }
     /**
      * <pre>
-     * 0 when no revision is expected.
+     * 0 if no revision is expected.
      * </pre>
      *
      * <code>uint64 expected_revision = 3;</code>
@@ -711,7 +711,7 @@
     }
     /**
      * <pre>
-     * 0 when no revision is expected.
+     * 0 if no revision is expected.
      * </pre>
      *
      * <code>uint64 expected_revision = 3;</code>
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/SubmitRequestOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/SubmitRequestOrBuilder.java
@@ -42,7 +42,7 @@
 
   /**
    * <pre>
-   * 0 when no revision is expected.
+   * 0 if no revision is expected.
    * </pre>
    *
    * <code>uint64 expected_revision = 3;</code>
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/AttemptRules.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/AttemptRules.kt
@@ -21,6 +21,9 @@
     /** The response broke off after a part of it was forwarded. */
     data object BrokenOff : AttemptEnd
 
+    /** A part of the prompt crashes engines; it is tested again in [retryAfterMs], null if that is not known. */
+    data class PartBlocked(val retryAfterMs: Long?) : AttemptEnd
+
     /** No backend server can take the request now. */
     data object NoCandidate : AttemptEnd
 }
@@ -86,7 +89,7 @@
 
         AttemptEnd.Failed -> afterRun(progress, canRetry && !progress.responseStarted, NextStep.PassFailure)
 
-        AttemptEnd.NoCandidate -> fail(progress)
+        is AttemptEnd.PartBlocked, AttemptEnd.NoCandidate -> fail(progress)
     }
 }
 
