Replace staged weights before the first request only after a lasting shortage

Change: the rule for lasting shortages and the comparison of engines with work hold before the first request too. Shown: the new case of ModelBalanceTest fails on the commit before and passes. Class of fault: an exception for a phase in which states are as short-lived as later.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
@@ -43,7 +43,7 @@
 fun wantedGroups(engines: Map<String, DomainEngines>, models: List<ModelSpec>): DomainTargets {
     var targets = GroupTargets(engines, models, models.associateWith { 0 })
     while (true) {
-        targets = targets.withGroupOf(targets.byNeed().firstOrNull() ?: break, allSpares) ?: break
+        targets = targets.byNeed().take(1).firstNotNullOfOrNull { targets.withGroupOf(it, allSpares) } ?: break
     }
     for (spares in listOf(oneSpare, noSpares)) {
         while (true) {
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
@@ -131,7 +131,7 @@
     if (surplus.getValue(staged) + sparesOf(current) <= 0 || isLoading(service, engine.incarnation)) return null
     return service.models
         .filter { it.name != staged && isShort(it, surplus) && isShortageLasting(service, it, domain) }
-        .filter { !input.trafficStarted || enginesPerWork(it, engineCounts) < enginesPerWork(current, engineCounts) }
+        .filter { enginesPerWork(it, engineCounts) < enginesPerWork(current, engineCounts) }
         .minByOrNull { surplus.getValue(it.name) }
 }
 
@@ -154,7 +154,7 @@
  */
 private fun Planning.isShortageLasting(service: DocumentService, model: ModelSpec, domain: String): Boolean {
     val sinceMs = state.shortageSinceMs[ModelInDomain(service.name, model.name, domain)] ?: return false
-    return !input.trafficStarted || input.nowMs - sinceMs >= SHORTAGE_CONFIRMATION_MS
+    return input.nowMs - sinceMs >= SHORTAGE_CONFIRMATION_MS
 }
 
 /** Whether the engine is probably loading weights, during which it refuses others. */
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/ModelBalanceTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/ModelBalanceTest.kt
@@ -4,8 +4,10 @@
 import org.bramleyspur.core.backend.Announcement
 import org.bramleyspur.core.backend.KnownBackend
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 
@@ -73,9 +75,25 @@
         }
     }
 
-    private fun plan(state: PlannerState, engines: List<Announcement>, nowMs: Long): PlanStep {
+    @Test
+    fun `weights are not replaced for a shortage of a moment, nor before the first request`() {
+        val engines = engines(cases.first())
+        for (trafficStarted in listOf(false, true)) {
+            val step = plan(PlannerState(), engines, NOW_MS, trafficStarted)
+            expectThat(step.orders.filter { it.command is EngineCommand.Stage }).isEmpty()
+        }
+    }
+
+    private fun plan(
+        state: PlannerState,
+        engines: List<Announcement>,
+        nowMs: Long,
+        trafficStarted: Boolean = true,
+    ): PlanStep {
         val known = engines.associate { it.id to KnownBackend(it, nowMs) }
-        return planGroups(state, PlannerInput(nowMs, 1, DOCUMENT, known, emptyMap(), trafficStarted = true))
+        val firstSeen = engines.associate { it.id to nowMs - STARTUP_MS }.toPersistentMap()
+        val seen = if (state.firstSeenMs.isEmpty()) state.copy(firstSeenMs = firstSeen) else state
+        return planGroups(seen, PlannerInput(nowMs, 1, DOCUMENT, known, emptyMap(), trafficStarted))
     }
 
     private companion object {
@@ -85,5 +103,6 @@
         const val MAX_WORK_RATIO = 2.0
         const val NOW_MS = 100_000L
         const val SHORTAGE_MS = 3_000L
+        const val STARTUP_MS = 10_000L
     }
 }
