Close connections on which a backend server sends bytes without end

Callers of a request that may run only once waited until the deadline, and the entry read on at the server's pace, after a refusal for as long as the server lived.

Cause: responses to other requests and interim responses were skipped without limit, line breaks before a head reach no handler, and the rest of a response that is not used (a refusal, a failure before a retry) had no limit at all. Class of fault: input that is dropped was taken to cost nothing.

Change: at most 64 KiB or 16 responses are skipped, at most 64 KiB pass without a decoded part, an unused rest is read for 500 ms or 64 KiB, and any byte on an idle connection closes it.

Bodies with a seal that never end are broken off at the deadline, before and after. Looked for elsewhere: control's orders and probes end after 1 s and 200 ms and keep 16 KiB; an agent's reads of an engine have limits on size, but no test of this kind.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -346,6 +346,7 @@
                 responseHead = status to headers.copyEndToEndHeaders()
                 forwardHead()
             } else {
+                call?.discard()
                 releaseLoad()
                 applyStep(step, AttemptEnd.Failed, "$status of ${load.id}")
             }
@@ -456,8 +457,9 @@
             }
         }
 
-        /** Ends the attempt without using its response; the connection stays open for later requests. */
+        /** Ends the attempt without using its response. */
         private fun endAttempt(end: AttemptEnd, detail: String) {
+            call?.discard()
             releaseLoad()
             onAttemptEnd(end, detail)
         }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
@@ -25,6 +25,7 @@
 import io.netty.util.ReferenceCountUtil
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.core.time.monotonicMs
+import java.util.concurrent.TimeUnit
 
 /**
  * Decides whether a response belongs to the request. A backend server can send a second response to an earlier request
@@ -58,7 +59,8 @@
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
-                        channel.pipeline().addLast(HttpClientCodec(), ConnectionHandler())
+                        val handler = ConnectionHandler()
+                        channel.pipeline().addLast(handler.byteObserver, HttpClientCodec(), handler)
                     }
                 },
             )
@@ -119,6 +121,9 @@
          * Whether the current message is skipped: a 1xx response, or the response to another request.
          */
         private var skipping = false
+        private var skippedBytes = 0L
+        private var skippedResponses = 0
+        private var discarding = false
         private var idleMs = idleLimitMs
         private val pending = ArrayDeque<HttpContent>()
 
@@ -166,6 +171,12 @@
             if (!done) channel?.config()?.isAutoRead = !paused
         }
 
+        override fun discard() {
+            if (done) return
+            discarding = true
+            channel?.eventLoop()?.schedule({ cancel() }, DISCARD_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+        }
+
         override fun cancel() {
             if (done) return
             done = true
@@ -182,13 +193,26 @@
             if (done) return
             if (message is HttpObject && message.decoderResult().isFailure) return onMalformed(message)
             if (message is HttpResponse) readHead(message)
-            if (message is HttpContent && !skipping) readContent(message)
+            if (message is HttpContent) {
+                if (skipping || discarding) skippedBytes += message.content().readableBytes()
+                if (!skipping) readContent(message)
+            }
+            if (skippedBytes > MAX_SKIPPED_BYTES || skippedResponses > MAX_SKIPPED_RESPONSES) onEndless()
+        }
+
+        /** Ends the exchange after too many bytes that are no part of its response. */
+        fun onEndless() {
+            channel?.close()
+            finish { listener.onFailure(HttpFailure.BROKEN, "$address sent bytes without end") }
         }
 
         private fun readHead(message: HttpResponse) {
             val interim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
             skipping = interim || !isResponseTo(request, message.headers())
-            if (skipping) return
+            if (skipping) {
+                skippedResponses++
+                return
+            }
             releaseBody()
             keepAlive = HttpUtil.isKeepAlive(message)
             idleMs = minOf(idleLimitMs, declaredIdleMs(message.headers()) ?: idleLimitMs)
@@ -248,7 +272,25 @@
     private class ConnectionHandler : ChannelInboundHandlerAdapter() {
         var exchange: HttpClient.Exchange? = null
 
+        /** Bytes received since the last part of a message; the decoder skips line breaks without limit. */
+        private var undecodedBytes = 0L
+
+        /** Observes bytes before the HTTP codec. */
+        val byteObserver = object : ChannelInboundHandlerAdapter() {
+            override fun channelRead(context: ChannelHandlerContext, message: Any) {
+                if (exchange == null) {
+                    ReferenceCountUtil.release(message)
+                    context.close()
+                    return
+                }
+                undecodedBytes += (message as? ByteBuf)?.readableBytes() ?: 0
+                context.fireChannelRead(message)
+                if (undecodedBytes > MAX_UNDECODED_BYTES) exchange?.onEndless()
+            }
+        }
+
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            undecodedBytes = 0
             try {
                 exchange?.read(message) ?: context.close()
             } finally {
@@ -279,6 +321,16 @@
         const val DEFAULT_IDLE_LIMIT_MS = 60_000L
         const val CONNECT_TIMEOUT_MS = 1_000
         const val MAX_IDLE_CONNECTIONS = 32
+
+        /** Several times the decoder's limits for a head. */
+        const val MAX_UNDECODED_BYTES = 64 * 1024L
+
+        /** Reading more than this costs more than a new connection. */
+        const val MAX_SKIPPED_BYTES = 64 * 1024L
+        const val MAX_SKIPPED_RESPONSES = 16
+
+        /** Time in which the rest of an unused response arrives if its connection is worth reusing. */
+        const val DISCARD_TIMEOUT_MS = 500L
     }
 }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpExchange.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpExchange.kt
@@ -48,6 +48,12 @@
 
     /** Closes the connection; the listener receives no further events. */
     fun cancel()
+
+    /**
+     * Reads the rest of an unused response, so that the connection can be reused; closes the connection if the rest is
+     * long or does not arrive soon.
+     */
+    fun discard()
 }
 
 /**
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ScriptedBackend.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ScriptedBackend.kt
@@ -1,14 +1,19 @@
 package org.bramleyspur.daemon.forward
 
 import java.io.BufferedInputStream
+import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
-/** Response of a [ScriptedBackend] to one request: sends [bytes], then closes the connection if [close] is set. */
-internal class Script(val bytes: String, val close: Boolean = false)
+/**
+ * Response of a [ScriptedBackend] to one request: sends [bytes], then [endlessly] until the peer closes the connection,
+ * or else closes it if [close] is set.
+ */
+internal class Script(val bytes: String, val close: Boolean = false, val endlessly: String = "")
 
 /** A backend server on loopback that responds to its requests with [scripts] in order; the last one repeats. */
 internal class ScriptedBackend(vararg scripts: Script) : AutoCloseable {
@@ -17,6 +22,9 @@
 
     /** Heads of the received requests. */
     val requests = CopyOnWriteArrayList<String>()
+
+    /** Number of responses without end whose connection the peer has not closed. */
+    val openEndlessResponses = AtomicInteger()
     val address: String = "127.0.0.1:${server.localPort}"
 
     init {
@@ -36,10 +44,21 @@
             val script = nextScript()
             it.getOutputStream().write(script.bytes.encodeToByteArray())
             it.getOutputStream().flush()
+            if (script.endlessly.isNotEmpty()) return@use repeatUntilClosed(it, script.endlessly)
             if (script.close) return@use
         }
     }
 
+    private fun repeatUntilClosed(socket: Socket, text: String) {
+        openEndlessResponses.incrementAndGet()
+        val chunk = text.repeat(1 + CHUNK_BYTES / text.length).encodeToByteArray()
+        try {
+            while (true) socket.getOutputStream().write(chunk)
+        } catch (_: IOException) {
+            openEndlessResponses.decrementAndGet()
+        }
+    }
+
     @Synchronized
     private fun nextScript(): Script = if (remaining.size > 1) remaining.removeFirst() else remaining.first()
 
@@ -56,4 +75,8 @@
     }
 
     override fun close() = server.close()
+
+    private companion object {
+        const val CHUNK_BYTES = 4_096
+    }
 }
