Let engines that load weights of another model join groups last

Class of fault: two decisions about one engine, the second without the first.

Change: among the engines that can join without a load, those that load weights of another model come last. Shown: the new case of ModelBalanceTest fails on the commit before and passes.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -61,7 +61,7 @@
 
 private fun Planning.formSurplusGroup(service: DocumentService, model: ModelSpec, wanted: DomainTargets): Boolean {
     val free = freeEngines(service.name)
-    val members = fastJoiningAmong(free, model).groupBy { it.fabricDomain }
+    val members = fastJoiningAmong(service, free, model).groupBy { it.fabricDomain }
         .filter { (domain, engines) ->
             engines.size - reserved(service, model, domain, wanted, free) >= model.groupSize
         }
@@ -150,10 +150,15 @@
 
 /** Free engines that can join a group of the model without loading weights, the fastest first. */
 private fun Planning.fastJoiningEngines(service: DocumentService, model: ModelSpec): List<Announcement> =
-    fastJoiningAmong(freeEngines(service.name), model)
+    fastJoiningAmong(service, freeEngines(service.name), model)
 
-private fun Planning.fastJoiningAmong(free: List<Announcement>, model: ModelSpec): List<Announcement> =
-    free.filter { joinTimeMs(it, model) < model.loadMs }.sortedBy { joinTimeMs(it, model) }
+/** Engines that load weights of another model come last: by joining they would lose what they load. */
+private fun Planning.fastJoiningAmong(
+    service: DocumentService,
+    free: List<Announcement>,
+    model: ModelSpec,
+): List<Announcement> = free.filter { joinTimeMs(it, model) < model.loadMs }
+    .sortedWith(compareBy({ if (stagedModel(service, it) == model.name) 0 else 1 }, { joinTimeMs(it, model) }))
 
 private fun Planning.groupCountIn(service: DocumentService, model: ModelSpec, domain: String): Int =
     activeGroups(service, model).count { group -> group.members.any { announcement(it.id)?.fabricDomain == domain } }
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/ModelBalanceTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/ModelBalanceTest.kt
@@ -1,5 +1,6 @@
 package org.bramleyspur.control.group
 
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
 import org.bramleyspur.core.backend.Announcement
 import org.bramleyspur.core.backend.KnownBackend
@@ -9,6 +10,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isLessThanOrEqualTo
 
 /** Guards against a model that loses its engines to another one, with less work for each, after engines are lost. */
@@ -84,6 +86,21 @@
         }
     }
 
+    @Test
+    fun `an engine that loads the weights of another model joins no group while others can`() {
+        val engines = (1..5).map { readyEngine("e$it", it, listOf("large")) }
+        val loading = engines.first().incarnation
+        val state = PlannerState(
+            knownOrders = engines.associate {
+                it.incarnation to KnownOrders(0, 0, groupMismatch = false)
+            }.toPersistentMap(),
+            lastModel = persistentMapOf(loading to "large"),
+            sentMs = persistentMapOf(SentOrder(loading, EngineCommand.Stage("small")) to NOW_MS - 1_000),
+        )
+        val formed = plan(state, engines, NOW_MS).state.groups.values.single { it.phase == GroupPhase.FORMING }
+        expectThat(formed.members.contains(loading)).isFalse()
+    }
+
     private fun plan(
         state: PlannerState,
         engines: List<Announcement>,
