Let the spares of a domain hold the weights whose loss costs most

Cause: spares were counted by group size alone, one for a group of four as for a group of two, though the large model has twice the members that can be lost and each of its groups carries twice the work.

Change: each spare of a domain goes to the model for which the members there, times the part of the work that a group carries, divided by the spares that it has already, is largest: two and none in a domain with a group of four and one of two. A domain reserves no more free engines for them than before. Shown: the new case of ModelBalanceTest; SurplusGroupTest unchanged.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -84,7 +84,11 @@
     val ownWork = workPerEngine(service, model)
     return service.models.filter { it.name != model.name }
         .filter { !input.trafficStarted || workPerEngine(service, it) > ownWork }
-        .sumOf { (-surplus(service, it, domain, wanted, spares)).coerceAtLeast(0) }
+        .sumOf { other ->
+            // Spares beyond the model's own number take the place of another model's, and are worth less than a group.
+            val extraSpares = (wanted.spares(domain, other, service.models) - sparesOf(other)).coerceAtLeast(0)
+            (-surplus(service, other, domain, wanted, spares) - extraSpares).coerceAtLeast(0)
+        }
 }
 
 /** Whether members of a released group are about to become free, so that a group within one domain may be possible. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
@@ -13,7 +13,25 @@
 /** Wanted number of groups of the model in the domain. */
 internal fun DomainTargets.groups(domain: String, model: ModelSpec): Int = this[domain]?.get(model.name) ?: 0
 
-/** Number of spares for the groups of the model in a domain; larger groups lose members more often. */
+/**
+ * Number of spares in the domain that hold the weights of the model. Each further spare of the domain goes to the model
+ * that the next loss of a member costs most: one with many members there, each with a large part of all the work.
+ */
+internal fun DomainTargets.spares(domain: String, model: ModelSpec, models: List<ModelSpec>): Int {
+    val inDomain = models.filter { groups(domain, it) > 0 }
+    val spares = inDomain.associateWith { 0 }.toMutableMap()
+    repeat(inDomain.sumOf { sparesOf(it) }) {
+        val next = inDomain.maxBy { costOfLosses(domain, it) / (1 + spares.getValue(it)) }
+        spares.merge(next, 1, Int::plus)
+    }
+    return spares[model] ?: 0
+}
+
+/** The members of the model in the domain, which may be lost, times the part of the work that a group carries. */
+private fun DomainTargets.costOfLosses(domain: String, model: ModelSpec): Double =
+    groups(domain, model) * model.groupSize * model.workShare / keys.sumOf { groups(it, model) }
+
+/** Number of spares that a domain has for the groups of the model; larger groups lose members more often. */
 fun sparesOf(model: ModelSpec): Int = (model.groupSize + MEMBERS_PER_SPARE - 1) / MEMBERS_PER_SPARE
 
 /** With one spare per four members, a group of four and a group of two with their spares fill a domain of eight. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
@@ -20,13 +20,14 @@
         val spares = freeByDomain[domain].orEmpty()
         val surplus = service.models.associate { it.name to surplus(service, it, domain, wanted, spares) }
             .toMutableMap()
-        trackShortages(service, domain, surplus)
+        val wantedSpares = service.models.associate { it.name to wanted.spares(domain, it, service.models) }
+        trackShortages(service, domain, surplus, wantedSpares)
         for (spare in spares.filterNot { hasRecentlyRefusedStage(it.incarnation) }.sortedBy { it.id }) {
             val staged = stagedModel(service, spare)
             val model = if (staged == null) {
                 modelToStage(service, domain, wanted, surplus, engineCounts)
             } else {
-                modelToRestage(service, domain, spare, staged, surplus, countsBefore)
+                modelToRestage(service, domain, spare, staged, surplus, wantedSpares, countsBefore)
             }
             if (model == null) continue
             if (!reserveLoad(service)) return
@@ -68,10 +69,8 @@
 }
 
 /** Number of engines that the wanted groups of a domain need, including spares. */
-private fun Planning.wantedEngines(model: ModelSpec, domain: String, wanted: DomainTargets): Int {
-    val groups = wanted.groups(domain, model)
-    return if (groups == 0) 0 else groups * model.groupSize + sparesOf(model)
-}
+private fun wantedEngines(service: DocumentService, model: ModelSpec, domain: String, wanted: DomainTargets): Int =
+    wanted.groups(domain, model) * model.groupSize + wanted.spares(domain, model, service.models)
 
 private fun Planning.assignedIn(service: DocumentService, model: ModelSpec, domain: String): Int =
     assignedTo(service, model).count { announcement(it.id)?.fabricDomain == domain }
@@ -99,7 +98,7 @@
 ): Int {
     val members = assignedIn(service, model, domain)
     val staged = spares.count { stagedModel(service, it) == model.name }
-    return members + staged - wantedEngines(model, domain, wanted)
+    return members + staged - wantedEngines(service, model, domain, wanted)
 }
 
 /** The model whose weights are on the engine's host or being loaded there; null for none. */
@@ -125,25 +124,44 @@
     engine: Announcement,
     staged: String,
     surplus: Map<String, Int>,
+    wantedSpares: Map<String, Int>,
     engineCounts: Map<String, Int>,
 ): ModelSpec? {
     val current = service.models.firstOrNull { it.name == staged } ?: return null
-    if (surplus.getValue(staged) + sparesOf(current) <= 0 || isLoading(service, engine.incarnation)) return null
+    if (surplus.getValue(staged) + wantedSpares.getValue(staged) <= 0 ||
+        isLoading(service, engine.incarnation)
+    ) {
+        return null
+    }
     return service.models
-        .filter { it.name != staged && isShort(it, surplus) && isShortageLasting(service, it, domain) }
+        .filter { it.name != staged && isShort(it, surplus, wantedSpares) && isShortageLasting(service, it, domain) }
         .filter { enginesPerWork(it, engineCounts) < enginesPerWork(current, engineCounts) }
         .minByOrNull { surplus.getValue(it.name) }
 }
 
-private fun isShort(model: ModelSpec, surplus: Map<String, Int>): Boolean =
-    surplus.getValue(model.name) + sparesOf(model) < 0
+private fun isShort(model: ModelSpec, surplus: Map<String, Int>, wantedSpares: Map<String, Int>): Boolean =
+    surplus.getValue(model.name) + wantedSpares.getValue(model.name) < 0
 
 /** Records since when each model has lacked engines in the domain. */
-private fun Planning.trackShortages(service: DocumentService, domain: String, surplus: Map<String, Int>) {
+private fun Planning.trackShortages(
+    service: DocumentService,
+    domain: String,
+    surplus: Map<String, Int>,
+    wantedSpares: Map<String, Int>,
+) {
     for (model in service.models) {
         val key = ModelInDomain(service.name, model.name, domain)
         val since = state.shortageSinceMs
-        val next = if (isShort(model, surplus)) since.put(key, since[key] ?: input.nowMs) else since.remove(key)
+        val next = if (isShort(
+                model,
+                surplus,
+                wantedSpares,
+            )
+        ) {
+            since.put(key, since[key] ?: input.nowMs)
+        } else {
+            since.remove(key)
+        }
         state = state.copy(shortageSinceMs = next)
     }
 }
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/ModelBalanceTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/ModelBalanceTest.kt
@@ -32,6 +32,14 @@
                 }
             }
 
+    @Test
+    fun `spares of a domain hold the weights of the model that a loss costs most`() {
+        val wanted = targets(8, 8, 8)
+        for (domain in wanted.keys) {
+            expectThat(MODELS.map { wanted.spares(domain, it, MODELS) }).isEqualTo(listOf(2, 0))
+        }
+    }
+
     /** [staged] lists the models on the hosts of each domain's engines; [stages] the orders to load weights. */
     private class Case(val name: String, val staged: Map<String, List<String>>, val stages: Map<String, Int>)
 
