Record shortages of all domains before any load is ordered

Found in review: the time since which a model lacks engines in a domain was recorded while loads were ordered, and that loop ends when no further load is allowed. A shortage that had ended stayed on record for the later domains, so that the next one counted as lasting and weights were replaced at once (12 to 16 s without service).

Change: shortages are recorded first, for every domain. The decision on replacing weights moves to a file of its own, WeightReplacement.kt, unchanged. Shown: the new case of ModelBalanceTest fails on the commit before and passes.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
@@ -1,5 +1,6 @@
 /*
  * Staging of weights on the hosts of free engines, so that groups are formed and lost members replaced without a load.
+ * Which weights are replaced by those of another model is decided in WeightReplacement.kt.
  */
 package org.bramleyspur.control.group
 
@@ -8,20 +9,18 @@
 import org.bramleyspur.core.document.ModelSpec
 
 /**
- * Loads weights onto the hosts of free engines, in proportion to the models' shares of the work, and replaces weights
- * that are worth more as those of another model.
+ * Loads weights onto the hosts of free engines in proportion to the models' shares of the work, and replaces weights
+ * where another model needs the engine more.
  */
 internal fun Planning.stageWeights(service: DocumentService, wanted: DomainTargets) {
     val free = freeEngines(service.name)
     val engineCounts = service.models.associate { it.name to enginesOf(service, it, free) }.toMutableMap()
     val countsBefore = engineCounts.toMap()
-    val freeByDomain = free.groupBy { it.fabricDomain }
-    for (domain in wanted.keys + freeByDomain.keys) {
-        val spares = freeByDomain[domain].orEmpty()
+    recordShortages(service, wanted, free)
+    for ((domain, spares) in free.groupBy { it.fabricDomain }) {
         val surplus = service.models.associate { it.name to surplus(service, it, domain, wanted, spares) }
             .toMutableMap()
         val wantedSpares = service.models.associate { it.name to wanted.spares(domain, it, service.models) }
-        trackShortages(service, domain, surplus, wantedSpares)
         for (spare in spares.filterNot { hasRecentlyRefusedStage(it.incarnation) }.sortedBy { it.id }) {
             val staged = stagedModel(service, spare)
             val model = if (staged == null) {
@@ -85,7 +84,7 @@
         .filter { it.service == service.name && it.model == model.name && it.phase in ASSIGNED_PHASES }
         .flatMap { it.members }
 
-private fun Planning.enginesPerWork(model: ModelSpec, engineCounts: Map<String, Int>): Double =
+internal fun Planning.enginesPerWork(model: ModelSpec, engineCounts: Map<String, Int>): Double =
     engineCounts.getValue(model.name) / model.workShare.coerceAtLeast(MIN_WORK_SHARE)
 
 /** Number of engines of the domain in groups of the model or staged for it, minus the number that its groups need. */
@@ -113,75 +112,6 @@
 private fun Planning.hasRecentlyRefusedStage(incarnation: EngineIncarnation): Boolean =
     state.stageRefusedMs[incarnation]?.let { input.nowMs - it < STAGE_RETRY_MS } == true
 
-/**
- * A model whose groups in the domain have lacked engines for some time, even without spares, if it has fewer engines
- * for its work than [staged] and the groups of [staged] in the domain can spare one; else null. A missing spare is not
- * enough: an engine serves no requests while it loads, and targets change with every loss.
- */
-private fun Planning.modelToRestage(
-    service: DocumentService,
-    domain: String,
-    engine: Announcement,
-    staged: String,
-    surplus: Map<String, Int>,
-    wantedSpares: Map<String, Int>,
-    engineCounts: Map<String, Int>,
-): ModelSpec? {
-    val current = service.models.firstOrNull { it.name == staged } ?: return null
-    if (surplus.getValue(staged) + wantedSpares.getValue(staged) <= 0 ||
-        isLoading(service, engine.incarnation)
-    ) {
-        return null
-    }
-    return service.models
-        .filter { it.name != staged && isShort(it, surplus, wantedSpares) && isShortageLasting(service, it, domain) }
-        .filter { enginesPerWork(it, engineCounts) < enginesPerWork(current, engineCounts) }
-        .minByOrNull { surplus.getValue(it.name) }
-}
-
-private fun isShort(model: ModelSpec, surplus: Map<String, Int>, wantedSpares: Map<String, Int>): Boolean =
-    surplus.getValue(model.name) + wantedSpares.getValue(model.name) < 0
-
-/** Records since when each model has lacked engines in the domain. */
-private fun Planning.trackShortages(
-    service: DocumentService,
-    domain: String,
-    surplus: Map<String, Int>,
-    wantedSpares: Map<String, Int>,
-) {
-    for (model in service.models) {
-        val key = ModelInDomain(service.name, model.name, domain)
-        val since = state.shortageSinceMs
-        val next = if (isShort(
-                model,
-                surplus,
-                wantedSpares,
-            )
-        ) {
-            since.put(key, since[key] ?: input.nowMs)
-        } else {
-            since.remove(key)
-        }
-        state = state.copy(shortageSinceMs = next)
-    }
-}
-
-/**
- * Whether the shortage has outlasted the time in which the members of a lost group are free, or in which a new leader
- * receives the announcements of all engines.
- */
-private fun Planning.isShortageLasting(service: DocumentService, model: ModelSpec, domain: String): Boolean {
-    val sinceMs = state.shortageSinceMs[ModelInDomain(service.name, model.name, domain)] ?: return false
-    return input.nowMs - sinceMs >= SHORTAGE_CONFIRMATION_MS
-}
-
-/** Whether the engine is probably loading weights, during which it refuses others. */
-private fun Planning.isLoading(service: DocumentService, incarnation: EngineIncarnation): Boolean =
-    service.models.any { model ->
-        state.sentMs[SentOrder(incarnation, EngineCommand.Stage(model.name))]
-            ?.let { input.trafficStarted && input.nowMs - it < model.loadMs } == true
-    }
-
 /** Reserves a load from the weight store; false if the rate would exceed the service's declared limit. */
 private fun Planning.reserveLoad(service: DocumentService): Boolean {
     if (!input.trafficStarted) return true
@@ -194,9 +124,6 @@
 
 /** Retry interval for a host that refuses to stage, which it does for up to 16 s while it loads other weights. */
 private const val STAGE_RETRY_MS = 5_000L
-
-/** Longer than the members of a lost group take to join another one, or all engines to announce themselves. */
-private const val SHORTAGE_CONFIRMATION_MS = 2_500L
 private val ASSIGNED_PHASES = setOf(GroupPhase.WARMING, GroupPhase.FORMING, GroupPhase.SERVING)
 
 /** Fraction of the declared load rate that the planner uses. */
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/ModelBalanceTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/ModelBalanceTest.kt
@@ -1,6 +1,7 @@
 package org.bramleyspur.control.group
 
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import org.bramleyspur.core.backend.Announcement
 import org.bramleyspur.core.backend.KnownBackend
@@ -94,6 +95,17 @@
         }
     }
 
+    @Test
+    fun `a shortage that has ended is forgotten although no load is allowed`() {
+        val complete = Case("complete", mapOf("a" to domain(4, 2, new = 1), "b" to domain(4, 2)), emptyMap())
+        val shortage = ModelInDomain("s", "large", "b")
+        val state = PlannerState(
+            shortageSinceMs = persistentMapOf(shortage to NOW_MS - SHORTAGE_MS),
+            loadStartsMs = List(LOADS_ABOVE_LIMIT) { NOW_MS - 1 }.toPersistentList(),
+        )
+        expectThat(shortage in plan(state, engines(complete), NOW_MS).state.shortageSinceMs).isFalse()
+    }
+
     @Test
     fun `an engine that loads the weights of another model joins no group while others can`() {
         val engines = (1..5).map { readyEngine("e$it", it, listOf("large")) }
@@ -128,6 +140,7 @@
         const val MAX_WORK_RATIO = 2.0
         const val NOW_MS = 100_000L
         const val SHORTAGE_MS = 3_000L
+        const val LOADS_ABOVE_LIMIT = 100
         const val STARTUP_MS = 10_000L
     }
 }
