Count and log what keeps requests from engines, and name what a reader stumbles over

A second send that is withheld because of a prompt part had a log line but no counter: the counter of these refusals gets the label sent (never, once). Control passed reports on prompt parts on without a line: it writes prompt-parts with their numbers. EVENTS_AFTER_START counted from the start of what was unclear: EVENTS_PAST_START, with the reason; the two thresholds of ends of engines each say why. The values of headers move from ForwardedRequest, which had grown, to HeaderValues.kt, unchanged. No decision changes. Shown: ForwardedRequestTest, PromptPartTest and PartQuarantineTest pass.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
@@ -26,8 +26,10 @@
 
     private val partBlocked = Counter.builder()
         .name("bramleyspur_prompt_part_refusals_total")
-        .help("Requests refused because a part of their prompt crashes engines, by route.")
-        .labelNames("route")
+        .help(
+            "Requests kept from engines because a part of their prompt crashes them, by route; sent: once before or never.",
+        )
+        .labelNames("route", "sent")
         .register(registry)
 
     fun onRequestEnd(route: String, outcome: String) = requests.labelValues(route, outcome).inc()
@@ -36,8 +38,9 @@
     fun onFirstByte(route: String, latencyMs: Long) =
         firstByteSeconds.labelValues(route).observe(latencyMs / MS_PER_SECOND)
 
-    /** Records a refusal because a part of the prompt crashes engines. */
-    fun onPartBlocked(route: String) = partBlocked.labelValues(route).inc()
+    /** Records a request that was kept from engines because of a part of its prompt, or not sent to a second one. */
+    fun onPartBlocked(route: String, sentBefore: Boolean) =
+        partBlocked.labelValues(route, if (sentBefore) "once" else "never").inc()
 
     fun onRetry(service: String) = retries.labelValues(service).inc()
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -104,6 +104,7 @@
     private fun isKeptFromEngines(): Boolean {
         if (sentAttempts > 0) {
             if (context.promptParts.allowsRetry(parts)) return false
+            context.metrics.onPartBlocked(route.name, sentBefore = true)
             onAttemptEnd(
                 AttemptEnd.PartBlocked(null),
                 "a part of its prompt may have crashed ${triedBackends.lastOrNull()}",
@@ -111,7 +112,7 @@
             return true
         }
         val verdict = context.promptParts.admit(parts) as? PartVerdict.Blocked ?: return false
-        context.metrics.onPartBlocked(route.name)
+        context.metrics.onPartBlocked(route.name, sentBefore = false)
         onAttemptEnd(AttemptEnd.PartBlocked(verdict.retryAfterMs), "its prompt part ${verdict.part} crashes engines")
         return true
     }
@@ -409,9 +410,9 @@
 
         /** An engine that crashes under a request does so when it begins the response, so it sends no second event. */
         private fun onEventsReceived(count: Int) {
-            val begun = receivedEvents >= EVENTS_AFTER_START
+            val begun = receivedEvents >= EVENTS_PAST_START
             receivedEvents += count
-            if (!begun && receivedEvents >= EVENTS_AFTER_START) context.promptParts.onSurvived(parts)
+            if (!begun && receivedEvents >= EVENTS_PAST_START) context.promptParts.onSurvived(parts)
         }
 
         private fun recordEventInterval(events: Int) {
@@ -452,7 +453,7 @@
                 onAttemptEnd(AttemptEnd.NotSent, message)
             } else {
                 load.onFailure(now)
-                if (receivedEvents < EVENTS_AFTER_START) context.promptParts.onEngineEnded(parts, engine)
+                if (receivedEvents < EVENTS_PAST_START) context.promptParts.onEngineEnded(parts, engine)
                 onAttemptEnd(if (responseStarted) AttemptEnd.BrokenOff else AttemptEnd.NoAnswer, message)
             }
         }
@@ -509,7 +510,9 @@
         /** Several steps of a full batch; a working engine sends events much more often. */
         const val STREAM_STALL_TIMEOUT_MS = 450L
         const val STALL_RECHECK_INTERVAL_MS = 100L
-        const val EVENTS_AFTER_START = 2
+
+        /** With its second event, an engine has gone past the beginning of its response. */
+        const val EVENTS_PAST_START = 2
         const val MIN_PLAIN_STALL_TIMEOUT_MS = 150L
         const val PREDICTION_MARGIN_FACTOR = 2.0
 
@@ -517,19 +520,3 @@
         const val MAX_WAIT_TARGET_RATIO = 1.5
     }
 }
-
-private const val MS_PER_SECOND = 1_000.0
-
-private fun tokenCountsOf(header: String?): TokenCounts {
-    val counts = header?.split(',')?.map { it.trim().toLongOrNull()?.coerceAtLeast(0) ?: 0 }.orEmpty()
-    return TokenCounts(counts.getOrElse(0) { 0 }, counts.getOrElse(1) { 0 })
-}
-
-/** Number of running and queued requests in a load report; null when it is absent or malformed. */
-private fun runningRequestsOf(load: String?): Int? {
-    val numbers = load?.split(',')?.map { it.trim().toIntOrNull() ?: return null } ?: return null
-    return if (numbers.size >= 2) numbers[0] + numbers[1] else null
-}
-
-private fun retryAfterMs(headers: HttpHeaders): Long? =
-    headers.get(HttpHeaderNames.RETRY_AFTER)?.trim()?.toDoubleOrNull()?.let { (it * MS_PER_SECOND).toLong() }
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/HeaderValues.kt
@@ -0,0 +1,25 @@
+/*
+ * Values of the headers of forwarded requests and of their responses. A malformed value counts as absent.
+ */
+package org.bramleyspur.daemon.forward
+
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+
+private const val MS_PER_SECOND = 1_000.0
+
+/** Prompt tokens and maximum output tokens of a request; 0 for each one that is absent. */
+internal fun tokenCountsOf(header: String?): TokenCounts {
+    val counts = header?.split(',')?.map { it.trim().toLongOrNull()?.coerceAtLeast(0) ?: 0 }.orEmpty()
+    return TokenCounts(counts.getOrElse(0) { 0 }, counts.getOrElse(1) { 0 })
+}
+
+/** Number of running and queued requests in a load report; null when it is absent or malformed. */
+internal fun runningRequestsOf(load: String?): Int? {
+    val numbers = load?.split(',')?.map { it.trim().toIntOrNull() ?: return null } ?: return null
+    return if (numbers.size >= 2) numbers[0] + numbers[1] else null
+}
+
+/** Delay in milliseconds after which a refused request may be sent again; null if the response names none. */
+internal fun retryAfterMs(headers: HttpHeaders): Long? =
+    headers.get(HttpHeaderNames.RETRY_AFTER)?.trim()?.toDoubleOrNull()?.let { (it * MS_PER_SECOND).toLong() }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -63,6 +63,7 @@
 import org.bramleyspur.protocol.QueryRequest
 import org.bramleyspur.protocol.SubmitReply
 import org.bramleyspur.protocol.SubmitRequest
+import org.bramleyspur.traffic.quarantine.PartObservation
 import org.bramleyspur.traffic.quarantine.PartQuarantine
 import java.nio.file.Path
 import java.util.concurrent.Executors
@@ -284,7 +285,14 @@
             promptParts = before.with(observation, timers.nowMs())
             promptParts !== before
         }
-        if (changes.isNotEmpty()) directoryServer.onPromptParts(changes)
+        if (changes.isEmpty()) return
+        log.write(
+            "prompt-parts",
+            "ended" to changes.count { it is PartObservation.EngineEnded },
+            "survived" to changes.count { it is PartObservation.Survived },
+            "suspects" to promptParts.suspects.size,
+        )
+        directoryServer.onPromptParts(changes)
     }
 
     private fun report(first: Boolean): DirectoryRequest {
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/quarantine/PartQuarantine.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/quarantine/PartQuarantine.kt
@@ -113,6 +113,8 @@
     private companion object {
         /** Two engines can end for another reason while they hold requests with a common part. */
         const val BLOCKING_ENDS = 3
+
+        /** A second send repeats at once what an engine may just have ended under, so one end less is enough. */
         const val RETRY_BLOCKING_ENDS = 2
         const val TEST_INTERVAL_MS = 30_000L
         const val MAX_TEST_DOUBLINGS = 4
