Break off a stream that repeats its events without end

Found in review: events that a caller has already received are dropped, and a backend server that sends nothing else kept the entry reading at its pace until the deadline. Class of fault, as for the other bytes without end: input that is dropped was taken to cost nothing.

Change: after 256 KiB of repeated events the response is discarded.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -243,6 +243,7 @@
         private var lastDataMs = startedAtMs
         private var lastEventMs: Long? = null
         private var receivedEvents = 0
+        private var repeatedBytes = 0L
         private val engine = context.engineLife(load.id)
 
         /** Whether the request may have reached the backend server. */
@@ -400,11 +401,15 @@
                 onPromptPrefilled()
                 val lastId = lastEventId
                 val repeated = event.id != null && lastId != null && event.id!! <= lastId
-                if (repeated) continue
+                if (repeated) {
+                    repeatedBytes += event.bytes.size
+                    continue
+                }
                 forwardHead()
                 response.write(Unpooled.wrappedBuffer(event.bytes))
                 event.id?.let { lastEventId = it }
             }
+            if (repeatedBytes > MAX_REPEATED_BYTES) return discard("${load.id} repeated its events without end")
             if (route.idempotent && events.isNotEmpty()) startStallTimer(STREAM_STALL_TIMEOUT_MS)
         }
 
@@ -513,6 +518,9 @@
 
         /** With its second event, an engine has gone past the beginning of its response. */
         const val EVENTS_PAST_START = 2
+
+        /** Many times the events that a backend server repeats when it resumes a stream from its beginning. */
+        const val MAX_REPEATED_BYTES = 256 * 1024L
         const val MIN_PLAIN_STALL_TIMEOUT_MS = 150L
         const val PREDICTION_MARGIN_FACTOR = 2.0
 
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/EndlessResponseTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/EndlessResponseTest.kt
@@ -1,6 +1,7 @@
 package org.bramleyspur.daemon.forward
 
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -33,6 +34,10 @@
         Case("the body of a refusal without a length", "HTTP/1.1 503 Full\r\nX-Not: 1\r\n\r\n", "abcd", 503),
     )
 
+    private fun chunkOf(text: String) = "${text.length.toString(16)}\r\n$text\r\n"
+
+    private fun sealedHead() = "HTTP/1.1 200 OK\r\n$ATTEMPT_ID_HEADER: 7\r\n$SEAL_HEADER: s\r\n$chunked"
+
     private fun foreignHead() = "HTTP/1.1 200 OK\r\n$ATTEMPT_ID_HEADER: 6\r\n$SEAL_HEADER: s\r\n$chunked"
 
     @TestFactory
@@ -48,15 +53,36 @@
 
     @TestFactory
     fun `a response that never ends is broken off at the deadline`() =
-        listOf("/once/1" to chunk, "/stream/1" to "7\r\nid: 1\n\n\r\n").map { (path, endlessly) ->
+        listOf("/once/1" to chunk, "/stream/1" to "8\r\ndata:a\n\n\r\n").map { (path, endlessly) ->
             DynamicTest.dynamicTest(path) {
-                val head = "HTTP/1.1 200 OK\r\n$ATTEMPT_ID_HEADER: 7\r\n$SEAL_HEADER: s\r\n$chunked"
-                startBackends(listOf(Script(head, endlessly = endlessly)))
+                startBackends(listOf(Script(sealedHead(), endlessly = endlessly)))
                 expectThat(post(path)!!.complete).isEqualTo(false)
                 expectClosed(backends.last())
             }
         }
 
+    @Test
+    fun `a stream that repeats an event without end is broken off at once`() {
+        startBackends(listOf(Script(sealedHead(), endlessly = "7\r\nid: 1\n\n\r\n")))
+        val startedAt = Instant.now()
+        expectThat(post("/stream/1")!!.complete).isEqualTo(false)
+        expectThat(Duration.between(startedAt, Instant.now())).isLessThan(Duration.ofSeconds(1))
+        expectClosed(backends.last())
+    }
+
+    @TestFactory
+    fun `a body without end is read no faster than the caller takes it`() = listOf(
+        "/once/1" to chunkOf("a".repeat(LARGE_CHUNK)),
+        "/stream/1" to chunkOf("data:${"a".repeat(LARGE_CHUNK)}\n\n"),
+    ).map { (path, endlessly) ->
+        DynamicTest.dynamicTest(path) {
+            startBackends(listOf(Script(sealedHead(), endlessly = endlessly)))
+            sendWithoutReading(path).use { Thread.sleep(READ_PERIOD_MS) }
+            expectThat(backends.last().endlessBytes.get()).isLessThan(MAX_BUFFERED_BYTES)
+            expectClosed(backends.last())
+        }
+    }
+
     private fun expectClosed(backend: ScriptedBackend) {
         val deadline = Instant.now().plusMillis(CLOSE_LIMIT_MS)
         while (backend.openEndlessResponses.get() > 0 && Instant.now().isBefore(deadline)) Thread.sleep(10)
@@ -65,5 +91,10 @@
 
     private companion object {
         const val CLOSE_LIMIT_MS = 1_500L
+        const val LARGE_CHUNK = 16 * 1024
+        const val READ_PERIOD_MS = 1_000L
+
+        /** The buffers of four sockets and of two connections; a loopback link moves this in some milliseconds. */
+        const val MAX_BUFFERED_BYTES = 32L * 1024 * 1024
     }
 }
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ScriptedBackend.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ScriptedBackend.kt
@@ -7,6 +7,7 @@
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 
 /**
@@ -25,6 +26,9 @@
 
     /** Number of responses without end whose connection the peer has not closed. */
     val openEndlessResponses = AtomicInteger()
+
+    /** Number of bytes that were written of responses without end. */
+    val endlessBytes = AtomicLong()
     val address: String = "127.0.0.1:${server.localPort}"
 
     init {
@@ -53,7 +57,10 @@
         openEndlessResponses.incrementAndGet()
         val chunk = text.repeat(1 + CHUNK_BYTES / text.length).encodeToByteArray()
         try {
-            while (true) socket.getOutputStream().write(chunk)
+            while (true) {
+                socket.getOutputStream().write(chunk)
+                endlessBytes.addAndGet(chunk.size.toLong())
+            }
         } catch (_: IOException) {
             openEndlessResponses.decrementAndGet()
         }
