--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
@@ -27,7 +27,7 @@
     private val partBlocked = Counter.builder()
         .name("bramleyspur_prompt_part_refusals_total")
         .help(
-            "Requests kept from engines because a part of their prompt crashes them, by route; sent: once before or never.",
+            "Requests kept from engines because of a part of their prompt, by route and whether sent before.",
         )
         .labelNames("route", "sent")
         .register(registry)
