Log backend servers that go on after a silence, and the configuration at a request's start

The logs could not tell whether a backend server that an entry had found unresponsive was dark or went on after a second, nor whether the configuration had changed while a request ran. A line `backend-resumed` with `silent_ms` and the counter bramleyspur_backends_resumed_total tell the first, `config_at_start` beside `config` in the line `request` the second.

The scripted backend server of the tests can be silent for a while and makes its response from the request's head.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -64,10 +64,16 @@
         return maxOf(inFlight, reportedRunning + inFlight - inFlightAtReport)
     }
 
-    /** Records that response data arrived. */
-    fun onResponseData(nowMs: Long) {
+    /**
+     * Records that response data arrived; returns how long the server had sent nothing if it was found unresponsive in
+     * that time, null otherwise.
+     */
+    fun onResponseData(nowMs: Long): Long? {
+        val silentSinceMs = if (lastResponseMs > 0) lastResponseMs else lastUnresponsiveMs
+        val silentMs = if (lastUnresponsiveMs > lastResponseMs) nowMs - silentSinceMs else null
         lastResponseMs = nowMs
         if (failureScore < SUSPECT_FAILURE_SCORE) suspectUntilMs = 0
+        return silentMs
     }
 
     /** Records an event that arrived [intervalMs] after the previous one, where [predictedMs] was predicted. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -71,6 +71,13 @@
         onUnresponsive()
     }
 
+    /** Records that [load] sent response data, and reports it if it had been found unresponsive. */
+    fun onResponseData(load: BackendLoad) {
+        val silentMs = load.onResponseData(timers.nowMs()) ?: return
+        metrics.onBackendResumed()
+        log.write("backend-resumed", "id" to load.id, "silent_ms" to silentMs, "streams" to load.activeStreams)
+    }
+
     /** The life of the backend server [id] that is announced now. */
     fun engineLife(id: String): EngineLife =
         EngineLife(id, directory.backends[id]?.announcement?.startedAtMs ?: UNKNOWN_START_MS)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
@@ -32,6 +32,11 @@
         .labelNames("route", "sent")
         .register(registry)
 
+    private val backendsResumed = Counter.builder()
+        .name("bramleyspur_backends_resumed_total")
+        .help("Backend servers that sent data again after they had been found unresponsive.")
+        .register(registry)
+
     fun onRequestEnd(route: String, outcome: String) = requests.labelValues(route, outcome).inc()
 
     /** Records the time from the receipt of a request to the first byte of its response. */
@@ -44,6 +49,9 @@
 
     fun onRetry(service: String) = retries.labelValues(service).inc()
 
+    /** Records a backend server that sent data again after it had been found unresponsive. */
+    fun onBackendResumed() = backendsResumed.inc()
+
     private companion object {
         const val MS_PER_SECOND = 1_000.0
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -47,6 +47,7 @@
     private val streaming = route.kind == RouteKind.STREAMING
     private val parts = if (streaming) sharedParts(request.headers.get(headerNames.promptParts)) else emptyList()
     private val deadlineMs = deadlineMs()
+    private val configAtStart = context.routes?.version
     private val triedBackends = LinkedHashSet<String>()
     private var deadlineTimer: TimerHandle? = null
     private var attempt: Attempt? = null
@@ -221,6 +222,7 @@
             "first_ms" to firstByteMs,
             "predicted_ms" to predictedMs?.toLong(),
             "ms" to context.timers.nowMs() - request.receivedAtMs,
+            "config_at_start" to configAtStart,
             "config" to context.routes?.version,
             "detail" to detail,
         )
@@ -325,7 +327,7 @@
         override fun onHead(status: Int, headers: HttpHeaders) {
             val now = context.timers.nowMs()
             lastDataMs = now
-            load.onResponseData(now)
+            context.onResponseData(load)
             runningRequestsOf(headers.get(headerNames.load))?.let { load.onLoadReport(it, now) }
             when {
                 headers.contains(headerNames.notExecuted) || status == STATUS_MISDIRECTED -> {
@@ -379,7 +381,7 @@
             if (ended) return
             val now = context.timers.nowMs()
             lastDataMs = now
-            load.onResponseData(now)
+            context.onResponseData(load)
             if (!isStream()) {
                 response.write(data.retain())
             } else {
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
@@ -2,7 +2,8 @@
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
 import org.bramleyspur.core.backend.Announcement
 import org.bramleyspur.core.backend.BackendDirectory
 import org.bramleyspur.core.backend.BackendState
@@ -21,7 +22,7 @@
 import org.bramleyspur.traffic.forward.RouteTable
 import org.bramleyspur.traffic.forward.WindowedRetryBudget
 import org.junit.jupiter.api.AfterEach
-import java.io.OutputStream
+import java.io.ByteArrayOutputStream
 import java.io.PrintStream
 import java.util.Random
 
@@ -46,7 +47,8 @@
         seal = SEAL_HEADER,
         urgency = "X-Urgency",
     )
-    private val log = DecisionLog(PrintStream(OutputStream.nullOutputStream()), { 0L })
+    private val logBytes = ByteArrayOutputStream()
+    private val log = DecisionLog(PrintStream(logBytes), { 0L })
     internal val context = ForwardContext(
         loops.trafficTimers,
         headerNames,
@@ -61,13 +63,23 @@
     private val front = FrontServer(loops.trafficGroup, context)
     private val port = front.start(Address("127.0.0.1", 0))
 
+    /** The lines of the log with [event]; waits for the first one. */
+    internal fun logLines(event: String): List<String> {
+        val deadline = System.nanoTime() + LOG_WAIT_NS
+        while (true) {
+            val lines = logBytes.toString().lines().filter { "\"event\":\"$event\"" in it }
+            if (lines.isNotEmpty() || System.nanoTime() > deadline) return lines
+            Thread.sleep(5)
+        }
+    }
+
     @AfterEach
     fun close() {
         backends.forEach { it.close() }
         loops.close()
     }
 
-    private fun route(path: String, kind: RouteKind, attempts: Int) = DocumentRoute(
+    internal fun route(path: String, kind: RouteKind, attempts: Int, service: String = "s") = DocumentRoute(
         name = path,
         host = "h",
         pathPrefix = path,
@@ -75,64 +87,80 @@
         timeoutMs = 3_000,
         targetLatencyMs = 1_000,
         priority = 0,
-        targets = persistentListOf(RouteTarget("s", 1)),
+        targets = persistentListOf(RouteTarget(service, 1)),
         maxAttempts = attempts,
         isPublic = false,
         resumable = true,
         targetEventIntervalMs = null,
     )
 
-    private val document = Document(
-        version = 1,
-        routes = persistentListOf(
+    private val document = document(
+        listOf(
             route("/once/", RouteKind.NON_IDEMPOTENT, 1),
             route("/again/", RouteKind.IDEMPOTENT, 2),
             route("/stream/", RouteKind.STREAMING, 2),
         ),
-        services = persistentMapOf("s" to DocumentService("s", 100, null, persistentListOf())),
+    )
+
+    internal fun document(routes: List<DocumentRoute>) = Document(
+        version = 1,
+        routes = routes.toPersistentList(),
+        services = routes.flatMap { it.targets }
+            .associate { it.service to DocumentService(it.service, 100, null, persistentListOf()) }
+            .toPersistentMap(),
         accounts = persistentListOf(DocumentAccount("acme", persistentListOf("key"), null)),
         limits = ClientLimits(maxBodyBytes = 100),
     )
 
     /** Starts backend servers and announces them; the first one is preferred, being in the entry's data centre. */
-    internal fun startBackends(vararg scripts: List<Script>) {
-        val started = scripts.map { ScriptedBackend(*it.toTypedArray()) }
-        backends += started
-        val directory = started.foldIndexed(BackendDirectory()) { index, directory, backend ->
-            val announcement = Announcement(
-                id = "b$index",
-                startedAtMs = 1,
-                sequence = 1,
-                service = "s",
-                address = backend.address,
-                dataCentre = if (index == 0) "dc" else "other",
-                slots = 4,
-                state = BackendState.READY,
-                fabricDomain = "",
-                stagedModels = persistentListOf(),
-                groupMembership = null,
-            )
-            directory.withAnnouncement(announcement, 0)
+    internal fun startBackends(vararg scripts: List<Script>) =
+        startServices(document, mapOf("s" to scripts.map { ScriptedBackend(*it.toTypedArray()) }))
+
+    /** Announces the backend servers of each service, of which the first one is preferred. */
+    internal fun startServices(document: Document, services: Map<String, List<ScriptedBackend>>) {
+        backends += services.values.flatten()
+        val announcements = services.flatMap { (service, started) ->
+            started.mapIndexed { index, backend -> announcement(service, index, backend.address) }
         }
         loops.traffic.submit {
             context.routes = RouteTable(document)
-            context.directory = directory
+            context.directory =
+                announcements.fold(BackendDirectory()) { directory, it -> directory.withAnnouncement(it, 0) }
         }.get()
     }
 
-    internal fun post(path: String, extraHeaders: String = "", key: String = "key", body: String = ""): RawResponse? =
-        RawClient(port).use { client ->
-            client.send(
-                "POST $path HTTP/1.1\r\nHost: h\r\n$ATTEMPT_ID_HEADER: 7\r\nX-Left: 2000\r\n" +
-                    "Authorization: Bearer $key\r\n${extraHeaders}Content-Length: ${body.length}\r\n\r\n$body",
-            )
-            client.read()
-        }
+    private fun announcement(service: String, index: Int, address: String) = Announcement(
+        id = if (service == "s") "b$index" else "$service-$index",
+        startedAtMs = 1,
+        sequence = 1,
+        service = service,
+        address = address,
+        dataCentre = if (index == 0) "dc" else "other",
+        slots = 4,
+        state = BackendState.READY,
+        fabricDomain = "",
+        stagedModels = persistentListOf(),
+        groupMembership = null,
+    )
+
+    internal fun post(
+        path: String,
+        extraHeaders: String = "",
+        key: String = "key",
+        body: String = "",
+        remainingMs: Long = 2_000,
+    ): RawResponse? = RawClient(port).use { client ->
+        client.send(
+            "POST $path HTTP/1.1\r\nHost: h\r\n$ATTEMPT_ID_HEADER: 7\r\nX-Left: $remainingMs\r\n" +
+                "Authorization: Bearer $key\r\n${extraHeaders}Content-Length: ${body.length}\r\n\r\n$body",
+        )
+        client.read()
+    }
 
     /** Sends a request of a caller that reads nothing of the response. */
-    internal fun sendWithoutReading(path: String): RawClient = RawClient(port).also {
+    internal fun sendWithoutReading(path: String, remainingMs: Long = 2_000): RawClient = RawClient(port).also {
         it.send(
-            "POST $path HTTP/1.1\r\nHost: h\r\n$ATTEMPT_ID_HEADER: 7\r\nX-Left: 2000\r\n" +
+            "POST $path HTTP/1.1\r\nHost: h\r\n$ATTEMPT_ID_HEADER: 7\r\nX-Left: $remainingMs\r\n" +
                 "Authorization: Bearer key\r\nContent-Length: 0\r\n\r\n",
         )
     }
@@ -143,4 +171,8 @@
     internal fun streamResponse(vararg events: String, complete: Boolean) =
         "HTTP/1.1 200 OK\r\n$ATTEMPT_ID_HEADER: 7\r\n$SEAL_HEADER: s\r\nTransfer-Encoding: chunked\r\n\r\n" +
             events.joinToString("") { "${it.length.toString(16)}\r\n$it\r\n" } + if (complete) "0\r\n\r\n" else ""
+
+    private companion object {
+        const val LOG_WAIT_NS = 1_000_000_000L
+    }
 }
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ScriptedBackend.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ScriptedBackend.kt
@@ -11,19 +11,36 @@
 import kotlin.concurrent.thread
 
 /**
- * Response of a [ScriptedBackend] to one request: sends [bytes], then [endlessly] until the peer closes the connection,
- * or else closes it if [close] is set.
+ * Response of a [ScriptedBackend] to one request: sends [bytes], then after a pause of the whole server
+ * [afterPause], then [endlessly] until the peer closes the connection, or else closes it if [close] is set.
  */
-internal class Script(val bytes: String, val close: Boolean = false, val endlessly: String = "")
+internal class Script(
+    val bytes: String,
+    val close: Boolean = false,
+    val endlessly: String = "",
+    val pauseMs: Long = 0,
+    val afterPause: String = "",
+)
 
-/** A backend server on loopback that responds to its requests with [scripts] in order; the last one repeats. */
-internal class ScriptedBackend(vararg scripts: Script) : AutoCloseable {
-    private val remaining = ArrayDeque(scripts.toList())
+/**
+ * A backend server on loopback that responds to its requests with [scripts] in order; the last one repeats. Each script
+ * is made from the head of the request.
+ */
+internal class ScriptedBackend(scripts: List<(head: String) -> Script>) : AutoCloseable {
+    constructor(vararg scripts: Script) : this(scripts.map { script -> { _: String -> script } })
+
+    private val remaining = ArrayDeque(scripts)
     private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
 
     /** Heads of the received requests. */
     val requests = CopyOnWriteArrayList<String>()
 
+    /** Number of connections that the peer has not closed. */
+    val openConnections = AtomicInteger()
+
+    @Volatile
+    private var silentUntilNs = System.nanoTime()
+
     /** Number of responses without end whose connection the peer has not closed. */
     val openEndlessResponses = AtomicInteger()
 
@@ -40,19 +57,39 @@
         }
     }
 
-    private fun serve(socket: Socket) = socket.use {
+    private fun serve(socket: Socket) {
+        openConnections.incrementAndGet()
+        try {
+            socket.use { respond(it) }
+        } catch (_: IOException) {
+            // The peer has closed the connection.
+        }
+        openConnections.decrementAndGet()
+    }
+
+    private fun respond(it: Socket) {
         val input = BufferedInputStream(it.getInputStream())
         while (true) {
-            val head = readHead(input) ?: return@use
+            val head = readHead(input) ?: return
             requests += head
-            val script = nextScript()
-            it.getOutputStream().write(script.bytes.encodeToByteArray())
-            it.getOutputStream().flush()
-            if (script.endlessly.isNotEmpty()) return@use repeatUntilClosed(it, script.endlessly)
-            if (script.close) return@use
+            val script = nextScript()(head)
+            send(it, script.bytes)
+            if (script.pauseMs > 0) silentUntilNs = System.nanoTime() + script.pauseMs * NS_PER_MS
+            send(it, script.afterPause)
+            if (script.endlessly.isNotEmpty()) return repeatUntilClosed(it, script.endlessly)
+            if (script.close) return
         }
     }
 
+    /** Sends [text] once the server is not silent. */
+    private fun send(socket: Socket, text: String) {
+        if (text.isEmpty()) return
+        val waitNs = silentUntilNs - System.nanoTime()
+        if (waitNs > 0) Thread.sleep(waitNs / NS_PER_MS)
+        socket.getOutputStream().write(text.encodeToByteArray())
+        socket.getOutputStream().flush()
+    }
+
     private fun repeatUntilClosed(socket: Socket, text: String) {
         openEndlessResponses.incrementAndGet()
         val chunk = text.repeat(1 + CHUNK_BYTES / text.length).encodeToByteArray()
@@ -67,7 +104,13 @@
     }
 
     @Synchronized
-    private fun nextScript(): Script = if (remaining.size > 1) remaining.removeFirst() else remaining.first()
+    private fun nextScript(): (String) -> Script = if (remaining.size >
+        1
+    ) {
+        remaining.removeFirst()
+    } else {
+        remaining.first()
+    }
 
     private fun readHead(input: BufferedInputStream): String? {
         val head = StringBuilder()
@@ -85,5 +128,6 @@
 
     private companion object {
         const val CHUNK_BYTES = 4_096
+        const val NS_PER_MS = 1_000_000L
     }
 }
