Keep waiting for a silent backend server while another one is asked

Callers got three events of a stream and a closed connection, a 502 or another server's 500, although the server of their request was only silent for a second and most of their time was left: an entry cancelled the attempt at a silent server before the next server had delivered anything. If that one then refused, failed, accepted no connection or broke off, the request was given up.

Silence now ends no attempt. While all running attempts of a request that may run again are silent for their limit, one more is sent beside them, under the limits as before (servers of the route, retry budget, a candidate that is not suspect, time left, prompt parts). The first attempt that delivers something new (the next event, or a final head) takes over and the others are cancelled, so that a run that began at an earlier event never goes on after another run's event. A request ends only when no attempt is running, at its deadline, or when the caller leaves. When the stream's new server breaks off and no other server is left, the rest is asked of a server whose attempt was cancelled for another one: a new run after the last event, which counts against the retry budget and adds no server.

Also mended, since the same timer caused them: - A plain response that paused in its body was broken off (a second server cannot continue it). - After the error response of a stream's first server had paused or broken off, the next server's events were appended to it: the caller read "no" of "none" and then an event. Only a stream of events can be continued now. - Once an attempt had exceeded its limit at a live server, 100 ms without data counted as silence; the limit stays now. - A retry that found no server to go to counted against the retry budget.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -45,6 +45,14 @@
 /** Size of a generation in tokens; zero for a plain request. */
 internal class TokenCounts(val prompt: Long, val output: Long)
 
+/**
+ * The backend servers among which one is chosen.
+ *
+ * @property unresponsiveToo whether an engine may be chosen that was found unresponsive and has sent nothing since
+ * @property allows whether the backend server with this id may be chosen
+ */
+internal class BackendFilter(val unresponsiveToo: Boolean = false, val allows: (id: String) -> Boolean)
+
 /** State that the requests of an entry share. Confined to the traffic thread. */
 internal class ForwardContext(
     val timers: TimerService,
@@ -88,13 +96,13 @@
     /** Retry budget of [service]. */
     fun budget(service: String): WindowedRetryBudget = budgets.getOrPut(service, newBudget)
 
-    /** Chooses a backend server of [service] that is not in [excluded]; null when there is none. */
-    fun choose(service: DocumentService, model: String?, tokens: TokenCounts, excluded: Set<String>): BackendChoice? {
+    /** Chooses a backend server of [service] that passes [filter]; null when there is none. */
+    fun choose(service: DocumentService, model: String?, tokens: TokenCounts, filter: BackendFilter): BackendChoice? {
         val costs = service.costs
         return if (costs != null && model != null) {
-            chooseEngine(service, costs, model, tokens, excluded)
+            chooseEngine(service, costs, model, tokens, filter)
         } else {
-            choosePlain(service, excluded)
+            choosePlain(service, filter)
         }
     }
 
@@ -103,18 +111,20 @@
         costs: EngineCosts,
         model: String,
         tokens: TokenCounts,
-        excluded: Set<String>,
+        filter: BackendFilter,
     ): BackendChoice? {
         val modelSpec = service.models.firstOrNull { it.name == model } ?: return null
         val candidates = directory.openGroupHeads(service.name, model, modelSpec.groupSize)
-            .filter { it.announcement.id !in excluded }
+            .filter { filter.allows(it.announcement.id) }
             .mapNotNull { head ->
                 val timeFactor = modelSpec.timeFactor * if (head.spansDomains) costs.crossDomainFactor else 1.0
                 loads.loadOf(head.announcement)?.let {
                     it to candidate(it, costs.slots, timeFactor * it.slowdown, head.announcement.dataCentre)
                 }
             }
-            .filter { (load, candidate) -> !candidate.suspect || load.lastResponseMs > load.lastUnresponsiveMs }
+            .filter { (load, candidate) ->
+                filter.unresponsiveToo || !candidate.suspect || load.lastResponseMs > load.lastUnresponsiveMs
+            }
         val (load, candidate) =
             chooseFrom(candidates) { generationCost(it, tokens.prompt, tokens.output, costs) + it.firstEventExcessMs }
                 ?: return null
@@ -130,10 +140,10 @@
         )
     }
 
-    private fun choosePlain(service: DocumentService, excluded: Set<String>): BackendChoice? {
+    private fun choosePlain(service: DocumentService, filter: BackendFilter): BackendChoice? {
         val candidates = directory.readyPlainBackends(service.name)
             .map { it.announcement }
-            .filter { it.id !in excluded }
+            .filter { filter.allows(it.id) }
             .mapNotNull { backend ->
                 loads.loadOf(backend)?.let { it to candidate(it, maxOf(1, backend.slots), 1.0, backend.dataCentre) }
             }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
@@ -37,6 +37,17 @@
         .help("Backend servers that sent data again after they had been found unresponsive.")
         .register(registry)
 
+    private val attemptsBeside = Counter.builder()
+        .name("bramleyspur_attempts_beside_silent_total")
+        .help("Attempts sent while the running ones were silent, by service.")
+        .labelNames("service")
+        .register(registry)
+    private val takeOvers = Counter.builder()
+        .name("bramleyspur_attempt_takeovers_total")
+        .help("Attempts that delivered something new before the others, which were cancelled, by service.")
+        .labelNames("service")
+        .register(registry)
+
     fun onRequestEnd(route: String, outcome: String) = requests.labelValues(route, outcome).inc()
 
     /** Records the time from the receipt of a request to the first byte of its response. */
@@ -52,6 +63,12 @@
     /** Records a backend server that sent data again after it had been found unresponsive. */
     fun onBackendResumed() = backendsResumed.inc()
 
+    /** Records an attempt that is sent while the running ones are silent. */
+    fun onAttemptBeside(service: String) = attemptsBeside.labelValues(service).inc()
+
+    /** Records an attempt that takes over from others, which are cancelled. */
+    fun onTakeOver(service: String) = takeOvers.labelValues(service).inc()
+
     private companion object {
         const val MS_PER_SECOND = 1_000.0
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -180,7 +180,8 @@
                 ?: return rejectRequest(HttpResponseStatus.UNAUTHORIZED, "the key is unknown", request)
         }
         val service = routes.document.services.getValue(targetService(route, context.randomFraction()))
-        val forwardedRequest = ForwardedRequest(context, request, route, service, account, Response(), ::onResponded)
+        val admitted = AdmittedRequest(context, request, route, service, account)
+        val forwardedRequest = ForwardedRequest(context, admitted, Response(), ::onResponded)
         currentRequest = forwardedRequest
         forwardedRequest.start()
     }
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/SilenceWatch.kt
@@ -0,0 +1,55 @@
+package org.bramleyspur.daemon.forward
+
+import org.bramleyspur.core.time.TimerHandle
+import org.bramleyspur.core.time.TimerService
+import org.bramleyspur.traffic.forward.SILENCE_RECHECK_INTERVAL_MS
+import org.bramleyspur.traffic.forward.Silence
+import org.bramleyspur.traffic.forward.SilenceCheck
+import org.bramleyspur.traffic.forward.checkSilence
+
+/**
+ * Reports again and again that an attempt is silent, as long as it is.
+ *
+ * @property lastServerDataMs returns the time of the last data of the backend server; null if that does not count
+ * @property onSilent receives the time without data in milliseconds
+ */
+internal class SilenceWatch(
+    private val timers: TimerService,
+    private val lastServerDataMs: () -> Long?,
+    private val onSilent: (silentMs: Long) -> Unit,
+) {
+    private var limitMs = 0L
+    private var lastDataMs = timers.nowMs()
+    private var timer: TimerHandle? = null
+
+    /** Checks from now on for silences of [limitMs]. */
+    fun start(limitMs: Long) {
+        this.limitMs = limitMs
+        checkAfter(limitMs)
+    }
+
+    fun onData() {
+        lastDataMs = timers.nowMs()
+    }
+
+    fun stop() {
+        timer?.cancel()
+    }
+
+    private fun checkAfter(delayMs: Long) {
+        timer?.cancel()
+        timer = timers.after(delayMs) { check() }
+    }
+
+    private fun check() {
+        val now = timers.nowMs()
+        val silence = Silence(limitMs, now - lastDataMs, lastServerDataMs()?.let { now - it })
+        when (val result = checkSilence(silence)) {
+            is SilenceCheck.NotYet -> checkAfter(result.afterMs)
+            SilenceCheck.Silent -> {
+                checkAfter(SILENCE_RECHECK_INTERVAL_MS)
+                onSilent(silence.attemptMs)
+            }
+        }
+    }
+}
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ScriptedBackend.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ScriptedBackend.kt
@@ -2,9 +2,11 @@
 
 import java.io.BufferedInputStream
 import java.io.IOException
+import java.io.InputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.net.SocketTimeoutException
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
@@ -35,8 +37,8 @@
     /** Heads of the received requests. */
     val requests = CopyOnWriteArrayList<String>()
 
-    /** Number of connections that the peer has not closed. */
-    val openConnections = AtomicInteger()
+    /** Number of connections that the peer closed while the server was silent. */
+    val closedWhileSilent = AtomicInteger()
 
     @Volatile
     private var silentUntilNs = System.nanoTime()
@@ -58,36 +60,45 @@
     }
 
     private fun serve(socket: Socket) {
-        openConnections.incrementAndGet()
         try {
             socket.use { respond(it) }
         } catch (_: IOException) {
             // The peer has closed the connection.
         }
-        openConnections.decrementAndGet()
     }
 
-    private fun respond(it: Socket) {
-        val input = BufferedInputStream(it.getInputStream())
+    private fun respond(socket: Socket) {
+        val input = BufferedInputStream(socket.getInputStream())
         while (true) {
             val head = readHead(input) ?: return
             requests += head
+            awaitEndOfSilence(socket, input)
             val script = nextScript()(head)
-            send(it, script.bytes)
+            socket.getOutputStream().write(script.bytes.encodeToByteArray())
             if (script.pauseMs > 0) silentUntilNs = System.nanoTime() + script.pauseMs * NS_PER_MS
-            send(it, script.afterPause)
-            if (script.endlessly.isNotEmpty()) return repeatUntilClosed(it, script.endlessly)
+            awaitEndOfSilence(socket, input)
+            socket.getOutputStream().write(script.afterPause.encodeToByteArray())
+            if (script.endlessly.isNotEmpty()) return repeatUntilClosed(socket, script.endlessly)
             if (script.close) return
         }
     }
 
-    /** Sends [text] once the server is not silent. */
-    private fun send(socket: Socket, text: String) {
-        if (text.isEmpty()) return
-        val waitNs = silentUntilNs - System.nanoTime()
-        if (waitNs > 0) Thread.sleep(waitNs / NS_PER_MS)
-        socket.getOutputStream().write(text.encodeToByteArray())
-        socket.getOutputStream().flush()
+    /** Waits until the server is not silent; ends at once if the peer closes the connection. */
+    private fun awaitEndOfSilence(socket: Socket, input: InputStream) {
+        while (true) {
+            val leftMs = (silentUntilNs - System.nanoTime()) / NS_PER_MS
+            if (leftMs <= 0) break
+            socket.soTimeout = leftMs.toInt()
+            try {
+                if (input.read() < 0) throw IOException("closed by the peer")
+            } catch (_: SocketTimeoutException) {
+                continue
+            } catch (closed: IOException) {
+                closedWhileSilent.incrementAndGet()
+                throw closed
+            }
+        }
+        socket.soTimeout = 0
     }
 
     private fun repeatUntilClosed(socket: Socket, text: String) {
@@ -104,13 +115,8 @@
     }
 
     @Synchronized
-    private fun nextScript(): (String) -> Script = if (remaining.size >
-        1
-    ) {
-        remaining.removeFirst()
-    } else {
-        remaining.first()
-    }
+    private fun nextScript(): (String) -> Script =
+        if (remaining.size > 1) remaining.removeFirst() else remaining.first()
 
     private fun readHead(input: BufferedInputStream): String? {
         val head = StringBuilder()
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/AttemptRules.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/AttemptRules.kt
@@ -1,6 +1,7 @@
 /*
  * Decides the next step when an attempt of a request ends without a complete response. Only these rules decide between
- * retrying the request, refusing it as not run, and reporting a failure.
+ * retrying the request, waiting for another attempt that is still running, refusing the request as not run, and reporting
+ * a failure.
  */
 package org.bramleyspur.traffic.forward
 
@@ -29,13 +30,16 @@
 }
 
 /**
- * State of a request when one of its attempts ends.
+ * State of a request when one of its attempts ends or all are silent.
  *
  * @property idempotent whether the request may run more than once
  * @property resumable whether a response that has started may be continued by another backend server
- * @property maxAttempts largest number of attempts that are sent
- * @property sentAttempts attempts that were sent at least in part
+ * @property otherAttempts attempts that are running, without the one that ended
+ * @property maxAttempts largest number of backend servers to which it is sent
+ * @property sentAttempts attempts that were sent at least in part, without those to a backend server asked before
  * @property unsentAttempts attempts of which nothing was sent
+ * @property supersededServers backend servers whose silent attempt was cancelled because another one took over; the rest
+ * of a stream may be asked of them again
  * @property mayHaveRun whether an attempt before this one may have run
  * @property responseStarted whether a part of a response was forwarded
  * @property remainingMs time until the caller's deadline or the route's timeout
@@ -43,9 +47,11 @@
 data class RequestProgress(
     val idempotent: Boolean,
     val resumable: Boolean,
+    val otherAttempts: OtherAttempts,
     val maxAttempts: Int,
     val sentAttempts: Int,
     val unsentAttempts: Int,
+    val supersededServers: Int,
     val mayHaveRun: Boolean,
     val responseStarted: Boolean,
     val remainingMs: Long,
@@ -53,8 +59,14 @@
 
 /** The next step of a request. */
 sealed interface NextStep {
-    /** Retries on another backend server; [countsAgainstBudget] when this uses the retry budget. */
-    data class SendAgain(val countsAgainstBudget: Boolean) : NextStep
+    /**
+     * Retries on another backend server, or on one whose attempt was superseded if [toSuperseded];
+     * [countsAgainstBudget] when this uses the retry budget.
+     */
+    data class SendAgain(val countsAgainstBudget: Boolean, val toSuperseded: Boolean = false) : NextStep
+
+    /** Waits for the response of another attempt, which is still running. */
+    data object AwaitRunning : NextStep
 
     /** Responds that the request was not run and will not be. */
     data object RefuseNotRun : NextStep
@@ -70,44 +82,55 @@
 }
 
 /** Returns the next step after [end]; [budgetLeft] when the budget allows a retry. */
-fun nextStep(progress: RequestProgress, end: AttemptEnd, budgetLeft: Boolean): NextStep {
-    val timeLeft = progress.remainingMs >= MIN_ATTEMPT_MS
-    val canRetry = timeLeft && budgetLeft && progress.sentAttempts < progress.maxAttempts
-    return when (end) {
-        AttemptEnd.NotSent ->
-            if (timeLeft && progress.unsentAttempts < MAX_UNSENT_ATTEMPTS) {
-                NextStep.SendAgain(
-                    countsAgainstBudget = progress.sentAttempts > 0,
-                )
-            } else {
-                fail(progress)
-            }
-
-        is AttemptEnd.Rejected -> if (canRetry) NextStep.SendAgain(countsAgainstBudget = true) else fail(progress)
-
-        AttemptEnd.NoAnswer, AttemptEnd.BrokenOff -> afterRun(progress, canRetry, NextStep.FailUnknown)
-
-        AttemptEnd.Failed -> afterRun(progress, canRetry && !progress.responseStarted, NextStep.PassFailure)
-
-        is AttemptEnd.PartBlocked, AttemptEnd.NoCandidate -> fail(progress)
+fun nextStep(progress: RequestProgress, end: AttemptEnd, budgetLeft: Boolean): NextStep =
+    retry(progress, end, budgetLeft) ?: askSuperseded(progress, end, budgetLeft) ?: withoutRetry(progress, end)
+
+/**
+ * Whether another attempt may be sent while all running ones are silent. They go on, since a sound backend server can be
+ * silent for a while: the first attempt that delivers something new takes over.
+ */
+fun maySendBesideSilent(progress: RequestProgress, budgetLeft: Boolean): Boolean = progress.idempotent &&
+    progress.otherAttempts == OtherAttempts.SILENT &&
+    (progress.resumable || !progress.responseStarted) &&
+    progress.sentAttempts < progress.maxAttempts &&
+    progress.unsentAttempts < MAX_UNSENT_ATTEMPTS &&
+    budgetLeft &&
+    isTimeLeft(progress)
+
+private fun retry(progress: RequestProgress, end: AttemptEnd, budgetLeft: Boolean): NextStep.SendAgain? {
+    val serverLeft = progress.sentAttempts < progress.maxAttempts
+    val mayAskAnother = budgetLeft && serverLeft
+    val mayRunAgain = progress.idempotent && (progress.resumable || !progress.responseStarted)
+    val allowed = when (end) {
+        AttemptEnd.NotSent -> serverLeft && progress.unsentAttempts < MAX_UNSENT_ATTEMPTS
+        is AttemptEnd.Rejected -> mayAskAnother
+        AttemptEnd.NoAnswer, AttemptEnd.BrokenOff -> mayAskAnother && mayRunAgain
+        AttemptEnd.Failed -> mayAskAnother && mayRunAgain && !progress.responseStarted
+        is AttemptEnd.PartBlocked, AttemptEnd.NoCandidate -> false
     }
+    val countsAgainstBudget = end != AttemptEnd.NotSent || progress.sentAttempts > 0
+    val othersRespond = progress.otherAttempts == OtherAttempts.RESPONDING
+    return NextStep.SendAgain(countsAgainstBudget).takeIf { allowed && !othersRespond && isTimeLeft(progress) }
 }
 
-/** Returns the next step when the backend server ran the request or may have run it. */
-private fun afterRun(progress: RequestProgress, canRetry: Boolean, failure: NextStep): NextStep = when {
-    canRetry && progress.idempotent && (progress.resumable || !progress.responseStarted) -> NextStep.SendAgain(
-        countsAgainstBudget = true,
-    )
-    progress.responseStarted -> NextStep.BreakOff
-    else -> failure
+/** Asks a superseded backend server for the rest of a stream when no other one is left. */
+private fun askSuperseded(progress: RequestProgress, end: AttemptEnd, budgetLeft: Boolean): NextStep.SendAgain? {
+    val mayContinue = progress.idempotent && progress.resumable && progress.responseStarted
+    val allowed = end !is AttemptEnd.PartBlocked && progress.supersededServers > 0 &&
+        progress.otherAttempts == OtherAttempts.NONE && mayContinue && budgetLeft && isTimeLeft(progress)
+    return NextStep.SendAgain(countsAgainstBudget = true, toSuperseded = true).takeIf { allowed }
 }
 
-private fun fail(progress: RequestProgress): NextStep = when {
+private fun withoutRetry(progress: RequestProgress, end: AttemptEnd): NextStep = when {
+    progress.otherAttempts != OtherAttempts.NONE -> NextStep.AwaitRunning
     progress.responseStarted -> NextStep.BreakOff
-    progress.mayHaveRun -> NextStep.FailUnknown
+    end == AttemptEnd.Failed -> NextStep.PassFailure
+    progress.mayHaveRun || end == AttemptEnd.NoAnswer || end == AttemptEnd.BrokenOff -> NextStep.FailUnknown
     else -> NextStep.RefuseNotRun
 }
 
+private fun isTimeLeft(progress: RequestProgress) = progress.remainingMs >= MIN_ATTEMPT_MS
+
 /** With less time left, the response of another attempt would arrive too late and only occupy a slot. */
 private const val MIN_ATTEMPT_MS = 30L
 
