Do not take a backend server for silent whose caller reads slowly

When a caller reads slowly, the entry stops reading from the backend server, and counted the time without data as the server's silence: after 0.45 s it marked the server as unresponsive and sent the request to another one, and it reported the server to control as stalled after 0.22 s, although the server had data to send.

While reading is paused, the attempt's silence is not counted and its stream does not count as one that has stalled; the time starts anew when reading is resumed.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
@@ -152,7 +152,7 @@
         } else {
             forwardEvents(ByteBufUtil.getBytes(data))
         }
-        if (!response.writable) call?.pauseReading(true)
+        if (!ended && !response.writable) pauseReading(true)
     }
 
     private fun forwardEvents(bytes: ByteArray) {
@@ -236,6 +236,8 @@
 
     fun pauseReading(paused: Boolean) {
         call?.pauseReading(paused)
+        silence.pause(paused)
+        counters.onPaused(paused, context.timers.nowMs())
     }
 
     private fun release() {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/AttemptLoad.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/AttemptLoad.kt
@@ -4,6 +4,7 @@
 internal class AttemptLoad(private val load: BackendLoad, private val promptTokens: Long) {
     private var counted = false
     private var activeStream = false
+    private var paused = false
     private var pendingPrefillTokens = 0L
 
     /** Counts the attempt as in flight. */
@@ -18,7 +19,10 @@
     /** Counts the attempt as a stream that has received its first event. */
     fun onEvent() {
         if (!counted) return
-        if (!activeStream) load.activeStreams++
+        if (!activeStream) {
+            load.activeStreams++
+            if (paused) load.pausedStreams++
+        }
         activeStream = true
         onPrefilled()
     }
@@ -28,9 +32,18 @@
         pendingPrefillTokens = 0
     }
 
+    /** Counts the attempt as one from which nothing is read while its caller accepts no more data. */
+    fun onPaused(paused: Boolean, nowMs: Long) {
+        if (!counted || paused == this.paused) return
+        this.paused = paused
+        if (!paused) load.lastReadResumedMs = nowMs
+        if (activeStream) load.pausedStreams += if (paused) 1 else -1
+    }
+
     fun release() {
         if (!counted) return
         counted = false
+        if (activeStream && paused) load.pausedStreams--
         if (activeStream) load.activeStreams--
         load.inFlight--
         load.contextTokens -= promptTokens
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -26,6 +26,12 @@
     /** Streams of this entry that have received their first event. */
     var activeStreams = 0
 
+    /** Those of [activeStreams] from which this entry reads nothing, since their callers accept no more data. */
+    var pausedStreams = 0
+
+    /** Time at which reading of a paused stream was last resumed; 0 for never. */
+    var lastReadResumedMs = 0L
+
     /** Longest predicted time between events, without the observed slowdown; null before the first request. */
     var longestEventIntervalMs: Double? = null
 
@@ -99,11 +105,11 @@
     }
 
     /**
-     * Whether active streams receive no events although the predicted time between events has passed more than once.
+     * Whether active streams that are read receive no events although the predicted time between events has passed more than once.
      * The limit is longer for a backend server with an observed slowdown.
      */
-    fun isStalled(nowMs: Long): Boolean = activeStreams > 0 && lastUnresponsiveMs <= lastResponseMs &&
-        nowMs - lastResponseMs > stallTimeoutMs() * maxOf(1.0, slowdown)
+    fun isStalled(nowMs: Long): Boolean = activeStreams > pausedStreams && lastUnresponsiveMs <= lastResponseMs &&
+        nowMs - maxOf(lastResponseMs, lastReadResumedMs) > stallTimeoutMs() * maxOf(1.0, slowdown)
 
     private fun stallTimeoutMs(): Double =
         longestEventIntervalMs?.let { maxOf(MIN_STALL_TIMEOUT_MS, STALL_INTERVALS * it) } ?: DEFAULT_STALL_TIMEOUT_MS
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/SilenceWatch.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/SilenceWatch.kt
@@ -19,13 +19,25 @@
     private val onSilent: (silentMs: Long) -> Unit,
 ) {
     private var limitMs = 0L
+    private var paused = false
     private var lastDataMs = timers.nowMs()
     private var timer: TimerHandle? = null
 
     /** Checks from now on for silences of [limitMs]. */
     fun start(limitMs: Long) {
         this.limitMs = limitMs
-        checkAfter(limitMs)
+        if (!paused) checkAfter(limitMs)
+    }
+
+    /** Pauses the checks while nothing is read, or begins anew. */
+    fun pause(paused: Boolean) {
+        this.paused = paused
+        onData()
+        if (paused) {
+            timer?.cancel()
+        } else if (limitMs > 0) {
+            checkAfter(limitMs)
+        }
     }
 
     fun onData() {
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/BackendLoadTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/BackendLoadTest.kt
@@ -94,6 +94,19 @@
         expectThat(load.isStalled(10_800)).isEqualTo(true)
     }
 
+    /** Guards against a report of a server whose streams are only not read. */
+    @Test
+    fun `an engine whose streams are not read has not stalled`() {
+        val load = load().apply { activeStreams = 2 }
+        load.onResponseData(10_000)
+        load.pausedStreams = 2
+        expectThat(load.isStalled(12_000)).isEqualTo(false)
+        load.pausedStreams = 1
+        load.lastReadResumedMs = 12_000
+        expectThat(load.isStalled(12_200)).isEqualTo(false)
+        expectThat(load.isStalled(12_300)).isEqualTo(true)
+    }
+
     @Test
     fun `the wait excludes the prefill of the request's own prompt`() {
         val shortPrompt = BackendChoice(load(), predictedMs = 120.0, eventIntervalMs = 50.0, prefillMs = 20.0)
