--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/AdmittedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/AdmittedRequest.kt
@@ -39,7 +39,7 @@
     /** Time since the request was received. */
     fun elapsedMs(): Long = context.timers.nowMs() - caller.receivedAtMs
 
-    /** Head of an attempt on the backend server [target], which resumes a stream after [lastEventId] unless it is null. */
+    /** Head of an attempt on the backend server [target], which resumes a stream after [lastEventId] if it has one. */
     fun head(target: String, lastEventId: Long?): DefaultHttpRequest {
         val message = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(caller.method), caller.uri)
         val headers = message.headers()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -105,8 +105,8 @@
     }
 
     /**
-     * Whether active streams that are read receive no events although the predicted time between events has passed more than once.
-     * The limit is longer for a backend server with an observed slowdown.
+     * Whether active streams that are read receive no events although the predicted time between events has passed more
+     * than once. The limit is longer for a backend server with an observed slowdown.
      */
     fun isStalled(nowMs: Long): Boolean = activeStreams > pausedStreams && lastUnresponsiveMs <= lastResponseMs &&
         nowMs - maxOf(lastResponseMs, lastReadResumedMs) > stallTimeoutMs() * maxOf(1.0, slowdown)
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/SilenceEndTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/SilenceEndTest.kt
@@ -12,8 +12,8 @@
 import java.time.Instant
 
 /**
- * Guards against a wrong end of a request whose backend server is silent: a refusal as not run that is not true, a second
- * run of a request that may run once, a response that another one is appended to, and servers that go on in vain.
+ * Guards against a wrong end of a request whose backend server is silent: a refusal as not run that is not true, a
+ * second run of a request that may run once, a response that another one is appended to, and servers that go on in vain.
  */
 class SilenceEndTest : ForwardTest() {
     private class Case(
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/SilentBackendCases.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/SilentBackendCases.kt
@@ -71,8 +71,8 @@
         private const val CHUNK_SIZE_CHARS = 4
 
         /**
-         * What is wrong with the events of [body] of a stream that must be whole; null if nothing: one that is missing or
-         * repeated, or one of a run that was to begin before the event that precedes it from another run.
+         * What is wrong with the events of [body] of a stream that must be whole; null if nothing: one that is missing
+         * or repeated, or one of a run that was to begin before the event that precedes it from another run.
          */
         fun wrongEvents(body: String): String? {
             val events = Regex("id: (\\d+)\ndata: (\\d)/(\\d+)\n\n").findAll(body).map { it.groupValues }.toList()
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/SilentBackendTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/SilentBackendTest.kt
@@ -9,7 +9,7 @@
 import java.util.concurrent.Callable
 import java.util.concurrent.Executors
 
-/** Guards against a request that is given up, or joined from two runs, because its backend server is silent for a while. */
+/** Guards against a request that is given up, or joined from two runs, because its backend server is silent. */
 class SilentBackendTest : ForwardTest() {
     private val cases = SentBefore.entries.flatMap { before ->
         Others.entries.flatMap { others ->
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/AttemptRules.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/AttemptRules.kt
@@ -1,7 +1,7 @@
 /*
  * Decides the next step when an attempt of a request ends without a complete response. Only these rules decide between
- * retrying the request, waiting for another attempt that is still running, refusing the request as not run, and reporting
- * a failure.
+ * retrying the request, waiting for another attempt that is still running, refusing the request as not run, and
+ * reporting a failure.
  */
 package org.bramleyspur.traffic.forward
 
@@ -38,8 +38,8 @@
  * @property maxAttempts largest number of backend servers to which it is sent
  * @property sentAttempts attempts that were sent at least in part, without those to a backend server asked before
  * @property unsentAttempts attempts of which nothing was sent
- * @property supersededServers backend servers whose silent attempt was cancelled because another one took over; the rest
- * of a stream may be asked of them again
+ * @property supersededServers backend servers whose silent attempt was cancelled because another one took over; the
+ * rest of a stream may be asked of them again
  * @property mayHaveRun whether an attempt before this one may have run
  * @property responseStarted whether a part of a response was forwarded
  * @property remainingMs time until the caller's deadline or the route's timeout
@@ -86,8 +86,8 @@
     retry(progress, end, budgetLeft) ?: askSuperseded(progress, end, budgetLeft) ?: withoutRetry(progress, end)
 
 /**
- * Whether another attempt may be sent while all running ones are silent. They go on, since a sound backend server can be
- * silent for a while: the first attempt that delivers something new takes over.
+ * Whether another attempt may be sent while all running ones are silent. They go on, since a sound backend server can
+ * be silent for a while: the first attempt that delivers something new takes over.
  */
 fun maySendBesideSilent(progress: RequestProgress, budgetLeft: Boolean): Boolean = progress.idempotent &&
     progress.otherAttempts == OtherAttempts.SILENT &&
@@ -98,19 +98,22 @@
     isTimeLeft(progress)
 
 private fun retry(progress: RequestProgress, end: AttemptEnd, budgetLeft: Boolean): NextStep.SendAgain? {
+    val othersRespond = progress.otherAttempts == OtherAttempts.RESPONDING
+    if (othersRespond || !isTimeLeft(progress) || !isRetryable(progress, end, budgetLeft)) return null
+    return NextStep.SendAgain(countsAgainstBudget = end != AttemptEnd.NotSent || progress.sentAttempts > 0)
+}
+
+private fun isRetryable(progress: RequestProgress, end: AttemptEnd, budgetLeft: Boolean): Boolean {
     val serverLeft = progress.sentAttempts < progress.maxAttempts
     val mayAskAnother = budgetLeft && serverLeft
     val mayRunAgain = progress.idempotent && (progress.resumable || !progress.responseStarted)
-    val allowed = when (end) {
+    return when (end) {
         AttemptEnd.NotSent -> serverLeft && progress.unsentAttempts < MAX_UNSENT_ATTEMPTS
         is AttemptEnd.Rejected -> mayAskAnother
         AttemptEnd.NoAnswer, AttemptEnd.BrokenOff -> mayAskAnother && mayRunAgain
         AttemptEnd.Failed -> mayAskAnother && mayRunAgain && !progress.responseStarted
         is AttemptEnd.PartBlocked, AttemptEnd.NoCandidate -> false
     }
-    val countsAgainstBudget = end != AttemptEnd.NotSent || progress.sentAttempts > 0
-    val othersRespond = progress.otherAttempts == OtherAttempts.RESPONDING
-    return NextStep.SendAgain(countsAgainstBudget).takeIf { allowed && !othersRespond && isTimeLeft(progress) }
 }
 
 /** Asks a superseded backend server for the rest of a stream when no other one is left. */
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/SilenceRules.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/SilenceRules.kt
@@ -21,7 +21,7 @@
     data object Silent : SilenceCheck
 }
 
-/** Checks an attempt for silence. A backend server that responds to other requests is alive, and only this one waits. */
+/** Checks an attempt for silence. A backend server that responds to other requests is alive; only this one waits. */
 fun checkSilence(silence: Silence): SilenceCheck = when {
     silence.attemptMs < silence.limitMs -> SilenceCheck.NotYet(silence.limitMs - silence.attemptMs)
     silence.serverMs != null && silence.serverMs < minOf(silence.limitMs, STREAM_SILENCE_LIMIT_MS) ->
