Keep responses that continue no stream out of a stream

Callers whose stream had begun and broke off found the error body of the next backend server (302, 400, 404, 409, 422) as a further chunk, and the stream ended as complete. Responses to a resumed request were treated like first responses: their head was dropped, since one had been sent, and their body was forwarded.

What a response head means is now a pure decision (useOf). Once the caller has a part, only a sealed 200 that can be an event stream and is not encoded may add to it; its events must show their place by an id. Any other final response ends the attempt as broken off, so another backend server is tried within the limits, or the connection is closed. A resumed stream that ends without a new event completes the response only if it repeated the last event: without that, a server that dropped the rest looks the same as one that had nothing left.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -23,9 +23,14 @@
 import org.bramleyspur.daemon.http.HttpListener
 import org.bramleyspur.traffic.forward.AttemptEnd
 import org.bramleyspur.traffic.forward.EventSplitter
+import org.bramleyspur.traffic.forward.EventUse
 import org.bramleyspur.traffic.forward.NextStep
 import org.bramleyspur.traffic.forward.RequestProgress
+import org.bramleyspur.traffic.forward.ResponseUse
+import org.bramleyspur.traffic.forward.StreamEvent
+import org.bramleyspur.traffic.forward.completesResponse
 import org.bramleyspur.traffic.forward.nextStep
+import org.bramleyspur.traffic.forward.useOf
 import org.bramleyspur.traffic.quarantine.PartVerdict
 import org.bramleyspur.traffic.quarantine.sharedParts
 
@@ -244,6 +249,11 @@
         private var lastEventMs: Long? = null
         private var receivedEvents = 0
         private var repeatedBytes = 0L
+
+        /** Whether the caller has received a part of another attempt's response. */
+        private val continues = responseStarted
+        private var addedEvents = false
+        private var repeatedLast = false
         private val engine = context.engineLife(load.id)
 
         /** Whether the request may have reached the backend server. */
@@ -327,16 +337,20 @@
             lastDataMs = now
             load.onResponseData(now)
             runningRequestsOf(headers.get(headerNames.load))?.let { load.onLoadReport(it, now) }
-            when {
-                headers.contains(headerNames.notExecuted) || status == STATUS_MISDIRECTED -> {
+            val detail = "$status of ${load.id}"
+            when (useOf(responseHeadOf(status, headers, headerNames), streaming, responseStarted)) {
+                ResponseUse.REJECTION -> {
                     if (status == STATUS_MISDIRECTED) context.markUnresponsive(load)
-                    endAttempt(AttemptEnd.Rejected(retryAfterMs(headers)), "$status of ${load.id}")
+                    endAttempt(AttemptEnd.Rejected(retryAfterMs(headers)), detail)
                 }
-                !headers.contains(headerNames.seal) -> discard("$status of ${load.id} without a seal")
-                status >= STATUS_SERVER_ERROR -> onServerError(status, headers)
-                else -> {
+                ResponseUse.INVALID -> discard("$detail without a seal")
+                ResponseUse.FAILURE -> onServerError(status, headers)
+                ResponseUse.NO_CONTINUATION ->
+                    endAttempt(AttemptEnd.BrokenOff, "$detail does not continue the stream")
+                ResponseUse.EVENTS -> responseHead = status to headers.copyEndToEndHeaders()
+                ResponseUse.WHOLE -> {
                     responseHead = status to headers.copyEndToEndHeaders()
-                    if (!isStream()) forwardHead()
+                    forwardHead()
                 }
             }
         }
@@ -399,20 +413,26 @@
             }
             for (event in events) {
                 onPromptPrefilled()
-                val lastId = lastEventId
-                val repeated = event.id != null && lastId != null && event.id!! <= lastId
-                if (repeated) {
-                    repeatedBytes += event.bytes.size
-                    continue
+                when (useOf(event, lastEventId, continues)) {
+                    EventUse.FORWARD -> forward(event)
+                    EventUse.SKIP -> {
+                        repeatedBytes += event.bytes.size
+                        repeatedLast = event.id == lastEventId
+                    }
+                    EventUse.INVALID -> return discard("${load.id} continued the stream without event ids")
                 }
-                forwardHead()
-                response.write(Unpooled.wrappedBuffer(event.bytes))
-                event.id?.let { lastEventId = it }
             }
             if (repeatedBytes > MAX_REPEATED_BYTES) return discard("${load.id} repeated its events without end")
             if (route.idempotent && events.isNotEmpty()) startStallTimer(STREAM_STALL_TIMEOUT_MS)
         }
 
+        private fun forward(event: StreamEvent) {
+            addedEvents = addedEvents || !event.isComment
+            forwardHead()
+            response.write(Unpooled.wrappedBuffer(event.bytes))
+            event.id?.let { lastEventId = it }
+        }
+
         /** An engine that crashes under a request does so when it begins the response, so it sends no second event. */
         private fun onEventsReceived(count: Int) {
             val begun = receivedEvents >= EVENTS_PAST_START
@@ -437,6 +457,9 @@
         override fun onEnd() {
             if (ended) return
             if (isStream() && splitter.pendingBytes > 0) return discard("${load.id} ended its answer within an event")
+            if (!completesResponse(continues, addedEvents, repeatedLast)) {
+                return discard("${load.id} ended its answer without an event that continues the stream")
+            }
             forwardHead()
             releaseLoad()
             load.onSuccess()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/HeaderValues.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/HeaderValues.kt
@@ -4,7 +4,9 @@
 package org.bramleyspur.daemon.forward
 
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
+import org.bramleyspur.traffic.forward.ResponseHead
 
 private const val MS_PER_SECOND = 1_000.0
 
@@ -23,3 +25,15 @@
 /** Delay in milliseconds after which a refused request may be sent again; null if the response names none. */
 internal fun retryAfterMs(headers: HttpHeaders): Long? =
     headers.get(HttpHeaderNames.RETRY_AFTER)?.trim()?.toDoubleOrNull()?.let { (it * MS_PER_SECOND).toLong() }
+
+/** The facts of a response's head that decide on its use; callers do not accept an encoded body. */
+internal fun responseHeadOf(status: Int, headers: HttpHeaders, names: ForwardHeaders) = ResponseHead(
+    status,
+    notExecuted = headers.contains(names.notExecuted),
+    sealed = headers.contains(names.seal),
+    eventStream = headers.get(HttpHeaderNames.CONTENT_TYPE)?.startsWith(EVENT_STREAM, ignoreCase = true) != false &&
+        headers.get(HttpHeaderNames.CONTENT_ENCODING)?.let { HttpHeaderValues.IDENTITY.contentEqualsIgnoreCase(it) } !=
+        false,
+)
+
+private const val EVENT_STREAM = "text/event-stream"
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/StreamingTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/StreamingTest.kt
@@ -105,6 +105,36 @@
         engine.close()
     }
 
+    /** Guards against an error of a later attempt in a stream that has begun, which then ends as complete. */
+    @TestFactory
+    fun `an error response to a resumed stream does not reach it`() =
+        listOf(204, 302, 400, 404, 409, 422).map { status ->
+            DynamicTest.dynamicTest("$status") {
+                val engine = fakeEngine(EnginePlan(20, closeAtToken = 7))
+                val refusing = FakeBackend {
+                    bodyText()
+                    if (path == "/admin/cancel") reply(200, "{}") else reply(status, """{"error":{"message":"odd"}}""")
+                }
+                TrafficTestBed(listOf(engine.port, refusing.port), timeoutMs = 600).use { testBed ->
+                    // The agent that is tried first is chosen at random.
+                    val responses = List(PLAYS) {
+                        RawClient(testBed.port).use { client ->
+                            client.send(generation(chat = true, stream = true))
+                            client.read()!!
+                        }
+                    }
+                    val begun = responses.filter { " t6" in it.body }
+                    expectThat(begun.size).isGreaterThan(0)
+                    begun.forEach {
+                        expectThat(it.complete).isFalse()
+                        expectThat("odd" in it.body).isFalse()
+                    }
+                }
+                engine.close()
+                refusing.close()
+            }
+        }
+
     private val requestsWithoutLease = listOf(
         "completion" to generation(chat = false, stream = false),
         "models" to request("GET /v1/models"),
@@ -198,4 +228,8 @@
         }
         engine.close()
     }
+
+    private companion object {
+        const val PLAYS = 6
+    }
 }
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/EventSplitter.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/EventSplitter.kt
@@ -1,7 +1,11 @@
 package org.bramleyspur.traffic.forward
 
 /** A complete server-sent event as received; [id] is null when it has none. */
-class StreamEvent(val bytes: ByteArray, val id: Long?)
+class StreamEvent(val bytes: ByteArray, val id: Long?) {
+    /** Whether it has comments only, which carry no content. */
+    val isComment: Boolean
+        get() = bytes.decodeToString().lineSequence().all { it.isBlank() || it.startsWith(':') }
+}
 
 /**
  * Splits a stream of server-sent events into complete events, so that the stream can be resumed from another backend
