--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
@@ -12,9 +12,10 @@
 import org.bramleyspur.daemon.http.HttpFailure
 import org.bramleyspur.daemon.http.HttpListener
 import org.bramleyspur.traffic.forward.AttemptEnd
-import org.bramleyspur.traffic.forward.EventSplitter
 import org.bramleyspur.traffic.forward.NextStep
+import org.bramleyspur.traffic.forward.ResponseUse
 import org.bramleyspur.traffic.forward.STREAM_SILENCE_LIMIT_MS
+import org.bramleyspur.traffic.forward.useOf
 
 /** What an attempt tells its request. */
 internal interface AttemptOwner {
@@ -27,6 +28,9 @@
     /** The attempt has something new for the caller; the other attempts of the request are cancelled. */
     fun takeOver(attempt: Attempt)
 
+    /** Whether other attempts of the request are running besides [attempt]. */
+    fun hasOthers(attempt: Attempt): Boolean
+
     /** What would follow if the attempt ended with [end]. */
     fun stepAfter(attempt: Attempt, end: AttemptEnd): NextStep
 
@@ -52,7 +56,7 @@
 ) : HttpListener {
     private val load = choice.load
     private val counters = AttemptLoad(load, request.tokens.prompt)
-    private val splitter = EventSplitter()
+    private val events = AttemptEvents(response, othersRunning = { owner.hasOthers(this) })
     private val silence = SilenceWatch(
         context.timers,
         lastServerDataMs = { if (request.streaming) load.lastResponseMs else null },
@@ -63,8 +67,6 @@
     private var responseHead: Pair<Int, HttpHeaders>? = null
     private val startedAtMs = context.timers.nowMs()
     private var lastEventMs: Long? = null
-    private var receivedEvents = 0
-    private var repeatedBytes = 0L
     private val engine = context.engineLife(load.id)
 
     val backendId: String get() = load.id
@@ -106,16 +108,19 @@
     override fun onHead(status: Int, headers: HttpHeaders) {
         onResponseData()
         runningRequestsOf(headers.get(context.headers.load))?.let { load.onLoadReport(it, context.timers.nowMs()) }
-        when {
-            headers.contains(context.headers.notExecuted) || status == STATUS_MISDIRECTED -> {
+        val detail = "$status of ${load.id}"
+        when (useOf(responseHeadOf(status, headers, context.headers), request.streaming, response.started)) {
+            ResponseUse.REJECTION -> {
                 if (status == STATUS_MISDIRECTED) context.markUnresponsive(load)
-                endAttempt(AttemptEnd.Rejected(retryAfterMs(headers)), "$status of ${load.id}")
+                endAttempt(AttemptEnd.Rejected(retryAfterMs(headers)), detail)
             }
-            !headers.contains(context.headers.seal) -> discard("$status of ${load.id} without a seal")
-            status >= STATUS_SERVER_ERROR -> onServerError(status, headers)
-            else -> {
+            ResponseUse.INVALID -> discard("$detail without a seal")
+            ResponseUse.FAILURE -> onServerError(status, headers)
+            ResponseUse.NO_CONTINUATION -> endAttempt(AttemptEnd.BrokenOff, "$detail does not continue the stream")
+            ResponseUse.EVENTS -> responseHead = status to headers.copyEndToEndHeaders()
+            ResponseUse.WHOLE -> {
                 responseHead = status to headers.copyEndToEndHeaders()
-                if (!isStream()) forwardHead()
+                forwardHead()
             }
         }
     }
@@ -156,28 +161,18 @@
     }
 
     private fun forwardEvents(bytes: ByteArray) {
-        val events = splitter.feed(bytes)
-        onEventsReceived(events.size)
-        recordEventInterval(events.size)
-        if (splitter.overflowed) return discard("${load.id} sent an event above the limit")
-        if (events.isNotEmpty()) counters.onEvent()
-        for (event in events) {
-            if (response.contains(event)) {
-                repeatedBytes += event.bytes.size
-                continue
-            }
+        val begun = events.received >= EVENTS_PAST_START
+        val received = events.split(bytes)
+        // An engine that crashes under a request does so when it begins the response, so it sends no second event.
+        if (!begun && events.received >= EVENTS_PAST_START) context.promptParts.onSurvived(request.parts)
+        recordEventInterval(received.size)
+        if (received.isNotEmpty()) counters.onEvent()
+        val wrong = events.forwardNew(received) {
             forwardHead()
-            response.write(event)
+            response.write(it)
         }
-        if (repeatedBytes > MAX_REPEATED_BYTES) return discard("${load.id} repeated its events without end")
-        if (request.route.idempotent && events.isNotEmpty()) silence.start(STREAM_SILENCE_LIMIT_MS)
-    }
-
-    /** An engine that crashes under a request does so when it begins the response, so it sends no second event. */
-    private fun onEventsReceived(count: Int) {
-        val begun = receivedEvents >= EVENTS_PAST_START
-        receivedEvents += count
-        if (!begun && receivedEvents >= EVENTS_PAST_START) context.promptParts.onSurvived(request.parts)
+        if (wrong != null) return discard("${load.id} $wrong")
+        if (request.route.idempotent && received.isNotEmpty()) silence.start(STREAM_SILENCE_LIMIT_MS)
     }
 
     private fun recordEventInterval(events: Int) {
@@ -191,7 +186,8 @@
 
     override fun onEnd() {
         if (ended) return
-        if (isStream() && splitter.pendingBytes > 0) return discard("${load.id} ended its answer within an event")
+        val wrong = if (isStream()) events.wrongEnd() else null
+        if (wrong != null) return discard("${load.id} $wrong")
         forwardHead()
         release()
         load.onSuccess()
@@ -207,7 +203,7 @@
             owner.onEnded(this, AttemptEnd.NotSent, message)
         } else {
             load.onFailure(context.timers.nowMs())
-            if (receivedEvents < EVENTS_PAST_START) context.promptParts.onEngineEnded(request.parts, engine)
+            if (events.received < EVENTS_PAST_START) context.promptParts.onEngineEnded(request.parts, engine)
             owner.onEnded(this, brokenEnd(), message)
         }
     }
@@ -248,14 +244,10 @@
 
     private companion object {
         val SUCCESS_STATUSES = 200..299
-        const val STATUS_SERVER_ERROR = 500
         const val STATUS_MISDIRECTED = 421
 
         /** With its second event, an engine has gone past the beginning of its response. */
         const val EVENTS_PAST_START = 2
-
-        /** Many times the events that a backend server repeats when it resumes a stream from its beginning. */
-        const val MAX_REPEATED_BYTES = 256 * 1024L
         const val MIN_PLAIN_SILENCE_LIMIT_MS = 150L
         const val PREDICTION_MARGIN_FACTOR = 2.0
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/DeliveredResponse.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/DeliveredResponse.kt
@@ -40,12 +40,6 @@
         response.begin(status, headers)
     }
 
-    /** Whether the caller has received [event]; events without an id are always new. */
-    fun contains(event: StreamEvent): Boolean {
-        val id = event.id ?: return false
-        return lastEventId?.let { id <= it } ?: false
-    }
-
     fun write(event: StreamEvent) {
         response.write(Unpooled.wrappedBuffer(event.bytes))
         event.id?.let { lastEventId = it }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -7,6 +7,7 @@
 import org.bramleyspur.core.time.TimerHandle
 import org.bramleyspur.traffic.forward.AttemptEnd
 import org.bramleyspur.traffic.forward.NextStep
+import org.bramleyspur.traffic.forward.OtherAttempts
 import org.bramleyspur.traffic.forward.RequestProgress
 import org.bramleyspur.traffic.forward.RunningAttempts
 import org.bramleyspur.traffic.forward.maySendBesideSilent
@@ -168,6 +169,8 @@
         )
     }
 
+    override fun hasOthers(attempt: Attempt): Boolean = running.besides(attempt) != OtherAttempts.NONE
+
     override fun stepAfter(attempt: Attempt, end: AttemptEnd): NextStep =
         nextStep(progress(without = attempt), end, budgetAllows())
 
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/SilenceEndTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/SilenceEndTest.kt
@@ -13,7 +13,8 @@
 
 /**
  * Guards against a wrong end of a request whose backend server is silent: a refusal as not run that is not true, a
- * second run of a request that may run once, a response that another one is appended to, and servers that go on in vain.
+ * second run of a request that may run once, a response that another one is appended to, and servers that go on in
+ * vain.
  */
 class SilenceEndTest : ForwardTest() {
     private class Case(
@@ -33,20 +34,22 @@
     private val continues = Script(streamResponse(event(1), event(2), complete = true))
     private val errorHead = "HTTP/1.1 404 No\r\n$ATTEMPT_ID_HEADER: 7\r\n$SEAL_HEADER: s\r\nContent-Length: 4\r\n\r\n"
 
+    private fun String.bodyOf() = substringAfter("\r\n\r\n")
+
     private fun event(id: Int) = "id: $id\ndata: a\n\n"
 
-    private fun after(pauseMs: Long, text: String, close: Boolean = false, before: String = "") =
+    private fun afterPause(text: String, close: Boolean = false, before: String = "", pauseMs: Long = PAUSE_MS) =
         Script(before, close = close, pauseMs = pauseMs, afterPause = text)
 
     private val cases = listOf(
-        Case("all refuse", "/again/", after(900, refusal), refuses, 503, null, otherRequests = 2),
-        Case("silent, then closed", "/again/", after(900, "", close = true), refuses, 502, null, otherRequests = 2),
-        Case("all refuse the stream", "/stream/", after(900, refusal), refuses, 503, null, otherRequests = 2),
-        Case("may run once", "/once/", after(900, okResponse("late")), serves, 200, "late", otherRequests = 0),
+        Case("all refuse", "/again/", afterPause(refusal), refuses, 503, null, otherRequests = 2),
+        Case("silent, then closed", "/again/", afterPause("", close = true), refuses, 502, null, otherRequests = 2),
+        Case("all refuse the stream", "/stream/", afterPause(refusal), refuses, 503, null, otherRequests = 2),
+        Case("may run once", "/once/", afterPause(okResponse("late")), serves, 200, "late", otherRequests = 0),
         Case(
             "plain body with a pause",
             "/again/",
-            after(900, "56789", before = okResponse("0123456789").dropLast(5)),
+            afterPause("56789", before = okResponse("0123456789").dropLast(5)),
             serves,
             200,
             "0123456789",
@@ -55,7 +58,7 @@
         Case(
             "error response with a pause",
             "/stream/",
-            after(900, "ne", before = errorHead + "no"),
+            afterPause("ne", before = errorHead + "no"),
             continues,
             404,
             "none",
@@ -71,10 +74,40 @@
             complete = false,
             otherRequests = 0,
         ),
+        Case(
+            "others send a comment and break off",
+            "/stream/",
+            afterPause(streamResponse(event(1), complete = true)),
+            Script(streamResponse(": wait\n\n", complete = false), close = true),
+            200,
+            event(1),
+            otherRequests = 2,
+        ),
+        Case(
+            "others end without an event",
+            "/stream/",
+            afterPause(streamResponse(event(1), complete = true)),
+            Script(streamResponse(complete = true)),
+            200,
+            event(1),
+            otherRequests = 2,
+        ),
+        Case(
+            "others do not continue the stream",
+            "/stream/",
+            afterPause(
+                streamResponse(event(2), complete = true).bodyOf(),
+                before = streamResponse(event(1), complete = false),
+            ),
+            Script(errorHead + "none"),
+            200,
+            event(1) + event(2),
+            otherRequests = 2,
+        ),
         Case(
             "a sealed refusal to do it",
             "/stream/",
-            after(900, streamResponse(event(1), complete = true)),
+            afterPause(streamResponse(event(1), complete = true)),
             Script(errorHead + "none"),
             404,
             "none",
@@ -110,7 +143,7 @@
             }
 
     private fun expectCancelled(path: String, callerLeaves: Boolean) {
-        val silent = after(SILENT_MS, okResponse("late"))
+        val silent = afterPause(okResponse("late"), pauseMs = SILENT_MS)
         start(silent, silent)
         val servers = backends.takeLast(3)
         val startedAt = Instant.now()
@@ -131,13 +164,15 @@
 
     @Test
     fun `the log names the attempts beside a silent one and the one that takes over`() {
-        start(after(1_500, "", before = streamResponse(event(1), complete = false)), continues)
+        start(afterPause("", before = streamResponse(event(1), complete = false)), continues)
         expectThat(post("/stream/")!!.body).isEqualTo(event(1) + event(2))
         expectThat(logLines("attempt-beside").single()).contains("\"silent\":\"b0\"").contains("\"last_event\":1")
         expectThat(logLines("attempt-took-over").single()).contains("\"cancelled\":\"b0\"")
     }
 
     private companion object {
+        /** Longer than two attempts beside the silent one take, shorter than the callers' patience. */
+        const val PAUSE_MS = 1_300L
         const val SILENT_MS = 8_000L
         const val CLOSE_MS = 200L
     }
