Do not send a request twice unseen after a silence on a reused connection

A request on a reused connection that was closed without a response was sent again on a new one by the HTTP client, however long the server had had it: an arrival that no retry budget counts, with the remaining time of the first send. Waiting for silent servers makes this likelier. And when the new connection failed, the request counted as never sent, so that the caller got 503 "not run" although the server had received it.

The client now sends again only if the connection turns out to be closed within 200 ms, and reports a request as not sent only if it was written to no connection. The end of a later one is an attempt without an answer, for which the attempt rules decide.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
@@ -117,6 +117,10 @@
         /** Whether the request may be retried; the body is retained for that. */
         private var retryable = false
 
+        /** Whether the request was written to a reused connection that was closed. */
+        private var writtenBefore = false
+        private var attachedAtMs = 0L
+
         /**
          * Whether the current message is skipped: a 1xx response, or the response to another request.
          */
@@ -137,6 +141,7 @@
                 return
             }
             channel = connection
+            attachedAtMs = monotonicMs()
             retryable = reused
             connection.pipeline().get(ConnectionHandler::class.java).exchange = this
             connection.write(request)
@@ -153,7 +158,8 @@
         fun onConnectFailed(cause: Throwable) {
             releasePending()
             body?.release()
-            finish { listener.onFailure(HttpFailure.NOT_SENT, "cannot connect to $address: ${cause.message}") }
+            val failure = if (writtenBefore) HttpFailure.BROKEN else HttpFailure.NOT_SENT
+            finish { listener.onFailure(failure, "cannot connect to $address: ${cause.message}") }
         }
 
         override fun send(data: ByteBuf, last: Boolean) {
@@ -231,8 +237,10 @@
         }
 
         fun onDisconnected() {
-            if (done || !retryable) return failAsBroken()
+            val stale = monotonicMs() - attachedAtMs <= STALE_CONNECTION_LIMIT_MS
+            if (done || !retryable || !stale) return failAsBroken()
             retryable = false
+            writtenBefore = true
             connect(this)
         }
 
@@ -329,6 +337,12 @@
         const val MAX_SKIPPED_BYTES = 64 * 1024L
         const val MAX_SKIPPED_RESPONSES = 16
 
+        /**
+         * Many times the round trip after which a connection that the peer had closed before turns out to be closed. A
+         * later end is that of the request, and whether to send it again is the caller's decision.
+         */
+        const val STALE_CONNECTION_LIMIT_MS = 200L
+
         /** Time in which the rest of an unused response arrives if its connection is worth reusing. */
         const val DISCARD_TIMEOUT_MS = 500L
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpExchange.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpExchange.kt
@@ -59,7 +59,8 @@
 /**
  * Starts an HTTP call. [request] contains the headers; if [body] is null, the body follows through [HttpCall.send].
  * With [newConnection], no pooled connection is used, since a stale one could make the outcome unknown.
- * Without it, a call that gets no response on a pooled connection is retried on a new one, so it must be idempotent.
+ * Without it, a call on a pooled connection that turns out to be closed is retried on a new one, so it must be
+ * idempotent.
  */
 typealias HttpCallStarter = (
     request: HttpRequest,
