--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupAdoption.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupAdoption.kt
@@ -51,14 +51,14 @@
     val ranks = announcements.map { it.groupMembership!!.rank }.toSet()
     val complete = modelSpec != null && (0 until modelSpec.groupSize).all { it in ranks }
     val incarnations = announcements.sortedBy { it.groupMembership!!.rank }.map { it.incarnation }.toImmutableList()
-    val phase = when {
-        !complete -> GroupPhase.RELEASING
-        head.groupMembership!!.state == GroupState.OPEN -> GroupPhase.SERVING
-        head.groupMembership!!.state == GroupState.CLOSING -> GroupPhase.CLOSING
-        head.groupMembership!!.state == GroupState.BROKEN -> GroupPhase.RELEASING
-        else -> GroupPhase.FORMING
+    val (phase, cause) = when {
+        !complete -> GroupPhase.RELEASING to PhaseCause.INCOMPLETE
+        head.groupMembership!!.state == GroupState.OPEN -> GroupPhase.SERVING to PhaseCause.ADOPTED
+        head.groupMembership!!.state == GroupState.CLOSING -> GroupPhase.CLOSING to PhaseCause.ADOPTED
+        head.groupMembership!!.state == GroupState.BROKEN -> GroupPhase.RELEASING to PhaseCause.BROKEN
+        else -> GroupPhase.FORMING to PhaseCause.ADOPTED
     }
-    val group = PlannedGroup(id, head.service, model, incarnations, phase, input.nowMs)
+    val group = PlannedGroup(id, head.service, model, incarnations, phase, input.nowMs, PhaseReason(cause))
     state = state.copy(groups = state.groups.put(id, group))
 }
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -149,7 +149,7 @@
 private fun Planning.closeCrossDomainGroup(crossDomain: List<PlannedGroup>) {
     val group = crossDomain.firstOrNull { it.phase == GroupPhase.SERVING } ?: return
     order(group.members.first(), EngineCommand.Close(group.id))
-    enterPhase(group, GroupPhase.CLOSING)
+    enterPhase(group, GroupPhase.CLOSING, PhaseReason(PhaseCause.REPLACED))
 }
 
 /** Free engines that can join a group of the model without loading weights, the fastest first. */
@@ -191,7 +191,7 @@
     val epoch = input.term * EPOCHS_PER_TERM + state.issuedEpochs + 1
     val id = GroupId("g$epoch", epoch)
     val members = engines.map { it.incarnation }.toImmutableList()
-    val group = PlannedGroup(id, service.name, model.name, members, phase, input.nowMs)
+    val group = PlannedGroup(id, service.name, model.name, members, phase, input.nowMs, PhaseReason(PhaseCause.WANTED))
     state = state.copy(groups = state.groups.put(id, group), issuedEpochs = state.issuedEpochs + 1)
     val ids = members.map { it.id }.toImmutableList()
     members.forEach { order(it, EngineCommand.Join(id, model.name, ids)) }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupLifecycle.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupLifecycle.kt
@@ -22,27 +22,44 @@
 
 private fun Planning.advanceWarming(group: PlannedGroup) {
     val engine = group.members.single()
-    val lost = hasEnded(engine) || isUnreachable(engine)
-    val overdue = input.nowMs - group.sinceMs > WARMING_LIMIT_MS
-    if (lost || overdue || hasGroupState(engine, group.id, GroupState.READY)) release(group)
+    val reason = lossOf(engine)
+        ?: overdueReason(group, WARMING_LIMIT_MS)
+        ?: PhaseReason(PhaseCause.WARMED).takeIf { hasGroupState(engine, group.id, GroupState.READY) }
+    if (reason != null) release(group, reason)
+}
+
+/** Why the engine can no longer be counted on; null if it can. */
+private fun Planning.lossOf(incarnation: EngineIncarnation): PhaseReason? = when {
+    hasEnded(incarnation) -> PhaseReason(PhaseCause.MEMBER_ENDED, incarnation.id)
+    isUnreachable(incarnation) ->
+        PhaseReason(PhaseCause.MEMBER_SILENT, incarnation.id, sinceLastContactMs(incarnation))
+    else -> null
+}
+
+private fun Planning.overdueReason(group: PlannedGroup, limitMs: Long): PhaseReason? {
+    val durationMs = input.nowMs - group.sinceMs
+    return if (durationMs > limitMs) PhaseReason(PhaseCause.OVERDUE, durationMs = durationMs) else null
 }
 
 private fun Planning.advanceForming(group: PlannedGroup) {
     val head = group.members.first()
     val modelSpec = modelSpec(group.service, group.model)
-    val lost = group.members.any {
-        hasEnded(it) || isUnreachable(it) || announcementOf(it)?.state != BackendState.READY ||
-            isInOtherGroup(it, group)
-    }
-    val limitMs = formingLimitMs(modelSpec)
     val headMembership = announcementOf(head)?.groupMembership
+    val reason = if (modelSpec == null) {
+        PhaseReason(PhaseCause.MODEL_REMOVED)
+    } else {
+        group.members.firstNotNullOfOrNull { formingLossOf(it, group) }
+            ?: overdueReason(group, formingLimitMs(modelSpec))
+    }
+    val reassigned = group.members.firstOrNull { hasPendingJoinElsewhere(it, group) }
     when {
-        modelSpec == null || lost || input.nowMs - group.sinceMs > limitMs -> release(group)
+        reason != null -> release(group, reason)
         headMembership?.id == group.id && headMembership.state == GroupState.OPEN -> enterPhase(
             group,
             GroupPhase.SERVING,
+            PhaseReason(PhaseCause.OPENED),
         )
-        group.members.any { hasPendingJoinElsewhere(it, group) } -> release(group)
+        reassigned != null -> release(group, PhaseReason(PhaseCause.MEMBER_LEFT, reassigned.id))
         group.members.all { hasGroupState(it, group.id, GroupState.READY) } -> order(head, EngineCommand.Open(group.id))
         else ->
             group.members
@@ -51,6 +68,14 @@
     }
 }
 
+private fun Planning.formingLossOf(incarnation: EngineIncarnation, group: PlannedGroup): PhaseReason? =
+    lossOf(incarnation) ?: when {
+        announcementOf(incarnation)?.state != BackendState.READY ->
+            PhaseReason(PhaseCause.MEMBER_LEAVING, incarnation.id)
+        isInOtherGroup(incarnation, group) -> PhaseReason(PhaseCause.MEMBER_LEFT, incarnation.id)
+        else -> null
+    }
+
 /** Whether a delayed order of an earlier leader has moved the engine to another group whose head may be serving. */
 private fun Planning.isInOtherGroup(incarnation: EngineIncarnation, group: PlannedGroup): Boolean {
     val announcement = announcementOf(incarnation) ?: return true
@@ -75,17 +100,21 @@
     order(incarnation, EngineCommand.Join(group.id, group.model, group.members.map { it.id }.toImmutableList()))
 }
 
-private fun Planning.formingLimitMs(modelSpec: ModelSpec?): Long =
-    if (modelSpec == null) 0 else FORMING_MARGIN_MS + modelSpec.loadMs * LOAD_SLOWDOWN_FACTOR
+private fun formingLimitMs(modelSpec: ModelSpec): Long =
+    FORMING_MARGIN_MS + modelSpec.loadMs * LOAD_SLOWDOWN_FACTOR
 
 private fun Planning.advanceServing(group: PlannedGroup) {
     val head = group.members.first()
     val membership = announcementOf(head)?.groupMembership
+    val reason = group.members.firstNotNullOfOrNull { departureOf(it, group) }
+        ?: PhaseReason(PhaseCause.BROKEN).takeIf { membership?.state == GroupState.BROKEN }
+        ?: stallReason(group)
+    val leaving = group.members.firstOrNull { announcementOf(it)?.state != BackendState.READY }
     when {
-        hasLostMember(group) || membership?.state == GroupState.BROKEN || isStalled(group) -> release(group)
-        group.members.any { announcementOf(it)?.state != BackendState.READY } -> {
+        reason != null -> release(group, reason)
+        leaving != null -> {
             order(head, EngineCommand.Close(group.id))
-            enterPhase(group, GroupPhase.CLOSING)
+            enterPhase(group, GroupPhase.CLOSING, PhaseReason(PhaseCause.MEMBER_LEAVING, leaving.id))
         }
         membership?.state == GroupState.READY && input.nowMs - group.sinceMs > OPEN_REPEAT_MS ->
             order(head, EngineCommand.Open(group.id))
@@ -93,18 +122,22 @@
 }
 
 /** Whether a member has ended or does not announce itself as a member of the group. */
-private fun Planning.hasLostMember(group: PlannedGroup): Boolean =
-    group.members.any { hasEnded(it) || announcementOf(it)?.groupMembership?.id != group.id }
+private fun Planning.departureOf(incarnation: EngineIncarnation, group: PlannedGroup): PhaseReason? = when {
+    hasEnded(incarnation) -> PhaseReason(PhaseCause.MEMBER_ENDED, incarnation.id)
+    announcementOf(incarnation)?.groupMembership?.id != group.id ->
+        PhaseReason(PhaseCause.MEMBER_LEFT, incarnation.id)
+    else -> null
+}
 
 /**
- * Whether the head has not been seen responding to entries and a member does not respond to control's probes. A single
- * failed probe is not enough: one lost packet can delay both the response to a probe and the events of a stream.
+ * The member that does not respond to control's probes, if the head has not been seen responding to entries either. A
+ * single failed probe is not enough: one lost packet can delay both the response to a probe and the events of a stream.
  */
-private fun Planning.isStalled(group: PlannedGroup): Boolean {
+private fun Planning.stallReason(group: PlannedGroup): PhaseReason? {
     val head = group.members.first()
     val headUnresponsive =
         isReportedUnresponsive(head) || !hasRespondedSince(head, input.nowMs - HEAD_RESPONSE_WINDOW_MS)
-    return headUnresponsive && group.members.any { isUnreachable(it) }
+    return if (headUnresponsive) group.members.firstNotNullOfOrNull { lossOf(it) } else null
 }
 
 /** Whether an entry received part of a response after [sinceMs] and none has reported the engine unresponsive since. */
@@ -119,11 +152,12 @@
     val membership = announcementOf(head)?.groupMembership
     val headServes =
         membership?.id == group.id && (membership.state == GroupState.CLOSING || membership.state == GroupState.OPEN)
-    val overdue = input.nowMs - group.sinceMs > CLOSING_LIMIT_MS
-    val lost = hasEnded(head) || isUnreachable(head)
-    if (!headServes || overdue || lost) {
-        release(group)
-    } else if (membership.state == GroupState.OPEN) {
+    val reason = lossOf(head)
+        ?: PhaseReason(PhaseCause.FINISHED).takeIf { !headServes }
+        ?: overdueReason(group, CLOSING_LIMIT_MS)
+    if (reason != null) {
+        release(group, reason)
+    } else if (membership?.state == GroupState.OPEN) {
         order(head, EngineCommand.Close(group.id))
     }
 }
@@ -141,8 +175,8 @@
     if (isUnreachable(head, failures = 1)) orderLeave(group.id, group.members.drop(1))
 }
 
-private fun Planning.release(group: PlannedGroup) {
-    val released = enterPhase(group, GroupPhase.RELEASING)
+private fun Planning.release(group: PlannedGroup, reason: PhaseReason) {
+    val released = enterPhase(group, GroupPhase.RELEASING, reason)
     advanceReleasing(released)
 }
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerResults.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerResults.kt
@@ -21,11 +21,16 @@
     val record = (state.probes[incarnation] ?: ProbeRecord(sentMs)).copy(awaitingResult = false)
     if (report == null) {
         // A time-out that is reported late is ignored: this process may have been paused with the response unread.
-        val failures = record.failures + if (nowMs - sentMs <= PROBE_RESULT_MAX_AGE_MS) 1 else 0
-        return state.copy(probes = state.probes.put(incarnation, record.copy(failures = failures)))
+        val counts = nowMs - sentMs <= PROBE_RESULT_MAX_AGE_MS
+        val failed =
+            record.copy(failures = record.failures + 1, unansweredSinceMs = record.unansweredSinceMs ?: sentMs)
+        return state.copy(probes = state.probes.put(incarnation, if (counts) failed else record))
     }
     val responded = state.copy(
-        probes = state.probes.put(incarnation, record.copy(failures = 0, lastResponseMs = nowMs)),
+        probes = state.probes.put(
+            incarnation,
+            record.copy(failures = 0, unansweredSinceMs = null, lastResponseMs = nowMs),
+        ),
     )
     // A report can be some hundred milliseconds old, so it may not include orders sent shortly before the probe.
     val orderedSince = (state.lastOrderMs[incarnation] ?: 0L) >= sentMs - REPORT_LAG_MS
@@ -34,6 +39,17 @@
     return responded.copy(knownOrders = state.knownOrders.put(incarnation, knownOrders))
 }
 
+/** An engine that had left probes unanswered and was heard again, [silentMs] after the first of them. */
+data class EngineRecovery(val incarnation: EngineIncarnation, val silentMs: Long, val failures: Int)
+
+/** The engines that responded or announced themselves again between [before] and [after]. */
+fun recoveredEngines(before: PlannerState, after: PlannerState, nowMs: Long): List<EngineRecovery> =
+    before.probes.mapNotNull { (incarnation, record) ->
+        val sinceMs = record.unansweredSinceMs
+        val recovered = sinceMs != null && after.probes[incarnation]?.unansweredSinceMs == null
+        if (recovered) EngineRecovery(incarnation, nowMs - sinceMs!!, record.failures) else null
+    }
+
 private const val REPORT_LAG_MS = 300L
 
 /** Longer than any probe time-out, with a margin for a delayed timer. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -41,6 +41,7 @@
  *
  * @property members engine incarnations, the head first
  * @property sinceMs when the phase began
+ * @property reason why the group entered the phase
  */
 data class PlannedGroup(
     val id: GroupId,
@@ -49,6 +50,7 @@
     val members: ImmutableList<EngineIncarnation>,
     val phase: GroupPhase,
     val sinceMs: Long,
+    val reason: PhaseReason,
 )
 
 /**
@@ -111,12 +113,14 @@
  * @property failures consecutive probes without a response
  * @property lastResponseMs when the engine last responded to a probe; null for never
  * @property awaitingResult whether the last probe has no result yet
+ * @property unansweredSinceMs when the first of these failures was sent; null for no failure
  */
 data class ProbeRecord(
     val sentMs: Long,
     val failures: Int = 0,
     val lastResponseMs: Long? = null,
     val awaitingResult: Boolean = false,
+    val unansweredSinceMs: Long? = null,
 )
 
 /**
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
@@ -34,7 +34,7 @@
     private fun lastContactMs(incarnation: EngineIncarnation): Long =
         maxOf(input.engines[incarnation.id]?.receivedAtMs ?: 0L, state.probes[incarnation]?.lastResponseMs ?: 0L)
 
-    private fun sinceLastContactMs(incarnation: EngineIncarnation): Long = input.nowMs - lastContactMs(incarnation)
+    fun sinceLastContactMs(incarnation: EngineIncarnation): Long = input.nowMs - lastContactMs(incarnation)
 
     /** Whether [failures] consecutive probes have failed, or nothing was received for [UNREACHABLE_AFTER_MS]. */
     fun isUnreachable(incarnation: EngineIncarnation, failures: Int = UNREACHABLE_PROBE_FAILURES): Boolean {
@@ -126,8 +126,8 @@
         return membership.id == id && membership.state == wanted
     }
 
-    fun enterPhase(group: PlannedGroup, phase: GroupPhase): PlannedGroup {
-        val next = group.copy(phase = phase, sinceMs = input.nowMs)
+    fun enterPhase(group: PlannedGroup, phase: GroupPhase, reason: PhaseReason): PlannedGroup {
+        val next = group.copy(phase = phase, sinceMs = input.nowMs, reason = reason)
         state = state.copy(groups = state.groups.put(group.id, next))
         return next
     }
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/StalledGroupTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/StalledGroupTest.kt
@@ -33,6 +33,7 @@
         persistentListOf(members[0].incarnation, members[1].incarnation),
         GroupPhase.SERVING,
         START_MS - 10_000,
+        PhaseReason(PhaseCause.OPENED),
     )
 
     private fun plan(state: PlannerState, nowMs: Long): PlanStep {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -13,6 +13,7 @@
 import org.bramleyspur.control.group.onOrderResult
 import org.bramleyspur.control.group.onProbeResult
 import org.bramleyspur.control.group.planGroups
+import org.bramleyspur.control.group.recoveredEngines
 import org.bramleyspur.control.state.StoredDocument
 import org.bramleyspur.core.backend.KnownBackend
 import org.bramleyspur.core.document.Document
@@ -83,6 +84,7 @@
         val step = planGroups(state, input)
         state = step.state
         logGroups(before)
+        logRecoveries(before)
         this.engines = engines
         step.probes.forEach { sendProbe(it) }
         step.orders.forEach {
@@ -95,7 +97,9 @@
         sender.probe(probe.address) { report, reason ->
             if (report == null) log.write("probe-unanswered", "engine" to probe.incarnation.id, "reason" to reason)
             val announcedGroup = engines[probe.incarnation.id]?.announcement?.groupMembership?.id
+            val before = state
             state = onProbeResult(state, probe.incarnation, report, announcedGroup, sentAtMs, timers.nowMs())
+            logRecoveries(before)
             replan()
         }
     }
@@ -119,11 +123,23 @@
                 "model" to group.model,
                 "phase" to group.phase.name,
                 "members" to group.members.joinToString(",") { it.id },
+                "reason" to group.reason.cause.name,
+                "member" to group.reason.member.orEmpty(),
+                "reason_ms" to (group.reason.durationMs ?: 0),
             )
         }
         for (id in before.groups.keys - state.groups.keys) log.write("group", "name" to id.name, "phase" to "ENDED")
     }
 
+    private fun logRecoveries(before: PlannerState) = recoveredEngines(before, state, timers.nowMs()).forEach {
+        log.write(
+            "engine-responds",
+            "engine" to it.incarnation.id,
+            "silent_ms" to it.silentMs,
+            "unanswered_probes" to it.failures,
+        )
+    }
+
     private fun sendOrder(order: EngineOrder, engineIncarnation: EngineIncarnation) {
         val sentAtMs = timers.nowMs()
         val sentTerm = term
