--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -104,7 +104,7 @@
         .toMap()
     return input.engines.values
         .map { it.announcement }
-        .filter { it.service == service.name && it.state == BackendState.READY && !isUnreachable(it.incarnation) }
+        .filter { it.service == service.name && it.state == BackendState.READY && lossOf(it.incarnation) == null }
         .groupBy { it.fabricDomain }
         .mapValues { (_, engines) ->
             val models = engines.mapNotNull { groupModels[it.incarnation] ?: stagedModel(service, it) }
