--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupLifecycle.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupLifecycle.kt
@@ -22,27 +22,37 @@
 
 private fun Planning.advanceWarming(group: PlannedGroup) {
     val engine = group.members.single()
-    val lost = hasEnded(engine) || isUnreachable(engine)
-    val overdue = input.nowMs - group.sinceMs > WARMING_LIMIT_MS
-    if (lost || overdue || hasGroupState(engine, group.id, GroupState.READY)) release(group)
+    val reason = unreachableReason(engine)
+        ?: overdueReason(group, WARMING_LIMIT_MS)
+        ?: PhaseReason(PhaseCause.WARMED).takeIf { hasGroupState(engine, group.id, GroupState.READY) }
+    if (reason != null) release(group, reason)
+}
+
+/** Why an engine without requests is given up; another one takes its place without harm, so its silence suffices. */
+private fun Planning.unreachableReason(incarnation: EngineIncarnation): PhaseReason? =
+    lossOf(incarnation) ?: PhaseReason(PhaseCause.MEMBER_SILENT, incarnation.id).takeIf { isUnreachable(incarnation) }
+
+private fun Planning.overdueReason(group: PlannedGroup, limitMs: Long): PhaseReason? {
+    val durationMs = input.nowMs - group.sinceMs
+    return if (durationMs > limitMs) PhaseReason(PhaseCause.OVERDUE, durationMs = durationMs) else null
 }
 
 private fun Planning.advanceForming(group: PlannedGroup) {
     val head = group.members.first()
     val modelSpec = modelSpec(group.service, group.model)
-    val lost = group.members.any {
-        hasEnded(it) || isUnreachable(it) || announcementOf(it)?.state != BackendState.READY ||
-            isInOtherGroup(it, group)
+    val reason = if (modelSpec == null) {
+        PhaseReason(PhaseCause.MODEL_REMOVED)
+    } else {
+        group.members.firstNotNullOfOrNull { formingLossOf(it, group) }
+            ?: overdueReason(group, formingLimitMs(modelSpec))
     }
-    val limitMs = formingLimitMs(modelSpec)
-    val headMembership = announcementOf(head)?.groupMembership
+    val reassigned = group.members.firstOrNull { hasPendingJoinElsewhere(it, group) }
     when {
-        modelSpec == null || lost || input.nowMs - group.sinceMs > limitMs -> release(group)
-        headMembership?.id == group.id && headMembership.state == GroupState.OPEN -> enterPhase(
-            group,
-            GroupPhase.SERVING,
-        )
-        group.members.any { hasPendingJoinElsewhere(it, group) } -> release(group)
+        // From here on the head may have requests.
+        modelSpec != null && hasGroupState(head, group.id, GroupState.OPEN) ->
+            enterPhase(group, GroupPhase.SERVING, PhaseReason(PhaseCause.OPENED))
+        reason != null -> release(group, reason)
+        reassigned != null -> release(group, PhaseReason(PhaseCause.MEMBER_LEFT, reassigned.id))
         group.members.all { hasGroupState(it, group.id, GroupState.READY) } -> order(head, EngineCommand.Open(group.id))
         else ->
             group.members
@@ -51,6 +61,14 @@
     }
 }
 
+private fun Planning.formingLossOf(incarnation: EngineIncarnation, group: PlannedGroup): PhaseReason? =
+    unreachableReason(incarnation) ?: when {
+        announcementOf(incarnation)?.state != BackendState.READY ->
+            PhaseReason(PhaseCause.MEMBER_LEAVING, incarnation.id)
+        isInOtherGroup(incarnation, group) -> PhaseReason(PhaseCause.MEMBER_LEFT, incarnation.id)
+        else -> null
+    }
+
 /** Whether a delayed order of an earlier leader has moved the engine to another group whose head may be serving. */
 private fun Planning.isInOtherGroup(incarnation: EngineIncarnation, group: PlannedGroup): Boolean {
     val announcement = announcementOf(incarnation) ?: return true
@@ -75,17 +93,20 @@
     order(incarnation, EngineCommand.Join(group.id, group.model, group.members.map { it.id }.toImmutableList()))
 }
 
-private fun Planning.formingLimitMs(modelSpec: ModelSpec?): Long =
-    if (modelSpec == null) 0 else FORMING_MARGIN_MS + modelSpec.loadMs * LOAD_SLOWDOWN_FACTOR
+private fun formingLimitMs(modelSpec: ModelSpec): Long = FORMING_MARGIN_MS + modelSpec.loadMs * LOAD_SLOWDOWN_FACTOR
 
 private fun Planning.advanceServing(group: PlannedGroup) {
     val head = group.members.first()
     val membership = announcementOf(head)?.groupMembership
+    val reason = group.members.firstNotNullOfOrNull { departureOf(it, group) }
+        ?: PhaseReason(PhaseCause.BROKEN).takeIf { membership?.state == GroupState.BROKEN }
+        ?: stallReason(group)
+    val leaving = group.members.firstOrNull { announcementOf(it)?.state != BackendState.READY }
     when {
-        hasLostMember(group) || membership?.state == GroupState.BROKEN || isStalled(group) -> release(group)
-        group.members.any { announcementOf(it)?.state != BackendState.READY } -> {
+        reason != null -> release(group, reason)
+        leaving != null -> {
             order(head, EngineCommand.Close(group.id))
-            enterPhase(group, GroupPhase.CLOSING)
+            enterPhase(group, GroupPhase.CLOSING, PhaseReason(PhaseCause.MEMBER_LEAVING, leaving.id))
         }
         membership?.state == GroupState.READY && input.nowMs - group.sinceMs > OPEN_REPEAT_MS ->
             order(head, EngineCommand.Open(group.id))
@@ -93,19 +114,23 @@
 }
 
 /** Whether a member has ended or does not announce itself as a member of the group. */
-private fun Planning.hasLostMember(group: PlannedGroup): Boolean =
-    group.members.any { hasEnded(it) || announcementOf(it)?.groupMembership?.id != group.id }
+private fun Planning.departureOf(incarnation: EngineIncarnation, group: PlannedGroup): PhaseReason? = when {
+    hasEnded(incarnation) -> PhaseReason(PhaseCause.MEMBER_ENDED, incarnation.id)
+    announcementOf(incarnation)?.groupMembership?.id != group.id ->
+        PhaseReason(PhaseCause.MEMBER_LEFT, incarnation.id)
+    else -> null
+}
 
 /**
- * Whether the head has not been seen responding to entries and a member does not respond to control's probes. A single
- * failed probe is not enough: one lost packet can delay both the response to a probe and the events of a stream.
+ * The member that is lost, if the head has not been seen responding to entries either. A single failed probe is not
+ * enough: one lost packet can delay both the response to a probe and the events of a stream.
  */
-private fun Planning.isStalled(group: PlannedGroup): Boolean {
-    val head = group.members.first()
-    val headUnresponsive =
-        isReportedUnresponsive(head) || !hasRespondedSince(head, input.nowMs - HEAD_RESPONSE_WINDOW_MS)
-    return headUnresponsive && group.members.any { isUnreachable(it) }
-}
+private fun Planning.stallReason(group: PlannedGroup): PhaseReason? =
+    if (isUnresponsive(group.members.first())) group.members.firstNotNullOfOrNull { lossOf(it) } else null
+
+/** Whether entries report that the head does not respond, or none has received a response lately. */
+private fun Planning.isUnresponsive(head: EngineIncarnation): Boolean =
+    isReportedUnresponsive(head) || !hasRespondedSince(head, input.nowMs - HEAD_RESPONSE_WINDOW_MS)
 
 /** Whether an entry received part of a response after [sinceMs] and none has reported the engine unresponsive since. */
 private fun Planning.hasRespondedSince(incarnation: EngineIncarnation, sinceMs: Long): Boolean {
@@ -119,11 +144,12 @@
     val membership = announcementOf(head)?.groupMembership
     val headServes =
         membership?.id == group.id && (membership.state == GroupState.CLOSING || membership.state == GroupState.OPEN)
-    val overdue = input.nowMs - group.sinceMs > CLOSING_LIMIT_MS
-    val lost = hasEnded(head) || isUnreachable(head)
-    if (!headServes || overdue || lost) {
-        release(group)
-    } else if (membership.state == GroupState.OPEN) {
+    val reason = PhaseReason(PhaseCause.FINISHED).takeIf { !headServes }
+        ?: lossOf(head)?.takeIf { isUnresponsive(head) }
+        ?: overdueReason(group, CLOSING_LIMIT_MS)
+    if (reason != null) {
+        release(group, reason)
+    } else if (membership?.state == GroupState.OPEN) {
         order(head, EngineCommand.Close(group.id))
     }
 }
@@ -141,8 +167,8 @@
     if (isUnreachable(head, failures = 1)) orderLeave(group.id, group.members.drop(1))
 }
 
-private fun Planning.release(group: PlannedGroup) {
-    val released = enterPhase(group, GroupPhase.RELEASING)
+private fun Planning.release(group: PlannedGroup, reason: PhaseReason) {
+    val released = enterPhase(group, GroupPhase.RELEASING, reason)
     advanceReleasing(released)
 }
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -41,6 +41,7 @@
  *
  * @property members engine incarnations, the head first
  * @property sinceMs when the phase began
+ * @property reason why the group entered the phase
  */
 data class PlannedGroup(
     val id: GroupId,
@@ -49,6 +50,7 @@
     val members: ImmutableList<EngineIncarnation>,
     val phase: GroupPhase,
     val sinceMs: Long,
+    val reason: PhaseReason,
 )
 
 /**
@@ -68,7 +70,7 @@
  * @property pendingJoins joins without a result, which may still be executed
  * @property leftMembers engines that have left a group on order while its head may still be in it
  * @property endedGroups groups whose head is known to have left; their members are free
- * @property headlessSinceMs when each group whose head has not announced itself was first seen
+ * @property partialSinceMs when each group some of whose members have not announced themselves was first seen
  * @property probes probes of engines whose announcement is overdue or whose group is stalled
  */
 data class PlannerState(
@@ -87,7 +89,7 @@
     val pendingJoins: PersistentMap<EngineIncarnation, PendingJoin> = persistentMapOf(),
     val leftMembers: PersistentMap<GroupId, PersistentSet<EngineIncarnation>> = persistentMapOf(),
     val endedGroups: PersistentSet<GroupId> = persistentSetOf(),
-    val headlessSinceMs: PersistentMap<GroupId, Long> = persistentMapOf(),
+    val partialSinceMs: PersistentMap<GroupId, Long> = persistentMapOf(),
 )
 
 /**
@@ -105,20 +107,6 @@
 /** A join that the engine refuses once it has started more than [expectedOrders] orders. */
 data class PendingJoin(val group: GroupId, val expectedOrders: Long)
 
-/**
- * Probes of an engine that may be down.
- *
- * @property failures consecutive probes without a response
- * @property lastResponseMs when the engine last responded to a probe; null for never
- * @property awaitingResult whether the last probe has no result yet
- */
-data class ProbeRecord(
-    val sentMs: Long,
-    val failures: Int = 0,
-    val lastResponseMs: Long? = null,
-    val awaitingResult: Boolean = false,
-)
-
 /**
  * Identifies an order to an engine. Each order has its own repeat interval, so that two orders that alternate are not
  * resent at every planning run.
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
@@ -25,6 +26,7 @@
 import io.netty.util.ReferenceCountUtil
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.core.time.monotonicMs
+import java.net.ConnectException
 import java.util.concurrent.TimeUnit
 
 /**
@@ -158,8 +160,15 @@
         fun onConnectFailed(cause: Throwable) {
             releasePending()
             body?.release()
-            val failure = if (writtenBefore) HttpFailure.BROKEN else HttpFailure.NOT_SENT
-            finish { listener.onFailure(failure, "cannot connect to $address: ${cause.message}") }
+            val message = "cannot connect to $address: ${cause.message}"
+            val refused = cause is ConnectException && cause !is ConnectTimeoutException
+            finish {
+                when {
+                    writtenBefore -> listener.onFailure(HttpFailure.BROKEN, message)
+                    refused -> listener.onRefused(message)
+                    else -> listener.onFailure(HttpFailure.NOT_SENT, message)
+                }
+            }
         }
 
         override fun send(data: ByteBuf, last: Boolean) {
