--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/TrafficTestBed.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/TrafficTestBed.kt
@@ -103,6 +103,15 @@
     /** Number of attempts running on the backend server of agent [index]. */
     fun running(index: Int): Int = agentLoops.traffic.submit<Int> { agents[index].attemptManager.running }.get()
 
+    /** Sets the time-out of the requests of [service] from now on; returns the earlier one. */
+    fun setTimeout(service: String, timeoutMs: Long): Long {
+        val configuration = snapshot.configuration
+        val current = configuration.services.getValue(service)
+        val services = configuration.services.put(service, current.copy(timeoutMs = timeoutMs))
+        snapshot = snapshot.copy(configuration = configuration.copy(services = services))
+        return current.timeoutMs
+    }
+
     override fun close() {
         server.closeListener()
         client.close()
