Grant account shares at once if no earlier leader can have granted any

Cause: a new leader raises no share for a lease time (6,060 ms), since entries that it does not know yet may hold shares of its predecessor. It did so too when there had been no configuration before, hence no account and no share. Routes are published after 5,000 ms, so between those times requests were admitted for other accounts, and refused for limited ones until the next heartbeat, up to a second later.

Fix: a leader that began without a configuration (it has applied all committed entries by then) may raise shares at once, because all shares are its own. After a change of leaders nothing changes: an account declared earlier, or one that an earlier leader may have dropped, waits for the lease time as before.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionMachine.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionMachine.kt
@@ -43,6 +43,7 @@
         configuration = event.configuration,
         assignments = event.assignments,
         changes = persistentListOf(AcceptedChange(event.configuration.revision, acceptedAtMs = null)),
+        earlierShares = event.configuration.revision != Revision.NONE,
     ).step()
 
     is SessionEvent.Committed -> handleCommit(event, nowMs)
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/SessionState.kt
@@ -73,7 +73,11 @@
     val leaseUntilMs: Long,
 )
 
-/** Session state of the leader of [term]. */
+/**
+ * Session state of the leader of [term].
+ *
+ * @property earlierShares whether an earlier leader may have granted account shares that are still valid
+ */
 @ConsistentCopyVisibility
 data class SessionState internal constructor(
     val timing: SessionTiming = SessionTiming(),
@@ -89,6 +93,7 @@
     internal val withdrawals: PersistentList<Withdrawal> = persistentListOf(),
     internal val replaced: PersistentSet<Incarnation> = persistentSetOf(),
     internal val heldShares: PersistentMap<ShareHolder, HeldShares> = persistentMapOf(),
+    internal val earlierShares: Boolean = true,
 ) {
     /** Whether this leader has led long enough to treat a missing session as a lost process. */
     fun canDeclareLost(nowMs: Long): Boolean = nowMs >= leaderSinceMs + timing.sessionTimeoutMs
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/ShareRules.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/session/ShareRules.kt
@@ -44,7 +44,12 @@
     return HeldShares(shares, shares, leaseUntilMs = nowMs + timing.leaseExpiryMs)
 }
 
-private fun SessionState.mayRaiseShares(nowMs: Long): Boolean = nowMs >= leaderSinceMs + timing.leaseExpiryMs
+/**
+ * Whether all shares still in use are known. Those of entries that have not reported to this leader expire with their
+ * leases; before the first configuration there were no accounts, so no share either.
+ */
+private fun SessionState.mayRaiseShares(nowMs: Long): Boolean =
+    !earlierShares || nowMs >= leaderSinceMs + timing.leaseExpiryMs
 
 private fun HeldShares.acknowledge(uses: Map<String, AccountUse>): HeldShares {
     val acknowledged = sent.filter { (account, share) -> uses[account]?.share == share }
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/session/ShareSequencesTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/session/ShareSequencesTest.kt
@@ -16,6 +16,7 @@
 
 private const val LIMIT = 12
 private const val STEP_MS = 50L
+private const val MAX_UNDECLARED_MS = 10_000L
 
 /** Guards against exceeding a client account's limit after lost responses, frozen entries and leader changes. */
 class ShareSequencesTest {
@@ -46,7 +47,11 @@
 private class ShareSimulation(seed: Long, private val faults: Boolean) {
     private val random = Random(seed)
     private val account = Account("x", "", maxConcurrent = LIMIT)
-    private val configuration = Configuration(Revision(1), accounts = persistentMapOf("x" to account))
+    private val declared = Configuration(Revision(1), accounts = persistentMapOf("x" to account))
+
+    /** The first leaders lead without a configuration until one is declared. */
+    private val declaredAtMs = random.nextLong(MAX_UNDECLARED_MS)
+    private var configuration = Configuration()
     private var streams = 0L
     private var sequence = 0L
     private var nowMs = 0L
@@ -62,6 +67,7 @@
         repeat(steps) {
             nowMs += STEP_MS
             if (faults && random.nextInt(50) == 0) fault(entries.random(random))
+            if (configuration != declared && nowMs >= declaredAtMs) declare()
             entries.filter { !it.frozen }.forEach { act(it) }
             send(SessionEvent.Tick)
             check(usable() <= LIMIT) { "entries hold ${usable()} of $LIMIT at $nowMs ms" }
@@ -77,6 +83,11 @@
         state = state.handle(SessionEvent.BecameLeader(term++, configuration, emptyList()), nowMs).state
     }
 
+    private fun declare() {
+        configuration = declared
+        send(SessionEvent.Committed(declared, emptyList()))
+    }
+
     private fun fault(entry: SimulatedEntry) = when (random.nextInt(6)) {
         0, 1 -> entry.frozen = !entry.frozen
         2 -> entry.connected = false
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
@@ -116,6 +116,7 @@
                 snapshot.leaseUntilMs
             }
         val shares = reply.sharesList.associate { it.account to it.maxConcurrent }
+        if (shares != snapshot.shares) logger.info { "shares of limited accounts: $shares" }
         snapshot = snapshot.copy(leaseUntilMs = leaseUntilMs, shares = shares)
         val leader = session.leader
         loops.traffic.execute {
