Detect the reset of a caller's connection that is not read

Seen: a caller that disconnected while its upload was paused, or after it had pipelined more than 16 parts, held its slot until the request's deadline.

Cause: reading is off then, and NIO reports nothing about a connection without interest in an operation. A bounded read does not help: data that arrived before the reset is returned first, and a sender that is still alive refills the buffer.

Fix: while reading is off, a selector of its own checks the connection each 50 ms for OP_CONNECT. A connected socket is never ready for it, but a selector reports a pending error as ready (documented at SelectionKey.OP_CONNECT). Nothing is read, so no memory is needed.

Tests: slotOfPausedUploadIsFreeAfterReset did not reset but closed the connection. It and slotOfPipelinedRequestsIsFreeAfterReset failed on the earlier code ("the release of the slot did not happen within 3000 ms") and pass.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerConnection.kt
@@ -28,6 +28,8 @@
 import io.netty.handler.ssl.SslHandler
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.ScheduledFuture
+import org.bramleyspur.daemon.http.ResetDetector
+import org.bramleyspur.daemon.http.WatchableChannel
 import java.util.concurrent.TimeUnit
 
 /**
@@ -52,6 +54,7 @@
 internal class CallerConnection(
     private val handler: CallerRequestHandler,
     private val limits: CallerLimits,
+    private val resetDetector: ResetDetector,
     private val closing: () -> Boolean,
 ) : ChannelInboundHandlerAdapter() {
     private val pendingParts = ArrayDeque<HttpObject>()
@@ -60,6 +63,7 @@
     private var timeout: ScheduledFuture<*>? = null
     private var headPending = false
     private var bodyPaused = false
+    private var resetWatch: AutoCloseable? = null
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
@@ -83,6 +87,7 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         timeout?.cancel(false)
+        endResetWatch()
         pendingParts.forEach { ReferenceCountUtil.release(it) }
         pendingParts.clear()
         exchange?.onCallerDisconnected()
@@ -180,7 +185,18 @@
     }
 
     private fun updateReading() {
-        context.channel().config().isAutoRead = !bodyPaused && pendingParts.size <= MAX_PENDING_PARTS
+        val channel = context.channel() as WatchableChannel
+        val reading = !bodyPaused && pendingParts.size <= MAX_PENDING_PARTS
+        channel.config().isAutoRead = reading
+        when {
+            reading -> endResetWatch()
+            resetWatch == null -> resetWatch = resetDetector.watch(channel) { context.close() }
+        }
+    }
+
+    private fun endResetWatch() {
+        resetWatch?.close()
+        resetWatch = null
     }
 
     /** Closes the connection when the written data has been sent, or after [LINGER_MS]. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerServer.kt
@@ -9,12 +9,13 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.ssl.SslContext
 import io.netty.util.concurrent.GlobalEventExecutor
 import org.bramleyspur.core.settings.Address
+import org.bramleyspur.daemon.http.ResetDetector
+import org.bramleyspur.daemon.http.WatchableServerChannel
 import java.net.InetSocketAddress
 
 /** HTTP server for callers; passes requests to [handler]. All connections are encrypted if [tls] is set. */
@@ -24,6 +25,7 @@
     private val tls: SslContext?,
 ) {
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
+    private val resetDetector = ResetDetector()
     private var listener: Channel? = null
 
     @Volatile
@@ -34,7 +36,7 @@
         val listeningChannel =
             ServerBootstrap()
                 .group(group)
-                .channel(NioServerSocketChannel::class.java)
+                .channelFactory(::WatchableServerChannel)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(ConnectionInitializer())
@@ -67,7 +69,7 @@
                 HttpDecoderConfig()
                     .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
                     .setMaxHeaderSize(MAX_HEADER_BYTES)
-            val connection = CallerConnection(handler, limits) { closing }
+            val connection = CallerConnection(handler, limits, resetDetector) { closing }
             channel.pipeline().addLast(InboundByteHandler(connection), HttpServerCodec(config), connection)
         }
     }
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/PlainServiceTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/PlainServiceTest.kt
@@ -270,23 +270,37 @@
         backend.close()
     }
 
-    /** Guards against a slot that is not released when the caller disconnects while its upload is paused. */
+    /** Guards against a slot that is not released when the caller resets its connection while its upload is paused. */
     @Test
-    fun slotOfPausedUploadIsFreeAfterReset() {
+    fun slotOfPausedUploadIsFreeAfterReset() = checkSlotOfPausedUpload { reset() }
+
+    /** Guards against a slot that is not released when the caller closes its connection while its upload is paused. */
+    @Test
+    fun slotOfPausedUploadIsFreeAfterClose() = checkSlotOfPausedUpload { close() }
+
+    private fun checkSlotOfPausedUpload(disconnect: RawClient.() -> Unit) {
         val backend = FakeBackend { CountDownLatch(1).await(5, TimeUnit.SECONDS) }
         TrafficTestBed(plains = listOf(backend.port), timeoutMs = 10_000).use { testBed ->
             val client = RawClient(testBed.port)
+            val sentBytes = AtomicLong()
             val writer = thread {
                 try {
                     client.send(request("PUT /p/x", headers = "Content-Length: $LARGE_BODY_BYTES\r\n"))
-                    repeat(2_000) { client.send(ByteArray(65_536)) }
+                    repeat(2_000) {
+                        client.send(ByteArray(65_536))
+                        sentBytes.addAndGet(65_536)
+                    }
                 } catch (_: IOException) {
                     return@thread
                 }
             }
             awaitTrue(1_000, "the start of the call") { testBed.running(0) == 1 }
-            writer.join(300)
-            client.close()
+            var earlierBytes = -1L
+            awaitTrue(3_000, "the pause of the upload") {
+                writer.join(300)
+                sentBytes.get().let { sent -> (sent == earlierBytes).also { earlierBytes = sent } }
+            }
+            client.disconnect()
             val elapsedMs = awaitTrue(3_000, "the release of the slot") { testBed.running(0) == 0 }
             expectThat(elapsedMs).isLessThan(250)
             writer.join()
@@ -294,6 +308,21 @@
         backend.close()
     }
 
+    /** Guards against a slot that is not released when a caller disconnects after it has pipelined many requests. */
+    @Test
+    fun slotOfPipelinedRequestsIsFreeAfterReset() {
+        val backend = FakeBackend { CountDownLatch(1).await(5, TimeUnit.SECONDS) }
+        TrafficTestBed(plains = listOf(backend.port)).use { testBed ->
+            val client = RawClient(testBed.port)
+            client.send(request("GET /p/x").repeat(100))
+            awaitTrue(1_000, "the start of the call") { testBed.running(0) == 1 }
+            client.reset()
+            val elapsedMs = awaitTrue(3_000, "the release of the slot") { testBed.running(0) == 0 }
+            expectThat(elapsedMs).isLessThan(250)
+        }
+        backend.close()
+    }
+
     private companion object {
         const val LARGE_BODY_BYTES = 1600L * 65_536
 
