--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/AttemptEvents.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/AttemptEvents.kt
@@ -27,7 +27,7 @@
     /** Adds the next bytes and returns the events that they complete. */
     fun split(bytes: ByteArray): List<StreamEvent> = splitter.feed(bytes).also { received += it.size }
 
-    /** Passes those of [events] that are new for the caller to [forward]; returns what is wrong with the stream or null. */
+    /** Passes those of [events] that are new for the caller to [forward]; returns what is wrong with the stream. */
     fun forwardNew(events: List<StreamEvent>, forward: (StreamEvent) -> Unit): String? {
         if (splitter.overflowed) return "sent an event above the limit"
         for (event in events) {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -24,6 +24,7 @@
     private val route = request.route
     private val budget = context.budget(request.service.name)
     private val response = DeliveredResponse(context, request, callerResponse)
+    private val log = RequestLog(context, request)
     private val triedBackends = LinkedHashSet<String>()
     private val supersededBackends = LinkedHashSet<String>()
     private var deadlineTimer: TimerHandle? = null
@@ -134,17 +135,7 @@
         val choice = chooseUntried()?.takeIf { isSound(it) && isSoonEnough(it) } ?: return
         running.attempts.forEach { it.markUnresponsive() }
         context.metrics.onAttemptBeside(request.service.name)
-        context.log.write(
-            "attempt-beside",
-            "request" to request.id,
-            "route" to route.name,
-            "silent" to running.attempts.joinToString(",") { it.backendId },
-            "silent_ms" to silentMs,
-            "backend" to choice.load.id,
-            "last_event" to response.lastEventId,
-            "sends" to sends + 1,
-            "remaining_ms" to request.remainingMs(),
-        )
+        log.onBeside(running.attempts, silentMs, choice.load.id, response.lastEventId, sends + 1)
         start(choice, countsAgainstBudget = true)
     }
 
@@ -158,15 +149,7 @@
         superseded.forEach { it.cancel() }
         supersededBackends += superseded.map { it.backendId }
         context.metrics.onTakeOver(request.service.name)
-        context.log.write(
-            "attempt-took-over",
-            "request" to request.id,
-            "route" to route.name,
-            "backend" to attempt.backendId,
-            "cancelled" to superseded.joinToString(",") { it.backendId },
-            "last_event" to response.lastEventId,
-            "ms" to request.elapsedMs(),
-        )
+        log.onTakeOver(attempt, superseded, response.lastEventId)
     }
 
     override fun hasOthers(attempt: Attempt): Boolean = running.besides(attempt) != OtherAttempts.NONE
@@ -206,7 +189,7 @@
 
     private fun apply(step: NextStep, end: AttemptEnd, detail: String, backend: String?) {
         if (end is AttemptEnd.NoAnswer || end is AttemptEnd.BrokenOff || end is AttemptEnd.Failed) mayHaveRun = true
-        logStep(step, end, detail, backend)
+        log.onAttemptEnd(step, end, detail, backend, sends, running.attempts.size)
         when (step) {
             is NextStep.SendAgain -> send(step.countsAgainstBudget, step.toSuperseded)
             NextStep.AwaitRunning -> Unit
@@ -217,19 +200,6 @@
         }
     }
 
-    private fun logStep(step: NextStep, end: AttemptEnd, detail: String, backend: String?) = context.log.write(
-        "attempt-ended",
-        "request" to request.id,
-        "route" to route.name,
-        "end" to end::class.simpleName,
-        "backend" to backend,
-        "detail" to detail,
-        "sends" to sends,
-        "running" to running.attempts.size,
-        "remaining_ms" to request.remainingMs(),
-        "next" to step::class.simpleName,
-    )
-
     private fun refuse(end: AttemptEnd, detail: String) {
         val knownRetryAfterMs = when (end) {
             is AttemptEnd.Rejected -> end.retryAfterMs
@@ -266,21 +236,8 @@
         running.attempts.forEach { it.cancel() }
         running = RunningAttempts()
         context.metrics.onRequestEnd(route.name, outcome)
-        context.log.write(
-            "request",
-            "request" to request.id,
-            "route" to route.name,
-            "account" to request.account?.name,
-            "outcome" to outcome,
-            "backend" to (deliveringBackend ?: triedBackends.lastOrNull()),
-            "sends" to sends,
-            "first_ms" to response.firstByteMs,
-            "predicted_ms" to predictedMs?.toLong(),
-            "ms" to request.elapsedMs(),
-            "config_at_start" to request.configAtStart,
-            "config" to context.routes?.version,
-            "detail" to detail,
-        )
+        val backend = deliveringBackend ?: triedBackends.lastOrNull()
+        log.onEnd(outcome, backend, sends, response.firstByteMs, predictedMs, detail)
         onDone()
     }
 
--- /dev/null
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestLog.kt
@@ -0,0 +1,65 @@
+package org.bramleyspur.daemon.forward
+
+import org.bramleyspur.traffic.forward.AttemptEnd
+import org.bramleyspur.traffic.forward.NextStep
+
+/** Lines of the decision log about one request. */
+internal class RequestLog(private val context: ForwardContext, private val request: AdmittedRequest) {
+    /** Another attempt is sent to [backend] beside [silent]; it is number [sends]. */
+    fun onBeside(silent: List<Attempt>, silentMs: Long, backend: String, lastEventId: Long?, sends: Int) =
+        context.log.write(
+            "attempt-beside",
+            "request" to request.id,
+            "route" to request.route.name,
+            "silent" to silent.joinToString(",") { it.backendId },
+            "silent_ms" to silentMs,
+            "backend" to backend,
+            "last_event" to lastEventId,
+            "sends" to sends,
+            "remaining_ms" to request.remainingMs(),
+        )
+
+    /** [attempt] delivered something new, and the [cancelled] ones end. */
+    fun onTakeOver(attempt: Attempt, cancelled: List<Attempt>, lastEventId: Long?) = context.log.write(
+        "attempt-took-over",
+        "request" to request.id,
+        "route" to request.route.name,
+        "backend" to attempt.backendId,
+        "cancelled" to cancelled.joinToString(",") { it.backendId },
+        "last_event" to lastEventId,
+        "ms" to request.elapsedMs(),
+    )
+
+    /** An attempt ended, or none could be sent, and [step] follows; [running] others are running. */
+    fun onAttemptEnd(step: NextStep, end: AttemptEnd, detail: String, backend: String?, sends: Int, running: Int) =
+        context.log.write(
+            "attempt-ended",
+            "request" to request.id,
+            "route" to request.route.name,
+            "end" to end::class.simpleName,
+            "backend" to backend,
+            "detail" to detail,
+            "sends" to sends,
+            "running" to running,
+            "remaining_ms" to request.remainingMs(),
+            "next" to step::class.simpleName,
+        )
+
+    /** The request ended. */
+    fun onEnd(outcome: String, backend: String?, sends: Int, firstMs: Long?, predictedMs: Double?, detail: String) =
+        context.log.write(
+            "request",
+            "request" to request.id,
+            "route" to request.route.name,
+            "account" to request.account?.name,
+            "outcome" to outcome,
+            "backend" to backend,
+            "sends" to sends,
+            "first_ms" to firstMs,
+            "predicted_ms" to predictedMs?.toLong(),
+            "ms" to request.elapsedMs(),
+            "config_at_start" to request.configAtStart,
+            "config" to context.routes?.version,
+            "detail" to detail,
+        )
+}
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
@@ -126,7 +126,7 @@
         loops.traffic.submit {
             context.routes = RouteTable(document)
             context.directory =
-                announcements.fold(BackendDirectory()) { directory, it -> directory.withAnnouncement(it, 0) }
+                announcements.fold(BackendDirectory()) { directory, next -> directory.withAnnouncement(next, 0) }
         }.get()
     }
 
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ReusedConnectionTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ReusedConnectionTest.kt
@@ -5,7 +5,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 
-/** Guards against a request on a reused connection that reaches its server twice, or is refused though it reached it. */
+/** Guards against a request on a reused connection that is sent twice unseen, or is refused though it was received. */
 class ReusedConnectionTest : ForwardTest() {
     private lateinit var server: ScriptedBackend
 
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ScriptedBackend.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ScriptedBackend.kt
@@ -50,12 +50,10 @@
     val endlessBytes = AtomicLong()
     val address: String = "127.0.0.1:${server.localPort}"
 
-    init {
-        thread(isDaemon = true) {
-            while (!server.isClosed) {
-                val socket = runCatching { server.accept() }.getOrNull() ?: return@thread
-                thread(isDaemon = true) { serve(socket) }
-            }
+    private val acceptor = thread(isDaemon = true) {
+        while (!server.isClosed) {
+            val socket = runCatching { server.accept() }.getOrNull() ?: return@thread
+            thread(isDaemon = true) { serve(socket) }
         }
     }
 
@@ -85,22 +83,24 @@
 
     /** Waits until the server is not silent; ends at once if the peer closes the connection. */
     private fun awaitEndOfSilence(socket: Socket, input: InputStream) {
-        while (true) {
-            val leftMs = (silentUntilNs - System.nanoTime()) / NS_PER_MS
-            if (leftMs <= 0) break
+        var leftMs = silentForMs()
+        while (leftMs > 0) {
             socket.soTimeout = leftMs.toInt()
             try {
                 if (input.read() < 0) throw IOException("closed by the peer")
             } catch (_: SocketTimeoutException) {
-                continue
+                // The peer waits.
             } catch (closed: IOException) {
                 closedWhileSilent.incrementAndGet()
                 throw closed
             }
+            leftMs = silentForMs()
         }
         socket.soTimeout = 0
     }
 
+    private fun silentForMs() = (silentUntilNs - System.nanoTime()) / NS_PER_MS
+
     private fun repeatUntilClosed(socket: Socket, text: String) {
         openEndlessResponses.incrementAndGet()
         val chunk = text.repeat(1 + CHUNK_BYTES / text.length).encodeToByteArray()
@@ -130,7 +130,11 @@
         return head.toString()
     }
 
-    override fun close() = server.close()
+    /** Stops accepting connections; none is accepted after the return. */
+    override fun close() {
+        server.close()
+        acceptor.join()
+    }
 
     private companion object {
         const val CHUNK_BYTES = 4_096
