Refuse JSON that is nested too deeply before it is parsed

What callers saw: a heartbeat, a deregistration or a configuration whose body or one unknown field is nested some hundred levels deep got no answer, and no line said so. The JSON parser is recursive; on a thread with the deployed stack of 256 KiB it ends with a StackOverflowError, which no decoder catches, and the connection was closed silently.

The OpenAI front had a check of its own with 128 levels, which goes. The command line and the messages between processes do not use the parser.

An error that nevertheless ends a call to control is now logged as call-failed.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/ModelRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/ModelRequest.kt
@@ -13,6 +13,9 @@
 import kotlinx.serialization.json.booleanOrNull
 import kotlinx.serialization.json.contentOrNull
 import kotlinx.serialization.json.intOrNull
+import org.bramleyspur.core.json.MAX_JSON_DEPTH
+import org.bramleyspur.core.json.MAX_JSON_VALUES
+import org.bramleyspur.core.json.parseBounded
 
 /** OpenAI endpoint, which determines the format of the request and of the response. */
 enum class ModelEndpoint(val path: String) {
@@ -53,9 +56,8 @@
     }
 
     companion object {
-        /** Deeper than any request in use; the parser needs about 100 bytes of stack per level. */
-        private const val MAX_DEPTH = 128
-        private const val INVALID_BODY_MESSAGE = "the body is not a JSON object of at most $MAX_DEPTH levels"
+        private const val INVALID_BODY_MESSAGE =
+            "the body is not a JSON object of at most $MAX_JSON_DEPTH levels and $MAX_JSON_VALUES values"
 
         /** Parses the [body] of a request to [endpoint]. */
         fun parse(endpoint: ModelEndpoint, body: String): Result<ModelRequest, CallerError> {
@@ -92,29 +94,11 @@
         }
 
         private fun parseObject(body: String): JsonObject? = try {
-            if (isTooDeep(body)) null else Json.parseToJsonElement(body) as? JsonObject
+            Json.parseBounded(body) as? JsonObject
         } catch (_: SerializationException) {
             null
         }
 
-        /** Whether [body] is nested deeper than [MAX_DEPTH]; the recursive JSON parser would overflow its stack. */
-        private fun isTooDeep(body: String): Boolean {
-            var depth = 0
-            var quoted = false
-            var escaped = false
-            for (char in body) {
-                when {
-                    escaped -> escaped = false
-                    quoted && char == '\\' -> escaped = true
-                    char == '"' -> quoted = !quoted
-                    quoted -> Unit
-                    char == '[' || char == '{' -> if (++depth > MAX_DEPTH) return true
-                    char == ']' || char == '}' -> depth--
-                }
-            }
-            return false
-        }
-
         private fun JsonObject.stringField(name: String): String? =
             (this[name] as? JsonPrimitive)?.takeIf { it.isString }?.contentOrNull
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
@@ -18,19 +18,28 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.timeout.ReadTimeoutException
 import io.netty.handler.timeout.ReadTimeoutHandler
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.daemon.http.fullResponse
+import java.io.IOException
 import java.util.concurrent.TimeUnit
 
 /** Handles a call and calls [respond] exactly once, on any thread. */
 typealias ControlPlaneHandler = (call: ControlPlaneCall, respond: (ControlPlaneResponse) -> Unit) -> Unit
 
-/** HTTP server for backend servers and operators; calls are handled on the threads of the event loop group. */
-class ControlPlaneServer(private val decode: ControlPlaneDecoder, private val handle: ControlPlaneHandler) :
-    AutoCloseable {
+/**
+ * HTTP server for backend servers and operators; calls are handled on the threads of the event loop group.
+ *
+ * @property onFailure receives an error that closed a connection without a response, unless the peer caused it
+ */
+class ControlPlaneServer(
+    private val decode: ControlPlaneDecoder,
+    private val onFailure: (Throwable) -> Unit,
+    private val handle: ControlPlaneHandler,
+) : AutoCloseable {
     private var listener: Channel? = null
     private var address: Address? = null
 
@@ -76,6 +85,8 @@
 
         @Deprecated("Deprecated in Netty's handler interface, which still calls it.")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            // A reset connection and a read timeout concern only the caller.
+            if (cause !is IOException && cause !is ReadTimeoutException) onFailure(cause)
             context.close()
         }
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/CacheEventReader.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/CacheEventReader.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
+import org.bramleyspur.core.json.decodeBounded
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.core.time.TimerService
 import org.bramleyspur.daemon.entry.CacheEventBuffer
@@ -61,7 +62,7 @@
 
         private fun onEvent(text: String) {
             try {
-                val event = engineJson.decodeFromString(EngineCacheEvent.serializer(), text)
+                val event = engineJson.decodeBounded(EngineCacheEvent.serializer(), text)
                 buffer.add(event.toMessage())
             } catch (e: SerializationException) {
                 logger.debug { "ignoring unreadable cache event: ${e.message}" }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/OpenAiEngine.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/OpenAiEngine.kt
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.serialization.SerializationException
+import org.bramleyspur.core.json.decodeBounded
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.daemon.http.HttpCall
 import org.bramleyspur.daemon.http.HttpCallStarter
@@ -85,14 +86,14 @@
     }
 
     private fun stateOf(status: Int?, body: String): BackendStateResponse? = try {
-        if (status == OK) engineJson.decodeFromString(BackendStateResponse.serializer(), body) else null
+        if (status == OK) engineJson.decodeBounded(BackendStateResponse.serializer(), body) else null
     } catch (e: SerializationException) {
         logger.warn { "backend server $address reported a state that cannot be parsed: ${e.message}" }
         null
     }
 
     private fun bootId(body: String): String = try {
-        engineJson.decodeFromString(BackendStateResponse.serializer(), body).bootId
+        engineJson.decodeBounded(BackendStateResponse.serializer(), body).bootId
     } catch (_: SerializationException) {
         ""
     }
@@ -178,7 +179,7 @@
         }
         val chunk =
             try {
-                engineJson.decodeFromString(EngineChunk.serializer(), data)
+                engineJson.decodeBounded(EngineChunk.serializer(), data)
             } catch (e: SerializationException) {
                 end { listener.onBroken("the engine sent an event that cannot be read: ${e.message}", true) }
                 return
@@ -215,7 +216,7 @@
     private fun errorMessage(): String {
         val text = errorBody.toString(Charsets.UTF_8)
         return try {
-            engineJson.decodeFromString(EngineError.serializer(), text).error.message
+            engineJson.decodeBounded(EngineError.serializer(), text).error.message
         } catch (_: SerializationException) {
             text
         }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -149,7 +149,7 @@
         log,
         ::plan,
     )
-    private val controlPlane = ControlPlaneServer(dialect.decodeCall, ::handle)
+    private val controlPlane = ControlPlaneServer(dialect.decodeCall, ::onCallFailure, ::handle)
     private val platform = PlatformServer(::readiness, registry)
     private val internalServer = buildServer(
         settings.listenAddress,
@@ -365,6 +365,8 @@
         ControlPlaneCall.Unknown -> respond(ControlPlaneResponse.NotFound)
     }
 
+    private fun onCallFailure(cause: Throwable) = log.write("call-failed", "reason" to cause.toString())
+
     private fun deregister(call: ControlPlaneCall.Deregister) {
         val known = directory.backends[call.id]?.announcement ?: return
         if (call.startedAtMs != null && call.startedAtMs != known.startedAtMs) return
--- /dev/null
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServerTest.kt
@@ -0,0 +1,44 @@
+package org.bramleyspur.daemon.controlplane
+
+import io.netty.channel.nio.NioEventLoopGroup
+import org.bramleyspur.core.settings.Address
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+import java.io.IOException
+import java.net.ServerSocket
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpRequest.BodyPublishers
+import java.net.http.HttpResponse.BodyHandlers
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** Guards against a call that ends without a response and without a line, and that ends the calls after it. */
+class ControlPlaneServerTest {
+    private val failures = CopyOnWriteArrayList<String?>()
+
+    @Test
+    fun `a failure in a call is reported and later calls are answered`() {
+        val decode: ControlPlaneDecoder = { _, path, _ ->
+            if (path == "/fails") throw StackOverflowError("too deep") else ControlPlaneCall.Read
+        }
+        val group = NioEventLoopGroup(1)
+        val address = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
+        ControlPlaneServer(decode, { failures += it.message }) { _, respond -> respond(ControlPlaneResponse.Accepted) }
+            .use { server ->
+                server.start(address, group)
+                expectThat(runCatching { status(address, "/fails") }.exceptionOrNull() is IOException).isEqualTo(true)
+                expectThat(status(address, "/")).isEqualTo(200)
+            }
+        group.shutdownGracefully()
+        expectThat(failures).containsExactly("too deep")
+    }
+
+    /** Sends a POST, which the client does not repeat. */
+    private fun status(address: Address, path: String): Int {
+        val request = HttpRequest.newBuilder(URI("http://$address$path")).POST(BodyPublishers.noBody()).build()
+        return HttpClient.newHttpClient().send(request, BodyHandlers.ofString()).statusCode()
+    }
+}
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/bench/Call.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/bench/Call.kt
@@ -21,6 +21,7 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
+import org.bramleyspur.core.json.decodeBounded
 import org.bramleyspur.testbed.engine.TokenFunction
 import org.bramleyspur.testbed.engine.chatPrompt
 import org.bramleyspur.testbed.http.testbedJson
@@ -160,7 +161,7 @@
     private fun readChunk(data: String, now: Long) {
         val chunk =
             try {
-                testbedJson.decodeFromString<Chunk>(data)
+                testbedJson.decodeBounded<Chunk>(data)
             } catch (e: SerializationException) {
                 errorReceived = true
                 return
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/engine/CompletionRequest.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/engine/CompletionRequest.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import org.bramleyspur.core.json.decodeBounded
 import org.bramleyspur.testbed.http.testbedJson
 
 /** Body of `POST /v1/completions`. */
@@ -67,7 +68,7 @@
 
 /** Parses a text completion request; throws [IllegalArgumentException] for malformed input. */
 internal fun parseText(body: String): CompletionRequest {
-    val parsed = testbedJson.decodeFromString<TextBody>(body)
+    val parsed = testbedJson.decodeBounded<TextBody>(body)
     val (model, adapter) = splitModel(parsed.model)
     return CompletionRequest(
         chat = false,
@@ -82,7 +83,7 @@
 
 /** Parses a chat completion request; throws [IllegalArgumentException] for malformed input. */
 internal fun parseChat(body: String): CompletionRequest {
-    val parsed = testbedJson.decodeFromString<ChatBody>(body)
+    val parsed = testbedJson.decodeBounded<ChatBody>(body)
     val (model, adapter) = splitModel(parsed.model)
     return CompletionRequest(
         chat = true,
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/engine/EngineHandler.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/engine/EngineHandler.kt
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.QueryStringDecoder
 import kotlinx.serialization.encodeToString
+import org.bramleyspur.core.json.decodeBounded
 import org.bramleyspur.testbed.http.RequestHandler
 import org.bramleyspur.testbed.http.respondError
 import org.bramleyspur.testbed.http.respondJson
@@ -47,13 +48,13 @@
         when (path) {
             "/v1/completions" -> complete(context, request, parseText(body))
             "/v1/chat/completions" -> complete(context, request, parseChat(body))
-            "/admin/orders" -> order(context, testbedJson.decodeFromString(body))
+            "/admin/orders" -> order(context, testbedJson.decodeBounded(body))
             "/admin/cancel" -> {
-                val attempt = testbedJson.decodeFromString<CancelRequest>(body).request
+                val attempt = testbedJson.decodeBounded<CancelRequest>(body).request
                 context.respondJson(testbedJson.encodeToString(engine.cancel(attempt)))
             }
             "/testbed/settings" -> {
-                engine.applyChange(testbedJson.decodeFromString(body))
+                engine.applyChange(testbedJson.decodeBounded(body))
                 context.respondJson("{}")
             }
             else -> notFound(context, path)
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/engine/MemberProbe.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/engine/MemberProbe.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.serialization.SerializationException
+import org.bramleyspur.core.json.decodeBounded
 import org.bramleyspur.testbed.http.parseAddress
 import org.bramleyspur.testbed.http.testbedJson
 
@@ -102,7 +103,7 @@
     @Suppress("SwallowedException") // An unreadable response counts as none.
     private fun parse(body: String): StateReport? =
         try {
-            testbedJson.decodeFromString<StateReport>(body)
+            testbedJson.decodeBounded<StateReport>(body)
         } catch (e: SerializationException) {
             null
         }
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/BackendInspector.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/BackendInspector.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.bramleyspur.core.json.decodeBounded
 import org.bramleyspur.testbed.engine.EngineRole
 import org.bramleyspur.testbed.engine.EngineState
 import org.bramleyspur.testbed.engine.StateReport
@@ -32,7 +33,7 @@
     /** Returns the runs of backend server [n] since its start; fails if it does not respond. */
     fun currentRuns(n: Int): RunCounts {
         val response = Http.get("http://127.0.0.1:${ports.backend(n)}/admin/runs")
-        return testbedJson.decodeFromString(
+        return testbedJson.decodeBounded(
             checkNotNull(response) { "backend server $n did not answer GET /admin/runs" },
         )
     }
@@ -62,5 +63,5 @@
     private fun totalRuns(n: Int): RunCounts = currentRuns(n) + (savedRuns[n] ?: RunCounts())
 
     private fun state(n: Int): StateReport? =
-        Http.get("http://127.0.0.1:${ports.backend(n)}/admin/state")?.let { testbedJson.decodeFromString(it) }
+        Http.get("http://127.0.0.1:${ports.backend(n)}/admin/state")?.let { testbedJson.decodeBounded(it) }
 }
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Callers.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Callers.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import org.bramleyspur.core.json.parseBounded
 import org.bramleyspur.testbed.engine.TokenFunction
 import org.bramleyspur.testbed.http.testbedJson
 import java.io.IOException
@@ -85,7 +86,7 @@
 
     private fun outcomeOf(response: HttpResponse<String>, path: String, sent: String): Pair<CallOutcome, String> {
         if (response.statusCode() != OK) return refusalOutcome(response, response.body())
-        val echo = testbedJson.parseToJsonElement(response.body()).jsonObject
+        val echo = testbedJson.parseBounded(response.body()).jsonObject
         val digest = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(sent.toByteArray()))
         val matches = echo.text("path") == path && echo.text("body_sha256") == digest
         return if (matches) CallOutcome.COMPLETE to "200" else CallOutcome.WRONG to response.body()
@@ -149,7 +150,7 @@
             when {
                 data.length == line.length -> return
                 data == "[DONE]" -> doneMarkerReceived = true
-                else -> readEvent(testbedJson.parseToJsonElement(data).jsonObject)
+                else -> readEvent(testbedJson.parseBounded(data).jsonObject)
             }
         }
 
@@ -197,7 +198,7 @@
             "ran_and_failed" -> CallOutcome.RAN_AND_FAILED
             else -> CallOutcome.WRONG
         }
-    val error = runCatching { testbedJson.parseToJsonElement(body).jsonObject["error"]?.jsonObject }.getOrNull()
+    val error = runCatching { testbedJson.parseBounded(body).jsonObject["error"]?.jsonObject }.getOrNull()
     val message = error?.get("message")?.jsonPrimitive?.contentOrNull ?: body
     return outcome to "${response.statusCode()} $message"
 }
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Deployment.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/matrix/Deployment.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import org.bramleyspur.core.json.parseBounded
 import org.bramleyspur.testbed.http.testbedJson
 import org.bramleyspur.testbed.relay.LinkSettings
 import org.bramleyspur.testbed.relay.RelayServer
@@ -93,7 +94,7 @@
     /** Returns the number of the control leader, or null if there is none. */
     fun leader(): Int? {
         val output = operator("--output", "json", "--timeout-ms", "4000", "show control") ?: return null
-        val rows = testbedJson.parseToJsonElement(output).jsonObject["rows"]?.jsonArray.orEmpty()
+        val rows = testbedJson.parseBounded(output).jsonObject["rows"]?.jsonArray.orEmpty()
         val leader = rows.map { it.jsonObject }.firstOrNull { it.cell("role") == "leader" } ?: return null
         return leader.cell("member").removePrefix("c").toIntOrNull()
     }
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/relay/RelayServer.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/relay/RelayServer.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.encodeToString
+import org.bramleyspur.core.json.decodeBounded
 import org.bramleyspur.testbed.http.RequestHandler
 import org.bramleyspur.testbed.http.aggregator
 import org.bramleyspur.testbed.http.boundPort
@@ -90,7 +91,7 @@
             request.method() == HttpMethod.GET && request.uri() == "/links" -> report(context)
             request.method() != HttpMethod.POST || selected.isEmpty() ->
                 context.respondError(404, "not_found", "no link '$name'; the links are ${links.map { it.name }}")
-            else -> command(context, selected, testbedJson.decodeFromString(request.content().toString(Charsets.UTF_8)))
+            else -> command(context, selected, testbedJson.decodeBounded(request.content().toString(Charsets.UTF_8)))
         }
     }
 
