Refuse announcements whose address names no server

What callers saw: an announcement with port 99999, -1 or 0, without a port, with two ports or with no address at all was answered with 200, and every entry listed the server as ready. One with a state that another version does not know ended the stream between two instances: the receiver threw, reconnected, received the same entry again, and so followed the list no longer.

One that arrives from another instance is checked as well and dropped with a line announcement-dropped; the others of the same event are used. An age below 0 counts as 0, since an entry from the future would not expire.

--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/wire/DirectoryWire.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/wire/DirectoryWire.kt
@@ -3,6 +3,10 @@
  */
 package org.bramleyspur.core.wire
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
 import kotlinx.collections.immutable.toImmutableList
 import org.bramleyspur.core.backend.Announcement
 import org.bramleyspur.core.backend.BackendDirectory
@@ -10,6 +14,7 @@
 import org.bramleyspur.core.backend.GroupId
 import org.bramleyspur.core.backend.GroupMembership
 import org.bramleyspur.core.backend.GroupState
+import org.bramleyspur.core.backend.validate
 import org.bramleyspur.protocol.BackendAnnouncement
 import org.bramleyspur.protocol.BackendGroup
 
@@ -44,20 +49,30 @@
     .setState(state.name)
     .setModel(model.orEmpty())
 
-/** Converts from the generated message. */
-fun BackendAnnouncement.toModel() = Announcement(
-    id = id,
-    startedAtMs = bornMs,
-    sequence = sequence,
-    service = service,
-    address = address,
-    dataCentre = dataCentre,
-    slots = slots,
-    state = BackendState.valueOf(state),
-    fabricDomain = domain,
-    stagedModels = stagedModelsList.toImmutableList(),
-    groupMembership = if (hasGroup()) group.toModel() else null,
-)
+/**
+ * Converts from the generated message; the error describes an unusable announcement. Instances of other versions may
+ * send announcements that this version would not have accepted.
+ */
+fun BackendAnnouncement.toModel(): Result<Announcement, String> {
+    val parsedState = BackendState.entries.firstOrNull { it.name == state } ?: return Err("unknown state '$state'")
+    val membership = if (hasGroup()) group.toModel().getOrElse { return Err(it) } else null
+    val announcement = Announcement(
+        id = id,
+        startedAtMs = bornMs,
+        sequence = sequence,
+        service = service,
+        address = address,
+        dataCentre = dataCentre,
+        slots = slots,
+        state = parsedState,
+        fabricDomain = domain,
+        stagedModels = stagedModelsList.toImmutableList(),
+        groupMembership = membership,
+    )
+    return announcement.validate()?.let { Err("${it.field.name} ${it.reason}") } ?: Ok(announcement)
+}
 
-private fun BackendGroup.toModel() =
-    GroupMembership(GroupId(name, epoch), rank, GroupState.valueOf(state), model.ifEmpty { null })
+private fun BackendGroup.toModel(): Result<GroupMembership, String> {
+    val parsedState = GroupState.entries.firstOrNull { it.name == state } ?: return Err("unknown group state '$state'")
+    return Ok(GroupMembership(GroupId(name, epoch), rank, parsedState, model.ifEmpty { null }))
+}
--- /dev/null
+++ b/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/wire/DirectoryWireTest.kt
@@ -0,0 +1,65 @@
+package org.bramleyspur.core.wire
+
+import com.github.michaelbull.result.get
+import kotlinx.collections.immutable.persistentListOf
+import org.bramleyspur.core.backend.Announcement
+import org.bramleyspur.core.backend.BackendState
+import org.bramleyspur.core.backend.GroupId
+import org.bramleyspur.core.backend.GroupMembership
+import org.bramleyspur.core.backend.GroupState
+import org.bramleyspur.protocol.BackendAnnouncement
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+/**
+ * Guards against an announcement from an instance of another version that ends the stream on which it arrives, or that
+ * is added to the directory although no backend server can be reached by it.
+ */
+class DirectoryWireTest {
+    private val group = GroupMembership(GroupId("g", 1), 0, GroupState.OPEN, "m")
+    private val sound = Announcement(
+        id = "a",
+        startedAtMs = 100,
+        sequence = 5,
+        service = "s",
+        address = "10.0.0.1:80",
+        dataCentre = "z",
+        slots = 4,
+        state = BackendState.READY,
+        fabricDomain = "d",
+        stagedModels = persistentListOf("m"),
+        groupMembership = group,
+    )
+
+    private fun changed(change: BackendAnnouncement.Builder.() -> Unit): BackendAnnouncement =
+        sound.toMessage(0).toBuilder().apply(change).build()
+
+    private val unusable = listOf(
+        "unknown state" to changed { state = "SLEEPY" },
+        "no state" to changed { clearState() },
+        "unknown group state" to changed { setGroup(group.toBuilder().setState("DANCING")) },
+        "port 0" to changed { address = "10.0.0.1:0" },
+        "port out of range" to changed { address = "10.0.0.1:99999" },
+        "no address" to changed { clearAddress() },
+        "two ports" to changed { address = "10.0.0.1:80:81" },
+    )
+
+    @TestFactory
+    fun `an unusable announcement is dropped`() = unusable.map { (name, message) ->
+        DynamicTest.dynamicTest(name) { expectThat(decode(message)).isEqualTo(null) }
+    }
+
+    @TestFactory
+    fun `a sound announcement is converted both ways`() = listOf(
+        "in a group" to sound,
+        "in no group" to sound.copy(groupMembership = null),
+        "deregistered" to sound.copy(state = BackendState.GONE),
+        "without a start time" to sound.copy(startedAtMs = 0),
+    ).map { (name, announcement) ->
+        DynamicTest.dynamicTest(name) { expectThat(decode(announcement.toMessage(0))).isEqualTo(announcement) }
+    }
+
+    private fun decode(message: BackendAnnouncement): Announcement? = message.toModel().get()
+}
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -53,6 +53,7 @@
 import org.bramleyspur.log.storage.StorageError
 import org.bramleyspur.protocol.AdmissionReply
 import org.bramleyspur.protocol.AdmissionRequest
+import org.bramleyspur.protocol.BackendAnnouncement
 import org.bramleyspur.protocol.ConsensusMessage
 import org.bramleyspur.protocol.ControlServiceGrpc
 import org.bramleyspur.protocol.DirectoryEvent
@@ -274,7 +275,7 @@
 
     private fun onEvent(event: DirectoryEvent) {
         val now = timers.nowMs()
-        event.announcementsList.forEach { recordAnnouncement(it.toModel(), now - it.ageMs) }
+        event.announcementsList.forEach { recordReceived(it, now) }
         recordPromptParts(event.promptPartsList)
     }
 
@@ -306,11 +307,18 @@
 
     private fun onDirectoryRequest(request: DirectoryRequest) {
         val now = timers.nowMs()
-        request.announcementsList.forEach { recordAnnouncement(it.toModel(), now - it.ageMs) }
+        request.announcementsList.forEach { recordReceived(it, now) }
         recordPromptParts(request.promptPartsList)
         if (request.entry) groupDriver.onEntryReport(request)
     }
 
+    private fun recordReceived(message: BackendAnnouncement, nowMs: Long) {
+        message.toModel().fold(
+            { recordAnnouncement(it, nowMs - maxOf(message.ageMs, 0)) },
+            { log.write("announcement-dropped", "id" to message.id, "reason" to it) },
+        )
+    }
+
     /** Adds an announcement to the directory; returns whether it changed the directory. */
     private fun recordAnnouncement(announcement: Announcement, receivedAtMs: Long): Boolean {
         val before = directory.backends[announcement.id]?.announcement
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -24,6 +24,7 @@
 import org.bramleyspur.daemon.forward.PromptPartGuard
 import org.bramleyspur.daemon.platform.PlatformServer
 import org.bramleyspur.daemon.platform.Readiness
+import org.bramleyspur.protocol.BackendAnnouncement
 import org.bramleyspur.protocol.DirectoryEvent
 import org.bramleyspur.protocol.DirectoryRequest
 import org.bramleyspur.traffic.forward.RouteTable
@@ -176,21 +177,7 @@
     private fun onEvent(address: String, event: DirectoryEvent) {
         val now = timers.nowMs()
         entryCount = maxOf(event.entries, 1)
-        for (message in event.announcementsList) {
-            val announcement = message.toModel()
-            val before = context.directory.backends[announcement.id]?.announcement
-            context.directory = context.directory.withAnnouncement(announcement, now - message.ageMs)
-            if (before?.state != announcement.state || before.groupMembership != announcement.groupMembership) {
-                log.write(
-                    "backend",
-                    "id" to announcement.id,
-                    "state" to announcement.state.name,
-                    "group" to announcement.groupMembership?.let { "${it.id.name}/${it.rank}/${it.state}" }.orEmpty(),
-                    "from" to address,
-                    "age_ms" to message.ageMs,
-                )
-            }
-        }
+        event.announcementsList.forEach { recordAnnouncement(it, address, now) }
         promptParts.receive(event.promptPartsList.map { it.toModel() })
         if (event.hasDocument()) applyDocument(event, address)
         if (event.confirmed) {
@@ -199,6 +186,25 @@
         }
     }
 
+    private fun recordAnnouncement(message: BackendAnnouncement, from: String, nowMs: Long) {
+        val announcement = message.toModel().getOrElse {
+            log.write("announcement-dropped", "id" to message.id, "reason" to it, "from" to from)
+            return
+        }
+        val before = context.directory.backends[announcement.id]?.announcement
+        context.directory = context.directory.withAnnouncement(announcement, nowMs - maxOf(message.ageMs, 0))
+        if (before?.state != announcement.state || before.groupMembership != announcement.groupMembership) {
+            log.write(
+                "backend",
+                "id" to announcement.id,
+                "state" to announcement.state.name,
+                "group" to announcement.groupMembership?.let { "${it.id.name}/${it.rank}/${it.state}" }.orEmpty(),
+                "from" to from,
+                "age_ms" to message.ageMs,
+            )
+        }
+    }
+
     private fun applyDocument(event: DirectoryEvent, address: String) {
         val version = event.document.version
         val current = context.routes?.version
