Refuse announcements whose fields cannot be meant

What callers saw: an announcement with 2^40, a negative number or none of slots, a negative start time or one in the year 5000, an id of 3,000 characters or texts of megabytes was answered with 200, listed and passed on to every instance. 2^32 as a rank wrapped to 0, which made a member the head of its group.

Announcement.validate now bounds every field, also for announcements from other instances; a refusal names the field and the bound (call-refused, announcement-dropped).

--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/AnnouncementValidation.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/AnnouncementValidation.kt
@@ -8,11 +8,108 @@
 import org.bramleyspur.core.settings.Address
 
 /** A field of an announcement; adapters name it as their format does. */
-enum class AnnouncementField { ADDRESS, }
+enum class AnnouncementField {
+    ID,
+    STARTED_AT,
+    SEQUENCE,
+    SERVICE,
+    ADDRESS,
+    DATA_CENTRE,
+    SLOTS,
+    FABRIC_DOMAIN,
+    STAGED_MODELS,
+    GROUP_NAME,
+    GROUP_EPOCH,
+    GROUP_RANK,
+    GROUP_MODEL,
+}
 
-/** Why an announcement is refused; [reason] follows the field's name and value, and includes the remedy. */
+/** Why an announcement is refused; [reason] follows the field's name, and includes the remedy. */
 data class AnnouncementError(val field: AnnouncementField, val reason: String)
 
-/** Checks the announcement; returns null when it names a usable backend server. */
-fun Announcement.validate(): AnnouncementError? =
+/** Bounds of the fields of an announcement. */
+object AnnouncementBounds {
+    val SLOTS: LongRange = 1L..1_000_000L
+    val RANK: LongRange = 0L..9_999L
+    val EPOCH: LongRange = 0L..Long.MAX_VALUE
+
+    /** Largest number that every JSON implementation reads exactly. */
+    val SEQUENCE: LongRange = 0L..(1L shl 53)
+    const val MAX_NAME_CHARS = 128
+    const val MAX_STAGED_MODELS = 64
+
+    /** Together with the limit of the directory, this bounds the messages and the memory of every instance. */
+    const val MAX_TEXT_BYTES = 2_048
+
+    /** Far more than two clocks differ; a start in the future would own its address for as long as it is announced. */
+    const val MAX_CLOCK_DIFFERENCE_MS = 24 * 3_600_000L
+}
+
+/** Checks the announcement at the Unix time [nowMs]; returns null when it names a usable backend server. */
+fun Announcement.validate(nowMs: Long): AnnouncementError? =
+    idError() ?: numberError(nowMs) ?: textError() ?: addressError()
+
+/** The id becomes the value of a header of every request to the server. */
+private fun Announcement.idError(): AnnouncementError? =
+    if (id.length in 1..AnnouncementBounds.MAX_NAME_CHARS && id.all { it in '!'..'~' }) {
+        null
+    } else {
+        val reason = "must have 1 to ${AnnouncementBounds.MAX_NAME_CHARS} visible ASCII characters"
+        AnnouncementError(AnnouncementField.ID, reason)
+    }
+
+private fun Announcement.numberError(nowMs: Long): AnnouncementError? {
+    val startedAt = 0..nowMs + AnnouncementBounds.MAX_CLOCK_DIFFERENCE_MS
+    // A deregistration continues the sequence of the last announcement.
+    val sequences = if (state == BackendState.GONE) 0..Long.MAX_VALUE else AnnouncementBounds.SEQUENCE
+    return rangeError(AnnouncementField.STARTED_AT, startedAtMs, startedAt)
+        ?: rangeError(AnnouncementField.SEQUENCE, sequence, sequences)
+        ?: rangeError(AnnouncementField.SLOTS, slots.toLong(), AnnouncementBounds.SLOTS)
+        ?: groupMembership?.let {
+            rangeError(AnnouncementField.GROUP_EPOCH, it.id.epoch, AnnouncementBounds.EPOCH)
+                ?: rangeError(AnnouncementField.GROUP_RANK, it.rank.toLong(), AnnouncementBounds.RANK)
+        }
+}
+
+private fun rangeError(field: AnnouncementField, value: Long, range: LongRange): AnnouncementError? =
+    if (value in range) null else AnnouncementError(field, outsideRange(value, range))
+
+/** Says that [value] must lie in [range]. */
+fun outsideRange(value: Any, range: LongRange): String =
+    "is $value; give a whole number from ${range.first} to ${range.last}"
+
+private fun Announcement.textError(): AnnouncementError? {
+    val names = listOf(
+        AnnouncementField.SERVICE to service,
+        AnnouncementField.DATA_CENTRE to dataCentre,
+        AnnouncementField.FABRIC_DOMAIN to fabricDomain,
+        AnnouncementField.GROUP_NAME to groupMembership?.id?.name.orEmpty(),
+        AnnouncementField.GROUP_MODEL to groupMembership?.model.orEmpty(),
+    ) + stagedModels.map { AnnouncementField.STAGED_MODELS to it }
+    return when {
+        service.isEmpty() -> AnnouncementError(AnnouncementField.SERVICE, "is empty; name the service")
+        stagedModels.size > AnnouncementBounds.MAX_STAGED_MODELS -> AnnouncementError(
+            AnnouncementField.STAGED_MODELS,
+            "has ${stagedModels.size} entries; give at most ${AnnouncementBounds.MAX_STAGED_MODELS}",
+        )
+        names.sumOf { (_, name) -> name.encodeToByteArray().size } > AnnouncementBounds.MAX_TEXT_BYTES ->
+            longest(names).let { (field, _) ->
+                AnnouncementError(field, "is too long: all texts may have ${AnnouncementBounds.MAX_TEXT_BYTES} bytes")
+            }
+        else -> names.firstNotNullOfOrNull { (field, name) -> nameError(field, name) }
+    }
+}
+
+private fun longest(names: List<Pair<AnnouncementField, String>>) = names.maxBy { (field, _) ->
+    names.sumOf { (other, name) -> if (other == field) name.length else 0 }
+}
+
+private fun nameError(field: AnnouncementField, name: String): AnnouncementError? = when {
+    name.length > AnnouncementBounds.MAX_NAME_CHARS ->
+        AnnouncementError(field, "has ${name.length} characters; give at most ${AnnouncementBounds.MAX_NAME_CHARS}")
+    name.any { it.isISOControl() } -> AnnouncementError(field, "has control characters; leave them out")
+    else -> null
+}
+
+private fun Announcement.addressError(): AnnouncementError? =
     Address.parseServer(address).fold({ null }, { AnnouncementError(AnnouncementField.ADDRESS, it) })
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/wire/DirectoryWire.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/wire/DirectoryWire.kt
@@ -50,10 +50,10 @@
     .setModel(model.orEmpty())
 
 /**
- * Converts from the generated message; the error describes an unusable announcement. Instances of other versions may
+ * Converts from the generated message at the Unix time [nowMs]; the error describes an unusable announcement. Instances of other versions may
  * send announcements that this version would not have accepted.
  */
-fun BackendAnnouncement.toModel(): Result<Announcement, String> {
+fun BackendAnnouncement.toModel(nowMs: Long): Result<Announcement, String> {
     val parsedState = BackendState.entries.firstOrNull { it.name == state } ?: return Err("unknown state '$state'")
     val membership = if (hasGroup()) group.toModel().getOrElse { return Err(it) } else null
     val announcement = Announcement(
@@ -69,7 +69,7 @@
         stagedModels = stagedModelsList.toImmutableList(),
         groupMembership = membership,
     )
-    return announcement.validate()?.let { Err("${it.field.name} ${it.reason}") } ?: Ok(announcement)
+    return announcement.validate(nowMs)?.let { Err("${it.field.name} ${it.reason}") } ?: Ok(announcement)
 }
 
 private fun BackendGroup.toModel(): Result<GroupMembership, String> {
--- a/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/wire/DirectoryWireTest.kt
+++ b/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/wire/DirectoryWireTest.kt
@@ -43,6 +43,17 @@
         "port 0" to changed { address = "10.0.0.1:0" },
         "port out of range" to changed { address = "10.0.0.1:99999" },
         "no address" to changed { clearAddress() },
+        "no slots" to changed { slots = 0 },
+        "negative start time" to changed { bornMs = -1 },
+        "start time in the far future" to changed { bornMs = 95_617_584_000_000 },
+        "sequence out of range" to changed { sequence = Long.MAX_VALUE },
+        "long id" to changed { id = "x".repeat(3_000) },
+        "control character in the id" to changed { id = "a\r\nb" },
+        "long service" to changed { service = "x".repeat(1_000_000) },
+        "many models" to changed { addAllStagedModels(List(1_000) { "m" }) },
+        "long models" to changed { addAllStagedModels(List(60) { "x".repeat(120) }) },
+        "rank out of range" to changed { setGroup(group.toBuilder().setRank(-1)) },
+        "epoch out of range" to changed { setGroup(group.toBuilder().setEpoch(-1)) },
         "two ports" to changed { address = "10.0.0.1:80:81" },
     )
 
@@ -61,5 +72,9 @@
         DynamicTest.dynamicTest(name) { expectThat(decode(announcement.toMessage(0))).isEqualTo(announcement) }
     }
 
-    private fun decode(message: BackendAnnouncement): Announcement? = message.toModel().get()
+    private companion object {
+        const val NOW_MS = 1_000_000L
+    }
+
+    private fun decode(message: BackendAnnouncement): Announcement? = message.toModel(NOW_MS).get()
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -313,7 +313,7 @@
     }
 
     private fun recordReceived(message: BackendAnnouncement, nowMs: Long) {
-        message.toModel().fold(
+        message.toModel(System.currentTimeMillis()).fold(
             { recordAnnouncement(it, nowMs - maxOf(message.ageMs, 0)) },
             { log.write("announcement-dropped", "id" to message.id, "reason" to it) },
         )
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -187,7 +187,7 @@
     }
 
     private fun recordAnnouncement(message: BackendAnnouncement, from: String, nowMs: Long) {
-        val announcement = message.toModel().getOrElse {
+        val announcement = message.toModel(System.currentTimeMillis()).getOrElse {
             log.write("announcement-dropped", "id" to message.id, "reason" to it, "from" to from)
             return
         }
