--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/DocumentValidation.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/DocumentValidation.kt
@@ -14,7 +14,9 @@
     return when {
         unknown != null -> "route '${route.name}' names the unknown service '${unknown.service}'; declare the service"
         route.targets.any { it.weight < 0 } -> "route '${route.name}' has a negative weight; give 0 or more"
-        route.targets.sumOf { it.weight } <= 0 -> "the weights of route '${route.name}' add up to 0; give one above 0"
+        route.targets.sumOf {
+            it.weight.toLong()
+        } <= 0 -> "the weights of route '${route.name}' add up to 0; give one above 0"
         route.timeoutMs <= 0 -> "route '${route.name}' has a timeout of ${route.timeoutMs} ms; give more than 0"
         !route.pathPrefix.startsWith('/') || !route.pathPrefix.endsWith('/') ->
             "the prefix of route '${route.name}' must begin and end with a slash; correct '${route.pathPrefix}'"
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/RouteTable.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/RouteTable.kt
@@ -29,7 +29,7 @@
 
 /** Chooses a service of [route] by weight; [fraction] is uniform in 0 until 1. */
 fun targetService(route: DocumentRoute, fraction: Double): String {
-    val total = route.targets.sumOf { it.weight }
+    val total = route.targets.sumOf { it.weight.toLong() }
     var remaining = fraction * total
     for (target in route.targets) {
         remaining -= target.weight
