Keep a group whose name an entry of another service announces

What callers would see: after a change of the control leader, an odd entry of a service that no configuration names, or of one without groups, that announces the name of a sound group took the group over: the new leader adopted it with the odd entry as head or member, found it incomplete and released it, so its engines were ordered to leave and its streams ended.

Groups are now adopted from the announcements of engines only, and from those of one service, the one with most members.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupAdoption.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupAdoption.kt
@@ -14,8 +14,9 @@
 internal fun Planning.adoptGroups() {
     val members = input.engines.values
         .map { it.announcement }
-        .filter { it.groupMembership != null }
+        .filter { it.groupMembership != null && isEngine(it) }
         .groupBy { it.groupMembership!!.id }
+        .mapValues { (_, announcements) -> ofOneService(announcements) }
     trackHeadlessGroups(members)
     for ((id, announcements) in members) {
         val head = announcements.firstOrNull { it.groupMembership!!.rank == 0 }
@@ -23,6 +24,14 @@
     }
 }
 
+/** Whether the document names the service of [announcement] as one of engines; only those are ordered into groups. */
+private fun Planning.isEngine(announcement: Announcement): Boolean =
+    input.document.services[announcement.service]?.let { it.costs != null && it.models.isNotEmpty() } == true
+
+/** The members that are of the same service as most of them; another one cannot have been ordered into the group. */
+private fun ofOneService(announcements: List<Announcement>): List<Announcement> =
+    announcements.groupBy { it.service }.values.maxBy { it.size }
+
 /**
  * Tracks groups whose head has not announced itself. After a restart of control the head may be serving and its
  * announcement may not have arrived yet, so the members are ordered to leave only after [HEADLESS_TIMEOUT_MS].
