Bound the list of servers and what the planner remembers of them

What callers would see: a writer that announces ever new ids filled the directory of every instance for 300 s; each entry takes part in every planning run and in the first message to a watcher, which must stay below 16 MiB. The planner kept the first sight and the probes of every id for ever.

Refusing new ids instead would have kept out every restarted server for 300 s. Control logs directory-full while the limit is reached. The planner and the evidence of entries forget ids that have left the directory.

A full directory of the largest announcements fits into a message (DirectoryWireTest).

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
@@ -82,6 +82,8 @@
             knownOrders = state.knownOrders.withoutEnded(),
             lastOrderMs = state.lastOrderMs.withoutEnded(),
             stageRefusedMs = state.stageRefusedMs.withoutEnded(),
+            probes = state.probes.withoutEnded(),
+            firstSeenMs = state.firstSeenMs.withoutUnknown(),
             sentMs = state.sentMs.withoutOldOrders(),
             loadStartsMs = state.loadStartsMs.filter { it >= windowStartMs }.toPersistentList(),
         )
@@ -100,6 +102,9 @@
         return if (ended.size > PRUNE_THRESHOLD) ended.fold(this) { map, key -> map.remove(key) } else this
     }
 
+    private fun PersistentMap<String, Long>.withoutUnknown(): PersistentMap<String, Long> =
+        if (size > input.engines.size + PRUNE_THRESHOLD) filterKeys { it in input.engines }.toPersistentMap() else this
+
     private fun PersistentMap<SentOrder, Long>.withoutOldOrders(): PersistentMap<SentOrder, Long> =
         if (size > MAX_SENT_ORDERS) filterValues { input.nowMs - it < STAGE_REPEAT_MS }.toPersistentMap() else this
 
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/OddEngineTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/OddEngineTest.kt
@@ -8,12 +8,15 @@
 import org.bramleyspur.core.backend.GroupId
 import org.bramleyspur.core.backend.GroupMembership
 import org.bramleyspur.core.backend.GroupState
+import org.bramleyspur.core.backend.KnownBackend
 import org.bramleyspur.core.document.DocumentService
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotNull
 
 /** Guards against an odd entry among the engines that ends the planning, or that ends the groups of the others. */
@@ -86,6 +89,21 @@
         }
     }
 
+    /** Guards against a planner state that grows with every id that was ever announced. */
+    @Test
+    fun `entries that are gone leave nothing behind`() {
+        var state = PlannerState()
+        for (round in 0L..49L) {
+            val nowMs = START_MS + round * RUN_MS
+            val engines = (1..20).map { odd.copy(id = "odd-$round-$it") }
+                .associate { it.id to KnownBackend(it, nowMs - RUN_MS) }
+            state =
+                planGroups(state, PlannerInput(nowMs, 1, document, engines, emptyMap(), trafficStarted = true)).state
+        }
+        expectThat(state.firstSeenMs.size).isLessThanOrEqualTo(PRUNE_THRESHOLD + 20)
+        expectThat(state.probes.size).isLessThanOrEqualTo(PRUNE_THRESHOLD + 20)
+    }
+
     private companion object {
         const val START_MS = 100_000L
         const val RUN_MS = 6_000L
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/BackendDirectory.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/BackendDirectory.kt
@@ -19,7 +19,8 @@
 
 /**
  * Backend servers by id. A backend server that has deregistered ([BackendState.GONE]) is retained as a
- * tombstone for [TOMBSTONE_RETENTION_MS], so that a delayed announcement does not add it again.
+ * tombstone for [TOMBSTONE_RETENTION_MS], so that a delayed announcement does not add it again. At most [MAX_BACKENDS]
+ * are retained: those that were announced last.
  */
 data class BackendDirectory(val backends: PersistentMap<String, KnownBackend> = persistentMapOf()) {
     /** Computed once for each version of the directory, since every request calls [openGroupHeads]. */
@@ -44,9 +45,13 @@
         if (successor != null && announcement.state != BackendState.GONE) return this
         val replaced = if (announcement.state == BackendState.GONE) emptyList() else sameAddress
         val remaining = replaced.fold(backends) { map, superseded -> map.remove(superseded.announcement.id) }
-        return BackendDirectory(remaining.put(announcement.id, KnownBackend(announcement, receivedAtMs)))
+        return BackendDirectory(remaining.put(announcement.id, KnownBackend(announcement, receivedAtMs)).bounded())
     }
 
+    /** Without the backend server that was announced the longest time ago, if there are too many. */
+    private fun PersistentMap<String, KnownBackend>.bounded(): PersistentMap<String, KnownBackend> =
+        if (size <= MAX_BACKENDS) this else remove(minBy { (_, backend) -> backend.receivedAtMs }.key)
+
     /** Removes tombstones, and backend servers without announcements, whose retention time has passed at [nowMs]. */
     fun expire(nowMs: Long): BackendDirectory {
         val stale = backends.filter { (_, backend) ->
@@ -76,11 +81,17 @@
         }
     }
 
-    private companion object {
+    companion object {
+        /**
+         * Maximum number of backend servers. Every one is part of the first message to a watcher, and each announcement
+         * takes time in proportion to this number.
+         */
+        const val MAX_BACKENDS = 2_048
+
         /** Much longer than the delay of an announcement, which can be several seconds. */
-        const val TOMBSTONE_RETENTION_MS = 60_000L
+        private const val TOMBSTONE_RETENTION_MS = 60_000L
 
         /** A backend server that is partitioned from the control instances stays in use for this long. */
-        const val EXPIRY_MS = 300_000L
+        private const val EXPIRY_MS = 300_000L
     }
 }
--- a/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/backend/BackendDirectoryTest.kt
+++ b/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/backend/BackendDirectoryTest.kt
@@ -87,6 +87,24 @@
         expectThat(directory(head, member, leaving).openGroupHeads("s", "m", 2)).isEmpty()
     }
 
+    /** Guards against a writer that announces ids without end, which exhausts the memory or displaces the others. */
+    @Test
+    fun `the directory is bounded and keeps the servers that go on announcing`() {
+        var directory = BackendDirectory()
+        for (second in 0..3) {
+            val nowMs = second * 1_000L
+            directory = directory.withAnnouncement(announcement.copy(sequence = second.toLong()), nowMs)
+            for (n in 1..1_000) {
+                val odd = announcement.copy(id = "odd-$second-$n", address = "10.1.$second.${n / 250}:${n + 1}")
+                directory = directory.withAnnouncement(odd, nowMs + 1)
+            }
+        }
+        expectThat(directory.backends.size).isEqualTo(BackendDirectory.MAX_BACKENDS)
+        expectThat(directory.backends["a"]?.announcement?.sequence).isEqualTo(3)
+        val stale = announcement.copy(id = "stale", address = "10.2.0.1:80")
+        expectThat(directory.withAnnouncement(stale, 0).backends.containsKey("stale")).isEqualTo(false)
+    }
+
     @Test
     fun `a backend server without announcements expires`() {
         expectThat(directory(announcement).expire(299_000).backends.size).isEqualTo(1)
--- a/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/wire/DirectoryWireTest.kt
+++ b/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/wire/DirectoryWireTest.kt
@@ -2,16 +2,22 @@
 
 import com.github.michaelbull.result.get
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import org.bramleyspur.core.backend.Announcement
+import org.bramleyspur.core.backend.AnnouncementBounds
+import org.bramleyspur.core.backend.BackendDirectory
 import org.bramleyspur.core.backend.BackendState
 import org.bramleyspur.core.backend.GroupId
 import org.bramleyspur.core.backend.GroupMembership
 import org.bramleyspur.core.backend.GroupState
+import org.bramleyspur.core.backend.validate
 import org.bramleyspur.protocol.BackendAnnouncement
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 
 /**
  * Guards against an announcement from an instance of another version that ends the stream on which it arrives, or that
@@ -72,7 +78,29 @@
         DynamicTest.dynamicTest(name) { expectThat(decode(announcement.toMessage(0))).isEqualTo(announcement) }
     }
 
+    /** Guards against a directory that no watcher can receive, since it exceeds the limit of a message. */
+    @Test
+    fun `a full directory of the largest announcements fits into a message`() {
+        val models = List(AnnouncementBounds.MAX_STAGED_MODELS) { "m".repeat(20) }.toPersistentList()
+        val largest = sound.copy(
+            id = "x".repeat(AnnouncementBounds.MAX_NAME_CHARS),
+            startedAtMs = NOW_MS,
+            sequence = AnnouncementBounds.SEQUENCE.last,
+            service = "s".repeat(AnnouncementBounds.MAX_NAME_CHARS),
+            dataCentre = "z".repeat(AnnouncementBounds.MAX_NAME_CHARS),
+            slots = 1_000_000,
+            fabricDomain = "d".repeat(AnnouncementBounds.MAX_NAME_CHARS),
+            stagedModels = models,
+            groupMembership = group.copy(id = GroupId("g".repeat(AnnouncementBounds.MAX_NAME_CHARS), Long.MAX_VALUE)),
+        )
+        expectThat(largest.validate(NOW_MS)).isEqualTo(null)
+        expectThat(largest.toMessage(300_000).serializedSize * BackendDirectory.MAX_BACKENDS)
+            .isLessThan(MAX_MESSAGE_BYTES)
+    }
+
     private companion object {
+        /** Limit of a message between instances. */
+        const val MAX_MESSAGE_BYTES = 16 * 1024 * 1024
         const val NOW_MS = 1_000_000L
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.getOrElse
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
 import org.bramleyspur.control.group.EngineCommand
 import org.bramleyspur.control.group.EngineEvidence
 import org.bramleyspur.control.group.EngineIncarnation
@@ -51,9 +52,11 @@
 
     private fun evidenceOf(id: String) = evidence[id] ?: EngineEvidence()
 
-    /** Closes the connections to engines that are not in [engines]. */
-    fun closeAllExcept(engines: Collection<KnownBackend>) =
-        sender.closeAllExcept(engines.map { it.announcement.address }.toSet())
+    /** Closes the connections to engines that are not in [engines], and forgets what entries reported about them. */
+    fun closeAllExcept(engines: Map<String, KnownBackend>) {
+        sender.closeAllExcept(engines.values.map { it.announcement.address }.toSet())
+        evidence = evidence.filterKeys { it in engines }.toPersistentMap()
+    }
 
     /** Discards the planner state after this instance has lost leadership. */
     fun reset() {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -345,8 +345,10 @@
 
     private fun expireBackends() {
         directory = directory.expire(timers.nowMs())
+        val backends = directory.backends.size
+        if (backends >= BackendDirectory.MAX_BACKENDS) log.write("directory-full", "backends" to backends)
         promptParts = promptParts.expire(timers.nowMs())
-        groupDriver.closeAllExcept(directory.backends.values)
+        groupDriver.closeAllExcept(directory.backends)
     }
 
     private fun plan() {
