End a process that cannot listen on its address

What operators saw: a process of a deployment without agents whose address is taken printed a stack trace and stayed alive without serving, since only its main thread had ended and its event loops went on. The processes of the other deployment ended, but with a line that lacks the address or with a stack trace.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerServer.kt
@@ -15,6 +15,7 @@
 import io.netty.handler.ssl.SslContext
 import io.netty.util.concurrent.GlobalEventExecutor
 import org.bramleyspur.core.settings.Address
+import org.bramleyspur.daemon.http.listen
 import java.net.InetSocketAddress
 
 /** HTTP server for callers; passes requests to [handler]. All connections are encrypted if [tls] is set. */
@@ -38,9 +39,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(ConnectionInitializer())
-                .bind(address.toSocketAddress())
-                .sync()
-                .channel()
+                .listen(address)
         listener = listeningChannel
         return (listeningChannel.localAddress() as InetSocketAddress).port
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
@@ -24,6 +24,7 @@
 import kotlinx.serialization.json.put
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.daemon.http.fullResponse
+import org.bramleyspur.daemon.http.listen
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 
@@ -60,9 +61,7 @@
                         )
                     }
                 },
-            ).bind(address.toSocketAddress())
-            .sync()
-            .channel()
+            ).listen(address)
     }
 
     override fun close() {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import org.bramleyspur.core.document.ClientLimits
 import org.bramleyspur.core.settings.Address
+import org.bramleyspur.daemon.http.listen
 import java.net.InetSocketAddress
 
 /** HTTP/1.1 server for callers; runs on the single thread of [group]. */
@@ -42,9 +43,7 @@
                         channel.pipeline().addLast(connection.byteObserver, codec, connection)
                     }
                 },
-            ).bind(address.toSocketAddress())
-            .sync()
-            .channel()
+            ).listen(address)
         listener = bound
         context.timers.every(TIMEOUT_CHECK_INTERVAL_MS) { connections.toList().forEach { it.closeIfTimedOut() } }
         return (bound.localAddress() as InetSocketAddress).port
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/platform/PlatformServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/platform/PlatformServer.kt
@@ -21,6 +21,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.daemon.http.fullResponse
+import org.bramleyspur.daemon.http.listen
 import java.io.ByteArrayOutputStream
 
 private const val MAX_REQUEST_BYTES = 16 * 1024
@@ -44,7 +45,7 @@
                 .group(group)
                 .channel(NioServerSocketChannel::class.java)
                 .childHandler(PipelineInitializer())
-        val bound = bootstrap.bind(address.toSocketAddress()).sync().channel()
+        val bound = bootstrap.listen(address)
         channels += bound
         return (bound.localAddress() as java.net.InetSocketAddress).port
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentProcess.kt
@@ -15,6 +15,7 @@
 import org.bramleyspur.daemon.entry.AttemptManager
 import org.bramleyspur.daemon.entry.BackendRunner
 import org.bramleyspur.daemon.http.HttpClient
+import org.bramleyspur.daemon.http.listen
 import org.bramleyspur.daemon.plain.PlainRunner
 import org.bramleyspur.daemon.platform.PlatformServer
 import org.bramleyspur.daemon.platform.Readiness
@@ -60,7 +61,7 @@
 
     /** Starts the servers and the session with the control leader. */
     fun start() {
-        server.start()
+        server.listen(settings[CommonSettings.LISTEN])
         platform.start(settings[CommonSettings.PLATFORM_LISTEN], loops.controlGroup)
         loops.traffic.execute {
             attemptManager.start()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -36,6 +36,7 @@
 import org.bramleyspur.daemon.directory.DirectorySource
 import org.bramleyspur.daemon.directory.toMessage
 import org.bramleyspur.daemon.directory.toModel
+import org.bramleyspur.daemon.http.listen
 import org.bramleyspur.daemon.member.ControlNode
 import org.bramleyspur.daemon.member.ControlNodeListener
 import org.bramleyspur.daemon.member.MemberAdmission
@@ -167,7 +168,7 @@
 
     /** Starts the servers, the log and the periodic tasks. */
     fun start() {
-        internalServer.start()
+        internalServer.listen(settings.listenAddress)
         controlPlane.start(settings.controlPlaneAddress, loops.controlGroup)
         settings.metricsAddress?.let { platform.start(it, loops.controlGroup) }
         loops.control.submit {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/ControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/ControlProcess.kt
@@ -7,6 +7,7 @@
 import org.bramleyspur.control.placement.RepairPolicy
 import org.bramleyspur.control.state.ControlState
 import org.bramleyspur.core.settings.Settings
+import org.bramleyspur.daemon.http.listen
 import org.bramleyspur.daemon.member.ControlNode
 import org.bramleyspur.daemon.member.ControlNodeListener
 import org.bramleyspur.daemon.member.PeerService
@@ -96,7 +97,7 @@
             placement.start()
             node.start()
         }.get()
-        server.start()
+        server.listen(settings[CommonSettings.LISTEN])
         platform.start(settings[CommonSettings.PLATFORM_LISTEN], loops.controlGroup)
         logger.info { "control member ${storage.memberId} started" }
         loops.control.execute { warnIfNotAdmitted() }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/Main.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/Main.kt
@@ -4,20 +4,15 @@
 package org.bramleyspur.daemon.process
 
 import com.github.michaelbull.result.getOrElse
-import io.github.oshai.kotlinlogging.KotlinLogging
 import org.bramleyspur.core.settings.Setting
 import org.bramleyspur.core.settings.SettingError
 import org.bramleyspur.core.settings.Settings
 import org.bramleyspur.core.settings.readSettings
 import org.bramleyspur.core.telemetry.configureLogging
-import java.net.BindException
 import kotlin.system.exitProcess
 
-private val logger = KotlinLogging.logger {}
-
 private const val PROGRAM = "bramleyspurd"
 private const val EXIT_USAGE = 2
-private const val EXIT_START_FAILED = 1
 private const val USAGE = "usage: $PROGRAM control|entry|agent|initialize [--help | settings]"
 
 /** Starts the daemon. */
@@ -53,17 +48,6 @@
     awaitPlannedStop(process, settings[CommonSettings.GRACE], settings[CommonSettings.DRAIN_TIMEOUT])
 }
 
-@Suppress("TooGenericExceptionCaught") // Any failure to start must end the process with its message.
-private fun startOrExit(start: () -> RoleProcess): RoleProcess = try {
-    start()
-} catch (e: BindException) {
-    logger.error { "cannot start: ${e.message}; end the process that uses the address or choose another one" }
-    exitProcess(EXIT_START_FAILED)
-} catch (e: Exception) {
-    logger.error(e) { "cannot start: ${e.message}" }
-    exitProcess(EXIT_START_FAILED)
-}
-
 private fun settingsOf(
     arguments: List<String>,
     role: String,
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/engine/EngineMain.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/engine/EngineMain.kt
@@ -7,6 +7,7 @@
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
 import org.bramleyspur.testbed.http.parseAddress
+import org.bramleyspur.testbed.http.runStandIn
 import java.util.UUID
 
 private class EngineFlags(parser: ArgParser) {
@@ -88,7 +89,9 @@
     val flags = EngineFlags(parser)
     parser.parse(args)
     val address = parseAddress(flags.address)
-    val server = EngineServer(address, flags.settings())
-    println("listening on ${address.hostString}:${server.port}")
-    server.await()
+    runStandIn {
+        val server = EngineServer(address, flags.settings())
+        println("listening on ${address.hostString}:${server.port}")
+        server.await()
+    }
 }
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/http/HttpServer.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/http/HttpServer.kt
@@ -24,7 +24,9 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
+import java.io.IOException
 import java.net.InetSocketAddress
+import kotlin.system.exitProcess
 
 /** Maximum size in bytes of an aggregated request body; larger ones are refused with 413. */
 private const val MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -72,17 +74,33 @@
                 configure(channel.pipeline())
             }
         }
-    return ServerBootstrap()
+    val bootstrap = ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel::class.java)
         .option(ChannelOption.SO_BACKLOG, 1024)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(initializer)
-        .bind(address)
-        .sync()
-        .channel()
+    return bootstrap.listen(address)
 }
 
+/** Listens on [address]; throws an [IOException] that names it when that fails. */
+internal fun ServerBootstrap.listen(address: InetSocketAddress): Channel = try {
+    bind(address).sync().channel()
+} catch (e: IOException) {
+    val remedy = "end the process that uses the address or choose another one"
+    throw IOException("cannot listen on ${address.hostString}:${address.port}: ${e.message}; $remedy", e)
+}
+
+/** Runs a stand-in; a failure to listen ends the process with a line, since its event loops run already. */
+internal fun runStandIn(run: () -> Unit) = try {
+    run()
+} catch (e: IOException) {
+    System.err.println("bramleyspur-standin: ${e.message}")
+    exitProcess(EXIT_START_FAILED)
+}
+
+private const val EXIT_START_FAILED = 1
+
 /** Creates a handler that aggregates requests with their bodies. */
 internal fun aggregator() = HttpObjectAggregator(MAX_BODY_BYTES)
 
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/otlp/OtlpMain.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/otlp/OtlpMain.kt
@@ -7,6 +7,7 @@
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
 import org.bramleyspur.testbed.http.parseAddress
+import org.bramleyspur.testbed.http.runStandIn
 
 /** Runs the receiver until the process is stopped; prints `listening on HOST:PORT` when it is ready. */
 fun main(args: Array<String>) {
@@ -15,7 +16,9 @@
         .default("127.0.0.1:4318")
     parser.parse(args)
     val listenAddress = parseAddress(address)
-    val server = OtlpServer(listenAddress)
-    println("listening on ${listenAddress.hostString}:${server.port}")
-    server.await()
+    runStandIn {
+        val server = OtlpServer(listenAddress)
+        println("listening on ${listenAddress.hostString}:${server.port}")
+        server.await()
+    }
 }
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/plain/PlainMain.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/plain/PlainMain.kt
@@ -7,6 +7,7 @@
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
 import org.bramleyspur.testbed.http.parseAddress
+import org.bramleyspur.testbed.http.runStandIn
 import java.util.UUID
 
 /** Runs a stand-in plain server until the process is stopped; prints `listening on HOST:PORT` when it is ready. */
@@ -26,7 +27,9 @@
     parser.parse(args)
     val settings = PlainSettings(delayMs.toLong(), slots, failureStatus, bootId ?: UUID.randomUUID().toString())
     val listenAddress = parseAddress(address)
-    val server = PlainServer(listenAddress, settings)
-    println("listening on ${listenAddress.hostString}:${server.port}")
-    server.await()
+    runStandIn {
+        val server = PlainServer(listenAddress, settings)
+        println("listening on ${listenAddress.hostString}:${server.port}")
+        server.await()
+    }
 }
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/relay/Link.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/relay/Link.kt
@@ -19,6 +19,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.bramleyspur.testbed.http.boundPort
+import org.bramleyspur.testbed.http.listen
 import java.net.InetSocketAddress
 import java.util.Random
 import java.util.concurrent.TimeUnit
@@ -60,7 +61,7 @@
     private val connections = LinkedHashSet<RelayedConnection>()
     private var forward = Disturbance()
     private var backward = Disturbance()
-    private var listener: Channel? = bind(listen).sync().channel()
+    private var listener: Channel? = bootstrap().listen(listen)
 
     /** Port that the link listens on; it stays the same while the link is cut. */
     val port: Int = checkNotNull(listener).boundPort
@@ -88,7 +89,7 @@
         backward = Disturbance()
         connections.filter { it.lostData }.forEach { it.close() }
         if (!cut) return done()
-        bind(InetSocketAddress(listen.address, port)).addListener { future ->
+        bootstrap().bind(InetSocketAddress(listen.address, port)).addListener { future ->
             check(future.isSuccess) { "cannot listen on port $port after restore: ${future.cause()}" }
             done()
         }.also { listener = it.channel() }
@@ -102,7 +103,7 @@
         if (direction.covers(forward = false)) backward = update(backward)
     }
 
-    private fun bind(address: InetSocketAddress) = ServerBootstrap()
+    private fun bootstrap() = ServerBootstrap()
         .group(eventLoops)
         .channel(NioServerSocketChannel::class.java)
         .option(ChannelOption.SO_REUSEADDR, true)
@@ -113,7 +114,6 @@
                 override fun initChannel(channel: SocketChannel) = open(channel)
             },
         )
-        .bind(address)
 
     private fun open(acceptedChannel: Channel) {
         val connectFuture =
--- a/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/relay/RelayMain.kt
+++ b/bramleyspur-testbed/src/main/kotlin/org/bramleyspur/testbed/relay/RelayMain.kt
@@ -9,6 +9,7 @@
 import kotlinx.cli.multiple
 import kotlinx.cli.required
 import org.bramleyspur.testbed.http.parseAddress
+import org.bramleyspur.testbed.http.runStandIn
 
 /** Runs the relay until the process is stopped; prints the admin address as `listening on HOST:PORT` when ready. */
 fun main(args: Array<String>) {
@@ -20,7 +21,9 @@
     val seed by parser.option(ArgType.Int, "seed", description = "Seed of the jitter").default(1)
     parser.parse(args)
     val address = parseAddress(admin)
-    val server = RelayServer(address, links.map(LinkSettings::parse), seed.toLong())
-    println("listening on ${address.hostString}:${server.adminPort}")
-    server.await()
+    runStandIn {
+        val server = RelayServer(address, links.map(LinkSettings::parse), seed.toLong())
+        println("listening on ${address.hostString}:${server.adminPort}")
+        server.await()
+    }
 }
