--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/AnnouncementValidation.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/AnnouncementValidation.kt
@@ -1,6 +1,6 @@
 /*
- * Checks of announcements. They may come from anyone who can reach a control instance; one that cannot be meant names no
- * backend server, and must not affect the others.
+ * Checks of announcements. They may come from anyone who can reach a control instance; one that cannot be meant names
+ * no backend server, and must not affect the others.
  */
 package org.bramleyspur.core.backend
 
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/wire/DirectoryWire.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/wire/DirectoryWire.kt
@@ -50,8 +50,8 @@
     .setModel(model.orEmpty())
 
 /**
- * Converts from the generated message at the Unix time [nowMs]; the error describes an unusable announcement. Instances of other versions may
- * send announcements that this version would not have accepted.
+ * Converts from the generated message at the Unix time [nowMs]; the error describes an unusable announcement. Instances
+ * of other versions may send announcements that this version would not have accepted.
  */
 fun BackendAnnouncement.toModel(nowMs: Long): Result<Announcement, String> {
     val parsedState = BackendState.entries.firstOrNull { it.name == state } ?: return Err("unknown state '$state'")
@@ -73,6 +73,7 @@
 }
 
 private fun BackendGroup.toModel(): Result<GroupMembership, String> {
-    val parsedState = GroupState.entries.firstOrNull { it.name == state } ?: return Err("unknown group state '$state'")
+    val parsedState = GroupState.entries.firstOrNull { it.name == state }
+        ?: return Err("unknown group state '$state'")
     return Ok(GroupMembership(GroupId(name, epoch), rank, parsedState, model.ifEmpty { null }))
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/Listening.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/ListenException.kt
@@ -1,5 +1,6 @@
 /*
- * Listeners of a process. A listener that cannot be opened is reported with its address, which the system's error lacks.
+ * Listeners of a process. A listener that cannot be opened is reported with its address, which the system's error
+ * lacks.
  */
 package org.bramleyspur.daemon.http
 
