--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -36,6 +36,7 @@
 import org.bramleyspur.daemon.directory.DirectorySource
 import org.bramleyspur.daemon.directory.toMessage
 import org.bramleyspur.daemon.directory.toModel
+import org.bramleyspur.daemon.http.listen
 import org.bramleyspur.daemon.member.ControlNode
 import org.bramleyspur.daemon.member.ControlNodeListener
 import org.bramleyspur.daemon.member.MemberAdmission
@@ -53,6 +54,7 @@
 import org.bramleyspur.log.storage.StorageError
 import org.bramleyspur.protocol.AdmissionReply
 import org.bramleyspur.protocol.AdmissionRequest
+import org.bramleyspur.protocol.BackendAnnouncement
 import org.bramleyspur.protocol.ConsensusMessage
 import org.bramleyspur.protocol.ControlServiceGrpc
 import org.bramleyspur.protocol.DirectoryEvent
@@ -149,7 +151,7 @@
         log,
         ::plan,
     )
-    private val controlPlane = ControlPlaneServer(dialect.decodeCall, ::handle)
+    private val controlPlane = ControlPlaneServer(dialect.decodeCall, ::onCallFailure, ::handle)
     private val platform = PlatformServer(::readiness, registry)
     private val internalServer = buildServer(
         settings.listenAddress,
@@ -166,7 +168,7 @@
 
     /** Starts the servers, the log and the periodic tasks. */
     fun start() {
-        internalServer.start()
+        internalServer.listen(settings.listenAddress)
         controlPlane.start(settings.controlPlaneAddress, loops.controlGroup)
         settings.metricsAddress?.let { platform.start(it, loops.controlGroup) }
         loops.control.submit {
@@ -274,7 +276,7 @@
 
     private fun onEvent(event: DirectoryEvent) {
         val now = timers.nowMs()
-        event.announcementsList.forEach { recordAnnouncement(it.toModel(), now - it.ageMs) }
+        event.announcementsList.forEach { recordReceived(it, now) }
         recordPromptParts(event.promptPartsList)
     }
 
@@ -306,11 +308,18 @@
 
     private fun onDirectoryRequest(request: DirectoryRequest) {
         val now = timers.nowMs()
-        request.announcementsList.forEach { recordAnnouncement(it.toModel(), now - it.ageMs) }
+        request.announcementsList.forEach { recordReceived(it, now) }
         recordPromptParts(request.promptPartsList)
         if (request.entry) groupDriver.onEntryReport(request)
     }
 
+    private fun recordReceived(message: BackendAnnouncement, nowMs: Long) {
+        message.toModel(System.currentTimeMillis()).fold(
+            { recordAnnouncement(it, nowMs - maxOf(message.ageMs, 0)) },
+            { log.write("announcement-dropped", "id" to message.id, "reason" to it) },
+        )
+    }
+
     /** Adds an announcement to the directory; returns whether it changed the directory. */
     private fun recordAnnouncement(announcement: Announcement, receivedAtMs: Long): Boolean {
         val before = directory.backends[announcement.id]?.announcement
@@ -337,8 +346,10 @@
 
     private fun expireBackends() {
         directory = directory.expire(timers.nowMs())
+        val backends = directory.backends.size
+        if (backends >= BackendDirectory.MAX_BACKENDS) log.write("directory-full", "backends" to backends)
         promptParts = promptParts.expire(timers.nowMs())
-        groupDriver.closeAllExcept(directory.backends.values)
+        groupDriver.closeAllExcept(directory.backends)
     }
 
     private fun plan() {
@@ -365,6 +376,8 @@
         ControlPlaneCall.Unknown -> respond(ControlPlaneResponse.NotFound)
     }
 
+    private fun onCallFailure(cause: Throwable) = log.write("call-failed", "reason" to cause.toString())
+
     private fun deregister(call: ControlPlaneCall.Deregister) {
         val known = directory.backends[call.id]?.announcement ?: return
         if (call.startedAtMs != null && call.startedAtMs != known.startedAtMs) return
