Keep recurring timers running after an error

An entry checks the time limits of its connections, and reports to control, with recurring timers. A timer whose action threw an Error (a stack overflow, say) instead of an Exception ended without a line in the log: the executor discards what a periodic task throws. Both are reported now, and the timer goes on.

TimerServiceTest failed before for StackOverflowError (no third run within 2 s); it passes now.

--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/time/TimerService.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/time/TimerService.kt
@@ -28,7 +28,7 @@
 /**
  * Timers on [executor], whose single thread runs all actions. A Netty event loop is such an executor.
  *
- * @property onFailure receives exceptions thrown by an action; a recurring timer keeps running afterwards
+ * @property onFailure receives what an action throws; a recurring timer keeps running afterwards
  */
 class ExecutorTimerService(
     private val executor: ScheduledExecutorService,
@@ -47,11 +47,11 @@
         return TimerHandle { future.cancel(false) }
     }
 
-    @Suppress("TooGenericExceptionCaught") // An exception must not end a recurring timer.
+    @Suppress("TooGenericExceptionCaught") // Neither an exception nor an error must end a recurring timer.
     private fun runAndReport(action: () -> Unit) {
         try {
             action()
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
             onFailure(e)
         }
     }
