Answer requests whose handling throws an exception

Callers saw: an exception while a request was admitted or built closed the connection without an answer, a refusal or a line in the log. One that was thrown by a callback of the HTTP client, by a timer or by the task that takes up a pipelined request was discarded by the event loop: the caller got its answer only at the deadline, and a kept connection on which the end of a response could not be recorded never answered again. An account whose name holds a line break is a configuration that provokes it for each request of that account.

Everything that handles a request now passes what it throws, errors included, to its connection. The caller gets 503 with a delay if nothing was sent, 502 if the request may have run, and a broken-off response once it has begun; the connection says that it closes. New lines request-fault (id, progress, error, place, version) and closed-unanswered, with counters. The attempt is assigned before it starts, so that one that fails to start is cancelled and its load released, and its head is built before it counts as sent. Admission and the response of a connection are files of their own.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
@@ -32,6 +32,23 @@
         .labelNames("route", "sent")
         .register(registry)
 
+    private val faults = Counter.builder()
+        .name("bramleyspur_request_faults_total")
+        .help("Exceptions thrown while a request was handled, by its progress.")
+        .labelNames("progress")
+        .register(registry)
+    private val unanswered = Counter.builder()
+        .name("bramleyspur_unanswered_requests_total")
+        .help("Connections closed by the entry on which a request had no complete response, by its progress.")
+        .labelNames("progress")
+        .register(registry)
+
+    /** Records an exception that was thrown while a request was handled. */
+    fun onFault(progress: String) = faults.labelValues(progress).inc()
+
+    /** Records a connection that was closed because no response could be sent. */
+    fun onUnanswered(progress: String) = unanswered.labelValues(progress).inc()
+
     fun onRequestEnd(route: String, outcome: String) = requests.labelValues(route, outcome).inc()
 
     /** Records the time from the receipt of a request to the first byte of its response. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -37,6 +37,7 @@
     private val service: DocumentService,
     private val account: DocumentAccount?,
     private val response: CallerResponse,
+    private val onFault: (Throwable) -> Unit,
     private val onDone: () -> Unit,
 ) {
     private val headerNames = context.headers
@@ -69,7 +70,7 @@
     /** Sets the deadline and starts the first attempt. */
     fun start() {
         context.budget(service.name).onRequest(context.timers.nowMs())
-        deadlineTimer = context.timers.after(maxOf(0, remainingMs())) { onDeadline() }
+        deadlineTimer = context.timers.after(maxOf(0, remainingMs())) { guarded(onFault) { onDeadline() } }
         send()
     }
 
@@ -80,6 +81,28 @@
         end("caller-left", "")
     }
 
+    /** How far the request has come. */
+    val progress: String
+        get() = when {
+            responseStarted -> "responding"
+            mayHaveRun || attempt?.sent == true -> "running"
+            else -> "waiting"
+        }
+
+    /** Ends the request after [cause] was thrown, with the answer that its progress allows. */
+    fun endAfterFault(cause: Throwable) {
+        if (done) return
+        val detail = "internal error: ${cause::class.simpleName}"
+        val running = attempt
+        val sent = mayHaveRun || running?.sent == true
+        running?.cancel()
+        if (sent || responseStarted) {
+            fail(STATUS_OUTCOME_UNKNOWN, "may-have-run", detail)
+        } else {
+            refuse(AttemptEnd.NoCandidate, detail)
+        }
+    }
+
     /** Pauses reading from the backend server while the caller's connection accepts no more data. */
     fun onCallerWritable(writable: Boolean) {
         attempt?.pauseReading(!writable)
@@ -95,7 +118,7 @@
             else -> {
                 triedBackends += choice.load.id
                 predictedMs = choice.expectedMs
-                attempt = Attempt(choice).also { it.start() }
+                Attempt(choice).also { attempt = it }.start()
             }
         }
     }
@@ -251,6 +274,7 @@
             private set
 
         fun start() {
+            val head = newRequestHead()
             sentAttempts++
             sent = true
             load.inFlight++
@@ -261,7 +285,8 @@
             choice.longestEventIntervalMs?.let { load.longestEventIntervalMs = it }
             // A reused connection may already be closed by the peer; a request that may run only once gets a new one.
             val newConnection = !route.idempotent
-            call = load.client.call(newRequestHead(), Unpooled.wrappedBuffer(request.body), newConnection, this)
+            val body = Unpooled.wrappedBuffer(request.body)
+            call = load.client.call(head, body, newConnection, GuardedListener(this, onFault))
             if (!ended && route.idempotent) startStallTimer(firstDataTimeoutMs())
         }
 
@@ -292,7 +317,7 @@
 
         private fun startStallTimer(timeoutMs: Long) {
             stallTimer?.cancel()
-            stallTimer = context.timers.after(timeoutMs) { onStallTimer(timeoutMs) }
+            stallTimer = context.timers.after(timeoutMs) { guarded(onFault) { onStallTimer(timeoutMs) } }
         }
 
         private fun onStallTimer(timeoutMs: Long) {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -3,19 +3,11 @@
  */
 package org.bramleyspur.daemon.forward
 
-import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
-import io.netty.channel.ChannelFuture
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.DefaultHttpContent
-import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaderValues
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -24,11 +16,8 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ReferenceCountUtil
-import org.bramleyspur.core.document.DocumentAccount
-import org.bramleyspur.daemon.http.fullResponse
-import org.bramleyspur.traffic.forward.targetService
 import java.io.ByteArrayOutputStream
-import java.util.Locale
+import java.io.IOException
 
 /** Server side of a caller's connection. Confined to the traffic thread. */
 internal class FrontConnection(
@@ -49,12 +38,17 @@
     private var body = ByteArrayOutputStream()
     private var discardingInput = false
     private var currentRequest: ForwardedRequest? = null
-    private var responding = false
+    private var currentId: String? = null
+
+    /** The response to the request that was read last; null while the next one is awaited or read. */
+    private var response: ConnectionResponse? = null
     private var keepAlive = true
     private var headStartedAtMs: Long? = null
     private var headReceivedAtMs = 0L
     private var idleSinceMs = context.timers.nowMs()
 
+    private val responding: Boolean get() = response != null
+
     /** Whether a request is being read or a response is being sent. */
     val busy: Boolean get() = responding || requestHead != null
 
@@ -81,11 +75,72 @@
 
     @Deprecated("Deprecated in Netty's handler interface, which still calls it.")
     override fun exceptionCaught(handler: ChannelHandlerContext, cause: Throwable) {
+        if (cause is IOException) channel.close() else onFault(cause)
+    }
+
+    private val progress: String
+        get() = currentRequest?.progress ?: if (responding) {
+            "waiting"
+        } else if (requestHead != null) {
+            "read"
+        } else {
+            "idle"
+        }
+
+    /** Ends the request with the answer that its progress allows after [cause] was thrown. */
+    private fun onFault(cause: Throwable) {
+        val faultyResponse = response
+        guarded({ closeUnanswered(it) }) {
+            recordFault(cause)
+            if (faultyResponse?.begun == false) faultyResponse.keepAlive = false
+            currentRequest?.endAfterFault(cause)
+        }
+        // The fault may have occurred before the request was forwarded, or while its end was recorded.
+        guarded({ closeUnanswered(it) }) {
+            when {
+                response == null -> if (faultyResponse ==
+                    null
+                ) {
+                    refuseInput(HttpResponseStatus.SERVICE_UNAVAILABLE, NOT_RUN)
+                }
+                response !== faultyResponse -> Unit
+                faultyResponse?.ended == true -> onResponded()
+                faultyResponse?.begun == true -> closeUnanswered(cause)
+                else -> {
+                    faultyResponse?.refuse(STATUS_UNAVAILABLE, NOT_RUN, RETRY_AFTER_MS)
+                    onResponded()
+                }
+            }
+        }
+    }
+
+    private fun recordFault(cause: Throwable) {
+        context.metrics.onFault(progress)
+        context.log.write(
+            "request-fault",
+            "request" to currentId,
+            "progress" to progress,
+            "error" to cause.toString(),
+            "at" to cause.stackTrace.take(FAULT_STACK_FRAMES).joinToString(" < "),
+            "config" to context.routes?.version,
+        )
+    }
+
+    /** Closes the connection although a request has no complete response, because no response can be sent. */
+    private fun closeUnanswered(cause: Throwable) {
+        context.metrics.onUnanswered(progress)
         channel.close()
+        context.log.write(
+            "closed-unanswered",
+            "request" to currentId,
+            "progress" to progress,
+            "error" to cause.toString(),
+            "config" to context.routes?.version,
+        )
     }
 
     /** Ends the connection when it has been idle, or an incomplete request has been arriving, for too long. */
-    fun closeIfTimedOut() {
+    fun closeIfTimedOut() = guarded(::onFault) {
         val now = context.timers.nowMs()
         val startedAtMs = headStartedAtMs
         when {
@@ -103,7 +158,9 @@
         channel.close()
     }
 
-    override fun channelRead(handler: ChannelHandlerContext, message: Any) {
+    override fun channelRead(handler: ChannelHandlerContext, message: Any) = guarded(::onFault) { receive(message) }
+
+    private fun receive(message: Any) {
         if (message !is HttpObject) return ReferenceCountUtil.release(message).let { }
         if (responding || pendingMessages.isNotEmpty()) {
             pendingMessages.addLast(message)
@@ -161,40 +218,46 @@
         val request = requestHead ?: return
         requestHead = null
         headStartedAtMs = null
-        responding = true
+        currentId = request.headers().get(context.headers.attemptId)
+        val newResponse = newResponse()
         val now = context.timers.nowMs()
-        admit(CallerRequest(request.method().name(), request.uri(), request.headers(), body.toByteArray(), now))
-    }
-
-    /** Checks the request against the current configuration document, and forwards it. */
-    private fun admit(request: CallerRequest) {
-        val routes = context.routes
-            ?: return rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE, "no configuration is known yet", request)
-        val host = request.headers.get(HttpHeaderNames.HOST)
-            ?: return rejectRequest(HttpResponseStatus.BAD_REQUEST, "the request names no host", request)
-        val route = routes.route(host, request.path)
-            ?: return rejectRequest(HttpResponseStatus.NOT_FOUND, "no route matches host and path", request)
-        var account: DocumentAccount? = null
-        if (routes.keysRequired && !route.isPublic) {
-            account = bearerKey(request.headers)?.let { routes.account(it) }
-                ?: return rejectRequest(HttpResponseStatus.UNAUTHORIZED, "the key is unknown", request)
+        val callerRequest =
+            CallerRequest(request.method().name(), request.uri(), request.headers(), body.toByteArray(), now)
+        when (val admission = admit(context.routes, callerRequest, context::randomFraction)) {
+            is Admission.Rejected -> rejectRequest(admission.status, admission.text, newResponse)
+            is Admission.Admitted -> {
+                val (route, service, account) = admission
+                val forwarded =
+                    ForwardedRequest(
+                        context,
+                        callerRequest,
+                        route,
+                        service,
+                        account,
+                        newResponse,
+                        ::onFault,
+                        ::onResponded,
+                    )
+                currentRequest = forwarded
+                forwarded.start()
+            }
         }
-        val service = routes.document.services.getValue(targetService(route, context.randomFraction()))
-        val forwardedRequest = ForwardedRequest(context, request, route, service, account, Response(), ::onResponded)
-        currentRequest = forwardedRequest
-        forwardedRequest.start()
     }
 
-    private fun rejectRequest(status: HttpResponseStatus, text: String, request: CallerRequest) {
+    private fun newResponse() = ConnectionResponse(channel, keepAlive) {
+        server.closesConnections
+    }.also { response = it }
+
+    private fun rejectRequest(status: HttpResponseStatus, text: String, response: CallerResponse) {
         context.log.write(
             "request",
-            "request" to request.headers.get(context.headers.attemptId),
+            "request" to currentId,
             "outcome" to "rejected",
             "status" to status.code(),
             "config" to context.routes?.version,
             "detail" to text,
         )
-        Response().refuse(status.code(), text, if (status.code() == STATUS_UNAVAILABLE) RETRY_AFTER_MS else null)
+        response.refuse(status.code(), text, if (status.code() == STATUS_UNAVAILABLE) RETRY_AFTER_MS else null)
         onResponded()
     }
 
@@ -203,17 +266,16 @@
         context.log.write("unreadable-request", "status" to status.code(), "detail" to text)
         discardingInput = true
         requestHead = null
-        responding = true
         keepAlive = false
-        Response().refuse(status.code(), text)
+        newResponse().refuse(status.code(), text, if (status.code() == STATUS_UNAVAILABLE) RETRY_AFTER_MS else null)
     }
 
     private fun onResponded() {
         currentRequest = null
-        responding = false
+        response = null
         idleSinceMs = context.timers.nowMs()
         // Scheduled as a separate task, since this request may have ended while it was being started.
-        channel.eventLoop().execute { processPending() }
+        channel.eventLoop().execute { guarded(::onFault) { processPending() } }
     }
 
     private fun processPending() {
@@ -221,62 +283,13 @@
         if (pendingMessages.size <= MAX_PENDING_MESSAGES && channel.isActive) channel.config().isAutoRead = true
     }
 
-    private inner class Response : CallerResponse {
-        override val writable: Boolean get() = channel.isWritable
-
-        override fun refuse(status: Int, text: String, retryAfterMs: Long?) {
-            val body = "$text\n".encodeToByteArray()
-            val response = fullResponse(HttpResponseStatus.valueOf(status), body, TEXT_CONTENT_TYPE)
-            retryAfterMs?.let {
-                response.headers().set(HttpHeaderNames.RETRY_AFTER, "%.3f".format(Locale.ROOT, it / MS_PER_SECOND))
-            }
-            setConnection(response.headers())
-            closeUnlessKeptAlive(channel.writeAndFlush(response))
-        }
-
-        override fun begin(status: Int, headers: HttpHeaders) {
-            val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers)
-            if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
-                headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
-            }
-            setConnection(headers)
-            channel.write(response)
-        }
-
-        private fun setConnection(headers: HttpHeaders) {
-            if (server.closesConnections) keepAlive = false
-            if (!keepAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        }
-
-        override fun write(data: ByteBuf) {
-            channel.writeAndFlush(DefaultHttpContent(data))
-        }
-
-        override fun finish() = closeUnlessKeptAlive(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
-
-        override fun abort() {
-            keepAlive = false
-            channel.close()
-        }
-
-        private fun closeUnlessKeptAlive(written: ChannelFuture) {
-            if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
-        }
-    }
-
     private companion object {
-        const val TEXT_CONTENT_TYPE = "text/plain; charset=utf-8"
         const val MAX_PENDING_MESSAGES = 64
         const val STATUS_UNAVAILABLE = 503
+        const val NOT_RUN = "not run: internal error"
+        const val FAULT_STACK_FRAMES = 5
 
         /** An entry receives the configuration within some hundred milliseconds of its start. */
         const val RETRY_AFTER_MS = 200L
-        const val MS_PER_SECOND = 1_000.0
-
-        fun bearerKey(headers: HttpHeaders): String? {
-            val value = headers.get(HttpHeaderNames.AUTHORIZATION)?.trim() ?: return null
-            val scheme = value.substringBefore(' ', "")
-            return if (scheme.equals("Bearer", ignoreCase = true)) value.substringAfter(' ').trim() else null
-        }
     }
 }
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
@@ -1,6 +1,7 @@
 package org.bramleyspur.daemon.forward
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.prometheus.metrics.model.snapshots.CounterSnapshot
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import org.bramleyspur.core.backend.Announcement
@@ -21,9 +22,10 @@
 import org.bramleyspur.traffic.forward.RouteTable
 import org.bramleyspur.traffic.forward.WindowedRetryBudget
 import org.junit.jupiter.api.AfterEach
-import java.io.OutputStream
+import java.io.ByteArrayOutputStream
 import java.io.PrintStream
 import java.util.Random
+import java.util.random.RandomGenerator
 
 internal const val ATTEMPT_ID_HEADER = "X-Id"
 internal const val SEAL_HEADER = "X-Seal"
@@ -46,20 +48,28 @@
         seal = SEAL_HEADER,
         urgency = "X-Urgency",
     )
-    private val log = DecisionLog(PrintStream(OutputStream.nullOutputStream()), { 0L })
+    private val logBytes = ByteArrayOutputStream()
+    private val log = DecisionLog(PrintStream(logBytes), { onLogLine().let { 0L } })
+
+    /** Runs before a line is logged. */
+    @Volatile
+    internal var onLogLine: () -> Unit = {}
+    internal val registry = PrometheusRegistry()
+
+    internal var random: RandomGenerator = Random(1)
     internal val context = ForwardContext(
         loops.trafficTimers,
         headerNames,
         BackendLoads(loops.trafficGroup, loops.trafficTimers, headerNames),
         log,
-        ForwardMetrics(PrometheusRegistry()),
+        ForwardMetrics(registry),
         PromptPartGuard(loops.trafficTimers, log, delayFactor = 1.0) {},
         "dc",
-        Random(1),
+        RandomGenerator { random.nextLong() },
         onUnresponsive = {},
     ) { WindowedRetryBudget(0.2, 100.0, 10_000) { 1 } }
-    private val front = FrontServer(loops.trafficGroup, context)
-    private val port = front.start(Address("127.0.0.1", 0))
+    internal val front = FrontServer(loops.trafficGroup, context)
+    internal val port = front.start(Address("127.0.0.1", 0))
 
     @AfterEach
     fun close() {
@@ -67,7 +77,7 @@
         loops.close()
     }
 
-    private fun route(path: String, kind: RouteKind, attempts: Int) = DocumentRoute(
+    internal fun route(path: String, kind: RouteKind, attempts: Int) = DocumentRoute(
         name = path,
         host = "h",
         pathPrefix = path,
@@ -82,7 +92,7 @@
         targetEventIntervalMs = null,
     )
 
-    private val document = Document(
+    internal val document = Document(
         version = 1,
         routes = persistentListOf(
             route("/once/", RouteKind.NON_IDEMPOTENT, 1),
@@ -98,28 +108,45 @@
     internal fun startBackends(vararg scripts: List<Script>) {
         val started = scripts.map { ScriptedBackend(*it.toTypedArray()) }
         backends += started
-        val directory = started.foldIndexed(BackendDirectory()) { index, directory, backend ->
-            val announcement = Announcement(
-                id = "b$index",
-                startedAtMs = 1,
-                sequence = 1,
-                service = "s",
-                address = backend.address,
-                dataCentre = if (index == 0) "dc" else "other",
-                slots = 4,
-                state = BackendState.READY,
-                fabricDomain = "",
-                stagedModels = persistentListOf(),
-                groupMembership = null,
-            )
-            directory.withAnnouncement(announcement, 0)
+        apply(document, started.mapIndexed { index, backend -> announcement(index, backend.address) })
+    }
+
+    internal fun announcement(index: Int, address: String, service: String = "s") = Announcement(
+        id = "b$index",
+        startedAtMs = 1,
+        sequence = 1,
+        service = service,
+        address = address,
+        dataCentre = if (index == 0) "dc" else "other",
+        slots = 4,
+        state = BackendState.READY,
+        fabricDomain = "",
+        stagedModels = persistentListOf(),
+        groupMembership = null,
+    )
+
+    /** Puts a document and a list of backend servers in force. */
+    internal fun apply(document: Document, announcements: List<Announcement>) = loops.traffic.submit {
+        context.routes = RouteTable(document)
+        context.directory = announcements.fold(BackendDirectory()) { all, next -> all.withAnnouncement(next, 0) }
+    }.get().let { }
+
+    /** Waits until the log has a line that contains all of [parts], and returns it. */
+    internal fun logLine(vararg parts: String): String? {
+        repeat(LOG_POLLS) {
+            logBytes.toString().lines().firstOrNull { line -> parts.all { it in line } }?.let { return it }
+            Thread.sleep(LOG_POLL_MS)
         }
-        loops.traffic.submit {
-            context.routes = RouteTable(document)
-            context.directory = directory
-        }.get()
+        return null
     }
 
+    /** Value of the counter [name] with [label]; 0 if it has not been counted. */
+    internal fun counted(name: String, label: String): Double = registry.scrape { it == name }
+        .flatMap { it.dataPoints }
+        .filterIsInstance<CounterSnapshot.CounterDataPointSnapshot>()
+        .filter { point -> point.labels.any { it.value == label } }
+        .sumOf { it.value }
+
     internal fun post(path: String, extraHeaders: String = "", key: String = "key", body: String = ""): RawResponse? =
         RawClient(port).use { client ->
             client.send(
@@ -143,4 +170,9 @@
     internal fun streamResponse(vararg events: String, complete: Boolean) =
         "HTTP/1.1 200 OK\r\n$ATTEMPT_ID_HEADER: 7\r\n$SEAL_HEADER: s\r\nTransfer-Encoding: chunked\r\n\r\n" +
             events.joinToString("") { "${it.length.toString(16)}\r\n$it\r\n" } + if (complete) "0\r\n\r\n" else ""
+
+    private companion object {
+        const val LOG_POLLS = 100
+        const val LOG_POLL_MS = 10L
+    }
 }
