Apply the limits of the configuration in force to open connections

Callers saw: after a configuration with a larger maxHeaderBytes, a connection that was already open answered 431 to heads that every version in force allows, and after a smaller one it went on accepting larger heads, because the HTTP decoder was built with the limit of the time of the connection. A lowered limit struck requests that were being read: 413 for a body and 408 for a head or body sent within the limits under which they began, and a connection idle for less than four fifths of the earlier limit was closed. A request line above 8 KiB was refused with 400 whatever the configuration.

A reader of its own (RequestReader) now applies the limits: a lowered one to requests and idle times that begin after it came into force, a raised one at once. The decoder has no limit; the bytes that it holds without a message are bounded by the reader, also behind a running response.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -3,20 +3,21 @@
  */
 package org.bramleyspur.daemon.forward
 
+import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
-import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ReferenceCountUtil
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 
 /** Server side of a caller's connection. Confined to the traffic thread. */
@@ -28,14 +29,15 @@
     /** Observes bytes before the HTTP codec, so that the time limit also covers an incomplete request head. */
     val byteObserver = object : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            onBytes()
+            if (discardingInput) return ReferenceCountUtil.release(message).let { }
+            reader.onBytes((message as? ByteBuf)?.readableBytes() ?: 0, awaited = !responding)
             context.fireChannelRead(message)
+            if (reader.headTooLong) guarded(::onFault) { onHeadTooLong() }
         }
     }
 
+    private val reader = RequestReader({ server.limits }, context.timers::nowMs)
     private val pendingMessages = ArrayDeque<HttpObject>()
-    private var requestHead: HttpRequest? = null
-    private var body = ByteArrayOutputStream()
     private var discardingInput = false
     private var currentRequest: ForwardedRequest? = null
     private var currentId: String? = null
@@ -43,18 +45,13 @@
     /** The response to the request that was read last; null while the next one is awaited or read. */
     private var response: ConnectionResponse? = null
     private var keepAlive = true
-    private var headStartedAtMs: Long? = null
-    private var headReceivedAtMs = 0L
     private var idleSinceMs = context.timers.nowMs()
+    private var idleTimeoutMs = server.limits.idleTimeoutMs
 
     private val responding: Boolean get() = response != null
 
     /** Whether a request is being read or a response is being sent. */
-    val busy: Boolean get() = responding || requestHead != null
-
-    private fun onBytes() {
-        if (!responding && requestHead == null && headStartedAtMs == null) headStartedAtMs = context.timers.nowMs()
-    }
+    val busy: Boolean get() = responding || reader.headRead
 
     override fun channelActive(handler: ChannelHandlerContext) {
         server.onOpen(this)
@@ -79,12 +76,10 @@
     }
 
     private val progress: String
-        get() = currentRequest?.progress ?: if (responding) {
-            "waiting"
-        } else if (requestHead != null) {
-            "read"
-        } else {
-            "idle"
+        get() = currentRequest?.progress ?: when {
+            responding -> "waiting"
+            reader.started -> "read"
+            else -> "idle"
         }
 
     /** Ends the request with the answer that its progress allows after [cause] was thrown. */
@@ -141,16 +136,13 @@
 
     /** Ends the connection when it has been idle, or an incomplete request has been arriving, for too long. */
     fun closeIfTimedOut() = guarded(::onFault) {
-        val now = context.timers.nowMs()
-        val startedAtMs = headStartedAtMs
+        val idleMs = context.timers.nowMs() - idleSinceMs
         when {
             responding -> Unit
-            requestHead != null || startedAtMs != null -> {
-                if (now - (startedAtMs ?: headReceivedAtMs) > server.limits.headerTimeoutMs) {
-                    refuseInput(HttpResponseStatus.REQUEST_TIMEOUT, "the request was not sent within the time limit")
-                }
-            }
-            now - idleSinceMs > server.limits.idleTimeoutMs -> channel.close()
+            reader.overdue ->
+                refuseInput(HttpResponseStatus.REQUEST_TIMEOUT, "the request was not sent within the time limit")
+            // A lowered limit does not apply to a caller that may have learned the one before.
+            !reader.started && idleMs > maxOf(idleTimeoutMs, server.limits.idleTimeoutMs) -> channel.close()
         }
     }
 
@@ -162,6 +154,7 @@
 
     private fun receive(message: Any) {
         if (message !is HttpObject) return ReferenceCountUtil.release(message).let { }
+        reader.onDecoded()
         if (responding || pendingMessages.isNotEmpty()) {
             pendingMessages.addLast(message)
             // Bounds the memory for a caller that pipelines requests without reading the responses.
@@ -176,10 +169,7 @@
             when {
                 discardingInput -> Unit
                 message.decoderResult().isFailure -> onMalformed(message.decoderResult().cause())
-                else -> {
-                    if (message is HttpRequest) onHead(message)
-                    if (message is HttpContent && requestHead != null) onContent(message)
-                }
+                else -> onPart(message)
             }
         } finally {
             ReferenceCountUtil.release(message)
@@ -187,42 +177,38 @@
     }
 
     private fun onMalformed(cause: Throwable) = if (cause is TooLongHttpHeaderException) {
-        refuseInput(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head of the request is too large")
+        refuseInput(HEAD_TOO_LARGE.status, HEAD_TOO_LARGE.text)
     } else {
         refuseInput(HttpResponseStatus.BAD_REQUEST, "the request is not HTTP/1.1: ${cause.message}")
     }
 
-    private fun onHead(request: HttpRequest) {
-        requestHead = request
-        headReceivedAtMs = context.timers.nowMs()
-        headStartedAtMs = headReceivedAtMs
-        body = ByteArrayOutputStream()
-        keepAlive = HttpUtil.isKeepAlive(request)
-        if (HttpUtil.getContentLength(request, 0L) > server.limits.maxBodyBytes) return refuseBody()
-        if (HttpUtil.is100ContinueExpected(request)) {
-            channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
-        }
+    /** Refuses a head whose end has not arrived, after the response to the request before it. */
+    private fun onHeadTooLong() {
+        if (responding) channel.config().isAutoRead = false
+        val malformed = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")
+        malformed.decoderResult = DecoderResult.failure(TooLongHttpHeaderException())
+        receive(malformed)
     }
 
-    private fun refuseBody() =
-        refuseInput(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is larger than the limit")
-
-    private fun onContent(content: HttpContent) {
-        val data = content.content()
-        if (body.size() + data.readableBytes() > server.limits.maxBodyBytes) return refuseBody()
-        data.readBytes(body, data.readableBytes())
-        if (content is LastHttpContent) onRequest()
+    private fun onPart(message: HttpObject) {
+        if (message is HttpRequest) {
+            keepAlive = HttpUtil.isKeepAlive(message)
+            currentId = message.headers().get(context.headers.attemptId)
+        }
+        when (val step = reader.read(message)) {
+            ReadStep.Incomplete -> Unit
+            ReadStep.ContinueExpected ->
+                channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+            is ReadStep.Refused -> refuseInput(step.status, step.text)
+            is ReadStep.Whole -> onRequest(step.head, step.body)
+        }
     }
 
-    private fun onRequest() {
-        val request = requestHead ?: return
-        requestHead = null
-        headStartedAtMs = null
-        currentId = request.headers().get(context.headers.attemptId)
+    private fun onRequest(request: HttpRequest, body: ByteArray) {
         val newResponse = newResponse()
         val now = context.timers.nowMs()
         val callerRequest =
-            CallerRequest(request.method().name(), request.uri(), request.headers(), body.toByteArray(), now)
+            CallerRequest(request.method().name(), request.uri(), request.headers(), body, now)
         when (val admission = admit(context.routes, callerRequest, context::randomFraction)) {
             is Admission.Rejected -> rejectRequest(admission.status, admission.text, newResponse)
             is Admission.Admitted -> {
@@ -263,9 +249,14 @@
 
     /** Responds to input that is no valid request, and closes the connection. */
     private fun refuseInput(status: HttpResponseStatus, text: String) {
-        context.log.write("unreadable-request", "status" to status.code(), "detail" to text)
+        context.log.write(
+            "unreadable-request",
+            "status" to status.code(),
+            "config" to context.routes?.version,
+            "detail" to text,
+        )
         discardingInput = true
-        requestHead = null
+        reader.reset()
         keepAlive = false
         newResponse().refuse(status.code(), text, if (status.code() == STATUS_UNAVAILABLE) RETRY_AFTER_MS else null)
     }
@@ -274,6 +265,7 @@
         currentRequest = null
         response = null
         idleSinceMs = context.timers.nowMs()
+        idleTimeoutMs = server.limits.idleTimeoutMs
         // Scheduled as a separate task, since this request may have ended while it was being started.
         channel.eventLoop().execute { guarded(::onFault) { processPending() } }
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
@@ -38,7 +38,7 @@
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
                         val connection = FrontConnection(this@FrontServer, context, channel)
-                        val codec = HttpServerCodec(MAX_REQUEST_LINE_BYTES, limits.maxHeaderBytes, MAX_CHUNK_BYTES)
+                        val codec = HttpServerCodec(UNLIMITED_BYTES, UNLIMITED_BYTES, MAX_CHUNK_BYTES)
                         channel.pipeline().addLast(connection.byteObserver, codec, connection)
                     }
                 },
@@ -71,7 +71,9 @@
 
     private companion object {
         const val ACCEPT_BACKLOG = 1024
-        const val MAX_REQUEST_LINE_BYTES = 8 * 1024
+
+        /** The connection applies the limits, which can change while it is open. */
+        const val UNLIMITED_BYTES = 1 shl 30
         const val MAX_CHUNK_BYTES = 64 * 1024
 
         /** Longest delay in enforcing the time limits of connections. */
