Close callers' connections only after whole answers

Three ways in which closing a connection lost an answer or a request that was read: - A response that had begun before a planned stop did not say that its connection closes, and after it the connection stayed open. The entry counted as drained and ended with it, whatever the caller had sent by then. - A response that the network had not taken yet counted as sent: closing idle connections cut it off. - A request behind one with Connection: close was passed on to a backend server as long as the network had not taken the response before it, and was then cut off by the close that this response announced. A connection is now busy until the network has taken its last response, closes after it once idle ones are closed, and reads nothing more after a response that announced the close. Requests that still run when the process ends get 503, 502 or a broken-off response instead of a closed connection; that this was a closed connection before is read, not run.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ConnectionResponse.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ConnectionResponse.kt
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
-import io.netty.channel.ChannelFutureListener
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -20,11 +19,13 @@
  *
  * @property keepAlive whether the connection stays open for further requests
  * @property closesConnections whether the entry closes its connections after their responses
+ * @property onSent called when the caller's network connection has taken the whole response
  */
 internal class ConnectionResponse(
     private val channel: Channel,
     var keepAlive: Boolean,
     private val closesConnections: () -> Boolean,
+    private val onSent: () -> Unit,
 ) : CallerResponse {
     /** Whether a part of the response was written. */
     var begun = false
@@ -34,6 +35,10 @@
     var ended = false
         private set
 
+    /** Whether the network connection has taken the whole response. */
+    var sent = false
+        private set
+
     override val writable: Boolean get() = channel.isWritable
 
     override fun refuse(status: Int, text: String, retryAfterMs: Long?) {
@@ -71,12 +76,16 @@
     override fun abort() {
         keepAlive = false
         ended = true
+        sent = true
         channel.close()
     }
 
     private fun end(written: ChannelFuture) {
         ended = true
-        if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
+        written.addListener {
+            sent = true
+            if (keepAlive) onSent() else channel.close()
+        }
     }
 
     private companion object {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -89,10 +89,9 @@
             else -> "waiting"
         }
 
-    /** Ends the request after [cause] was thrown, with the answer that its progress allows. */
-    fun endAfterFault(cause: Throwable) {
+    /** Ends the request before its deadline, with the answer that its progress allows. */
+    fun endEarly(detail: String) {
         if (done) return
-        val detail = "internal error: ${cause::class.simpleName}"
         val running = attempt
         val sent = mayHaveRun || running?.sent == true
         running?.cancel()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -44,6 +44,7 @@
 
     /** The response to the request that was read last; null while the next one is awaited or read. */
     private var response: ConnectionResponse? = null
+    private var lastResponse: ConnectionResponse? = null
     private var keepAlive = true
     private var idleSinceMs = context.timers.nowMs()
     private var idleTimeoutMs = server.limits.idleTimeoutMs
@@ -51,7 +52,8 @@
     private val responding: Boolean get() = response != null
 
     /** Whether a request is being read or a response is being sent. */
-    val busy: Boolean get() = responding || reader.headRead
+    val busy: Boolean
+        get() = responding || reader.headRead || pendingMessages.isNotEmpty() || lastResponse?.sent == false
 
     override fun channelActive(handler: ChannelHandlerContext) {
         server.onOpen(this)
@@ -59,8 +61,7 @@
 
     override fun channelInactive(handler: ChannelHandlerContext) {
         server.onClosed(this)
-        pendingMessages.forEach { ReferenceCountUtil.release(it) }
-        pendingMessages.clear()
+        discardInput()
         val running = currentRequest
         currentRequest = null
         running?.onCallerDisconnected()
@@ -88,7 +89,7 @@
         guarded({ closeUnanswered(it) }) {
             recordFault(cause)
             if (faultyResponse?.begun == false) faultyResponse.keepAlive = false
-            currentRequest?.endAfterFault(cause)
+            currentRequest?.endEarly("internal error: ${cause::class.simpleName}")
         }
         // The fault may have occurred before the request was forwarded, or while its end was recorded.
         guarded({ closeUnanswered(it) }) {
@@ -150,10 +151,14 @@
         channel.close()
     }
 
+    /** Ends a running request with the answer that its progress allows, since the process is about to end. */
+    fun endRunning() = guarded(::onFault) { currentRequest?.endEarly("the entry stops") }
+
     override fun channelRead(handler: ChannelHandlerContext, message: Any) = guarded(::onFault) { receive(message) }
 
     private fun receive(message: Any) {
         if (message !is HttpObject) return ReferenceCountUtil.release(message).let { }
+        if (discardingInput) return ReferenceCountUtil.release(message).let { }
         reader.onDecoded()
         if (responding || pendingMessages.isNotEmpty()) {
             pendingMessages.addLast(message)
@@ -166,11 +171,8 @@
 
     private fun process(message: HttpObject) {
         try {
-            when {
-                discardingInput -> Unit
-                message.decoderResult().isFailure -> onMalformed(message.decoderResult().cause())
-                else -> onPart(message)
-            }
+            val result = message.decoderResult()
+            if (result.isFailure) onMalformed(result.cause()) else onPart(message)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -230,9 +232,8 @@
         }
     }
 
-    private fun newResponse() = ConnectionResponse(channel, keepAlive) {
-        server.closesConnections
-    }.also { response = it }
+    private fun newResponse() =
+        ConnectionResponse(channel, keepAlive, { server.closesConnections }, ::closeIfStopping).also { response = it }
 
     private fun rejectRequest(status: HttpResponseStatus, text: String, response: CallerResponse) {
         context.log.write(
@@ -255,15 +256,18 @@
             "config" to context.routes?.version,
             "detail" to text,
         )
-        discardingInput = true
         reader.reset()
         keepAlive = false
         newResponse().refuse(status.code(), text, if (status.code() == STATUS_UNAVAILABLE) RETRY_AFTER_MS else null)
+        onResponded()
     }
 
     private fun onResponded() {
         currentRequest = null
+        lastResponse = response
         response = null
+        // The caller was told that the connection closes, so it has to send what follows on another one.
+        if (lastResponse?.keepAlive == false) discardInput()
         idleSinceMs = context.timers.nowMs()
         idleTimeoutMs = server.limits.idleTimeoutMs
         // Scheduled as a separate task, since this request may have ended while it was being started.
@@ -273,6 +277,17 @@
     private fun processPending() {
         while (!responding && pendingMessages.isNotEmpty()) process(pendingMessages.removeFirst())
         if (pendingMessages.size <= MAX_PENDING_MESSAGES && channel.isActive) channel.config().isAutoRead = true
+        closeIfStopping()
+    }
+
+    private fun closeIfStopping() {
+        if (server.closesIdle && !busy) channel.close()
+    }
+
+    private fun discardInput() {
+        discardingInput = true
+        pendingMessages.forEach { ReferenceCountUtil.release(it) }
+        pendingMessages.clear()
     }
 
     private companion object {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
@@ -18,6 +18,10 @@
     private var listener: Channel? = null
     private var stopping = false
 
+    /** Whether connections without a request in progress are closed. */
+    var closesIdle = false
+        private set
+
     /** Number of connections on which a request is being read or a response is being sent. */
     val runningRequests: Int get() = connections.count { it.busy }
 
@@ -52,6 +56,7 @@
 
     fun onOpen(connection: FrontConnection) {
         connections += connection
+        if (closesIdle) connection.close()
     }
 
     fun onClosed(connection: FrontConnection) {
@@ -63,12 +68,16 @@
         stopping = true
     }
 
-    /** Stops accepting connections, and closes the open ones on which no request is in progress. */
+    /** Stops accepting connections, and closes the open ones as soon as no request is in progress on them. */
     fun closeIdle() {
+        closesIdle = true
         listener?.close()
         connections.toList().filter { !it.busy }.forEach { it.close() }
     }
 
+    /** Ends the requests that are still running with the answers that their progress allows. */
+    fun endRunning() = connections.toList().forEach { it.endRunning() }
+
     private companion object {
         const val ACCEPT_BACKLOG = 1024
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -236,6 +236,7 @@
 
     override fun close() {
         platform.close()
+        loops.traffic.submit { front.endRunning() }.get()
         loops.close()
     }
 
