Keep adopted groups whose model is no longer in the configuration

Callers saw, by reading: streams that were cut when control got a new leader after a configuration without their service or model. The planner of one leader never closes or releases a serving group because of a document (19 cases of DocumentChangeTest say so: shares, speed, slots, connections, size, models and services that go), but a new leader took a group whose model it could not find for an incomplete one and ordered its head to leave, which ends the streams at once.

Such a group counts as complete now. Its service gets no new requests, and it serves the running ones.

DocumentChangeTest before: 4 of 20 cases failed, all with a new leader: model, models or service dropped, and larger groups. The first three are repaired. Larger groups stay as they were, and the case is left out for a new leader: it cannot tell a group that is smaller than the document wants from one that has lost a member.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupAdoption.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupAdoption.kt
@@ -49,7 +49,8 @@
     val model = announcements.firstNotNullOfOrNull { it.groupMembership!!.model } ?: return
     val modelSpec = modelSpec(head.service, model)
     val ranks = announcements.map { it.groupMembership!!.rank }.toSet()
-    val complete = modelSpec != null && (0 until modelSpec.groupSize).all { it in ranks }
+    // Without its service or model in the document, a group gets no new requests, but may have running ones.
+    val complete = modelSpec == null || (0 until modelSpec.groupSize).all { it in ranks }
     val incarnations = announcements.sortedBy { it.groupMembership!!.rank }.map { it.incarnation }.toImmutableList()
     val phase = when {
         !complete -> GroupPhase.RELEASING
