--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -36,6 +36,7 @@
         }
     }
 
+    private val faults = FaultLog(context)
     private val reader = RequestReader({ server.limits }, context.timers::nowMs)
     private val pendingMessages = ArrayDeque<HttpObject>()
     private var discardingInput = false
@@ -85,54 +86,36 @@
 
     /** Ends the request with the answer that its progress allows after [cause] was thrown. */
     private fun onFault(cause: Throwable) {
-        val faultyResponse = response
-        guarded({ closeUnanswered(it) }) {
-            recordFault(cause)
-            if (faultyResponse?.begun == false) faultyResponse.keepAlive = false
+        val faulty = response
+        guarded(::closeUnanswered) {
+            faults.onFault(currentId, progress, cause)
+            if (faulty?.begun == false) faulty.keepAlive = false
             currentRequest?.endEarly("internal error: ${cause::class.simpleName}")
         }
-        // The fault may have occurred before the request was forwarded, or while its end was recorded.
-        guarded({ closeUnanswered(it) }) {
-            when {
-                response == null -> if (faultyResponse ==
-                    null
-                ) {
-                    refuseInput(HttpResponseStatus.SERVICE_UNAVAILABLE, NOT_RUN)
-                }
-                response !== faultyResponse -> Unit
-                faultyResponse?.ended == true -> onResponded()
-                faultyResponse?.begun == true -> closeUnanswered(cause)
-                else -> {
-                    faultyResponse?.refuse(STATUS_UNAVAILABLE, NOT_RUN, RETRY_AFTER_MS)
-                    onResponded()
-                }
+        guarded(::closeUnanswered) {
+            if (faulty == null) {
+                refuseFaultyInput()
+            } else if (response === faulty) {
+                endFaulty(faulty, cause)
             }
         }
     }
 
-    private fun recordFault(cause: Throwable) {
-        context.metrics.onFault(progress)
-        context.log.write(
-            "request-fault",
-            "request" to currentId,
-            "progress" to progress,
-            "error" to cause.toString(),
-            "at" to cause.stackTrace.take(FAULT_STACK_FRAMES).joinToString(" < "),
-            "config" to context.routes?.version,
-        )
+    private fun refuseFaultyInput() {
+        if (reader.started) refuseInput(HttpResponseStatus.SERVICE_UNAVAILABLE, NOT_RUN) else channel.close()
     }
 
-    /** Closes the connection although a request has no complete response, because no response can be sent. */
+    /** Ends a response after a fault before the request was forwarded, or while its end was recorded. */
+    private fun endFaulty(faulty: ConnectionResponse, cause: Throwable) {
+        if (faulty.begun && !faulty.ended) return closeUnanswered(cause)
+        if (!faulty.ended) faulty.refuse(STATUS_UNAVAILABLE, NOT_RUN, RETRY_AFTER_MS)
+        onResponded()
+    }
+
+    /** Closes the connection although the request has no complete response, because none can be sent. */
     private fun closeUnanswered(cause: Throwable) {
-        context.metrics.onUnanswered(progress)
         channel.close()
-        context.log.write(
-            "closed-unanswered",
-            "request" to currentId,
-            "progress" to progress,
-            "error" to cause.toString(),
-            "config" to context.routes?.version,
-        )
+        faults.onUnanswered(currentId, progress, cause)
     }
 
     /** Ends the connection when it has been idle, or an incomplete request has been arriving, for too long. */
@@ -294,7 +277,6 @@
         const val MAX_PENDING_MESSAGES = 64
         const val STATUS_UNAVAILABLE = 503
         const val NOT_RUN = "not run: internal error"
-        const val FAULT_STACK_FRAMES = 5
 
         /** An entry receives the configuration within some hundred milliseconds of its start. */
         const val RETRY_AFTER_MS = 200L
