--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
@@ -22,6 +22,9 @@
     /** The attempt and its backend server have sent nothing for [silentMs]; repeated while this lasts. */
     fun onSilent(attempt: Attempt, silentMs: Long)
 
+    /** [cause] was thrown while an event of the attempt was handled. */
+    fun onFault(cause: Throwable)
+
     /** Data of the attempt arrived. */
     fun onData(attempt: Attempt)
 
@@ -60,7 +63,7 @@
     private val silence = SilenceWatch(
         context.timers,
         lastServerDataMs = { if (request.streaming) load.lastResponseMs else null },
-        onSilent = { owner.onSilent(this, it) },
+        onSilent = { silentMs -> guarded(owner::onFault) { owner.onSilent(this, silentMs) } },
     )
     private var call: HttpCall? = null
     private var ended = false
@@ -80,7 +83,8 @@
         // A reused connection may already be closed by the peer; a request that may run only once gets a new one.
         val newConnection = !request.route.idempotent
         val head = request.head(load.id, response.lastEventId)
-        call = load.client.call(head, Unpooled.wrappedBuffer(request.caller.body), newConnection, this)
+        val body = Unpooled.wrappedBuffer(request.caller.body)
+        call = load.client.call(head, body, newConnection, GuardedListener(this, owner::onFault))
         if (!ended && request.route.idempotent) silence.start(firstDataTimeoutMs())
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -19,6 +19,7 @@
     private val context: ForwardContext,
     private val request: AdmittedRequest,
     callerResponse: CallerResponse,
+    private val faultHandler: (Throwable) -> Unit,
     private val onDone: () -> Unit,
 ) : AttemptOwner {
     private val route = request.route
@@ -40,7 +41,7 @@
     /** Sets the deadline and starts the first attempt. */
     fun start() {
         budget.onRequest(context.timers.nowMs())
-        deadlineTimer = context.timers.after(maxOf(0, request.remainingMs())) { onDeadline() }
+        deadlineTimer = context.timers.after(maxOf(0, request.remainingMs())) { guarded(faultHandler) { onDeadline() } }
         send(countsAgainstBudget = false)
     }
 
@@ -50,6 +51,26 @@
         end("caller-left", "")
     }
 
+    /** How far the request has come. */
+    val stage: String
+        get() = when {
+            response.started -> "responding"
+            mayHaveRun || running.attempts.isNotEmpty() -> "running"
+            else -> "waiting"
+        }
+
+    /** Ends the request before its deadline, with the answer that its stage allows. */
+    fun endEarly(detail: String) {
+        if (done) return
+        if (mayHaveRun || running.attempts.isNotEmpty() || response.started) {
+            fail(STATUS_OUTCOME_UNKNOWN, "may-have-run", detail)
+        } else {
+            refuse(AttemptEnd.NoCandidate, detail)
+        }
+    }
+
+    override fun onFault(cause: Throwable) = faultHandler(cause)
+
     /** Pauses reading from the backend servers while the caller's connection accepts no more data. */
     fun onCallerWritable(writable: Boolean) = running.attempts.forEach { it.pauseReading(!writable) }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -5,30 +5,20 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
-import io.netty.channel.ChannelFuture
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.DefaultHttpContent
-import io.netty.handler.codec.http.DefaultHttpResponse
-import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaderValues
-import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
-import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ReferenceCountUtil
-import org.bramleyspur.core.document.DocumentAccount
-import org.bramleyspur.daemon.http.fullResponse
-import org.bramleyspur.traffic.forward.targetService
-import java.io.ByteArrayOutputStream
-import java.util.Locale
+import java.io.IOException
 
 /** Server side of a caller's connection. Confined to the traffic thread. */
 internal class FrontConnection(
@@ -39,28 +29,32 @@
     /** Observes bytes before the HTTP codec, so that the time limit also covers an incomplete request head. */
     val byteObserver = object : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            onBytes()
+            if (discardingInput) return ReferenceCountUtil.release(message).let { }
+            reader.onBytes((message as? ByteBuf)?.readableBytes() ?: 0, awaited = !responding)
             context.fireChannelRead(message)
+            if (reader.headTooLong) guarded(::onFault) { onHeadTooLong() }
         }
     }
 
+    private val faults = FaultLog(context)
+    private val reader = RequestReader({ server.limits }, context.timers::nowMs)
     private val pendingMessages = ArrayDeque<HttpObject>()
-    private var requestHead: HttpRequest? = null
-    private var body = ByteArrayOutputStream()
     private var discardingInput = false
     private var currentRequest: ForwardedRequest? = null
-    private var responding = false
+    private var currentId: String? = null
+
+    /** The response to the request that was read last; null while the next one is awaited or read. */
+    private var response: ConnectionResponse? = null
+    private var lastResponse: ConnectionResponse? = null
     private var keepAlive = true
-    private var headStartedAtMs: Long? = null
-    private var headReceivedAtMs = 0L
     private var idleSinceMs = context.timers.nowMs()
+    private var idleTimeoutMs = server.limits.idleTimeoutMs
 
-    /** Whether a request is being read or a response is being sent. */
-    val busy: Boolean get() = responding || requestHead != null
+    private val responding: Boolean get() = response != null
 
-    private fun onBytes() {
-        if (!responding && requestHead == null && headStartedAtMs == null) headStartedAtMs = context.timers.nowMs()
-    }
+    /** Whether a request is being read or a response is being sent. */
+    val busy: Boolean
+        get() = responding || reader.headRead || pendingMessages.isNotEmpty() || lastResponse?.sent == false
 
     override fun channelActive(handler: ChannelHandlerContext) {
         server.onOpen(this)
@@ -68,8 +62,7 @@
 
     override fun channelInactive(handler: ChannelHandlerContext) {
         server.onClosed(this)
-        pendingMessages.forEach { ReferenceCountUtil.release(it) }
-        pendingMessages.clear()
+        discardInput()
         val running = currentRequest
         currentRequest = null
         running?.onCallerDisconnected()
@@ -81,21 +74,59 @@
 
     @Deprecated("Deprecated in Netty's handler interface, which still calls it.")
     override fun exceptionCaught(handler: ChannelHandlerContext, cause: Throwable) {
+        if (cause is IOException) channel.close() else onFault(cause)
+    }
+
+    private val progress: String
+        get() = currentRequest?.stage ?: when {
+            responding -> "waiting"
+            reader.started -> "read"
+            else -> "idle"
+        }
+
+    /** Ends the request with the answer that its progress allows after [cause] was thrown. */
+    private fun onFault(cause: Throwable) {
+        val faulty = response
+        guarded(::closeUnanswered) {
+            faults.onFault(currentId, progress, cause)
+            if (faulty?.begun == false) faulty.keepAlive = false
+            currentRequest?.endEarly("internal error: ${cause::class.simpleName}")
+        }
+        guarded(::closeUnanswered) {
+            if (faulty == null) {
+                refuseFaultyInput()
+            } else if (response === faulty) {
+                endFaulty(faulty, cause)
+            }
+        }
+    }
+
+    private fun refuseFaultyInput() {
+        if (reader.started) refuseInput(HttpResponseStatus.SERVICE_UNAVAILABLE, NOT_RUN) else channel.close()
+    }
+
+    /** Ends a response after a fault before the request was forwarded, or while its end was recorded. */
+    private fun endFaulty(faulty: ConnectionResponse, cause: Throwable) {
+        if (faulty.begun && !faulty.ended) return closeUnanswered(cause)
+        if (!faulty.ended) faulty.refuse(STATUS_UNAVAILABLE, NOT_RUN, RETRY_AFTER_MS)
+        onResponded()
+    }
+
+    /** Closes the connection although the request has no complete response, because none can be sent. */
+    private fun closeUnanswered(cause: Throwable) {
         channel.close()
+        faults.onUnanswered(currentId, progress, cause)
     }
 
     /** Ends the connection when it has been idle, or an incomplete request has been arriving, for too long. */
-    fun closeIfTimedOut() {
-        val now = context.timers.nowMs()
-        val startedAtMs = headStartedAtMs
+    fun closeIfTimedOut() = guarded(::onFault) {
+        val idleMs = context.timers.nowMs() - idleSinceMs
         when {
             responding -> Unit
-            requestHead != null || startedAtMs != null -> {
-                if (now - (startedAtMs ?: headReceivedAtMs) > server.limits.headerTimeoutMs) {
-                    refuseInput(HttpResponseStatus.REQUEST_TIMEOUT, "the request was not sent within the time limit")
-                }
-            }
-            now - idleSinceMs > server.limits.idleTimeoutMs -> channel.close()
+            reader.overdue ->
+                refuseInput(HttpResponseStatus.REQUEST_TIMEOUT, "the request was not sent within the time limit")
+            // A lowered limit does not apply to a caller that may have learned the one before.
+            !reader.started && idleMs > maxOf(idleTimeoutMs, server.limits.idleTimeoutMs) -> channel.close()
         }
     }
 
@@ -103,8 +134,15 @@
         channel.close()
     }
 
-    override fun channelRead(handler: ChannelHandlerContext, message: Any) {
+    /** Ends a running request with the answer that its progress allows, since the process is about to end. */
+    fun endRunning() = guarded(::onFault) { currentRequest?.endEarly("the entry stops") }
+
+    override fun channelRead(handler: ChannelHandlerContext, message: Any) = guarded(::onFault) { receive(message) }
+
+    private fun receive(message: Any) {
         if (message !is HttpObject) return ReferenceCountUtil.release(message).let { }
+        if (discardingInput) return ReferenceCountUtil.release(message).let { }
+        reader.onDecoded()
         if (responding || pendingMessages.isNotEmpty()) {
             pendingMessages.addLast(message)
             // Bounds the memory for a caller that pipelines requests without reading the responses.
@@ -116,168 +154,122 @@
 
     private fun process(message: HttpObject) {
         try {
-            when {
-                discardingInput -> Unit
-                message.decoderResult().isFailure -> onMalformed(message.decoderResult().cause())
-                else -> {
-                    if (message is HttpRequest) onHead(message)
-                    if (message is HttpContent && requestHead != null) onContent(message)
-                }
-            }
+            val result = message.decoderResult()
+            if (result.isFailure) onMalformed(result.cause()) else onPart(message)
         } finally {
             ReferenceCountUtil.release(message)
         }
     }
 
     private fun onMalformed(cause: Throwable) = if (cause is TooLongHttpHeaderException) {
-        refuseInput(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head of the request is too large")
+        refuseInput(HEAD_TOO_LARGE.status, HEAD_TOO_LARGE.text)
     } else {
         refuseInput(HttpResponseStatus.BAD_REQUEST, "the request is not HTTP/1.1: ${cause.message}")
     }
 
-    private fun onHead(request: HttpRequest) {
-        requestHead = request
-        headReceivedAtMs = context.timers.nowMs()
-        headStartedAtMs = headReceivedAtMs
-        body = ByteArrayOutputStream()
-        keepAlive = HttpUtil.isKeepAlive(request)
-        if (HttpUtil.getContentLength(request, 0L) > server.limits.maxBodyBytes) return refuseBody()
-        if (HttpUtil.is100ContinueExpected(request)) {
-            channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
-        }
+    /** Refuses a head whose end has not arrived, after the response to the request before it. */
+    private fun onHeadTooLong() {
+        if (responding) channel.config().isAutoRead = false
+        val malformed = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")
+        malformed.decoderResult = DecoderResult.failure(TooLongHttpHeaderException())
+        receive(malformed)
     }
 
-    private fun refuseBody() =
-        refuseInput(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is larger than the limit")
-
-    private fun onContent(content: HttpContent) {
-        val data = content.content()
-        if (body.size() + data.readableBytes() > server.limits.maxBodyBytes) return refuseBody()
-        data.readBytes(body, data.readableBytes())
-        if (content is LastHttpContent) onRequest()
+    private fun onPart(message: HttpObject) {
+        if (message is HttpRequest) {
+            keepAlive = HttpUtil.isKeepAlive(message)
+            currentId = message.headers().get(context.headers.attemptId)
+        }
+        when (val step = reader.read(message)) {
+            ReadStep.Incomplete -> Unit
+            ReadStep.ContinueExpected ->
+                channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+            is ReadStep.Refused -> refuseInput(step.status, step.text)
+            is ReadStep.Whole -> onRequest(step.head, step.body)
+        }
     }
 
-    private fun onRequest() {
-        val request = requestHead ?: return
-        requestHead = null
-        headStartedAtMs = null
-        responding = true
+    private fun onRequest(request: HttpRequest, body: ByteArray) {
+        val newResponse = newResponse()
         val now = context.timers.nowMs()
-        admit(CallerRequest(request.method().name(), request.uri(), request.headers(), body.toByteArray(), now))
-    }
-
-    /** Checks the request against the current configuration document, and forwards it. */
-    private fun admit(request: CallerRequest) {
-        val routes = context.routes
-            ?: return rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE, "no configuration is known yet", request)
-        val host = request.headers.get(HttpHeaderNames.HOST)
-            ?: return rejectRequest(HttpResponseStatus.BAD_REQUEST, "the request names no host", request)
-        val route = routes.route(host, request.path)
-            ?: return rejectRequest(HttpResponseStatus.NOT_FOUND, "no route matches host and path", request)
-        var account: DocumentAccount? = null
-        if (routes.keysRequired && !route.isPublic) {
-            account = bearerKey(request.headers)?.let { routes.account(it) }
-                ?: return rejectRequest(HttpResponseStatus.UNAUTHORIZED, "the key is unknown", request)
+        val callerRequest =
+            CallerRequest(request.method().name(), request.uri(), request.headers(), body, now)
+        when (val admission = admit(context.routes, callerRequest, context::randomFraction)) {
+            is Admission.Rejected -> rejectRequest(admission.status, admission.text, newResponse)
+            is Admission.Admitted -> {
+                val (route, service, account) = admission
+                val admitted = AdmittedRequest(context, callerRequest, route, service, account)
+                val forwarded = ForwardedRequest(context, admitted, newResponse, ::onFault, ::onResponded)
+                currentRequest = forwarded
+                forwarded.start()
+            }
         }
-        val service = routes.document.services.getValue(targetService(route, context.randomFraction()))
-        val admitted = AdmittedRequest(context, request, route, service, account)
-        val forwardedRequest = ForwardedRequest(context, admitted, Response(), ::onResponded)
-        currentRequest = forwardedRequest
-        forwardedRequest.start()
     }
 
-    private fun rejectRequest(status: HttpResponseStatus, text: String, request: CallerRequest) {
+    private fun newResponse() =
+        ConnectionResponse(channel, keepAlive, { server.closesConnections }, ::closeIfStopping).also { response = it }
+
+    private fun rejectRequest(status: HttpResponseStatus, text: String, response: CallerResponse) {
         context.log.write(
             "request",
-            "request" to request.headers.get(context.headers.attemptId),
+            "request" to currentId,
             "outcome" to "rejected",
             "status" to status.code(),
             "config" to context.routes?.version,
             "detail" to text,
         )
-        Response().refuse(status.code(), text, if (status.code() == STATUS_UNAVAILABLE) RETRY_AFTER_MS else null)
+        response.refuse(status.code(), text, if (status.code() == STATUS_UNAVAILABLE) RETRY_AFTER_MS else null)
         onResponded()
     }
 
     /** Responds to input that is no valid request, and closes the connection. */
     private fun refuseInput(status: HttpResponseStatus, text: String) {
-        context.log.write("unreadable-request", "status" to status.code(), "detail" to text)
-        discardingInput = true
-        requestHead = null
-        responding = true
+        context.log.write(
+            "unreadable-request",
+            "status" to status.code(),
+            "config" to context.routes?.version,
+            "detail" to text,
+        )
+        reader.reset()
         keepAlive = false
-        Response().refuse(status.code(), text)
+        newResponse().refuse(status.code(), text, if (status.code() == STATUS_UNAVAILABLE) RETRY_AFTER_MS else null)
+        onResponded()
     }
 
     private fun onResponded() {
         currentRequest = null
-        responding = false
+        lastResponse = response
+        response = null
+        // The caller was told that the connection closes, so it has to send what follows on another one.
+        if (lastResponse?.keepAlive == false) discardInput()
         idleSinceMs = context.timers.nowMs()
+        idleTimeoutMs = server.limits.idleTimeoutMs
         // Scheduled as a separate task, since this request may have ended while it was being started.
-        channel.eventLoop().execute { processPending() }
+        channel.eventLoop().execute { guarded(::onFault) { processPending() } }
     }
 
     private fun processPending() {
         while (!responding && pendingMessages.isNotEmpty()) process(pendingMessages.removeFirst())
         if (pendingMessages.size <= MAX_PENDING_MESSAGES && channel.isActive) channel.config().isAutoRead = true
+        closeIfStopping()
     }
 
-    private inner class Response : CallerResponse {
-        override val writable: Boolean get() = channel.isWritable
-
-        override fun refuse(status: Int, text: String, retryAfterMs: Long?) {
-            val body = "$text\n".encodeToByteArray()
-            val response = fullResponse(HttpResponseStatus.valueOf(status), body, TEXT_CONTENT_TYPE)
-            retryAfterMs?.let {
-                response.headers().set(HttpHeaderNames.RETRY_AFTER, "%.3f".format(Locale.ROOT, it / MS_PER_SECOND))
-            }
-            setConnection(response.headers())
-            closeUnlessKeptAlive(channel.writeAndFlush(response))
-        }
-
-        override fun begin(status: Int, headers: HttpHeaders) {
-            val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers)
-            if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
-                headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
-            }
-            setConnection(headers)
-            channel.write(response)
-        }
-
-        private fun setConnection(headers: HttpHeaders) {
-            if (server.closesConnections) keepAlive = false
-            if (!keepAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        }
-
-        override fun write(data: ByteBuf) {
-            channel.writeAndFlush(DefaultHttpContent(data))
-        }
-
-        override fun finish() = closeUnlessKeptAlive(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
-
-        override fun abort() {
-            keepAlive = false
-            channel.close()
-        }
+    private fun closeIfStopping() {
+        if (server.closesIdle && !busy) channel.close()
+    }
 
-        private fun closeUnlessKeptAlive(written: ChannelFuture) {
-            if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
-        }
+    private fun discardInput() {
+        discardingInput = true
+        pendingMessages.forEach { ReferenceCountUtil.release(it) }
+        pendingMessages.clear()
     }
 
     private companion object {
-        const val TEXT_CONTENT_TYPE = "text/plain; charset=utf-8"
         const val MAX_PENDING_MESSAGES = 64
         const val STATUS_UNAVAILABLE = 503
+        const val NOT_RUN = "not run: internal error"
 
         /** An entry receives the configuration within some hundred milliseconds of its start. */
         const val RETRY_AFTER_MS = 200L
-        const val MS_PER_SECOND = 1_000.0
-
-        fun bearerKey(headers: HttpHeaders): String? {
-            val value = headers.get(HttpHeaderNames.AUTHORIZATION)?.trim() ?: return null
-            val scheme = value.substringBefore(' ', "")
-            return if (scheme.equals("Bearer", ignoreCase = true)) value.substringAfter(' ').trim() else null
-        }
     }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
@@ -19,6 +19,10 @@
     private var listener: Channel? = null
     private var stopping = false
 
+    /** Whether connections without a request in progress are closed. */
+    var closesIdle = false
+        private set
+
     /** Number of connections on which a request is being read or a response is being sent. */
     val runningRequests: Int get() = connections.count { it.busy }
 
@@ -39,7 +43,7 @@
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
                         val connection = FrontConnection(this@FrontServer, context, channel)
-                        val codec = HttpServerCodec(MAX_REQUEST_LINE_BYTES, limits.maxHeaderBytes, MAX_CHUNK_BYTES)
+                        val codec = HttpServerCodec(UNLIMITED_BYTES, UNLIMITED_BYTES, MAX_CHUNK_BYTES)
                         channel.pipeline().addLast(connection.byteObserver, codec, connection)
                     }
                 },
@@ -51,6 +55,7 @@
 
     fun onOpen(connection: FrontConnection) {
         connections += connection
+        if (closesIdle) connection.close()
     }
 
     fun onClosed(connection: FrontConnection) {
@@ -62,15 +67,21 @@
         stopping = true
     }
 
-    /** Stops accepting connections, and closes the open ones on which no request is in progress. */
+    /** Stops accepting connections, and closes the open ones as soon as no request is in progress on them. */
     fun closeIdle() {
+        closesIdle = true
         listener?.close()
         connections.toList().filter { !it.busy }.forEach { it.close() }
     }
 
+    /** Ends the requests that are still running with the answers that their progress allows. */
+    fun endRunning() = connections.toList().forEach { it.endRunning() }
+
     private companion object {
         const val ACCEPT_BACKLOG = 1024
-        const val MAX_REQUEST_LINE_BYTES = 8 * 1024
+
+        /** The connection applies the limits, which can change while it is open. */
+        const val UNLIMITED_BYTES = 1 shl 30
         const val MAX_CHUNK_BYTES = 64 * 1024
 
         /** Longest delay in enforcing the time limits of connections. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -242,6 +242,7 @@
 
     override fun close() {
         platform.close()
+        loops.traffic.submit { front.endRunning() }.get()
         loops.close()
     }
 
