Tell a repeated refusal from the response to a request

Callers got 503 "not run" for idempotent requests that their backend server ran, or the request ran twice: a faulty server wrote an earlier refusal once more on a kept connection. A head without an id and without a seal counted as the response to whatever request was waiting. The same held for orders to engines, which carry no id at all: a repeated 200 was taken for the result of the next order, and the planner sends that one as soon as it has the result before.

attributionOf decides now: an echoed id decides; a refusal without an id counts only as the first response on its connection; later it cannot be told, so the connection is closed and the request may have run, which the attempt rules treat as usual (sent again within the limits, else 502). A sealed response without an id is skipped there as before, and ends the call at once on a new connection. Requests without an id and orders get a new connection each. A connection is reused only if no byte was received after the response; half a head in the same packet was kept until now. Such ends are counted by bramleyspur_unattributed_responses_total and do not count as a crash or failure of the server. A refusal that echoes the id of the waiting request stays a refusal: the first response that names a request counts, and a later success for it reaches nobody.

HttpClient is split by role, and its close() hands over to the event loop.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -7,6 +7,8 @@
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.core.time.TimerService
 import org.bramleyspur.daemon.http.HttpClient
+import org.bramleyspur.traffic.forward.Attribution
+import org.bramleyspur.traffic.forward.attributionOf
 
 /**
  * Load and health of one backend server as seen by this entry. Confined to the traffic thread.
@@ -157,15 +159,16 @@
         if (existing != null && existing.address == announcement.address) return existing
         val address = Address.parse(announcement.address).component1() ?: return null
         existing?.client?.close()
-        val client = HttpClient(address, group, connectTimeoutMs = CONNECT_TIMEOUT_MS, isResponseTo = ::isResponseTo)
+        val client = HttpClient(address, group, connectTimeoutMs = CONNECT_TIMEOUT_MS, attribute = ::attribute)
         return BackendLoad(announcement.id, announcement.address, client).also { loads[announcement.id] = it }
     }
 
-    /** Backend servers echo the attempt id, except in some refusals, which carry no seal. */
-    private fun isResponseTo(request: HttpRequest, response: HttpHeaders): Boolean {
-        val echoed = response.get(headers.attemptId) ?: return !response.contains(headers.seal)
-        return echoed == request.headers().get(headers.attemptId)
-    }
+    private fun attribute(request: HttpRequest, response: HttpHeaders, first: Boolean): Attribution = attributionOf(
+        requestId = request.headers().get(headers.attemptId),
+        responseId = response.get(headers.attemptId),
+        sealed = response.contains(headers.seal),
+        first = first,
+    )
 
     /** Ids of the backend servers that sent response data within the last [withinMs]. */
     fun responding(withinMs: Long): List<String> {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
@@ -32,6 +32,14 @@
         .labelNames("route", "sent")
         .register(registry)
 
+    private val unattributed = Counter.builder()
+        .name("bramleyspur_unattributed_responses_total")
+        .help("Responses on kept connections that named no request, by service; each one ended its attempt.")
+        .labelNames("service")
+        .register(registry)
+
+    fun onUnattributed(service: String) = unattributed.labelValues(service).inc()
+
     fun onRequestEnd(route: String, outcome: String) = requests.labelValues(route, outcome).inc()
 
     /** Records the time from the receipt of a request to the first byte of its response. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -270,7 +270,8 @@
             load.contextTokens += promptTokens
             choice.longestEventIntervalMs?.let { load.longestEventIntervalMs = it }
             // A reused connection may already be closed by the peer; a request that may run only once gets a new one.
-            val newConnection = !route.idempotent
+            // So does a request without an id, since only the first response on a connection needs none.
+            val newConnection = !route.idempotent || id.isEmpty()
             call = load.client.call(newRequestHead(), Unpooled.wrappedBuffer(request.body), newConnection, this)
             if (!ended && route.idempotent) startStallTimer(firstDataTimeoutMs())
         }
@@ -480,8 +481,12 @@
                 context.markUnresponsive(load)
                 onAttemptEnd(AttemptEnd.NotSent, message)
             } else {
-                load.onFailure(now)
-                if (receivedEvents < EVENTS_PAST_START) context.promptParts.onEngineEnded(parts, engine)
+                if (failure == HttpFailure.UNATTRIBUTED) {
+                    context.metrics.onUnattributed(service.name)
+                } else {
+                    load.onFailure(now)
+                    if (receivedEvents < EVENTS_PAST_START) context.promptParts.onEngineEnded(parts, engine)
+                }
                 onAttemptEnd(if (responseStarted) AttemptEnd.BrokenOff else AttemptEnd.NoAnswer, message)
             }
         }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
@@ -4,8 +4,6 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
-import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -13,25 +11,26 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultLastHttpContent
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.util.ReferenceCountUtil
 import org.bramleyspur.core.settings.Address
-import org.bramleyspur.core.time.monotonicMs
+import org.bramleyspur.traffic.forward.Attribution
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
 
 /**
- * Decides whether a response belongs to the request. A backend server can send a second response to an earlier request
- * where the response to the next one is expected; such a response is skipped.
+ * Decides to which request a response belongs; [first] if it is the first one on its connection. A backend server can
+ * send a second response to an earlier request where the response to the next one is expected. A response to another
+ * request is skipped, and one that cannot be attributed ends the call.
  */
-typealias ResponseMatcher = (request: HttpRequest, responseHeaders: HttpHeaders) -> Boolean
+typealias ResponseAttributor = (request: HttpRequest, responseHeaders: HttpHeaders, first: Boolean) -> Attribution
 
 /**
  * HTTP client for one backend server; reuses idle connections for calls that allow it.
@@ -44,15 +43,13 @@
     group: EventLoopGroup,
     private val idleLimitMs: Long = DEFAULT_IDLE_LIMIT_MS,
     connectTimeoutMs: Int = CONNECT_TIMEOUT_MS,
-    private val isResponseTo: ResponseMatcher = { _, _ -> true },
+    private val attribute: ResponseAttributor = { _, _, _ -> Attribution.OWN },
 ) : AutoCloseable {
-    private class IdleConnection(val channel: Channel, val untilMs: Long)
-
-    private val idleConnections = ArrayDeque<IdleConnection>()
-    private var closed = false
+    private val loop = group.next()
+    private val idleConnections = IdleConnections()
     private val bootstrap =
         Bootstrap()
-            .group(group)
+            .group(loop)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
@@ -60,7 +57,12 @@
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
                         val handler = ConnectionHandler()
-                        channel.pipeline().addLast(handler.byteObserver, HttpClientCodec(), handler)
+                        channel.pipeline().addLast(
+                            handler.byteObserver,
+                            HttpRequestEncoder(),
+                            ResponseDecoder(),
+                            handler,
+                        )
                     }
                 },
             )
@@ -68,7 +70,7 @@
     /** Starts a call as described at [HttpCallStarter]. */
     fun call(request: HttpRequest, body: ByteBuf?, newConnection: Boolean, listener: HttpListener): HttpCall {
         val exchange = Exchange(request, body, listener)
-        val pooled = if (newConnection) null else takeIdle()
+        val pooled = if (newConnection) null else idleConnections.take()
         if (pooled == null) connect(exchange) else exchange.attach(pooled, reused = body != null)
         return exchange
     }
@@ -80,26 +82,13 @@
         }
     }
 
+    /** Closes the idle connections; may be called on any thread. */
     override fun close() {
-        closed = true
-        idleConnections.forEach { it.channel.close() }
-        idleConnections.clear()
-    }
-
-    private fun takeIdle(): Channel? {
-        while (idleConnections.isNotEmpty()) {
-            val next = idleConnections.removeLast()
-            if (next.channel.isActive && monotonicMs() < next.untilMs) return next.channel
-            next.channel.close()
-        }
-        return null
-    }
-
-    private fun returnToPool(channel: Channel, limitMs: Long = idleLimitMs) {
-        if (closed || idleConnections.size >= MAX_IDLE_CONNECTIONS || !channel.isActive) {
-            channel.close()
-        } else {
-            idleConnections.addLast(IdleConnection(channel, monotonicMs() + limitMs))
+        if (loop.inEventLoop()) return idleConnections.close()
+        try {
+            loop.execute { idleConnections.close() }
+        } catch (_: RejectedExecutionException) {
+            // The event loop has ended, and has closed its connections.
         }
     }
 
@@ -108,7 +97,8 @@
         private val request: HttpRequest,
         private val body: ByteBuf?,
         private val listener: HttpListener,
-    ) : HttpCall {
+    ) : HttpCall,
+        ConnectionUser {
         private var channel: Channel? = null
         private var done = false
         private var keepAlive = false
@@ -133,12 +123,13 @@
         fun attach(connection: Channel, reused: Boolean) {
             if (done) {
                 body?.release()
-                returnToPool(connection)
+                idleConnections.add(connection, idleLimitMs)
                 return
             }
             channel = connection
             retryable = reused
-            connection.pipeline().get(ConnectionHandler::class.java).exchange = this
+            connection.handler.exchange = this
+            connection.decoder.requestMethod = request.method()
             connection.write(request)
             if (body != null) {
                 requestComplete = true
@@ -185,11 +176,11 @@
             channel?.close()
         }
 
-        fun onWritable(writable: Boolean) {
+        override fun onWritable(writable: Boolean) {
             if (!done) listener.onWritable(writable)
         }
 
-        fun read(message: Any) {
+        override fun read(message: Any) {
             if (done) return
             if (message is HttpObject && message.decoderResult().isFailure) return onMalformed(message)
             if (message is HttpResponse) readHead(message)
@@ -200,15 +191,15 @@
             if (skippedBytes > MAX_SKIPPED_BYTES || skippedResponses > MAX_SKIPPED_RESPONSES) onEndless()
         }
 
-        /** Ends the exchange after too many bytes that are no part of its response. */
-        fun onEndless() {
+        override fun onEndless() {
             channel?.close()
             finish { listener.onFailure(HttpFailure.BROKEN, "$address sent bytes without end") }
         }
 
         private fun readHead(message: HttpResponse) {
-            val interim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
-            skipping = interim || !isResponseTo(request, message.headers())
+            val attribution = attributionOf(message)
+            skipping = attribution != Attribution.OWN
+            if (attribution == Attribution.UNKNOWN) return onUnattributed(message)
             if (skipping) {
                 skippedResponses++
                 return
@@ -219,6 +210,20 @@
             listener.onHead(message.status().code(), message.headers())
         }
 
+        private fun attributionOf(message: HttpResponse): Attribution {
+            if (message.status().codeClass() == HttpStatusClass.INFORMATIONAL) return Attribution.OTHER
+            val handler = channel?.handler ?: return Attribution.UNKNOWN
+            val first = handler.awaitsFirstResponse
+            handler.awaitsFirstResponse = false
+            return attribute(request, message.headers(), first)
+        }
+
+        private fun onUnattributed(message: HttpResponse) {
+            channel?.close()
+            val status = message.status().code()
+            finish { listener.onFailure(HttpFailure.UNATTRIBUTED, "$address sent $status that names no request") }
+        }
+
         private fun readContent(message: HttpContent) {
             if (!done && message.content().isReadable) listener.onData(message.content())
             if (!done && message is LastHttpContent) onComplete()
@@ -230,7 +235,7 @@
             finish { listener.onFailure(HttpFailure.BROKEN, "$address did not answer in HTTP/1.1: $cause") }
         }
 
-        fun onDisconnected() {
+        override fun onDisconnected() {
             if (done || !retryable) return failAsBroken()
             retryable = false
             connect(this)
@@ -240,10 +245,12 @@
 
         private fun onComplete() {
             val connection = channel
-            connection?.pipeline()?.get(ConnectionHandler::class.java)?.exchange = null
+            connection?.handler?.exchange = null
             connection?.config()?.isAutoRead = true
-            if (keepAlive && requestComplete && connection != null) {
-                returnToPool(connection, idleMs)
+            // Bytes after a complete response belong to no request.
+            val reusable = keepAlive && requestComplete && connection?.decoder?.hasUndecodedBytes == false
+            if (reusable && connection != null) {
+                idleConnections.add(connection, idleMs)
             } else {
                 connection?.close()
             }
@@ -268,62 +275,10 @@
         }
     }
 
-    /** Passes the events of a channel to the exchange that currently uses it. */
-    private class ConnectionHandler : ChannelInboundHandlerAdapter() {
-        var exchange: HttpClient.Exchange? = null
-
-        /** Bytes received since the last part of a message; the decoder skips line breaks without limit. */
-        private var undecodedBytes = 0L
-
-        /** Observes bytes before the HTTP codec. */
-        val byteObserver = object : ChannelInboundHandlerAdapter() {
-            override fun channelRead(context: ChannelHandlerContext, message: Any) {
-                if (exchange == null) {
-                    ReferenceCountUtil.release(message)
-                    context.close()
-                    return
-                }
-                undecodedBytes += (message as? ByteBuf)?.readableBytes() ?: 0
-                context.fireChannelRead(message)
-                if (undecodedBytes > MAX_UNDECODED_BYTES) exchange?.onEndless()
-            }
-        }
-
-        override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            undecodedBytes = 0
-            try {
-                exchange?.read(message) ?: context.close()
-            } finally {
-                ReferenceCountUtil.release(message)
-            }
-        }
-
-        override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-            exchange?.onWritable(context.channel().isWritable)
-        }
-
-        override fun channelInactive(context: ChannelHandlerContext) {
-            exchange?.onDisconnected()
-            exchange = null
-        }
-
-        @Deprecated("Deprecated in Netty's handler interface, which still calls it.")
-        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-            // A response without a length ends when the connection closes; a reset must not be taken for that end.
-            exchange?.onDisconnected()
-            exchange = null
-            context.close()
-        }
-    }
-
     private companion object {
         /** Backend servers close idle connections after some time, which they may declare in a `Keep-Alive` header. */
         const val DEFAULT_IDLE_LIMIT_MS = 60_000L
         const val CONNECT_TIMEOUT_MS = 1_000
-        const val MAX_IDLE_CONNECTIONS = 32
-
-        /** Several times the decoder's limits for a head. */
-        const val MAX_UNDECODED_BYTES = 64 * 1024L
 
         /** Reading more than this costs more than a new connection. */
         const val MAX_SKIPPED_BYTES = 64 * 1024L
@@ -334,18 +289,6 @@
     }
 }
 
-private const val KEEP_ALIVE = "Keep-Alive"
-private const val TIMEOUT_PARAMETER = "timeout="
-private const val MS_PER_SECOND = 1_000L
-
-/** Subtracted from the declared timeout, since the request must arrive before the connection closes. */
-private const val IDLE_TIMEOUT_MARGIN_MS = 500L
-
-/** The idle timeout that a response declares, less a margin; null if it declares none. */
-private fun declaredIdleMs(headers: HttpHeaders): Long? = headers.get(KEEP_ALIVE)
-    ?.split(',')
-    ?.firstOrNull { it.trim().startsWith(TIMEOUT_PARAMETER) }
-    ?.trim()
-    ?.removePrefix(TIMEOUT_PARAMETER)
-    ?.toLongOrNull()
-    ?.let { it * MS_PER_SECOND - IDLE_TIMEOUT_MARGIN_MS }
+private val Channel.handler: ConnectionHandler get() = pipeline().get(ConnectionHandler::class.java)
+
+private val Channel.decoder: ResponseDecoder get() = pipeline().get(ResponseDecoder::class.java)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpExchange.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpExchange.kt
@@ -15,6 +15,12 @@
 
     /** The connection broke after bytes were written; the backend server may have acted on them. */
     BROKEN,
+
+    /**
+     * A response arrived that may belong to another request, and the connection was closed; the backend server may have
+     * acted on the request.
+     */
+    UNATTRIBUTED,
 }
 
 /** Receives the response of one call; all calls come on the traffic thread. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
@@ -63,7 +63,9 @@
         request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, encoded.body.size)
         encoded.headers.forEach { (name, value) -> request.headers().set(name, value) }
         val exchange = Exchange(onResult)
-        val call = client.call(request, Unpooled.wrappedBuffer(encoded.body), newConnection = false, exchange)
+        // Orders carry no id: on a reused connection, a repeated response to an earlier order would pass for the
+        // result.
+        val call = client.call(request, Unpooled.wrappedBuffer(encoded.body), newConnection = true, exchange)
         startTimeout(ORDER_TIMEOUT_MS, exchange, call)
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/plain/PlainRunner.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/plain/PlainRunner.kt
@@ -86,7 +86,7 @@
 
         override fun onFailure(failure: HttpFailure, message: String) = when (failure) {
             HttpFailure.NOT_SENT -> listener.onNotBegun(RefusalReason.NOT_SERVING, message)
-            HttpFailure.BROKEN -> listener.onBroken(message, false)
+            HttpFailure.BROKEN, HttpFailure.UNATTRIBUTED -> listener.onBroken(message, false)
         }
 
         override fun onWritable(writable: Boolean) {
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
@@ -99,13 +99,18 @@
     internal fun startBackends(vararg scripts: List<Script>) {
         val started = scripts.map { ScriptedBackend(*it.toTypedArray()) }
         backends += started
-        val directory = started.foldIndexed(BackendDirectory()) { index, directory, backend ->
+        announce(started.map { it.address })
+    }
+
+    /** Announces backend servers at [addresses]; the first one is preferred. */
+    internal fun announce(addresses: List<String>) {
+        val directory = addresses.foldIndexed(BackendDirectory()) { index, directory, address ->
             val announcement = Announcement(
                 id = "b$index",
                 startedAtMs = 1,
                 sequence = 1,
                 service = "s",
-                address = backend.address,
+                address = address,
                 dataCentre = if (index == 0) "dc" else "other",
                 slots = 4,
                 state = BackendState.READY,
@@ -121,14 +126,19 @@
         }.get()
     }
 
-    internal fun post(path: String, extraHeaders: String = "", key: String = "key", body: String = ""): RawResponse? =
-        RawClient(port).use { client ->
-            client.send(
-                "POST $path HTTP/1.1\r\nHost: h\r\n$ATTEMPT_ID_HEADER: 7\r\nX-Left: 2000\r\n" +
-                    "Authorization: Bearer $key\r\n${extraHeaders}Content-Length: ${body.length}\r\n\r\n$body",
-            )
-            client.read()
-        }
+    internal fun post(
+        path: String,
+        extraHeaders: String = "",
+        key: String = "key",
+        body: String = "",
+        id: String = "7",
+    ): RawResponse? = RawClient(port).use { client ->
+        client.send(
+            "POST $path HTTP/1.1\r\nHost: h\r\n$ATTEMPT_ID_HEADER: $id\r\nX-Left: 2000\r\n" +
+                "Authorization: Bearer $key\r\n${extraHeaders}Content-Length: ${body.length}\r\n\r\n$body",
+        )
+        client.read()
+    }
 
     /** Sends a request of a caller that reads nothing of the response. */
     internal fun sendWithoutReading(path: String): RawClient = RawClient(port).also {
--- /dev/null
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/HttpClientTest.kt
@@ -0,0 +1,160 @@
+package org.bramleyspur.daemon.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import org.bramleyspur.core.settings.Address
+import org.bramleyspur.daemon.caller.FakeBackend
+import org.bramleyspur.daemon.process.EventLoops
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.RepeatedTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectCatching
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isSuccess
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
+
+/** Guards against a response that is taken for the one of a later call, and against a close that fails. */
+class HttpClientTest {
+    private val loops = EventLoops()
+
+    @AfterEach
+    fun closeLoops() = loops.close()
+
+    private fun response(body: String) = "HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n$body"
+
+    /** Collects a response; [onResponse] gets its body, or null after a failure, on the event loop. */
+    private class Reader(private val onResponse: (String?) -> Unit) : HttpListener {
+        private val body = StringBuilder()
+
+        override fun onHead(status: Int, headers: HttpHeaders) = Unit
+
+        override fun onData(data: ByteBuf) {
+            body.append(data.toString(Charsets.UTF_8))
+        }
+
+        override fun onEnd() = onResponse(body.toString())
+
+        override fun onFailure(failure: HttpFailure, message: String) = onResponse(null)
+    }
+
+    private fun HttpClient.get(path: String, onResponse: (String?) -> Unit): HttpCall = call(
+        DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path),
+        Unpooled.EMPTY_BUFFER,
+        false,
+        Reader(onResponse),
+    )
+
+    private fun HttpClient.getAndWait(path: String): String? {
+        val result = CompletableFuture<String?>()
+        loops.traffic.execute { get(path, result::complete) }
+        return result.get(WAIT_SECONDS, TimeUnit.SECONDS)
+    }
+
+    private class Case(val name: String, val first: String, val whileIdle: String = "", val atNextCall: String = "")
+
+    private val stray = response("stray")
+
+    private val cases = listOf(
+        Case("in the packet of the response", response("1") + stray),
+        Case("half of it in the packet of the response", response("1") + stray.take(20), atNextCall = stray.drop(20)),
+        Case("while the connection is idle", response("1"), whileIdle = stray),
+    )
+
+    /** Guards against an extra response that the next call on the connection takes for its own. */
+    @TestFactory
+    fun `an extra response closes its connection`() = cases.map { case ->
+        DynamicTest.dynamicTest(case.name) {
+            lateinit var server: FakeBackend
+            server = FakeBackend {
+                if (path == "/1") {
+                    write(case.first)
+                    Thread.sleep(PAUSE_MS)
+                    if (case.whileIdle.isNotEmpty()) write(case.whileIdle)
+                } else {
+                    if (server.connections == 1) write(case.atNextCall)
+                    write(response("2"))
+                }
+            }
+            HttpClient(Address("127.0.0.1", server.port), loops.trafficGroup).use { client ->
+                expectThat(client.getAndWait("/1")).isEqualTo("1")
+                if (case.whileIdle.isNotEmpty()) Thread.sleep(2 * PAUSE_MS)
+                expectThat(client.getAndWait("/2")).isEqualTo("2")
+                expectThat(server.connections).isEqualTo(2)
+            }
+            server.close()
+        }
+    }
+
+    /** Guards against an extra response that reaches a call that is made as soon as the response before it ends. */
+    @Test
+    fun `an extra response does not reach a call made by the listener`() {
+        val server = FakeBackend { write(if (path == "/1") response("1") + stray else response("2")) }
+        val second = CompletableFuture<String?>()
+        HttpClient(Address("127.0.0.1", server.port), loops.trafficGroup).use { client ->
+            loops.traffic.execute { client.get("/1") { client.get("/2", second::complete) } }
+            expectThat(second.get(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("2")
+        }
+        server.close()
+    }
+
+    /** Guards against a call that timed out and whose late response the next call takes for its own. */
+    @Test
+    fun `a cancelled call never returns its connection`() {
+        val server = FakeBackend {
+            if (path == "/1") Thread.sleep(PAUSE_MS)
+            write(response(path))
+        }
+        HttpClient(Address("127.0.0.1", server.port), loops.trafficGroup).use { client ->
+            expectThat(client.getAndWait("/0")).isEqualTo("/0")
+            val late = CompletableFuture<String?>()
+            val call = loops.traffic.submit<HttpCall> { client.get("/1", late::complete) }.get()
+            Thread.sleep(PAUSE_MS / 2)
+            loops.traffic.submit { call.cancel() }.get()
+            expectThat(client.getAndWait("/2")).isEqualTo("/2")
+            Thread.sleep(2 * PAUSE_MS)
+            expectThat(client.getAndWait("/3")).isEqualTo("/3")
+            expectThat(late.isDone).isEqualTo(false)
+            expectThat(server.connections).isEqualTo(2)
+        }
+        server.close()
+    }
+
+    /** Guards against a failure of the close while calls return their connections, which kept a process from ending. */
+    @RepeatedTest(ROUNDS)
+    fun `a client can be closed on any thread`() {
+        val server = FakeBackend { write(response("x")) }
+        val client = HttpClient(Address("127.0.0.1", server.port), loops.trafficGroup)
+        val begun = CountDownLatch(CALLS)
+        val stopped = AtomicBoolean()
+
+        fun callAgain() {
+            client.get("/") {
+                begun.countDown()
+                if (!stopped.get()) callAgain()
+            }
+        }
+        loops.traffic.execute { repeat(CALLS) { callAgain() } }
+        begun.await(WAIT_SECONDS, TimeUnit.SECONDS)
+        val closed = runCatching { client.close() }
+        stopped.set(true)
+        expectCatching { closed.getOrThrow() }.isSuccess()
+        server.close()
+    }
+
+    private companion object {
+        const val PAUSE_MS = 100L
+        const val WAIT_SECONDS = 5L
+        const val ROUNDS = 30
+        const val CALLS = 30
+    }
+}
