--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
@@ -81,7 +81,8 @@
         counters.onSent()
         choice.longestEventIntervalMs?.let { load.longestEventIntervalMs = it }
         // A reused connection may already be closed by the peer; a request that may run only once gets a new one.
-        val newConnection = !request.route.idempotent
+        // So does a request without an id, since only the first response on a connection needs none.
+        val newConnection = !request.route.idempotent || request.id.isEmpty()
         val head = request.head(load.id, response.lastEventId)
         val body = Unpooled.wrappedBuffer(request.caller.body)
         call = load.client.call(head, body, newConnection, GuardedListener(this, owner::onFault))
@@ -206,12 +207,17 @@
             context.markUnresponsive(load)
             owner.onEnded(this, AttemptEnd.NotSent, message)
         } else {
-            load.onFailure(context.timers.nowMs())
-            if (events.received < EVENTS_PAST_START) context.promptParts.onEngineEnded(request.parts, engine)
+            onBroken(failure)
             owner.onEnded(this, brokenEnd(), message)
         }
     }
 
+    private fun onBroken(failure: HttpFailure) {
+        if (failure == HttpFailure.UNATTRIBUTED) return context.metrics.onUnattributed(request.service.name)
+        load.onFailure(context.timers.nowMs())
+        if (events.received < EVENTS_PAST_START) context.promptParts.onEngineEnded(request.parts, engine)
+    }
+
     private fun brokenEnd() = if (response.started) AttemptEnd.BrokenOff else AttemptEnd.NoAnswer
 
     /** Ends the attempt without using its response. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
@@ -63,6 +63,13 @@
 
     /** Records a connection that was closed because no response could be sent. */
     fun onUnanswered(progress: String) = unanswered.labelValues(progress).inc()
+    private val unattributed = Counter.builder()
+        .name("bramleyspur_unattributed_responses_total")
+        .help("Responses on kept connections that named no request, by service; each one ended its attempt.")
+        .labelNames("service")
+        .register(registry)
+
+    fun onUnattributed(service: String) = unattributed.labelValues(service).inc()
 
     fun onRequestEnd(route: String, outcome: String) = requests.labelValues(route, outcome).inc()
 
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
@@ -171,15 +171,20 @@
         .filter { point -> point.labels.any { it.value == label } }
         .sumOf { it.value }
 
+    /** Announces backend servers at [addresses]; the first one is preferred. */
+    internal fun announce(addresses: List<String>) =
+        apply(document, addresses.mapIndexed { index, address -> announcement(index, address) })
+
     internal fun post(
         path: String,
         extraHeaders: String = "",
         key: String = "key",
         body: String = "",
         remainingMs: Long = 2_000,
+        id: String = "7",
     ): RawResponse? = RawClient(port).use { client ->
         client.send(
-            "POST $path HTTP/1.1\r\nHost: h\r\n$ATTEMPT_ID_HEADER: 7\r\nX-Left: $remainingMs\r\n" +
+            "POST $path HTTP/1.1\r\nHost: h\r\n$ATTEMPT_ID_HEADER: $id\r\nX-Left: $remainingMs\r\n" +
                 "Authorization: Bearer $key\r\n${extraHeaders}Content-Length: ${body.length}\r\n\r\n$body",
         )
         client.read()
