Confine the idle connections of an HTTP client to its event loop

An agent did not end after SIGTERM: HttpClient.close ran on the main thread while the event loop changed the list of idle connections, and failed with a ConcurrentModificationException before the threads were stopped.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
@@ -45,8 +46,8 @@
     connectTimeoutMs: Int = CONNECT_TIMEOUT_MS,
     private val attribute: ResponseAttributor = { _, _, _ -> Attribution.OWN },
 ) : AutoCloseable {
-    private val loop = group.next()
-    private val idleConnections = IdleConnections()
+    private val loop: EventLoop = group.next()
+    private val idleConnections = IdleConnections(loop)
     private val bootstrap =
         Bootstrap()
             .group(loop)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/IdleConnections.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/IdleConnections.kt
@@ -1,10 +1,11 @@
 package org.bramleyspur.daemon.http
 
 import io.netty.channel.Channel
+import io.netty.channel.EventLoop
 import org.bramleyspur.core.time.monotonicMs
 
-/** Open connections that no call uses. Confined to the event loop of the connections. */
-internal class IdleConnections {
+/** Open connections that no call uses. Confined to [loop], the event loop of the connections. */
+internal class IdleConnections(private val loop: EventLoop) {
     private class IdleConnection(val channel: Channel, val untilMs: Long)
 
     private val connections = ArrayDeque<IdleConnection>()
@@ -12,6 +13,7 @@
 
     /** Removes and returns the connection that was added last and is still usable; null if there is none. */
     fun take(): Channel? {
+        checkThread()
         while (connections.isNotEmpty()) {
             val next = connections.removeLast()
             if (next.channel.isActive && monotonicMs() < next.untilMs) return next.channel
@@ -22,6 +24,7 @@
 
     /** Adds [channel] for [limitMs], or closes it if there are enough. */
     fun add(channel: Channel, limitMs: Long) {
+        checkThread()
         if (closed || connections.size >= MAX_IDLE_CONNECTIONS || !channel.isActive) {
             channel.close()
         } else {
@@ -31,11 +34,14 @@
 
     /** Closes all connections, and those that are added later. */
     fun close() {
+        checkThread()
         closed = true
         connections.forEach { it.channel.close() }
         connections.clear()
     }
 
+    private fun checkThread() = check(loop.inEventLoop()) { "idle connections are used outside their event loop" }
+
     private companion object {
         const val MAX_IDLE_CONNECTIONS = 32
     }
