--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Admission.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Admission.kt
@@ -27,12 +27,13 @@
         ?: return Admission.Rejected(HttpResponseStatus.BAD_REQUEST, "the request names no host")
     val route = routes.route(host, request.path)
         ?: return Admission.Rejected(HttpResponseStatus.NOT_FOUND, "no route matches host and path")
-    var account: DocumentAccount? = null
-    if (routes.keysRequired && !route.isPublic) {
-        account = bearerKey(request.headers)?.let { routes.account(it) }
-            ?: return Admission.Rejected(HttpResponseStatus.UNAUTHORIZED, "the key is unknown")
+    val account = bearerKey(request.headers)?.let { routes.account(it) }
+    return if (routes.keysRequired && !route.isPublic && account == null) {
+        Admission.Rejected(HttpResponseStatus.UNAUTHORIZED, "the key is unknown")
+    } else {
+        val service = routes.document.services.getValue(targetService(route, fraction()))
+        Admission.Admitted(route, service, account.takeIf { !route.isPublic })
     }
-    return Admission.Admitted(route, routes.document.services.getValue(targetService(route, fraction())), account)
 }
 
 private fun bearerKey(headers: HttpHeaders): String? {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestReader.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestReader.kt
@@ -1,6 +1,6 @@
 /*
- * Reads the requests of a caller's connection within the limits of the configuration. A limit that is lowered applies to
- * requests that begin afterwards, since a caller cannot take back what it has sent; a raised one applies at once.
+ * Reads the requests of a caller's connection within the limits of the configuration. A limit that is lowered applies
+ * to requests that begin afterwards, since a caller cannot take back what it has sent; a raised one applies at once.
  */
 package org.bramleyspur.daemon.forward
 
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ConfigurationCrossingTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ConfigurationCrossingTest.kt
@@ -165,17 +165,18 @@
                 return client.readUntil("data: b\n\n\r\n0\r\n\r\n")
             }
         }
-        val allowed = when (step) {
-            Step.HEAD_HALF_READ, Step.BODY_HALF_READ -> change.whileRead
-            Step.KEPT_CONNECTION -> change.after
-            // A request that no server has received may be refused when the servers that it waits for go.
-            Step.CONNECTING -> if (change.whileRead == setOf(503)) setOf(200, 503) else setOf(200)
-            else -> setOf(200)
-        }
-        expectAnswer(client.read(), allowed)
+        expectAnswer(client.read(), allowed(step, change))
         if (step == Step.PIPELINED) expectAnswer(client.read(), change.whileRead + change.after)
     }
 
+    private fun allowed(step: Step, change: Change): Set<Int> = when (step) {
+        Step.HEAD_HALF_READ, Step.BODY_HALF_READ -> change.whileRead
+        Step.KEPT_CONNECTION -> change.after
+        // A request that no server has received may be refused when the servers that it waits for go.
+        Step.CONNECTING -> if (change.whileRead == setOf(503)) setOf(200, 503) else setOf(200)
+        else -> setOf(200)
+    }
+
     private fun expectAnswer(response: RawResponse?, allowed: Set<Int>) {
         expectThat(allowed).contains(response?.status ?: 0)
         expectThat(response?.complete).isEqualTo(true)
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/FrontConnectionTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/FrontConnectionTest.kt
@@ -10,8 +10,8 @@
 import java.io.IOException
 
 /**
- * Guards against a limit on requests that outlives its configuration on open connections, and against a refusal that the
- * caller cannot read.
+ * Guards against a limit on requests that outlives its configuration on open connections, and against a refusal that
+ * the caller cannot read.
  */
 class FrontConnectionTest : ForwardTest() {
     private var version = 1L
