Wait for the members of a group before a new leader releases it as incomplete

After a restart of all control instances, the head of a serving group could announce itself before the other members did; the leader then took the group for incomplete and ordered the head to leave, which ended its streams. A member that is silent for a second at that time has the same effect.

GroupPlannerTest, row 'heads first' of 'groups keep serving while control restarts', failed before: all six groups had been replaced by new ones. Now a group is adopted once all its members are known, or after 3 s, the time that members without a head were given already; a head that announces a broken group is not waited for.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupAdoption.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupAdoption.kt
@@ -10,37 +10,53 @@
 import org.bramleyspur.core.backend.GroupId
 import org.bramleyspur.core.backend.GroupState
 
-/** Adopts groups that are not in the planner state; members without a head are eventually ordered to leave. */
+/**
+ * Adopts groups that are not in the planner state. A group some of whose members have not announced themselves is
+ * adopted, to be released, only after [MISSING_MEMBER_TIMEOUT_MS]; members without a head are then ordered to leave.
+ */
 internal fun Planning.adoptGroups() {
     val members = input.engines.values
         .map { it.announcement }
         .filter { it.groupMembership != null }
         .groupBy { it.groupMembership!!.id }
-    trackHeadlessGroups(members)
+    trackPartialGroups(members)
     for ((id, announcements) in members) {
+        if (id in state.groups || id in state.endedGroups) continue
         val head = announcements.firstOrNull { it.groupMembership!!.rank == 0 }
-        if (id !in state.groups && id !in state.endedGroups && head != null) adopt(id, head, announcements)
+        val missingTooLong =
+            state.partialSinceMs[id]?.let { input.nowMs - it > MISSING_MEMBER_TIMEOUT_MS } == true
+        when {
+            head == null -> if (missingTooLong) orderLeave(id, announcements.map { it.incarnation })
+            missingTooLong || id !in state.partialSinceMs -> adopt(id, head, announcements)
+        }
     }
 }
 
 /**
- * Tracks groups whose head has not announced itself. After a restart of control the head may be serving and its
- * announcement may not have arrived yet, so the members are ordered to leave only after [HEADLESS_TIMEOUT_MS].
+ * Tracks groups some of whose members have not announced themselves. After a restart of control the head may be serving
+ * and the other announcements may not have arrived yet.
  */
-private fun Planning.trackHeadlessGroups(members: Map<GroupId, List<Announcement>>) {
-    val headless = members.filter { (_, announcements) -> announcements.none { it.groupMembership!!.rank == 0 } }.keys
-    val previousMs = state.headlessSinceMs
+private fun Planning.trackPartialGroups(members: Map<GroupId, List<Announcement>>) {
+    val partial = members.filterValues { !isComplete(it) }.keys
+    val previousMs = state.partialSinceMs
     state = state.copy(
-        headlessSinceMs = headless.associateWith { previousMs[it] ?: input.nowMs }.toPersistentMap(),
+        partialSinceMs = partial.associateWith { previousMs[it] ?: input.nowMs }.toPersistentMap(),
         endedGroups = if (state.endedGroups.size > PRUNE_THRESHOLD) {
             state.endedGroups.filter { it in members }.toPersistentSet()
         } else {
             state.endedGroups
         },
     )
-    for (id in headless.filter { input.nowMs - state.headlessSinceMs.getValue(it) > HEADLESS_TIMEOUT_MS }) {
-        if (id !in state.groups && id !in state.endedGroups) orderLeave(id, members.getValue(id).map { it.incarnation })
-    }
+}
+
+/** Whether all members of a group are among its [announcements], or its head has found that one has failed. */
+private fun Planning.isComplete(announcements: List<Announcement>): Boolean {
+    val byRank = announcements.associateBy { it.groupMembership!!.rank }
+    val head = byRank[0] ?: return false
+    val model = announcements.firstNotNullOfOrNull { it.groupMembership!!.model }
+    val groupSize = model?.let { modelSpec(head.service, it) }?.groupSize
+    return head.groupMembership!!.state == GroupState.BROKEN || groupSize == null ||
+        (0 until groupSize).all { it in byRank }
 }
 
 private fun Planning.adopt(id: GroupId, head: Announcement, announcements: List<Announcement>) {
@@ -62,5 +78,5 @@
     state = state.copy(groups = state.groups.put(id, group))
 }
 
-/** 2.5 announcement intervals; entries also report the heads that they know to a restarted control instance. */
-private const val HEADLESS_TIMEOUT_MS = 3_000L
+/** 2.5 announcement intervals; entries also report the engines that they know to a restarted control instance. */
+private const val MISSING_MEMBER_TIMEOUT_MS = 3_000L
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -70,7 +70,7 @@
  * @property pendingJoins joins without a result, which may still be executed
  * @property leftMembers engines that have left a group on order while its head may still be in it
  * @property endedGroups groups whose head is known to have left; their members are free
- * @property headlessSinceMs when each group whose head has not announced itself was first seen
+ * @property partialSinceMs when each group some of whose members have not announced themselves was first seen
  * @property probes probes of engines whose announcement is overdue or whose group is stalled
  */
 data class PlannerState(
@@ -89,7 +89,7 @@
     val pendingJoins: PersistentMap<EngineIncarnation, PendingJoin> = persistentMapOf(),
     val leftMembers: PersistentMap<GroupId, PersistentSet<EngineIncarnation>> = persistentMapOf(),
     val endedGroups: PersistentSet<GroupId> = persistentSetOf(),
-    val headlessSinceMs: PersistentMap<GroupId, Long> = persistentMapOf(),
+    val partialSinceMs: PersistentMap<GroupId, Long> = persistentMapOf(),
 )
 
 /**
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/GroupPlannerTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/GroupPlannerTest.kt
@@ -102,16 +102,23 @@
         expectThat(simulation.servingHeads()).get { contains(head) }.isEqualTo(true)
     }
 
-    @Test
-    fun `groups keep serving while control restarts`() {
-        val simulation = simulation(1, faults = false)
-        simulation.run(45_000)
-        val before = simulation.servingHeads().map { it.id to it.group }
-        simulation.engines.filter { it.rank == 0 }.forEach { it.nextAnnouncementMs = simulation.nowMs + 1_150 }
-        simulation.restartControl()
-        simulation.run(6_000)
-        expectThat(simulation.violations).isEmpty()
-        expectThat(simulation.servingHeads().map { it.id to it.group }).isEqualTo(before)
+    /** Times after the restart at which heads and other members announce themselves. */
+    private val announcements = listOf("members first" to (1_150L to null), "heads first" to (100L to 1_150L))
+
+    @TestFactory
+    fun `groups keep serving while control restarts`() = announcements.map { (name, times) ->
+        DynamicTest.dynamicTest(name) {
+            val simulation = simulation(1, faults = false)
+            simulation.run(45_000)
+            val before = simulation.servingHeads().map { it.id to it.group }
+            val (heads, others) = simulation.engines.partition { it.rank == 0 }
+            heads.forEach { it.nextAnnouncementMs = simulation.nowMs + times.first }
+            times.second?.let { atMs -> others.forEach { it.nextAnnouncementMs = simulation.nowMs + atMs } }
+            simulation.restartControl()
+            simulation.run(6_000)
+            expectThat(simulation.violations).isEmpty()
+            expectThat(simulation.servingHeads().map { it.id to it.group }).isEqualTo(before)
+        }
     }
 
     @Test
