Keep a group whose head has just opened when its model leaves the configuration

What callers would see: a configuration without the model, while its group was opening, released the group although its head was open already, which cut the streams that it had accepted. DocumentChangeTest, rows of a leader that has just opened the group, failed before with leave orders (model, models and service dropped); now an open head always counts as serving.

Two branches disagreed on a group whose service the document no longer names as one of engines: a new leader now leaves such a group alone, neither adopted nor ordered to do anything, and DocumentChangeTest expects that; no order is the check that matters.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -105,7 +105,15 @@
     return input.engines.values
         .map { it.announcement }
         .filter { it.service == service.name && it.state == BackendState.READY }
-        .filter { if (it.incarnation in groupModels) lossOf(it.incarnation) == null else !isUnreachable(it.incarnation) }
+        .filter {
+            if (it.incarnation in
+                groupModels
+            ) {
+                lossOf(it.incarnation) == null
+            } else {
+                !isUnreachable(it.incarnation)
+            }
+        }
         .groupBy { it.fabricDomain }
         .mapValues { (_, engines) ->
             val models = engines.mapNotNull { groupModels[it.incarnation] ?: stagedModel(service, it) }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupLifecycle.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupLifecycle.kt
@@ -49,7 +49,7 @@
     val reassigned = group.members.firstOrNull { hasPendingJoinElsewhere(it, group) }
     when {
         // From here on the head may have requests.
-        modelSpec != null && hasGroupState(head, group.id, GroupState.OPEN) ->
+        hasGroupState(head, group.id, GroupState.OPEN) ->
             enterPhase(group, GroupPhase.SERVING, PhaseReason(PhaseCause.OPENED))
         reason != null -> release(group, reason)
         reassigned != null -> release(group, PhaseReason(PhaseCause.MEMBER_LEFT, reassigned.id))
