Do not take a draining engine that no longer listens for a crashed one

What callers would see: two refused connections released a group at once, also when its head was draining, had stopped listening and was still finishing its requests, so its last streams broke off. Found by review. A refusal proves a crash only of an engine that announces itself as ready; a draining one gets the time of a silent one. StalledGroupTest, row of a closing group, failed before.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
@@ -49,7 +49,9 @@
         return when {
             hasEnded(incarnation) -> PhaseReason(PhaseCause.MEMBER_ENDED, incarnation.id)
             probe == null || probe.failures < UNREACHABLE_PROBE_FAILURES -> null
-            probe.crashed -> PhaseReason(PhaseCause.MEMBER_CRASHED, incarnation.id, silentMs)
+            // An engine that drains may no longer listen while it finishes its requests.
+            probe.crashed && announcementOf(incarnation)?.state == BackendState.READY ->
+                PhaseReason(PhaseCause.MEMBER_CRASHED, incarnation.id, silentMs)
             silentMs >= SILENCE_TOLERANCE_MS -> PhaseReason(PhaseCause.MEMBER_SILENT, incarnation.id, silentMs)
             else -> null
         }
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/StalledGroupTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/StalledGroupTest.kt
@@ -2,11 +2,13 @@
 
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import org.bramleyspur.core.backend.BackendState
 import org.bramleyspur.core.backend.GroupId
 import org.bramleyspur.core.backend.GroupMembership
 import org.bramleyspur.core.backend.GroupState
 import org.bramleyspur.core.backend.KnownBackend
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -87,6 +89,27 @@
         }
     }
 
+    /** Guards against a head that drains, no longer listens, and loses its last requests. */
+    @Test
+    fun `a closing group is kept while its draining head refuses connections`() {
+        val draining = members.map { member ->
+            member.copy(
+                state = BackendState.LEAVING,
+                groupMembership = member.groupMembership?.copy(state = GroupState.CLOSING),
+            )
+        }
+        val known = draining.associate { it.id to KnownBackend(it, START_MS) }
+        val evidence = mapOf("e0" to EngineEvidence(lastResponseMs = START_MS - 500, lastUnresponsiveMs = START_MS))
+        val closing = serving.copy(phase = GroupPhase.CLOSING, sinceMs = START_MS)
+        var state = PlannerState(groups = persistentMapOf(group to closing))
+        for (sentMs in listOf(START_MS, START_MS + 20)) {
+            val head = members[0].incarnation
+            state = onProbeResult(state, head, ProbeResult.Refused, group, sentMs, sentMs + 10)
+        }
+        val input = PlannerInput(START_MS + 40, 1, DOCUMENT, known, evidence, trafficStarted = true)
+        expectThat(planGroups(state, input).state.groups[group]?.phase).isEqualTo(GroupPhase.CLOSING)
+    }
+
     private companion object {
         const val START_MS = 100_000L
         const val LATEST_PROBE_MS = START_MS + 10_000L
