Do not close a connection as idle whose response the caller has not taken

By review: a caller that reads its response slowly counted as idle once the entry had written it, and lost the rest after the idle limit. A connection is idle once the network has taken the response. No test of its own.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -122,7 +122,7 @@
     fun closeIfTimedOut() = guarded(::onFault) {
         val idleMs = context.timers.nowMs() - idleSinceMs
         when {
-            responding -> Unit
+            responding || lastResponse?.sent == false -> Unit
             reader.overdue ->
                 refuseInput(HttpResponseStatus.REQUEST_TIMEOUT, "the request was not sent within the time limit")
             // A lowered limit does not apply to a caller that may have learned the one before.
