--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/AnnouncementValidation.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/AnnouncementValidation.kt
@@ -42,7 +42,7 @@
     const val MAX_TEXT_BYTES = 2_048
 
     /** Far more than two clocks differ; a start in the future would own its address for as long as it is announced. */
-    const val MAX_CLOCK_DIFFERENCE_MS = 24 * 3_600_000L
+    const val MAX_CLOCK_DIFFERENCE_MS = 5 * 60_000L
 }
 
 /** Checks the announcement at the Unix time [nowMs]; returns null when it names a usable backend server. */
