Let the excess of late first events fade

What callers saw could not be told from an overload: one second of silence of the only head of a model made its first events late, the entry expected the same of every further request and refused them all as not run, and since none was sent, nothing corrected the expectation. Found by review. The average now fades with a time constant of two seconds. BackendLoadTest covers it; on the code before, the excess did not depend on time.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
@@ -89,7 +89,7 @@
         if (!ended && request.route.idempotent) silence.start(firstDataTimeoutMs())
     }
 
-    /** Time without any response data after which another backend server is tried. */
+    /** Time without any response data after which the attempt counts as silent. */
     private fun firstDataTimeoutMs(): Long = if (request.streaming) {
         (maxOf(choice.expectedMs, choice.predictedMs) * PREDICTION_MARGIN_FACTOR).toLong() + STREAM_SILENCE_LIMIT_MS
     } else {
@@ -184,7 +184,7 @@
         val eventIntervalMs = choice.eventIntervalMs ?: return
         if (events == 0) return
         val now = context.timers.nowMs()
-        if (lastEventMs == null) load.onFirstEvent(now - startedAtMs, choice.predictedMs)
+        if (lastEventMs == null) load.onFirstEvent(now - startedAtMs, choice.predictedMs, now)
         lastEventMs?.let { load.onEventInterval((now - it) / events, eventIntervalMs) }
         lastEventMs = now
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -9,6 +9,7 @@
 import org.bramleyspur.daemon.http.HttpClient
 import org.bramleyspur.traffic.forward.Attribution
 import org.bramleyspur.traffic.forward.attributionOf
+import kotlin.math.exp
 
 /**
  * Load and health of one backend server as seen by this entry. Confined to the traffic thread.
@@ -50,9 +51,8 @@
     var slowdown = 1.0
         private set
 
-    /** Moving average of the observed time to the first event minus the predicted one, in milliseconds. */
-    var firstEventExcessMs = 0.0
-        private set
+    private var firstEventExcessMs = 0.0
+    private var firstEventAtMs = 0L
     private var failureScore = 0.0
     private var unresponsiveCount = 0
     private var reportedRunning = 0
@@ -90,9 +90,18 @@
         slowdown += (sample - slowdown) * SLOWDOWN_WEIGHT
     }
 
+    /**
+     * Moving average of the observed time to the first event minus the predicted one, in milliseconds. It fades, since a
+     * server that is expected to be late receives no requests that could show otherwise.
+     */
+    fun firstEventExcessMs(nowMs: Long): Double =
+        firstEventExcessMs * exp(-(nowMs - firstEventAtMs).coerceAtLeast(0) / FIRST_EVENT_EXCESS_DECAY_MS)
+
     /** Records a first event that arrived after [latencyMs], where [predictedMs] was predicted without the excess. */
-    fun onFirstEvent(latencyMs: Long, predictedMs: Double) {
-        firstEventExcessMs += (latencyMs - predictedMs - firstEventExcessMs) * FIRST_EVENT_WEIGHT
+    fun onFirstEvent(latencyMs: Long, predictedMs: Double, nowMs: Long) {
+        val average = firstEventExcessMs(nowMs)
+        firstEventExcessMs = average + (latencyMs - predictedMs - average) * FIRST_EVENT_WEIGHT
+        firstEventAtMs = nowMs
     }
 
     /** Records a complete response. */
@@ -134,6 +143,7 @@
 
         /** Averages over about five first events, whose latency varies more than the time between events. */
         const val FIRST_EVENT_WEIGHT = 0.2
+        const val FIRST_EVENT_EXCESS_DECAY_MS = 2_000.0
 
         /** Prefills of other requests prolong the time between events; it is rarely below half the predicted one. */
         const val MIN_SLOWDOWN = 0.5
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -27,6 +27,7 @@
  * @property longestEventIntervalMs longest predicted time in milliseconds between events, without the observed
  * slowdown; null for plain services
  * @property prefillMs the part of [predictedMs] that the prefill of the request's own prompt takes
+ * @property firstEventExcessMs average excess in milliseconds of the backend server's recent first events
  */
 internal class BackendChoice(
     val load: BackendLoad,
@@ -34,9 +35,10 @@
     val eventIntervalMs: Double?,
     val longestEventIntervalMs: Double? = null,
     private val prefillMs: Double = 0.0,
+    private val firstEventExcessMs: Double = 0.0,
 ) {
     /** [predictedMs] plus the average excess of the backend server's recent first events. */
-    val expectedMs: Double get() = predictedMs + load.firstEventExcessMs
+    val expectedMs: Double get() = predictedMs + firstEventExcessMs
 
     /** The part of [expectedMs] that does not depend on the length of the prompt. */
     val waitMs: Double get() = expectedMs - prefillMs
@@ -137,6 +139,7 @@
             eventIntervalMs,
             longestEventIntervalMs,
             prefillMs,
+            candidate.firstEventExcessMs,
         )
     }
 
@@ -170,7 +173,7 @@
             timeFactor = timeFactor,
             roundTripMs = if (backendDataCentre == dataCentre) 0.0 else REMOTE_ROUND_TRIP_MS,
             suspect = now < load.suspectUntilMs,
-            firstEventExcessMs = load.firstEventExcessMs,
+            firstEventExcessMs = load.firstEventExcessMs(now),
         )
     }
 
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/BackendLoadTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/BackendLoadTest.kt
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.TestInstance
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 
 /**
@@ -107,6 +108,15 @@
         expectThat(load.isStalled(12_300)).isEqualTo(true)
     }
 
+    /** Guards against a server that gets no request for ever after a silence delayed its first events. */
+    @Test
+    fun `the excess of late first events fades without requests`() {
+        val load = load()
+        repeat(5) { load.onFirstEvent(latencyMs = 1_100, predictedMs = 100.0, nowMs = 10_000) }
+        expectThat(load.firstEventExcessMs(10_000)).isGreaterThan(600.0)
+        expectThat(load.firstEventExcessMs(15_000)).isLessThan(100.0)
+    }
+
     @Test
     fun `the wait excludes the prefill of the request's own prompt`() {
         val shortPrompt = BackendChoice(load(), predictedMs = 120.0, eventIntervalMs = 50.0, prefillMs = 20.0)
