--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -105,15 +105,7 @@
     return input.engines.values
         .map { it.announcement }
         .filter { it.service == service.name && it.state == BackendState.READY }
-        .filter {
-            if (it.incarnation in
-                groupModels
-            ) {
-                lossOf(it.incarnation) == null
-            } else {
-                !isUnreachable(it.incarnation)
-            }
-        }
+        .filter { isUsable(it.incarnation, inGroup = it.incarnation in groupModels) }
         .groupBy { it.fabricDomain }
         .mapValues { (_, engines) ->
             val models = engines.mapNotNull { groupModels[it.incarnation] ?: stagedModel(service, it) }
@@ -121,6 +113,10 @@
         }
 }
 
+/** A silent engine without a group is replaced at once; a member of a group may be sound and go on. */
+private fun Planning.isUsable(incarnation: EngineIncarnation, inGroup: Boolean): Boolean =
+    if (inGroup) lossOf(incarnation) == null else !isUnreachable(incarnation)
+
 private fun Planning.spansDomains(group: PlannedGroup): Boolean =
     group.members.mapNotNull { announcement(it.id)?.fabricDomain }.distinct().size > 1
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
@@ -57,20 +57,12 @@
         .help("Connections closed by the entry on which a request had no complete response, by its progress.")
         .labelNames("progress")
         .register(registry)
-
-    /** Records an exception that was thrown while a request was handled. */
-    fun onFault(progress: String) = faults.labelValues(progress).inc()
-
-    /** Records a connection that was closed because no response could be sent. */
-    fun onUnanswered(progress: String) = unanswered.labelValues(progress).inc()
     private val unattributed = Counter.builder()
         .name("bramleyspur_unattributed_responses_total")
         .help("Responses on kept connections that named no request, by service; each one ended its attempt.")
         .labelNames("service")
         .register(registry)
 
-    fun onUnattributed(service: String) = unattributed.labelValues(service).inc()
-
     fun onRequestEnd(route: String, outcome: String) = requests.labelValues(route, outcome).inc()
 
     /** Records the time from the receipt of a request to the first byte of its response. */
@@ -81,6 +73,14 @@
     fun onPartBlocked(route: String, sentBefore: Boolean) =
         partBlocked.labelValues(route, if (sentBefore) "once" else "never").inc()
 
+    /** Records an exception that was thrown while a request was handled. */
+    fun onFault(progress: String) = faults.labelValues(progress).inc()
+
+    /** Records a connection that was closed because no response could be sent. */
+    fun onUnanswered(progress: String) = unanswered.labelValues(progress).inc()
+
+    fun onUnattributed(service: String) = unattributed.labelValues(service).inc()
+
     fun onRetry(service: String) = retries.labelValues(service).inc()
 
     /** Records a backend server that sent data again after it had been found unresponsive. */
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/AttemptRules.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/AttemptRules.kt
@@ -34,7 +34,7 @@
  *
  * @property idempotent whether the request may run more than once
  * @property resumable whether a response that has started may be continued by another backend server
- * @property otherAttempts attempts that are running, without the one that ended
+ * @property otherAttempts attempts that are running, without the one that ended if one has
  * @property maxAttempts largest number of backend servers to which it is sent
  * @property sentAttempts attempts that were sent at least in part, without those to a backend server asked before
  * @property unsentAttempts attempts of which nothing was sent
