--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
@@ -8,6 +8,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequest
 import org.bramleyspur.daemon.http.HttpCall
 import org.bramleyspur.daemon.http.HttpFailure
 import org.bramleyspur.daemon.http.HttpListener
@@ -77,13 +78,13 @@
     /** Whether the backend server was marked as unresponsive since it last sent data for this attempt. */
     private var markedUnresponsive = false
 
-    fun start() {
+    /** Sends the request with [head]. */
+    fun start(head: HttpRequest) {
         counters.onSent()
         choice.longestEventIntervalMs?.let { load.longestEventIntervalMs = it }
         // A reused connection may already be closed by the peer; a request that may run only once gets a new one.
         // So does a request without an id, since only the first response on a connection needs none.
         val newConnection = !request.route.idempotent || request.id.isEmpty()
-        val head = request.head(load.id, response.lastEventId)
         val body = Unpooled.wrappedBuffer(request.caller.body)
         call = load.client.call(head, body, newConnection, GuardedListener(this, owner::onFault))
         if (!ended && request.route.idempotent) silence.start(firstDataTimeoutMs())
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -102,6 +102,8 @@
     }
 
     private fun start(choice: BackendChoice, countsAgainstBudget: Boolean) {
+        // Built before the attempt counts as sent, since it may throw.
+        val head = request.head(choice.load.id, response.lastEventId)
         if (countsAgainstBudget) {
             budget.onRetry(context.timers.nowMs())
             context.metrics.onRetry(request.service.name)
@@ -112,7 +114,7 @@
         sends++
         val attempt = Attempt(context, request, choice, repeated, response, this)
         running = running.withSent(attempt)
-        attempt.start()
+        attempt.start(head)
     }
 
     /** Ends the request if a part of its prompt crashes engines, or may have crashed one under this request. */
