--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -91,8 +91,8 @@
     }
 
     /**
-     * Moving average of the observed time to the first event minus the predicted one, in milliseconds. It fades, since a
-     * server that is expected to be late receives no requests that could show otherwise.
+     * Moving average of the observed time to the first event minus the predicted one, in milliseconds. It fades, since
+     * a server that is expected to be late receives no requests that could show otherwise.
      */
     fun firstEventExcessMs(nowMs: Long): Double =
         firstEventExcessMs * exp(-(nowMs - firstEventAtMs).coerceAtLeast(0) / FIRST_EVENT_EXCESS_DECAY_MS)
