--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -91,11 +91,13 @@
     }
 
     /**
-     * Moving average of the observed time to the first event minus the predicted one, in milliseconds. It fades, since
-     * a server that is expected to be late receives no requests that could show otherwise.
+     * Moving average of the observed time to the first event minus the predicted one, in milliseconds. It fades after a
+     * time without first events: a server that is expected to be late receives no requests that could show otherwise.
      */
-    fun firstEventExcessMs(nowMs: Long): Double =
-        firstEventExcessMs * exp(-(nowMs - firstEventAtMs).coerceAtLeast(0) / FIRST_EVENT_EXCESS_DECAY_MS)
+    fun firstEventExcessMs(nowMs: Long): Double {
+        val fadingMs = (nowMs - firstEventAtMs - FIRST_EVENT_VALIDITY_MS).coerceAtLeast(0)
+        return firstEventExcessMs * exp(-fadingMs / FIRST_EVENT_DECAY_MS)
+    }
 
     /** Records a first event that arrived after [latencyMs], where [predictedMs] was predicted without the excess. */
     fun onFirstEvent(latencyMs: Long, predictedMs: Double, nowMs: Long) {
@@ -143,7 +145,10 @@
 
         /** Averages over about five first events, whose latency varies more than the time between events. */
         const val FIRST_EVENT_WEIGHT = 0.2
-        const val FIRST_EVENT_EXCESS_DECAY_MS = 2_000.0
+        const val FIRST_EVENT_DECAY_MS = 2_000.0
+
+        /** First events arrive more often than this, unless requests are kept from the server. */
+        const val FIRST_EVENT_VALIDITY_MS = 1_000L
 
         /** Prefills of other requests prolong the time between events; it is rarely below half the predicted one. */
         const val MIN_SLOWDOWN = 0.5
