Plan once for all queued events, and count no time in which control was late

Cause: with 370 engines control planned after every changed announcement and every result of an order or probe, about a thousand times a second at 3 ms each. The thread fell 0.4 to 0.8 s behind, took responses that it had not read for silence, probed all engines, and gave up its own groups.

Time-outs of orders and probes count only time in which the thread ran (ObservedTimeout); the planner subtracts the measured lag (LoopLag) before an announcement counts as overdue, and control logs it. The planner keeps the targets, free engines and members that did not change.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineProbes.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineProbes.kt
@@ -34,7 +34,7 @@
     if (announcedSince && !stalled) state = state.copy(probes = state.probes.remove(incarnation))
     val due = last == null || isFailureUnconfirmed(last, stalled) ||
         input.nowMs - last.sentMs >= probeIntervalMs(incarnation, last, probing.grouped)
-    val suspect = stalled || input.nowMs - backend.receivedAtMs > ANNOUNCEMENT_OVERDUE_MS
+    val suspect = stalled || input.nowMs - backend.receivedAtMs - input.lagMs > ANNOUNCEMENT_OVERDUE_MS
     if (suspect && due) probe(incarnation, backend.announcement.address)
 }
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -25,7 +25,7 @@
 /** Forms missing groups from engines that need no load, and stages weights for groups that are still missing. */
 internal fun Planning.formGroups(service: DocumentService) {
     if (isStartingUp(service)) return
-    val wanted = wantedGroups(usableEnginesByDomain(service), service.models)
+    val wanted = targetsOf(service)
     val totals = service.models.associate { m -> m.name to wanted.values.sumOf { it[m.name] ?: 0 } }
     for (model in service.models) {
         var missing = totals.getValue(model.name) - activeGroups(service, model).count { !spansDomains(it) }
@@ -44,6 +44,16 @@
     warmSpares(service)
 }
 
+private fun Planning.targetsOf(service: DocumentService): DomainTargets {
+    val engines = usableEnginesByDomain(service)
+    val last = state.targets[service.name]
+    if (last != null && last.engines == engines && last.models == service.models) return last.wanted
+    val wanted = wantedGroups(engines, service.models)
+    val targets = ServiceTargets(engines, service.models, wanted)
+    state = state.copy(targets = state.targets.put(service.name, targets))
+    return wanted
+}
+
 /**
  * Forms groups beyond the wanted number wherever a domain has enough free engines with the weights of a model. As
  * spares these engines would serve no requests, and after a loss the domain would have no more groups than with them.
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -11,6 +11,7 @@
 import org.bramleyspur.core.backend.GroupId
 import org.bramleyspur.core.backend.KnownBackend
 import org.bramleyspur.core.document.Document
+import org.bramleyspur.core.document.ModelSpec
 
 /** One incarnation of an engine, which may keep its id when it restarts. */
 data class EngineIncarnation(val id: String, val startedAtMs: Long)
@@ -72,6 +73,7 @@
  * @property endedGroups groups whose head is known to have left; their members are free
  * @property partialSinceMs when each group some of whose members have not announced themselves was first seen
  * @property probes probes of engines whose announcement is overdue or whose group is stalled
+ * @property targets the last computed targets of each service; they change only with the engines or the models
  */
 data class PlannerState(
     val groups: PersistentMap<GroupId, PlannedGroup> = persistentMapOf(),
@@ -90,6 +92,14 @@
     val leftMembers: PersistentMap<GroupId, PersistentSet<EngineIncarnation>> = persistentMapOf(),
     val endedGroups: PersistentSet<GroupId> = persistentSetOf(),
     val partialSinceMs: PersistentMap<GroupId, Long> = persistentMapOf(),
+    val targets: PersistentMap<String, ServiceTargets> = persistentMapOf(),
+)
+
+/** The [wanted] groups for the usable [engines] and the [models] of a service. */
+data class ServiceTargets(
+    val engines: Map<String, DomainEngines>,
+    val models: List<ModelSpec>,
+    val wanted: DomainTargets,
 )
 
 /**
@@ -127,6 +137,7 @@
  * @property term term of the control leader
  * @property engines all backend servers that have announced themselves
  * @property trafficStarted whether a request has been served; until then loads are fast and not rate-limited
+ * @property lagMs how late the leader has recently been in reading messages
  */
 data class PlannerInput(
     val nowMs: Long,
@@ -135,6 +146,7 @@
     val engines: Map<String, KnownBackend>,
     val evidence: Map<String, EngineEvidence>,
     val trafficStarted: Boolean,
+    val lagMs: Long = 0,
 )
 
 /** A probe of the state of the engine [incarnation] at [address]. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
@@ -17,6 +17,8 @@
 internal class Planning(var state: PlannerState, val input: PlannerInput) {
     val orders = ArrayList<EngineOrder>()
     val probes = ArrayList<EngineProbe>()
+    private val freeEnginesMemo = HashMap<String, FreeEngines>()
+    private val assignedMemo = AssignedMembers()
 
     fun announcement(id: String): Announcement? = input.engines[id]?.announcement
 
@@ -34,7 +36,9 @@
     private fun lastContactMs(incarnation: EngineIncarnation): Long =
         maxOf(input.engines[incarnation.id]?.receivedAtMs ?: 0L, state.probes[incarnation]?.lastResponseMs ?: 0L)
 
-    private fun sinceLastContactMs(incarnation: EngineIncarnation): Long = input.nowMs - lastContactMs(incarnation)
+    /** Without the time for which the leader itself was late. */
+    private fun sinceLastContactMs(incarnation: EngineIncarnation): Long =
+        input.nowMs - lastContactMs(incarnation) - input.lagMs
 
     /** Whether [failures] consecutive probes have failed, or nothing was received for [UNREACHABLE_AFTER_MS]. */
     fun isUnreachable(incarnation: EngineIncarnation, failures: Int = UNREACHABLE_PROBE_FAILURES): Boolean {
@@ -107,7 +111,7 @@
     private fun recordLastModel(engine: Announcement) {
         val membership = engine.groupMembership ?: return
         val model = membership.model ?: return
-        if (membership.state == GroupState.JOINING) return
+        if (membership.state == GroupState.JOINING || state.lastModel[engine.incarnation] == model) return
         state = state.copy(lastModel = state.lastModel.put(engine.incarnation, model))
     }
 
@@ -154,17 +158,30 @@
 
     /** Ready engines of [service] that are in no group and respond to control. */
     fun freeEngines(service: String): List<Announcement> {
+        val last = freeEnginesMemo[service]
+        if (last != null && last.isValidFor(state)) return last.engines
+        return computeFreeEngines(service).also { freeEnginesMemo[service] = FreeEngines(state, it) }
+    }
+
+    private fun computeFreeEngines(service: String): List<Announcement> {
         val occupied = state.groups.values.flatMap { group -> group.members.filter { mayBeIn(it, group) } }.toSet()
         return input.engines.values
-            .filter { it.announcement.service == service && it.announcement.state == BackendState.READY }
             .map { it.announcement }
-            .filter { !isUnreachable(it.incarnation, failures = 1) }
-            .filter { it.incarnation !in occupied && state.absent[it.id] != it.startedAtMs }
-            .filter {
-                it.groupMembership == null || hasLeft(it.incarnation, it.groupMembership!!.id) || headHasLeft(it)
-            }
+            .filter { it.service == service && it.state == BackendState.READY && isFree(it, occupied) }
+    }
+
+    private fun isFree(engine: Announcement, occupied: Set<EngineIncarnation>): Boolean {
+        val incarnation = engine.incarnation
+        if (incarnation in occupied || state.absent[engine.id] == engine.startedAtMs) return false
+        val membership = engine.groupMembership
+        if (membership != null && !hasLeft(incarnation, membership.id) && !headHasLeft(engine)) return false
+        return !isUnreachable(incarnation, failures = 1)
     }
 
+    /** Members of groups of the model, in each domain, that serve, form or warm up. */
+    fun assignedByDomain(service: String, model: String): Map<String, List<EngineIncarnation>> =
+        assignedMemo.of(state.groups, service, model) { announcement(it.id)?.fabricDomain.orEmpty() }
+
     /** Whether a member may still be in the group, according to its announcements and orders. */
     fun mayBeIn(incarnation: EngineIncarnation, group: PlannedGroup): Boolean {
         if (hasLeft(incarnation, group.id)) return false
@@ -220,6 +237,13 @@
     }
 }
 
+/** The free engines of a service, computed for [state]. */
+private class FreeEngines(private val state: PlannerState, val engines: List<Announcement>) {
+    fun isValidFor(other: PlannerState): Boolean = state.groups === other.groups && state.absent === other.absent &&
+        state.probes === other.probes && state.pendingJoins === other.pendingJoins &&
+        state.leftMembers === other.leftMembers && state.endedGroups === other.endedGroups
+}
+
 /** Interval for repeating an order without response; engines respond within milliseconds, even across data centres. */
 private const val ORDER_REPEAT_MS = 600L
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
@@ -72,17 +72,12 @@
     wanted.groups(domain, model) * model.groupSize + wanted.spares(domain, model, service.models)
 
 private fun Planning.assignedIn(service: DocumentService, model: ModelSpec, domain: String): Int =
-    assignedTo(service, model).count { announcement(it.id)?.fabricDomain == domain }
+    assignedByDomain(service.name, model.name)[domain]?.size ?: 0
 
 /** Number of engines that are in groups of the model or staged for it. */
 private fun Planning.enginesOf(service: DocumentService, model: ModelSpec, free: List<Announcement>): Int =
-    assignedTo(service, model).size + free.count { stagedModel(service, it) == model.name }
-
-/** Engines in groups of the model, including engines that warm up alone. */
-private fun Planning.assignedTo(service: DocumentService, model: ModelSpec): List<EngineIncarnation> =
-    state.groups.values
-        .filter { it.service == service.name && it.model == model.name && it.phase in ASSIGNED_PHASES }
-        .flatMap { it.members }
+    assignedByDomain(service.name, model.name).values.sumOf { it.size } +
+        free.count { stagedModel(service, it) == model.name }
 
 internal fun Planning.enginesPerWork(model: ModelSpec, engineCounts: Map<String, Int>): Double =
     engineCounts.getValue(model.name) / model.workShare.coerceAtLeast(MIN_WORK_SHARE)
@@ -124,7 +119,6 @@
 
 /** Retry interval for a host that refuses to stage, which it does for up to 16 s while it loads other weights. */
 private const val STAGE_RETRY_MS = 5_000L
-private val ASSIGNED_PHASES = setOf(GroupPhase.WARMING, GroupPhase.FORMING, GroupPhase.SERVING)
 
 /** Fraction of the declared load rate that the planner uses. */
 private const val LOAD_RATE_MARGIN = 0.9
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
@@ -124,6 +124,16 @@
     var ordersSent = 0
         private set
 
+    /** Number of probes that the planner has sent. */
+    var probesSent = 0
+        private set
+
+    /** Number of planning runs, and the time that they took. */
+    var plans = 0
+        private set
+    var planNanos = 0L
+        private set
+
     /** Events of all engines and leaders, printed when a violation is found. */
     val history = ArrayList<String>()
     var nowMs = 100_000L
@@ -298,7 +308,11 @@
     private fun plan() {
         val input = PlannerInput(nowMs, term, document, directory.backends, evidence, true)
         val before = state
+        val startNanos = System.nanoTime()
         val step = planGroups(state, input)
+        planNanos += System.nanoTime() - startNanos
+        plans++
+        probesSent += step.probes.size
         state = step.state
         (before.groups.keys - state.groups.keys).forEach { history += "$nowMs leader $term ends $it" }
         state.groups.values.filter { it != before.groups[it.id] }.forEach { history += "$nowMs leader $term $it" }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -9,6 +9,7 @@
 import org.bramleyspur.control.group.EngineIncarnation
 import org.bramleyspur.control.group.EngineOrder
 import org.bramleyspur.control.group.EngineProbe
+import org.bramleyspur.control.group.OrderResult
 import org.bramleyspur.control.group.PlannerInput
 import org.bramleyspur.control.group.PlannerState
 import org.bramleyspur.control.group.ProbeResult
@@ -24,12 +25,28 @@
 import org.bramleyspur.core.time.TimerService
 import org.bramleyspur.protocol.DirectoryRequest
 
-/** Runs the group planner and sends its orders while this control instance leads; confined to the control thread. */
+/**
+ * Sends orders and probes to engines. Each function calls its last argument once, with the result and a detail for the
+ * log; [closeAllExcept] closes the connections to other addresses.
+ */
+internal class EngineCalls(
+    val order: (EngineOrder, onResult: (OrderResult, String) -> Unit) -> Unit,
+    val probe: (address: String, onResult: (ProbeResult, String) -> Unit) -> Unit,
+    val closeAllExcept: (addresses: Set<String>) -> Unit,
+)
+
+/**
+ * Runs the group planner and sends its orders while this control instance leads; confined to the control thread.
+ *
+ * @property lagMs how late that thread has recently been, in milliseconds
+ * @property replan requests another planning run
+ */
 internal class GroupDriver(
     private val timers: TimerService,
-    private val sender: OrderSender,
+    private val calls: EngineCalls,
     private val decodeDocument: DocumentDecoder,
     private val log: DecisionLog,
+    private val lagMs: () -> Long,
     private val replan: () -> Unit,
 ) {
     private var term: Long? = null
@@ -56,19 +73,19 @@
 
     /** Closes the connections to engines that are not in [engines], and forgets what entries reported about them. */
     fun closeAllExcept(engines: Map<String, KnownBackend>) {
-        sender.closeAllExcept(engines.values.map { it.announcement.address }.toSet())
+        calls.closeAllExcept(engines.values.map { it.announcement.address }.toSet())
         evidence = evidence.filterKeys { it in engines }.toPersistentMap()
     }
 
-    /** Discards the planner state after this instance has lost leadership. */
-    fun reset() {
-        if (term == null) return
-        term = null
-        state = PlannerState()
-    }
-
-    /** Plans as the leader of [leadingTerm], and sends the resulting orders and probes. */
-    fun plan(leadingTerm: Long, document: StoredDocument?, engines: Map<String, KnownBackend>) {
+    /**
+     * Plans as the leader of [leadingTerm], if any, and sends the resulting orders and probes.
+     */
+    fun plan(leadingTerm: Long?, document: StoredDocument?, engines: Map<String, KnownBackend>) {
+        if (leadingTerm == null) {
+            term = null
+            state = PlannerState()
+            return
+        }
         if (document == null) return
         if (term != leadingTerm) {
             state = PlannerState()
@@ -83,6 +100,7 @@
             engines,
             evidence,
             trafficStarted,
+            lagMs(),
         )
         val before = state
         val step = planGroups(state, input)
@@ -98,7 +116,7 @@
 
     private fun sendProbe(probe: EngineProbe) {
         val sentAtMs = timers.nowMs()
-        sender.probe(probe.address) { result, reason ->
+        calls.probe(probe.address) { result, reason ->
             if (result !is ProbeResult.Answered) {
                 log.write(
                     "probe-unanswered",
@@ -154,7 +172,7 @@
     private fun sendOrder(order: EngineOrder, engineIncarnation: EngineIncarnation) {
         val sentAtMs = timers.nowMs()
         val sentTerm = term
-        sender.send(order) { result, detail ->
+        calls.order(order) { result, detail ->
             log.write(
                 "order",
                 "engine" to order.engineId,
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/OrderSender.kt
@@ -18,6 +18,7 @@
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.core.time.TimerHandle
 import org.bramleyspur.core.time.TimerService
+import org.bramleyspur.core.time.afterObserved
 import org.bramleyspur.daemon.http.HttpCall
 import org.bramleyspur.daemon.http.HttpClient
 import org.bramleyspur.daemon.http.HttpFailure
@@ -71,7 +72,7 @@
     }
 
     private fun startTimeout(timeoutMs: Long, exchange: Exchange, call: HttpCall) {
-        exchange.timeout = timers.after(timeoutMs) {
+        exchange.timeout = timers.afterObserved(timeoutMs) {
             call.cancel()
             exchange.finish(OrderResult.UNANSWERED, "no response within $timeoutMs ms")
         }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -25,6 +25,8 @@
 import org.bramleyspur.core.document.DocumentDecoder
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.core.telemetry.DecisionLog
+import org.bramleyspur.core.time.CoalescedTask
+import org.bramleyspur.core.time.LoopLag
 import org.bramleyspur.core.wire.toMessages
 import org.bramleyspur.core.wire.toModel
 import org.bramleyspur.daemon.controlplane.ControlPlaneCall
@@ -43,6 +45,7 @@
 import org.bramleyspur.daemon.member.PeerService
 import org.bramleyspur.daemon.member.PeerTransport
 import org.bramleyspur.daemon.operator.OperatorService
+import org.bramleyspur.daemon.orders.EngineCalls
 import org.bramleyspur.daemon.orders.EngineDialect
 import org.bramleyspur.daemon.orders.GroupDriver
 import org.bramleyspur.daemon.orders.OrderSender
@@ -144,12 +147,17 @@
         ::report,
     ) { _, event -> onEvent(event) }
     private val admission = MemberAdmission(loops.controlGroup, timers)
+    private val lag = LoopLag(timers) { log.write("control-late", "lag_ms" to it) }
+    private val planning = CoalescedTask(timers, ::plan)
     private val groupDriver = GroupDriver(
         timers,
-        OrderSender(loops.controlGroup, timers, dialect.engines),
+        OrderSender(loops.controlGroup, timers, dialect.engines).let {
+            EngineCalls(it::send, it::probe, it::closeAllExcept)
+        },
         dialect.decodeDocument,
         log,
-        ::plan,
+        { lag.recentMs() },
+        { planning.request() },
     )
     private val controlPlane = ControlPlaneServer(dialect.decodeCall, ::onCallFailure, ::handle)
     private val platform = PlatformServer(::readiness, registry)
@@ -175,7 +183,8 @@
             openLog()
             directoryServer.start()
             directoryClient.start()
-            timers.every(PLAN_INTERVAL_MS) { plan() }
+            lag.start()
+            timers.every(PLAN_INTERVAL_MS) { planning.request() }
             timers.every(ADMISSION_INTERVAL_MS) { requestAdmissionIfNeeded() }
             timers.every(EXPIRY_INTERVAL_MS) { expireBackends() }
         }.get()
@@ -339,7 +348,7 @@
                 "domain" to announcement.fabricDomain,
                 "sequence" to announcement.sequence,
             )
-            plan()
+            planning.request()
         }
         return true
     }
@@ -354,8 +363,7 @@
 
     private fun plan() {
         val current = node ?: return
-        val term = current.leadingTerm() ?: return groupDriver.reset()
-        groupDriver.plan(term, current.state.document, directory.backends)
+        groupDriver.plan(current.leadingTerm(), current.state.document, directory.backends)
     }
 
     private fun handle(call: ControlPlaneCall, respond: (ControlPlaneResponse) -> Unit) = when (call) {
