Keep the planner state as long as the term lasts

Cause: a leader whose lease lapsed and was renewed in the same term began with an empty planner state and issued the group names of its term again. Ruled out: an adopted group that is incomplete (it is released, not opened), and an engine that confuses two groups (it refuses a join of the same name and epoch with other members).

Change: only another term resets the state; a renewed lease proves that no other leader has issued orders in between.

Shown: GroupDriverTest, 2 of 5 cases failed before.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -78,15 +78,11 @@
     }
 
     /**
-     * Plans as the leader of [leadingTerm], if any, and sends the resulting orders and probes.
+     * Plans as the leader of [leadingTerm], if any, and sends the resulting orders and probes. The planner state lasts as long
+     * as the term: a leader whose lease lapses and is renewed must not issue a group epoch of the term again.
      */
     fun plan(leadingTerm: Long?, document: StoredDocument?, engines: Map<String, KnownBackend>) {
-        if (leadingTerm == null) {
-            term = null
-            state = PlannerState()
-            return
-        }
-        if (document == null) return
+        if (leadingTerm == null || document == null) return
         if (term != leadingTerm) {
             state = PlannerState()
             // Groups formed under an earlier leader prove that the system has been running.
