Let the models of a fabric domain share its spares

Cause: the targets kept spares for every model of a domain, so with groups of 6 and 3 in domains of 11 (6 + 3 + 2 + 1 > 11) no domain had room for both models.

Change: a domain keeps as many spares as its most demanding model needs.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
@@ -34,13 +34,16 @@
 /** Number of spares that a domain has for the groups of the model; larger groups lose members more often. */
 fun sparesOf(model: ModelSpec): Int = (model.groupSize + MEMBERS_PER_SPARE - 1) / MEMBERS_PER_SPARE
 
-/** With one spare per four members, a group of four and a group of two with their spares fill a domain of eight. */
 private const val MEMBERS_PER_SPARE = 4
 
 /** Number of spares of a domain, given the models that have groups in it. */
 private typealias SpareRule = (models: Set<ModelSpec>) -> Int
 
-private val allSpares: SpareRule = { models -> models.sumOf { sparesOf(it) } }
+/**
+ * The models of a domain share its spares: losses that hit groups of two models at once are rare, and while whole groups
+ * wait for spares of each model, their engines serve no requests.
+ */
+private val allSpares: SpareRule = { models -> models.maxOf { sparesOf(it) } }
 private val oneSpare: SpareRule = { 1 }
 private val noSpares: SpareRule = { 0 }
 
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/PlanCostMeasurement.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/PlanCostMeasurement.kt
@@ -1,6 +1,6 @@
 /*
- * Measures the planner by the number of engines: the time of a planning run while groups form and while nothing happens,
- * and the orders and probes for each engine. Run it with -Dtest=PlanCostMeasurement.
+ * Measures the planner by the number of engines: the time of a planning run while groups form and while nothing
+ * happens, and the orders and probes for each engine. Run it with -Dtest=PlanCostMeasurement.
  */
 package org.bramleyspur.control.group
 
