--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/Announcement.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/Announcement.kt
@@ -4,6 +4,7 @@
 package org.bramleyspur.core.backend
 
 import kotlinx.collections.immutable.ImmutableList
+import java.util.zip.CRC32
 
 /** Whether a backend server accepts new requests. */
 enum class BackendState { READY, LEAVING, GONE }
@@ -44,4 +45,34 @@
     /** Whether this announcement was made after [other] by the same backend server. */
     fun isNewerThan(other: Announcement): Boolean =
         startedAtMs > other.startedAtMs || (startedAtMs == other.startedAtMs && sequence > other.sequence)
+
+    /** Whether this announcement says the same as [other], apart from its sequence number. */
+    fun hasContentOf(other: Announcement): Boolean = copy(sequence = other.sequence) == other
+}
+
+/** Checksum of all fields of the announcement but its sequence number; the same on all instances. */
+internal fun Announcement.contentChecksum(): Int {
+    val group = groupMembership
+    val fields = listOf(
+        id,
+        startedAtMs,
+        service,
+        address,
+        dataCentre,
+        slots,
+        state.name,
+        fabricDomain,
+        stagedModels.joinToString(FIELD_SEPARATOR),
+        group?.id?.name,
+        group?.id?.epoch,
+        group?.rank,
+        group?.state?.name,
+        group?.model,
+    )
+    val checksum = CRC32()
+    checksum.update(fields.joinToString(FIELD_SEPARATOR).encodeToByteArray())
+    return checksum.value.toInt()
 }
+
+/** Not part of a name, which has no control characters. */
+private const val FIELD_SEPARATOR = "\u0000"
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/BackendDirectory.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/BackendDirectory.kt
@@ -8,7 +8,25 @@
 import kotlinx.collections.immutable.persistentMapOf
 
 /** A backend server; [receivedAtMs] is when its last announcement reached a control instance, in milliseconds. */
-data class KnownBackend(val announcement: Announcement, val receivedAtMs: Long)
+data class KnownBackend(val announcement: Announcement, val receivedAtMs: Long) {
+    /** Checksum of what the announcement says, apart from its sequence number. */
+    val contentChecksum: Int by lazy(LazyThreadSafetyMode.NONE) { announcement.contentChecksum() }
+}
+
+/** A further announcement of a backend server whose content has the checksum [contentChecksum]. */
+data class Renewal(val id: String, val startedAtMs: Long, val sequence: Long, val contentChecksum: Int)
+
+/** Outcome of a renewal. */
+sealed interface RenewalOutcome {
+    /** The backend server is renewed in [directory]. */
+    data class Renewed(val directory: BackendDirectory) : RenewalOutcome
+
+    /** As new an announcement is known already. */
+    data object Outdated : RenewalOutcome
+
+    /** The announcement to which the renewal refers is not known. */
+    data object Unknown : RenewalOutcome
+}
 
 /**
  * The engine that receives the requests of a group.
@@ -22,19 +40,22 @@
  * tombstone for [TOMBSTONE_RETENTION_MS], so that a delayed announcement does not add it again. At most [MAX_BACKENDS]
  * are retained: those that were announced last.
  */
-data class BackendDirectory(val backends: PersistentMap<String, KnownBackend> = persistentMapOf()) {
-    /** Computed once for each version of the directory, since every request calls [openGroupHeads]. */
-    private val membersByGroup: Map<Pair<String, GroupId>, List<Announcement>> by lazy(LazyThreadSafetyMode.NONE) {
-        backends.values
-            .map { it.announcement }
-            .filter { it.state != BackendState.GONE && it.groupMembership != null }
-            .groupBy { it.service to it.groupMembership!!.id }
-    }
+class BackendDirectory private constructor(
+    val backends: PersistentMap<String, KnownBackend>,
+    private val index: BackendIndex,
+) {
+    constructor(backends: PersistentMap<String, KnownBackend> = persistentMapOf()) : this(
+        backends,
+        BackendIndex(backends),
+    )
 
     /** Adds [announcement], received at [receivedAtMs], unless a newer one of the same backend server is known. */
     fun withAnnouncement(announcement: Announcement, receivedAtMs: Long): BackendDirectory {
         val current = backends[announcement.id]
         if (current != null && !announcement.isNewerThan(current.announcement)) return this
+        if (current != null && announcement.hasContentOf(current.announcement)) {
+            return withSequence(current, announcement.sequence, receivedAtMs)
+        }
         val sameAddress = backends.values.filter {
             it.announcement.address == announcement.address && it.announcement.id != announcement.id
         }
@@ -48,6 +69,24 @@
         return BackendDirectory(remaining.put(announcement.id, KnownBackend(announcement, receivedAtMs)).bounded())
     }
 
+    /** Applies [renewal], received at [receivedAtMs]. */
+    fun renew(renewal: Renewal, receivedAtMs: Long): RenewalOutcome {
+        val current = backends[renewal.id] ?: return RenewalOutcome.Unknown
+        val known = current.announcement
+        return when {
+            known.startedAtMs > renewal.startedAtMs -> RenewalOutcome.Outdated
+            known.startedAtMs == renewal.startedAtMs && known.sequence >= renewal.sequence -> RenewalOutcome.Outdated
+            known.startedAtMs < renewal.startedAtMs -> RenewalOutcome.Unknown
+            current.contentChecksum != renewal.contentChecksum -> RenewalOutcome.Unknown
+            else -> RenewalOutcome.Renewed(withSequence(current, renewal.sequence, receivedAtMs))
+        }
+    }
+
+    private fun withSequence(current: KnownBackend, sequence: Long, receivedAtMs: Long): BackendDirectory {
+        val announcement = current.announcement.copy(sequence = sequence)
+        return BackendDirectory(backends.put(announcement.id, KnownBackend(announcement, receivedAtMs)), index)
+    }
+
     /** Without the backend server that was announced the longest time ago, if there are too many. */
     private fun PersistentMap<String, KnownBackend>.bounded(): PersistentMap<String, KnownBackend> =
         if (size <= MAX_BACKENDS) this else remove(minBy { (_, backend) -> backend.receivedAtMs }.key)
@@ -61,25 +100,16 @@
         return if (stale.isEmpty()) this else BackendDirectory(stale.keys.fold(backends) { map, id -> map.remove(id) })
     }
 
-    /** Backend servers of a plain [service] that accept new requests. */
-    fun readyPlainBackends(service: String): List<KnownBackend> =
-        backends.values.filter { it.announcement.service == service && it.announcement.state == BackendState.READY }
+    /** Announcements of the backend servers of a plain [service] that accept new requests. */
+    fun readyPlainBackends(service: String): List<Announcement> = index.readyBackends(service)
 
     /** Heads of the open and complete groups of [model] in [service]; a complete group has [groupSize] engines. */
-    fun openGroupHeads(service: String, model: String, groupSize: Int): List<GroupHead> {
-        val members = membersByGroup
-        return backends.values.map { it.announcement }.filter { announcement ->
-            val membership = announcement.groupMembership
-            announcement.service == service && announcement.state == BackendState.READY && membership != null &&
-                membership.rank == 0 && membership.state == GroupState.OPEN && membership.model == model &&
-                members.getValue(service to membership.id).size >= groupSize
-        }.map { head ->
-            GroupHead(
-                head,
-                members.getValue(service to head.groupMembership!!.id).distinctBy { it.fabricDomain }.size > 1,
-            )
-        }
-    }
+    fun openGroupHeads(service: String, model: String, groupSize: Int): List<GroupHead> =
+        index.openHeads(service, model, groupSize)
+
+    override fun equals(other: Any?): Boolean = other is BackendDirectory && other.backends == backends
+
+    override fun hashCode(): Int = backends.hashCode()
 
     companion object {
         /**
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/wire/DirectoryWire.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/wire/DirectoryWire.kt
@@ -14,9 +14,13 @@
 import org.bramleyspur.core.backend.GroupId
 import org.bramleyspur.core.backend.GroupMembership
 import org.bramleyspur.core.backend.GroupState
+import org.bramleyspur.core.backend.KnownBackend
+import org.bramleyspur.core.backend.Renewal
+import org.bramleyspur.core.backend.RenewalOutcome
 import org.bramleyspur.core.backend.validate
 import org.bramleyspur.protocol.BackendAnnouncement
 import org.bramleyspur.protocol.BackendGroup
+import org.bramleyspur.protocol.BackendRenewal
 
 /** Converts to the generated message; [ageMs] is the time since the announcement was received. */
 fun Announcement.toMessage(ageMs: Long): BackendAnnouncement {
@@ -41,6 +45,35 @@
 fun BackendDirectory.toMessages(nowMs: Long): List<BackendAnnouncement> =
     backends.values.map { it.announcement.toMessage(nowMs - it.receivedAtMs) }
 
+/** Converts the renewal of [backend], received at a control instance [ageMs] ago, to the generated message. */
+fun renewalMessage(backend: KnownBackend, ageMs: Long): BackendRenewal = BackendRenewal
+    .newBuilder()
+    .setId(backend.announcement.id)
+    .setBornMs(backend.announcement.startedAtMs)
+    .setSequence(backend.announcement.sequence)
+    .setContentChecksum(backend.contentChecksum)
+    .setAgeMs(ageMs.toInt())
+    .build()
+
+private fun BackendRenewal.toModel() = Renewal(id, bornMs, sequence, contentChecksum)
+
+/** The [directory] after renewals, and the ids of those whose announcement is [missing] in it. */
+class AppliedRenewals(val directory: BackendDirectory, val missing: List<String>)
+
+/** Applies [renewals] that arrived at [nowMs]. */
+fun BackendDirectory.renewAll(renewals: List<BackendRenewal>, nowMs: Long): AppliedRenewals {
+    var directory = this
+    val missing = ArrayList<String>()
+    for (renewal in renewals) {
+        when (val outcome = directory.renew(renewal.toModel(), nowMs - maxOf(renewal.ageMs, 0))) {
+            is RenewalOutcome.Renewed -> directory = outcome.directory
+            RenewalOutcome.Outdated -> Unit
+            RenewalOutcome.Unknown -> missing += renewal.id
+        }
+    }
+    return AppliedRenewals(directory, missing)
+}
+
 private fun GroupMembership.toMessage() = BackendGroup
     .newBuilder()
     .setName(id.name)
--- a/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/backend/BackendDirectoryTest.kt
+++ b/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/backend/BackendDirectoryTest.kt
@@ -29,7 +29,7 @@
     private fun directory(vararg announcements: Announcement) =
         announcements.fold(BackendDirectory()) { directory, next -> directory.withAnnouncement(next, 0) }
 
-    private fun BackendDirectory.ids() = readyPlainBackends("s").map { it.announcement.id }.sorted()
+    private fun BackendDirectory.ids() = readyPlainBackends("s").map { it.id }.sorted()
 
     @Test
     fun `an older announcement is ignored`() {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryClient.kt
@@ -65,7 +65,14 @@
         watches.values.toList().forEach { it.sendReport(request) }
     }
 
+    /** Asks the control instance at [address], with the next report, for the announcements of [ids]. */
+    fun requestMissing(address: String, ids: List<String>) {
+        watches[address]?.missing?.addAll(ids)
+    }
+
     private inner class Watch(private val address: String) {
+        /** Backend servers whose announcements are to be requested. */
+        val missing = LinkedHashSet<String>()
         var lastReceivedMs = timers.nowMs()
             private set
         private var openedAtMs = 0L
@@ -79,10 +86,14 @@
                 close()
             }
             if (channel == null) {
+                missing.clear()
                 open()
                 requestStream?.onNext(report(true))
-            } else {
+            } else if (missing.isEmpty()) {
                 requestStream?.onNext(request)
+            } else {
+                requestStream?.onNext(request.toBuilder().addAllMissingBackends(missing).build())
+                missing.clear()
             }
         }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
@@ -1,7 +1,8 @@
 /*
  * Sends the announcements of backend servers and the configuration document to entries and other control instances.
  * Every watcher connects to every control instance, so an announcement takes a single hop, and a watcher that is
- * disconnected from some instances receives it from the others.
+ * disconnected from some instances receives it from the others. An announcement without a change is sent as a short
+ * renewal together with others; a watcher that lacks the content asks for it.
  */
 package org.bramleyspur.daemon.directory
 
@@ -13,8 +14,10 @@
 import org.bramleyspur.core.backend.Announcement
 import org.bramleyspur.core.backend.BackendDirectory
 import org.bramleyspur.core.time.TimerService
+import org.bramleyspur.core.wire.renewalMessage
 import org.bramleyspur.core.wire.toMessage
 import org.bramleyspur.core.wire.toMessages
+import org.bramleyspur.protocol.BackendRenewal
 import org.bramleyspur.protocol.ConfigurationDocument
 import org.bramleyspur.protocol.DirectoryEvent
 import org.bramleyspur.protocol.DirectoryRequest
@@ -46,12 +49,43 @@
 ) {
     private val watchers = LinkedHashSet<Watcher>()
 
+    /** Backend servers whose renewals have not been sent to control instances, and to entries. */
+    private val renewed = LinkedHashSet<String>()
+    private val renewedForEntries = LinkedHashSet<String>()
+
     /** Number of entries that watch this control instance. */
     val entries: Int get() = watchers.count { it.isEntry }
 
     /** Starts the periodic events by which watchers detect a dead connection. */
     fun start() {
-        timers.every(EVENT_INTERVAL_MS) { broadcast(newEvent().build()) }
+        timers.every(EVENT_INTERVAL_MS) { sendRegularEvents() }
+        timers.every(RENEWAL_INTERVAL_MS) { sendRenewals() }
+    }
+
+    private fun sendRegularEvents() {
+        val event = newEvent().build()
+        val entryEvent = event.toBuilder().addAllRenewals(renewalsOf(renewedForEntries)).build()
+        renewedForEntries.clear()
+        watchers.toList().forEach { it.send(if (it.isEntry) entryEvent else event) }
+    }
+
+    private fun sendRenewals() {
+        if (renewed.isEmpty()) return
+        val event = newEvent().addAllRenewals(renewalsOf(renewed)).build()
+        renewed.clear()
+        watchers.filterNot { it.isEntry }.forEach { it.send(event) }
+    }
+
+    private fun renewalsOf(ids: Set<String>): List<BackendRenewal> {
+        val nowMs = timers.nowMs()
+        val backends = source.backends().backends
+        return ids.mapNotNull { backends[it] }.map { renewalMessage(it, nowMs - it.receivedAtMs) }
+    }
+
+    /** Sends that the backend server [id] has announced itself again without a change, together with others. */
+    fun onRenewal(id: String) {
+        renewed += id
+        renewedForEntries += id
     }
 
     /** Opens the event stream of a watcher, and sends it the directory and the document. */
@@ -67,7 +101,7 @@
         return watcher
     }
 
-    /** Sends an announcement that this instance received to all watchers. */
+    /** Sends a changed announcement that this instance received to all watchers, at once. */
     fun onAnnouncement(announcement: Announcement) =
         broadcast(newEvent().addAnnouncements(announcement.toMessage(0)).build())
 
@@ -105,9 +139,18 @@
         override fun onNext(request: DirectoryRequest) {
             lastReceivedMs = timers.nowMs()
             isEntry = request.entry
+            if (request.missingBackendsCount > 0) sendMissing(request.missingBackendsList)
             onRequest(request)
         }
 
+        private fun sendMissing(ids: List<String>) {
+            val nowMs = timers.nowMs()
+            val backends = source.backends().backends
+            val known = ids.distinct().mapNotNull { backends[it] }
+            val event = newEvent().addAllAnnouncements(known.map { it.announcement.toMessage(nowMs - it.receivedAtMs) })
+            send(event.build())
+        }
+
         override fun onError(cause: Throwable) {
             logger.debug { "stream of a directory watcher failed: ${cause.message}" }
             watchers -= this
@@ -122,6 +165,9 @@
     private companion object {
         /** A watcher reopens the connection after four intervals without an event. */
         const val EVENT_INTERVAL_MS = 300L
+
+        /** Control instances must know soon that an announcement is not overdue. */
+        const val RENEWAL_INTERVAL_MS = 100L
         const val WATCHER_UNRESPONSIVE_LIMIT_MS = 3_000L
     }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -145,7 +145,6 @@
 
     private fun choosePlain(service: DocumentService, filter: BackendFilter): BackendChoice? {
         val candidates = directory.readyPlainBackends(service.name)
-            .map { it.announcement }
             .filter { filter.allows(it.id) }
             .mapNotNull { backend ->
                 loads.loadOf(backend)?.let { it to candidate(it, maxOf(1, backend.slots), 1.0, backend.dataCentre) }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -27,6 +27,7 @@
 import org.bramleyspur.core.telemetry.DecisionLog
 import org.bramleyspur.core.time.CoalescedTask
 import org.bramleyspur.core.time.LoopLag
+import org.bramleyspur.core.wire.renewAll
 import org.bramleyspur.core.wire.toMessages
 import org.bramleyspur.core.wire.toModel
 import org.bramleyspur.daemon.controlplane.ControlPlaneCall
@@ -145,7 +146,7 @@
         settings.seeds,
         settings.listenAddress.toString(),
         ::report,
-    ) { _, event -> onEvent(event) }
+    ) { address, event -> onEvent(address, event) }
     private val admission = MemberAdmission(loops.controlGroup, timers)
     private val lag = LoopLag(timers) { log.write("control-late", "lag_ms" to it) }
     private val planning = CoalescedTask(timers, ::plan)
@@ -283,9 +284,12 @@
         }
     }
 
-    private fun onEvent(event: DirectoryEvent) {
+    private fun onEvent(address: String, event: DirectoryEvent) {
         val now = timers.nowMs()
         event.announcementsList.forEach { recordReceived(it, now) }
+        val renewals = directory.renewAll(event.renewalsList, now)
+        directory = renewals.directory
+        directoryClient.requestMissing(address, renewals.missing)
         recordPromptParts(event.promptPartsList)
     }
 
@@ -329,6 +333,17 @@
         )
     }
 
+    /** Records an announcement that this instance received first, and passes it on. */
+    private fun recordOwn(announcement: Announcement) {
+        val before = directory.backends[announcement.id]?.announcement
+        if (!recordAnnouncement(announcement, timers.nowMs())) return
+        if (before != null && announcement.hasContentOf(before)) {
+            directoryServer.onRenewal(announcement.id)
+        } else {
+            directoryServer.onAnnouncement(announcement)
+        }
+    }
+
     /** Adds an announcement to the directory; returns whether it changed the directory. */
     private fun recordAnnouncement(announcement: Announcement, receivedAtMs: Long): Boolean {
         val before = directory.backends[announcement.id]?.announcement
@@ -368,7 +383,7 @@
 
     private fun handle(call: ControlPlaneCall, respond: (ControlPlaneResponse) -> Unit) = when (call) {
         is ControlPlaneCall.Announce -> {
-            if (recordAnnouncement(call.announcement, timers.nowMs())) directoryServer.onAnnouncement(call.announcement)
+            recordOwn(call.announcement)
             respond(ControlPlaneResponse.Accepted)
         }
         is ControlPlaneCall.Deregister -> {
@@ -392,7 +407,7 @@
         // A deregistered engine may serve for some time, so its place in a group is free only after the group's head
         // is known to have left.
         val deregistered = known.copy(state = BackendState.GONE, sequence = known.sequence + 1)
-        if (recordAnnouncement(deregistered, timers.nowMs())) directoryServer.onAnnouncement(deregistered)
+        recordOwn(deregistered)
     }
 
     private fun replace(call: ControlPlaneCall.Replace, respond: (ControlPlaneResponse) -> Unit) {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -11,6 +11,7 @@
 import org.bramleyspur.core.document.DocumentDecoder
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.core.telemetry.DecisionLog
+import org.bramleyspur.core.wire.renewAll
 import org.bramleyspur.core.wire.toMessages
 import org.bramleyspur.core.wire.toModel
 import org.bramleyspur.daemon.directory.DirectoryClient
@@ -178,6 +179,9 @@
         val now = timers.nowMs()
         entryCount = maxOf(event.entries, 1)
         event.announcementsList.forEach { recordAnnouncement(it, address, now) }
+        val renewals = context.directory.renewAll(event.renewalsList, now)
+        context.directory = renewals.directory
+        directoryClient.requestMissing(address, renewals.missing)
         promptParts.receive(event.promptPartsList.map { it.toModel() })
         if (event.hasDocument()) applyDocument(event, address)
         if (event.confirmed) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEvent.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEvent.java
@@ -21,6 +21,7 @@
     members_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     promptParts_ = java.util.Collections.emptyList();
+    renewals_ = java.util.Collections.emptyList();
   }
 
   @java.lang.Override
@@ -231,6 +232,47 @@
     return promptParts_.get(index);
   }
 
+  public static final int RENEWALS_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.bramleyspur.protocol.BackendRenewal> renewals_;
+  /**
+   * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.bramleyspur.protocol.BackendRenewal> getRenewalsList() {
+    return renewals_;
+  }
+  /**
+   * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.bramleyspur.protocol.BackendRenewalOrBuilder> 
+      getRenewalsOrBuilderList() {
+    return renewals_;
+  }
+  /**
+   * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+   */
+  @java.lang.Override
+  public int getRenewalsCount() {
+    return renewals_.size();
+  }
+  /**
+   * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.BackendRenewal getRenewals(int index) {
+    return renewals_.get(index);
+  }
+  /**
+   * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.BackendRenewalOrBuilder getRenewalsOrBuilder(
+      int index) {
+    return renewals_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -263,6 +305,9 @@
     for (int i = 0; i < promptParts_.size(); i++) {
       output.writeMessage(7, promptParts_.get(i));
     }
+    for (int i = 0; i < renewals_.size(); i++) {
+      output.writeMessage(8, renewals_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -300,6 +345,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(7, promptParts_.get(i));
     }
+    for (int i = 0; i < renewals_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, renewals_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -330,6 +379,8 @@
         != other.getEntries()) return false;
     if (!getPromptPartsList()
         .equals(other.getPromptPartsList())) return false;
+    if (!getRenewalsList()
+        .equals(other.getRenewalsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -362,6 +413,10 @@
       hash = (37 * hash) + PROMPT_PARTS_FIELD_NUMBER;
       hash = (53 * hash) + getPromptPartsList().hashCode();
     }
+    if (getRenewalsCount() > 0) {
+      hash = (37 * hash) + RENEWALS_FIELD_NUMBER;
+      hash = (53 * hash) + getRenewalsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -495,6 +550,7 @@
         getAnnouncementsFieldBuilder();
         getDocumentFieldBuilder();
         getPromptPartsFieldBuilder();
+        getRenewalsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -524,6 +580,13 @@
         promptPartsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
+      if (renewalsBuilder_ == null) {
+        renewals_ = java.util.Collections.emptyList();
+      } else {
+        renewals_ = null;
+        renewalsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000040);
       return this;
     }
 
@@ -575,6 +638,15 @@
       } else {
         result.promptParts_ = promptPartsBuilder_.build();
       }
+      if (renewalsBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0)) {
+          renewals_ = java.util.Collections.unmodifiableList(renewals_);
+          bitField0_ = (bitField0_ & ~0x00000040);
+        }
+        result.renewals_ = renewals_;
+      } else {
+        result.renewals_ = renewalsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.bramleyspur.protocol.DirectoryEvent result) {
@@ -714,6 +786,32 @@
           }
         }
       }
+      if (renewalsBuilder_ == null) {
+        if (!other.renewals_.isEmpty()) {
+          if (renewals_.isEmpty()) {
+            renewals_ = other.renewals_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+          } else {
+            ensureRenewalsIsMutable();
+            renewals_.addAll(other.renewals_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.renewals_.isEmpty()) {
+          if (renewalsBuilder_.isEmpty()) {
+            renewalsBuilder_.dispose();
+            renewalsBuilder_ = null;
+            renewals_ = other.renewals_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+            renewalsBuilder_ = 
+              com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
+                 getRenewalsFieldBuilder() : null;
+          } else {
+            renewalsBuilder_.addAllMessages(other.renewals_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -789,6 +887,19 @@
               }
               break;
             } // case 58
+            case 66: {
+              org.bramleyspur.protocol.BackendRenewal m =
+                  input.readMessage(
+                      org.bramleyspur.protocol.BackendRenewal.parser(),
+                      extensionRegistry);
+              if (renewalsBuilder_ == null) {
+                ensureRenewalsIsMutable();
+                renewals_.add(m);
+              } else {
+                renewalsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1629,6 +1740,246 @@
       }
       return promptPartsBuilder_;
     }
+
+    private java.util.List<org.bramleyspur.protocol.BackendRenewal> renewals_ =
+      java.util.Collections.emptyList();
+    private void ensureRenewalsIsMutable() {
+      if (!((bitField0_ & 0x00000040) != 0)) {
+        renewals_ = new java.util.ArrayList<org.bramleyspur.protocol.BackendRenewal>(renewals_);
+        bitField0_ |= 0x00000040;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.bramleyspur.protocol.BackendRenewal, org.bramleyspur.protocol.BackendRenewal.Builder, org.bramleyspur.protocol.BackendRenewalOrBuilder> renewalsBuilder_;
+
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public java.util.List<org.bramleyspur.protocol.BackendRenewal> getRenewalsList() {
+      if (renewalsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(renewals_);
+      } else {
+        return renewalsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public int getRenewalsCount() {
+      if (renewalsBuilder_ == null) {
+        return renewals_.size();
+      } else {
+        return renewalsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public org.bramleyspur.protocol.BackendRenewal getRenewals(int index) {
+      if (renewalsBuilder_ == null) {
+        return renewals_.get(index);
+      } else {
+        return renewalsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public Builder setRenewals(
+        int index, org.bramleyspur.protocol.BackendRenewal value) {
+      if (renewalsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureRenewalsIsMutable();
+        renewals_.set(index, value);
+        onChanged();
+      } else {
+        renewalsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public Builder setRenewals(
+        int index, org.bramleyspur.protocol.BackendRenewal.Builder builderForValue) {
+      if (renewalsBuilder_ == null) {
+        ensureRenewalsIsMutable();
+        renewals_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        renewalsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public Builder addRenewals(org.bramleyspur.protocol.BackendRenewal value) {
+      if (renewalsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureRenewalsIsMutable();
+        renewals_.add(value);
+        onChanged();
+      } else {
+        renewalsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public Builder addRenewals(
+        int index, org.bramleyspur.protocol.BackendRenewal value) {
+      if (renewalsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureRenewalsIsMutable();
+        renewals_.add(index, value);
+        onChanged();
+      } else {
+        renewalsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public Builder addRenewals(
+        org.bramleyspur.protocol.BackendRenewal.Builder builderForValue) {
+      if (renewalsBuilder_ == null) {
+        ensureRenewalsIsMutable();
+        renewals_.add(builderForValue.build());
+        onChanged();
+      } else {
+        renewalsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public Builder addRenewals(
+        int index, org.bramleyspur.protocol.BackendRenewal.Builder builderForValue) {
+      if (renewalsBuilder_ == null) {
+        ensureRenewalsIsMutable();
+        renewals_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        renewalsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public Builder addAllRenewals(
+        java.lang.Iterable<? extends org.bramleyspur.protocol.BackendRenewal> values) {
+      if (renewalsBuilder_ == null) {
+        ensureRenewalsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, renewals_);
+        onChanged();
+      } else {
+        renewalsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public Builder clearRenewals() {
+      if (renewalsBuilder_ == null) {
+        renewals_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000040);
+        onChanged();
+      } else {
+        renewalsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public Builder removeRenewals(int index) {
+      if (renewalsBuilder_ == null) {
+        ensureRenewalsIsMutable();
+        renewals_.remove(index);
+        onChanged();
+      } else {
+        renewalsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public org.bramleyspur.protocol.BackendRenewal.Builder getRenewalsBuilder(
+        int index) {
+      return getRenewalsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public org.bramleyspur.protocol.BackendRenewalOrBuilder getRenewalsOrBuilder(
+        int index) {
+      if (renewalsBuilder_ == null) {
+        return renewals_.get(index);  } else {
+        return renewalsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public java.util.List<? extends org.bramleyspur.protocol.BackendRenewalOrBuilder> 
+         getRenewalsOrBuilderList() {
+      if (renewalsBuilder_ != null) {
+        return renewalsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(renewals_);
+      }
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public org.bramleyspur.protocol.BackendRenewal.Builder addRenewalsBuilder() {
+      return getRenewalsFieldBuilder().addBuilder(
+          org.bramleyspur.protocol.BackendRenewal.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public org.bramleyspur.protocol.BackendRenewal.Builder addRenewalsBuilder(
+        int index) {
+      return getRenewalsFieldBuilder().addBuilder(
+          index, org.bramleyspur.protocol.BackendRenewal.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+     */
+    public java.util.List<org.bramleyspur.protocol.BackendRenewal.Builder> 
+         getRenewalsBuilderList() {
+      return getRenewalsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.bramleyspur.protocol.BackendRenewal, org.bramleyspur.protocol.BackendRenewal.Builder, org.bramleyspur.protocol.BackendRenewalOrBuilder> 
+        getRenewalsFieldBuilder() {
+      if (renewalsBuilder_ == null) {
+        renewalsBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            org.bramleyspur.protocol.BackendRenewal, org.bramleyspur.protocol.BackendRenewal.Builder, org.bramleyspur.protocol.BackendRenewalOrBuilder>(
+                renewals_,
+                ((bitField0_ & 0x00000040) != 0),
+                getParentForChildren(),
+                isClean());
+        renewals_ = null;
+      }
+      return renewalsBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEventOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEventOrBuilder.java
@@ -127,4 +127,28 @@
    */
   org.bramleyspur.protocol.PromptPartReportOrBuilder getPromptPartsOrBuilder(
       int index);
+
+  /**
+   * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+   */
+  java.util.List<org.bramleyspur.protocol.BackendRenewal> 
+      getRenewalsList();
+  /**
+   * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+   */
+  org.bramleyspur.protocol.BackendRenewal getRenewals(int index);
+  /**
+   * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+   */
+  int getRenewalsCount();
+  /**
+   * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+   */
+  java.util.List<? extends org.bramleyspur.protocol.BackendRenewalOrBuilder> 
+      getRenewalsOrBuilderList();
+  /**
+   * <code>repeated .bramleyspur.BackendRenewal renewals = 8;</code>
+   */
+  org.bramleyspur.protocol.BackendRenewalOrBuilder getRenewalsOrBuilder(
+      int index);
 }
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryProto.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryProto.java
@@ -25,6 +25,11 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_bramleyspur_BackendAnnouncement_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramleyspur_BackendRenewal_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_bramleyspur_BackendRenewal_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bramleyspur_ConfigurationDocument_descriptor;
   static final 
@@ -73,30 +78,35 @@
       "data_centre\030\006 \001(\t\022\r\n\005slots\030\007 \001(\r\022\r\n\005stat" +
       "e\030\010 \001(\t\022\016\n\006domain\030\t \001(\t\022\025\n\rstaged_models" +
       "\030\n \003(\t\022(\n\005group\030\013 \001(\0132\031.bramleyspur.Back" +
-      "endGroup\022\016\n\006age_ms\030\014 \001(\r\"9\n\025Configuratio" +
-      "nDocument\022\017\n\007version\030\001 \001(\004\022\017\n\007content\030\002 " +
-      "\001(\014\"N\n\020PromptPartReport\022\014\n\004part\030\001 \001(\t\022\016\n" +
-      "\006engine\030\002 \001(\t\022\034\n\024engine_started_at_ms\030\003 " +
-      "\001(\003\"\342\001\n\020DirectoryRequest\022\020\n\010instance\030\001 \001" +
-      "(\t\022\r\n\005entry\030\002 \001(\010\022\032\n\022answering_backends\030" +
-      "\003 \003(\t\022\027\n\017silent_backends\030\004 \003(\t\0227\n\rannoun" +
-      "cements\030\007 \003(\0132 .bramleyspur.BackendAnnou" +
-      "ncement\0223\n\014prompt_parts\030\010 \003(\0132\035.bramleys" +
-      "pur.PromptPartReportJ\004\010\005\020\006J\004\010\006\020\007\"\357\001\n\016Dir" +
-      "ectoryEvent\0227\n\rannouncements\030\001 \003(\0132 .bra" +
-      "mleyspur.BackendAnnouncement\0224\n\010document" +
-      "\030\002 \001(\0132\".bramleyspur.ConfigurationDocume" +
-      "nt\022\021\n\tconfirmed\030\003 \001(\010\022\017\n\007members\030\004 \003(\t\022\017" +
-      "\n\007entries\030\005 \001(\r\0223\n\014prompt_parts\030\007 \003(\0132\035." +
-      "bramleyspur.PromptPartReportJ\004\010\006\020\007\"3\n\020Ad" +
-      "missionRequest\022\016\n\006member\030\001 \001(\t\022\017\n\007addres" +
-      "s\030\002 \001(\t\"2\n\016AdmissionReply\022\020\n\010admitted\030\001 " +
-      "\001(\010\022\016\n\006leader\030\002 \001(\t2\240\001\n\020DirectoryService" +
-      "\022G\n\005Watch\022\035.bramleyspur.DirectoryRequest" +
-      "\032\033.bramleyspur.DirectoryEvent(\0010\001\022C\n\005Adm" +
-      "it\022\035.bramleyspur.AdmissionRequest\032\033.bram" +
-      "leyspur.AdmissionReplyB,\n\030org.bramleyspu" +
-      "r.protocolB\016DirectoryProtoP\001b\006proto3"
+      "endGroup\022\016\n\006age_ms\030\014 \001(\r\"i\n\016BackendRenew" +
+      "al\022\n\n\002id\030\001 \001(\t\022\017\n\007born_ms\030\002 \001(\004\022\020\n\010seque" +
+      "nce\030\003 \001(\004\022\030\n\020content_checksum\030\004 \001(\007\022\016\n\006a" +
+      "ge_ms\030\005 \001(\r\"9\n\025ConfigurationDocument\022\017\n\007" +
+      "version\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\"N\n\020Prompt" +
+      "PartReport\022\014\n\004part\030\001 \001(\t\022\016\n\006engine\030\002 \001(\t" +
+      "\022\034\n\024engine_started_at_ms\030\003 \001(\003\"\374\001\n\020Direc" +
+      "toryRequest\022\020\n\010instance\030\001 \001(\t\022\r\n\005entry\030\002" +
+      " \001(\010\022\032\n\022answering_backends\030\003 \003(\t\022\027\n\017sile" +
+      "nt_backends\030\004 \003(\t\0227\n\rannouncements\030\007 \003(\013" +
+      "2 .bramleyspur.BackendAnnouncement\0223\n\014pr" +
+      "ompt_parts\030\010 \003(\0132\035.bramleyspur.PromptPar" +
+      "tReport\022\030\n\020missing_backends\030\t \003(\tJ\004\010\005\020\006J" +
+      "\004\010\006\020\007\"\236\002\n\016DirectoryEvent\0227\n\rannouncement" +
+      "s\030\001 \003(\0132 .bramleyspur.BackendAnnouncemen" +
+      "t\0224\n\010document\030\002 \001(\0132\".bramleyspur.Config" +
+      "urationDocument\022\021\n\tconfirmed\030\003 \001(\010\022\017\n\007me" +
+      "mbers\030\004 \003(\t\022\017\n\007entries\030\005 \001(\r\0223\n\014prompt_p" +
+      "arts\030\007 \003(\0132\035.bramleyspur.PromptPartRepor" +
+      "t\022-\n\010renewals\030\010 \003(\0132\033.bramleyspur.Backen" +
+      "dRenewalJ\004\010\006\020\007\"3\n\020AdmissionRequest\022\016\n\006me" +
+      "mber\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\"2\n\016Admission" +
+      "Reply\022\020\n\010admitted\030\001 \001(\010\022\016\n\006leader\030\002 \001(\t2" +
+      "\240\001\n\020DirectoryService\022G\n\005Watch\022\035.bramleys" +
+      "pur.DirectoryRequest\032\033.bramleyspur.Direc" +
+      "toryEvent(\0010\001\022C\n\005Admit\022\035.bramleyspur.Adm" +
+      "issionRequest\032\033.bramleyspur.AdmissionRep" +
+      "lyB,\n\030org.bramleyspur.protocolB\016Director" +
+      "yProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -114,38 +124,44 @@
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_BackendAnnouncement_descriptor,
         new java.lang.String[] { "Id", "BornMs", "Sequence", "Service", "Address", "DataCentre", "Slots", "State", "Domain", "StagedModels", "Group", "AgeMs", });
-    internal_static_bramleyspur_ConfigurationDocument_descriptor =
+    internal_static_bramleyspur_BackendRenewal_descriptor =
       getDescriptor().getMessageTypes().get(2);
+    internal_static_bramleyspur_BackendRenewal_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_bramleyspur_BackendRenewal_descriptor,
+        new java.lang.String[] { "Id", "BornMs", "Sequence", "ContentChecksum", "AgeMs", });
+    internal_static_bramleyspur_ConfigurationDocument_descriptor =
+      getDescriptor().getMessageTypes().get(3);
     internal_static_bramleyspur_ConfigurationDocument_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_ConfigurationDocument_descriptor,
         new java.lang.String[] { "Version", "Content", });
     internal_static_bramleyspur_PromptPartReport_descriptor =
-      getDescriptor().getMessageTypes().get(3);
+      getDescriptor().getMessageTypes().get(4);
     internal_static_bramleyspur_PromptPartReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_PromptPartReport_descriptor,
         new java.lang.String[] { "Part", "Engine", "EngineStartedAtMs", });
     internal_static_bramleyspur_DirectoryRequest_descriptor =
-      getDescriptor().getMessageTypes().get(4);
+      getDescriptor().getMessageTypes().get(5);
     internal_static_bramleyspur_DirectoryRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_DirectoryRequest_descriptor,
-        new java.lang.String[] { "Instance", "Entry", "AnsweringBackends", "SilentBackends", "Announcements", "PromptParts", });
+        new java.lang.String[] { "Instance", "Entry", "AnsweringBackends", "SilentBackends", "Announcements", "PromptParts", "MissingBackends", });
     internal_static_bramleyspur_DirectoryEvent_descriptor =
-      getDescriptor().getMessageTypes().get(5);
+      getDescriptor().getMessageTypes().get(6);
     internal_static_bramleyspur_DirectoryEvent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_DirectoryEvent_descriptor,
-        new java.lang.String[] { "Announcements", "Document", "Confirmed", "Members", "Entries", "PromptParts", });
+        new java.lang.String[] { "Announcements", "Document", "Confirmed", "Members", "Entries", "PromptParts", "Renewals", });
     internal_static_bramleyspur_AdmissionRequest_descriptor =
-      getDescriptor().getMessageTypes().get(6);
+      getDescriptor().getMessageTypes().get(7);
     internal_static_bramleyspur_AdmissionRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_AdmissionRequest_descriptor,
         new java.lang.String[] { "Member", "Address", });
     internal_static_bramleyspur_AdmissionReply_descriptor =
-      getDescriptor().getMessageTypes().get(7);
+      getDescriptor().getMessageTypes().get(8);
     internal_static_bramleyspur_AdmissionReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_AdmissionReply_descriptor,
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequest.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequest.java
@@ -24,6 +24,8 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     announcements_ = java.util.Collections.emptyList();
     promptParts_ = java.util.Collections.emptyList();
+    missingBackends_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   @java.lang.Override
@@ -328,6 +330,59 @@
     return promptParts_.get(index);
   }
 
+  public static final int MISSING_BACKENDS_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList missingBackends_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+   * </pre>
+   *
+   * <code>repeated string missing_backends = 9;</code>
+   * @return A list containing the missingBackends.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getMissingBackendsList() {
+    return missingBackends_;
+  }
+  /**
+   * <pre>
+   * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+   * </pre>
+   *
+   * <code>repeated string missing_backends = 9;</code>
+   * @return The count of missingBackends.
+   */
+  public int getMissingBackendsCount() {
+    return missingBackends_.size();
+  }
+  /**
+   * <pre>
+   * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+   * </pre>
+   *
+   * <code>repeated string missing_backends = 9;</code>
+   * @param index The index of the element to return.
+   * @return The missingBackends at the given index.
+   */
+  public java.lang.String getMissingBackends(int index) {
+    return missingBackends_.get(index);
+  }
+  /**
+   * <pre>
+   * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+   * </pre>
+   *
+   * <code>repeated string missing_backends = 9;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the missingBackends at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getMissingBackendsBytes(int index) {
+    return missingBackends_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -360,6 +415,9 @@
     for (int i = 0; i < promptParts_.size(); i++) {
       output.writeMessage(8, promptParts_.get(i));
     }
+    for (int i = 0; i < missingBackends_.size(); i++) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 9, missingBackends_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -400,6 +458,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(8, promptParts_.get(i));
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < missingBackends_.size(); i++) {
+        dataSize += computeStringSizeNoTag(missingBackends_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getMissingBackendsList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -427,6 +493,8 @@
         .equals(other.getAnnouncementsList())) return false;
     if (!getPromptPartsList()
         .equals(other.getPromptPartsList())) return false;
+    if (!getMissingBackendsList()
+        .equals(other.getMissingBackendsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -459,6 +527,10 @@
       hash = (37 * hash) + PROMPT_PARTS_FIELD_NUMBER;
       hash = (53 * hash) + getPromptPartsList().hashCode();
     }
+    if (getMissingBackendsCount() > 0) {
+      hash = (37 * hash) + MISSING_BACKENDS_FIELD_NUMBER;
+      hash = (53 * hash) + getMissingBackendsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -610,6 +682,8 @@
         promptPartsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
+      missingBackends_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -679,6 +753,10 @@
         silentBackends_.makeImmutable();
         result.silentBackends_ = silentBackends_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        missingBackends_.makeImmutable();
+        result.missingBackends_ = missingBackends_;
+      }
     }
 
     @java.lang.Override
@@ -805,6 +883,16 @@
           }
         }
       }
+      if (!other.missingBackends_.isEmpty()) {
+        if (missingBackends_.isEmpty()) {
+          missingBackends_ = other.missingBackends_;
+          bitField0_ |= 0x00000040;
+        } else {
+          ensureMissingBackendsIsMutable();
+          missingBackends_.addAll(other.missingBackends_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -879,6 +967,12 @@
               }
               break;
             } // case 66
+            case 74: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureMissingBackendsIsMutable();
+              missingBackends_.add(s);
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1929,6 +2023,153 @@
       }
       return promptPartsBuilder_;
     }
+
+    private com.google.protobuf.LazyStringArrayList missingBackends_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureMissingBackendsIsMutable() {
+      if (!missingBackends_.isModifiable()) {
+        missingBackends_ = new com.google.protobuf.LazyStringArrayList(missingBackends_);
+      }
+      bitField0_ |= 0x00000040;
+    }
+    /**
+     * <pre>
+     * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+     * </pre>
+     *
+     * <code>repeated string missing_backends = 9;</code>
+     * @return A list containing the missingBackends.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getMissingBackendsList() {
+      missingBackends_.makeImmutable();
+      return missingBackends_;
+    }
+    /**
+     * <pre>
+     * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+     * </pre>
+     *
+     * <code>repeated string missing_backends = 9;</code>
+     * @return The count of missingBackends.
+     */
+    public int getMissingBackendsCount() {
+      return missingBackends_.size();
+    }
+    /**
+     * <pre>
+     * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+     * </pre>
+     *
+     * <code>repeated string missing_backends = 9;</code>
+     * @param index The index of the element to return.
+     * @return The missingBackends at the given index.
+     */
+    public java.lang.String getMissingBackends(int index) {
+      return missingBackends_.get(index);
+    }
+    /**
+     * <pre>
+     * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+     * </pre>
+     *
+     * <code>repeated string missing_backends = 9;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the missingBackends at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getMissingBackendsBytes(int index) {
+      return missingBackends_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+     * </pre>
+     *
+     * <code>repeated string missing_backends = 9;</code>
+     * @param index The index to set the value at.
+     * @param value The missingBackends to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMissingBackends(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureMissingBackendsIsMutable();
+      missingBackends_.set(index, value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+     * </pre>
+     *
+     * <code>repeated string missing_backends = 9;</code>
+     * @param value The missingBackends to add.
+     * @return This builder for chaining.
+     */
+    public Builder addMissingBackends(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureMissingBackendsIsMutable();
+      missingBackends_.add(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+     * </pre>
+     *
+     * <code>repeated string missing_backends = 9;</code>
+     * @param values The missingBackends to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllMissingBackends(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureMissingBackendsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, missingBackends_);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+     * </pre>
+     *
+     * <code>repeated string missing_backends = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMissingBackends() {
+      missingBackends_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000040);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+     * </pre>
+     *
+     * <code>repeated string missing_backends = 9;</code>
+     * @param value The bytes of the missingBackends to add.
+     * @return This builder for chaining.
+     */
+    public Builder addMissingBackendsBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureMissingBackendsIsMutable();
+      missingBackends_.add(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequestOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequestOrBuilder.java
@@ -199,4 +199,45 @@
    */
   org.bramleyspur.protocol.PromptPartReportOrBuilder getPromptPartsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+   * </pre>
+   *
+   * <code>repeated string missing_backends = 9;</code>
+   * @return A list containing the missingBackends.
+   */
+  java.util.List<java.lang.String>
+      getMissingBackendsList();
+  /**
+   * <pre>
+   * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+   * </pre>
+   *
+   * <code>repeated string missing_backends = 9;</code>
+   * @return The count of missingBackends.
+   */
+  int getMissingBackendsCount();
+  /**
+   * <pre>
+   * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+   * </pre>
+   *
+   * <code>repeated string missing_backends = 9;</code>
+   * @param index The index of the element to return.
+   * @return The missingBackends at the given index.
+   */
+  java.lang.String getMissingBackends(int index);
+  /**
+   * <pre>
+   * Backend servers whose announcement the sender lacks; the receiver sends those that it knows.
+   * </pre>
+   *
+   * <code>repeated string missing_backends = 9;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the missingBackends at the given index.
+   */
+  com.google.protobuf.ByteString
+      getMissingBackendsBytes(int index);
 }
