Send nothing to a backend server that says it leaves or turns requests away

Cause: two rules are new: an engine that leaves says so in its responses (`Server-Leaving: 1`), and one that turns a request away with 503 may name a time for which it wants nothing (`Retry-After`). Entries knew a departure only from announcements, and passed the time on to the caller but kept sending.

Change: BackendHolds, a pure decision for each life of a server; both kinds of choice (heads of groups, plain services) leave held servers out. A refusal names the time when the first of them takes requests again. Values that are negative, not numbers, or in the past count as absent; of several the longest counts; at most five minutes are honoured. The header's name is the adapter's.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
@@ -114,6 +114,7 @@
     override fun onHead(status: Int, headers: HttpHeaders) {
         onResponseData()
         runningRequestsOf(headers.get(context.headers.load))?.let { load.onLoadReport(it, context.timers.nowMs()) }
+        context.onWish(engine, status, headers)
         val detail = "$status of ${load.id}"
         when (useOf(responseHeadOf(status, headers, context.headers), request.streaming, response.started)) {
             ResponseUse.REJECTION -> {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardHeaders.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardHeaders.kt
@@ -13,6 +13,7 @@
  * @property lastEventId id of the last event that was received on a stream
  * @property notExecuted present in a response when the backend server did not execute the request
  * @property load running requests, queued requests and slots, separated by commas
+ * @property leaving `1` in a response when the backend server is about to stop
  * @property seal proof that a response comes from a backend server
  * @property urgency scheduling rank within the backend server; 0 is the most urgent
  */
@@ -27,6 +28,7 @@
     val lastEventId: String,
     val notExecuted: String,
     val load: String,
+    val leaving: String,
     val seal: String,
     val urgency: String,
 )
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -92,7 +92,8 @@
         when {
             choice == null ->
                 onNotSendable(
-                    AttemptEnd.NoCandidate,
+                    context.heldMs(request.service, request.model)?.let { AttemptEnd.Held(it) }
+                        ?: AttemptEnd.NoCandidate,
                     "no backend server takes ${request.model ?: request.service.name}",
                 )
             !isSoonEnough(choice) ->
@@ -227,6 +228,7 @@
         val knownRetryAfterMs = when (end) {
             is AttemptEnd.Rejected -> end.retryAfterMs
             is AttemptEnd.PartBlocked -> end.retryAfterMs
+            is AttemptEnd.Held -> end.retryAfterMs
             else -> null
         }
         response.refuse(STATUS_NOT_RUN, "not run: $detail", knownRetryAfterMs ?: RETRY_AFTER_MS)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/HeaderValues.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/HeaderValues.kt
@@ -7,8 +7,8 @@
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
 import org.bramleyspur.traffic.forward.ResponseHead
-
-private const val MS_PER_SECOND = 1_000.0
+import org.bramleyspur.traffic.forward.retryAfterMs
+import java.time.Instant
 
 /** Prompt tokens and maximum output tokens of a request; 0 for each one that is absent. */
 internal fun tokenCountsOf(header: String?): TokenCounts {
@@ -24,7 +24,11 @@
 
 /** Delay in milliseconds after which a refused request may be sent again; null if the response names none. */
 internal fun retryAfterMs(headers: HttpHeaders): Long? =
-    headers.get(HttpHeaderNames.RETRY_AFTER)?.trim()?.toDoubleOrNull()?.let { (it * MS_PER_SECOND).toLong() }
+    retryAfterMs(headers.getAll(HttpHeaderNames.RETRY_AFTER), Instant.now())
+
+/** Whether a response says that its backend server is leaving. */
+internal fun saysLeaving(headers: HttpHeaders, names: ForwardHeaders): Boolean =
+    headers.getAll(names.leaving).any { it.trim() == "1" }
 
 /** The facts of a response's head that decide on its use; callers do not accept an encoded body. */
 internal fun responseHeadOf(status: Int, headers: HttpHeaders, names: ForwardHeaders) = ResponseHead(
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -223,6 +223,7 @@
 
     private fun expireBackends() {
         context.directory = context.directory.expire(timers.nowMs())
+        context.expireWishes()
         promptParts.expire()
         loads.closeAllExcept(
             context.directory.backends.filter { it.value.announcement.state != BackendState.GONE }.keys,
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
@@ -46,6 +46,7 @@
         lastEventId = "Last-Event-Id",
         notExecuted = "X-Not",
         load = "X-Load",
+        leaving = "X-Leaving",
         seal = SEAL_HEADER,
         urgency = "X-Urgency",
     )
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/AttemptRules.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/AttemptRules.kt
@@ -27,6 +27,9 @@
 
     /** No backend server can take the request now. */
     data object NoCandidate : AttemptEnd
+
+    /** Every backend server that could take the request wants none for [retryAfterMs]. */
+    data class Held(val retryAfterMs: Long) : AttemptEnd
 }
 
 /**
@@ -112,7 +115,7 @@
         is AttemptEnd.Rejected -> mayAskAnother
         AttemptEnd.NoAnswer, AttemptEnd.BrokenOff -> mayAskAnother && mayRunAgain
         AttemptEnd.Failed -> mayAskAnother && mayRunAgain && !progress.responseStarted
-        is AttemptEnd.PartBlocked, AttemptEnd.NoCandidate -> false
+        is AttemptEnd.PartBlocked, AttemptEnd.NoCandidate, is AttemptEnd.Held -> false
     }
 }
 
