Answer every request that arrives around the end of a planned stop's grace

Report of other operators: in a planned stop, requests that had just been accepted were cut off without an answer; requests that came late in the grace were passed on and cut at its end. Both could happen here: closing the listener reset the connections that waited to be accepted, idle connections were closed with a request unread in their buffers, and a request read after that was passed on however little time the process had left.

Change: the listener closes after one more pass of the event loop, and idle connections 250 ms later; a request that is read after the listener has closed is passed on only if its deadline or its route's timeout lies before the end of the process. Otherwise it is refused as not run. The two share the delay of closing idle connections and are one change.

Entries of deployments with agents stop in CallerConnection and EntryProcess; those were not changed.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -130,8 +130,7 @@
 
     private fun lifeOf(announcement: Announcement) = EngineLife(announcement.id, announcement.startedAtMs)
 
-    private fun takesRequests(announcement: Announcement): Boolean =
-        holds.allows(lifeOf(announcement), timers.nowMs())
+    private fun takesRequests(announcement: Announcement): Boolean = holds.allows(lifeOf(announcement), timers.nowMs())
 
     /** The life of the backend server [id] that is announced now. */
     fun engineLife(id: String): EngineLife =
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -199,6 +199,9 @@
             is Admission.Admitted -> {
                 val (route, service, account) = admission
                 val admitted = AdmittedRequest(context, callerRequest, route, service, account)
+                if (!server.takesRequest(admitted.remainingMs())) {
+                    return rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE, STOPPING, newResponse)
+                }
                 val forwarded = ForwardedRequest(context, admitted, newResponse, ::onFault, ::onResponded)
                 currentRequest = forwarded
                 forwarded.start()
@@ -268,6 +271,7 @@
         const val MAX_PENDING_MESSAGES = 64
         const val STATUS_UNAVAILABLE = 503
         const val NOT_RUN = "not run: internal error"
+        const val STOPPING = "not run: this entry stops before the request could end; send it to another one"
 
         /** An entry receives the configuration within some hundred milliseconds of its start. */
         const val RETRY_AFTER_MS = 200L
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
@@ -17,12 +17,18 @@
 internal class FrontServer(private val group: EventLoopGroup, private val context: ForwardContext) {
     private val connections = LinkedHashSet<FrontConnection>()
     private var listener: Channel? = null
-    private var stopping = false
+
+    /** When the process ends at the latest, after the start of a planned stop. */
+    private var endsAtMs: Long? = null
+    private var closesListener = false
 
     /** Whether connections without a request in progress are closed. */
     var closesIdle = false
         private set
 
+    /** Whether a planned stop has let every request end, and has closed the connections. */
+    val drained: Boolean get() = closesIdle && connections.none { it.busy }
+
     /** Number of connections on which a request is being read or a response is being sent. */
     val runningRequests: Int get() = connections.count { it.busy }
 
@@ -30,7 +36,16 @@
     val limits: ClientLimits get() = context.routes?.document?.limits ?: ClientLimits()
 
     /** Whether responses carry `Connection: close`. */
-    val closesConnections: Boolean get() = stopping
+    val closesConnections: Boolean get() = endsAtMs != null
+
+    /**
+     * Whether a request that has been read now is taken, given that it ends within [limitMs]. After the listener has
+     * closed, one that could outlast the process is not.
+     */
+    fun takesRequest(limitMs: Long): Boolean {
+        val endMs = endsAtMs
+        return !closesListener || endMs == null || context.timers.nowMs() + limitMs + END_MARGIN_MS <= endMs
+    }
 
     /** Listens on [address] and returns the bound port. */
     fun start(address: Address): Int {
@@ -38,6 +53,8 @@
             .group(group)
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+            // All waiting connections are accepted before a task closes the listener, which would reset them.
+            .option(ChannelOption.MAX_MESSAGES_PER_READ, ACCEPT_BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 object : ChannelInitializer<SocketChannel>() {
@@ -62,15 +79,29 @@
         connections -= connection
     }
 
-    /** Sends `Connection: close` with each further response; open connections are still served. */
-    fun beginStop() {
-        stopping = true
+    /**
+     * Begins a planned stop that lasts [durationMs] at most: sends `Connection: close` with each further response; open
+     * connections are still served.
+     */
+    fun beginStop(durationMs: Long) {
+        endsAtMs = context.timers.nowMs() + durationMs
     }
 
-    /** Stops accepting connections, and closes the open ones as soon as no request is in progress on them. */
+    /**
+     * Stops accepting connections, after those that wait to be accepted. The open ones are closed as soon as no request
+     * is in progress on them, but not before [IDLE_CLOSE_DELAY_MS], since the request of one that was just accepted may
+     * not have been read yet.
+     */
+    fun closeListener() {
+        closesListener = true
+        // Closing at once would reset the connections that the thread has not accepted yet.
+        context.timers.after(LISTENER_CLOSE_DELAY_MS) { listener?.close() }
+        context.timers.after(IDLE_CLOSE_DELAY_MS) { closeIdle() }
+    }
+
+    /** Closes the open connections as soon as no request is in progress on them. */
     fun closeIdle() {
         closesIdle = true
-        listener?.close()
         connections.toList().filter { !it.busy }.forEach { it.close() }
     }
 
@@ -84,6 +115,15 @@
         const val UNLIMITED_BYTES = 1 shl 30
         const val MAX_CHUNK_BYTES = 64 * 1024
 
+        /** Longer than one pass of the event loop. */
+        const val LISTENER_CLOSE_DELAY_MS = 20L
+
+        /** Longer than the round trip to a caller. */
+        const val IDLE_CLOSE_DELAY_MS = 250L
+
+        /** Time in which the end of a request is written before the process ends. */
+        const val END_MARGIN_MS = 100L
+
         /** Longest delay in enforcing the time limits of connections. */
         const val TIMEOUT_CHECK_INTERVAL_MS = 200L
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -238,12 +238,12 @@
 
     override fun beginStop() {
         stopping = true
-        loops.traffic.execute { front.beginStop() }
+        loops.traffic.execute { front.beginStop(settings.stopTimeoutMs) }
     }
 
-    override fun closeListeners() = loops.traffic.submit { front.closeIdle() }.get().let { }
+    override fun closeListeners() = loops.traffic.submit { front.closeListener() }.get().let { }
 
-    override fun isDrained(): Boolean = loops.traffic.submit<Int> { front.runningRequests }.get() == 0
+    override fun isDrained(): Boolean = loops.traffic.submit<Boolean> { front.drained }.get()
 
     override fun close() {
         platform.close()
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/BackendWishTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/BackendWishTest.kt
@@ -54,19 +54,18 @@
     }
 
     @TestFactory
-    fun `a caller is told when the only backend server takes requests again`() =
-        listOf("2", "0.5").map { named ->
-            DynamicTest.dynamicTest("Retry-After $named") {
-                startBackends(listOf(response("503 No", refused + "Retry-After: $named\r\n")))
-                val first = post("/again/")
-                val second = post("/again/")
-                expectThat(listOf(first?.status, second?.status)).isEqualTo(listOf(503, 503))
-                expectThat(backends.last().requests.size).isEqualTo(1)
-                val seconds = second?.header("retry-after")?.toDoubleOrNull() ?: 0.0
-                expectThat(seconds > named.toDouble() * 0.5 && seconds <= named.toDouble()).isEqualTo(true)
-                restartUnderNewIds()
-            }
+    fun `a caller is told when the only backend server takes requests again`() = listOf("2", "0.5").map { named ->
+        DynamicTest.dynamicTest("Retry-After $named") {
+            startBackends(listOf(response("503 No", refused + "Retry-After: $named\r\n")))
+            val first = post("/again/")
+            val second = post("/again/")
+            expectThat(listOf(first?.status, second?.status)).isEqualTo(listOf(503, 503))
+            expectThat(backends.last().requests.size).isEqualTo(1)
+            val seconds = second?.header("retry-after")?.toDoubleOrNull() ?: 0.0
+            expectThat(seconds > named.toDouble() * 0.5 && seconds <= named.toDouble()).isEqualTo(true)
+            restartUnderNewIds()
         }
+    }
 
     /** Ends the wishes of a case: its backend servers leave the directory. */
     private fun restartUnderNewIds() {
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/FrontStopTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/FrontStopTest.kt
@@ -6,12 +6,17 @@
 import io.netty.channel.ChannelPromise
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.http.HttpServerCodec
+import org.bramleyspur.core.settings.Address
 import org.bramleyspur.daemon.caller.RawClient
+import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
+import strikt.assertions.all
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 
 /** Guards against requests that a planned stop cuts off without an answer. */
@@ -29,7 +34,7 @@
                 backend.startGate.countDown()
                 client.readUntil("hel")
                 loops.traffic.submit {
-                    front.beginStop()
+                    front.beginStop(STOP_MS)
                     front.closeIdle()
                 }.get()
                 backend.endGate.countDown()
@@ -102,7 +107,71 @@
             expectThat(server.runningRequests).isEqualTo(0)
         }
 
+    private class LateCase(val name: String, val remainingMs: Long, val status: Int, val sentToBackend: Int)
+
+    private val lateCases = listOf(
+        LateCase("a request that ends before the process", remainingMs = 1_000, status = 200, sentToBackend = 1),
+        LateCase("a request that could outlast the process", remainingMs = 2_500, status = 503, sentToBackend = 0),
+    )
+
+    @TestFactory
+    fun `a request late in a planned stop is passed on only if it ends in time`() = lateCases.map { case ->
+        DynamicTest.dynamicTest(case.name) {
+            startBackends(listOf(Script(okResponse("hello"))))
+            val server = FrontServer(loops.trafficGroup, context)
+            RawClient(server.start(Address("127.0.0.1", 0))).use { client ->
+                loops.traffic.submit {
+                    server.beginStop(LATE_STOP_MS)
+                    server.closeListener()
+                }.get()
+                client.send(request().replace("X-Left: 2000", "X-Left: ${case.remainingMs}"))
+                val answer = client.read()
+                expectThat(answer?.status).isEqualTo(case.status)
+                expectThat(answer?.header("connection")).isEqualTo("close")
+                expectThat(backends.last().requests.size).isEqualTo(case.sentToBackend)
+            }
+        }
+    }
+
+    /** [sent] has arrived, read or not, when the listener closes; [rest] follows. */
+    private class AcceptedCase(val name: String, val sent: String, val rest: String)
+
+    private val acceptedCases = listOf(
+        AcceptedCase("nothing sent yet", "", request()),
+        AcceptedCase("a part of the head", request().take(30), request().drop(30)),
+        AcceptedCase("the whole request", request(), ""),
+        AcceptedCase("a part of the body", withBody("12"), "3456"),
+    )
+
+    private fun withBody(part: String) = request().replace("Content-Length: 0", "Content-Length: 6") + part
+
+    @TestFactory
+    fun `a request of a connection that was just accepted is answered`() = acceptedCases.map { case ->
+        DynamicTest.dynamicTest(case.name) {
+            startBackends(listOf(Script(okResponse("hello"))))
+            val server = FrontServer(loops.trafficGroup, context)
+            val port = server.start(Address("127.0.0.1", 0))
+            val blocked = CountDownLatch(1)
+            // While the thread is busy, the connections wait to be accepted.
+            val closed = loops.traffic.submit {
+                blocked.await()
+                server.beginStop(STOP_MS)
+                server.closeListener()
+            }
+            val clients = List(CONNECTIONS) { RawClient(port).apply { send(case.sent) } }
+            blocked.countDown()
+            closed.get()
+            clients.forEach { if (case.rest.isNotEmpty()) it.send(case.rest) }
+            expectThat(clients.map { it.read()?.status }).all { isEqualTo(200) }
+            clients.forEach { it.close() }
+        }
+    }
+
     private companion object {
+        const val STOP_MS = 10_000L
+        const val LATE_STOP_MS = 2_000L
+        const val CONNECTIONS = 40
+
         /** Many times what a request takes to a backend server on loopback. */
         const val PASS_ON_MS = 200L
     }
