--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
@@ -40,8 +40,8 @@
 private typealias SpareRule = (models: Set<ModelSpec>) -> Int
 
 /**
- * The models of a domain share its spares: losses that hit groups of two models at once are rare, and while whole groups
- * wait for spares of each model, their engines serve no requests.
+ * The models of a domain share its spares: losses that hit groups of two models at once are rare, and engines that wait
+ * for them serve no requests.
  */
 private val allSpares: SpareRule = { models -> models.maxOf { sparesOf(it) } }
 private val oneSpare: SpareRule = { 1 }
