Take no response that ends after its head for a whole one

Report of other operators: an engine stopped in the middle of its answer's head and closed, and clients got a 200 with an empty body, framed as whole. Inside the head it could not happen here (the decoder reports the cut); with a whole head that names no length and nothing after it, it could: a stream ended as complete without an event, a plain response with an empty body.

Change: such a response counts as broken off, unless its status or method has no body. The head of every response is forwarded with the first data, so that another backend server may answer where the request can be repeated; before, a plain response was given up once its head had come.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
@@ -69,6 +69,10 @@
     private var call: HttpCall? = null
     private var ended = false
     private var responseHead: Pair<Int, HttpHeaders>? = null
+
+    /** Whether only the end of the connection ends the response, so that one without a body looks like a cut one. */
+    private var endsWithConnection = false
+    private var bodyReceived = false
     private val startedAtMs = context.timers.nowMs()
     private var lastEventMs: Long? = null
     private val engine = context.engineLife(load.id)
@@ -124,10 +128,11 @@
             ResponseUse.INVALID -> discard("$detail without a seal")
             ResponseUse.FAILURE -> onServerError(status, headers)
             ResponseUse.NO_CONTINUATION -> endAttempt(AttemptEnd.BrokenOff, "$detail does not continue the stream")
-            ResponseUse.EVENTS -> responseHead = status to headers.copyEndToEndHeaders()
-            ResponseUse.WHOLE -> {
+            // Forwarded with the first data: until then, another backend server may answer.
+            ResponseUse.EVENTS, ResponseUse.WHOLE -> {
+                endsWithConnection = status !in BODILESS_STATUSES && request.caller.method != "HEAD" &&
+                    endsWithConnection(headers)
                 responseHead = status to headers.copyEndToEndHeaders()
-                forwardHead()
             }
         }
     }
@@ -158,8 +163,10 @@
 
     override fun onData(data: ByteBuf) {
         if (ended) return
+        bodyReceived = true
         onResponseData()
         if (!isStream()) {
+            forwardHead()
             response.write(data.retain())
         } else {
             forwardEvents(ByteBufUtil.getBytes(data))
@@ -193,7 +200,11 @@
 
     override fun onEnd() {
         if (ended) return
-        val wrong = if (isStream()) events.wrongEnd() else null
+        val wrong = when {
+            endsWithConnection && !bodyReceived -> "closed the connection after the head of its answer"
+            isStream() -> events.wrongEnd()
+            else -> null
+        }
         if (wrong != null) return discard("${load.id} $wrong")
         forwardHead()
         release()
@@ -256,6 +267,7 @@
 
     private companion object {
         val SUCCESS_STATUSES = 200..299
+        val BODILESS_STATUSES = setOf(204, 304)
         const val STATUS_MISDIRECTED = 421
 
         /** With its second event, an engine has gone past the beginning of its response. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -78,8 +78,8 @@
     }
 
     /**
-     * Plans as the leader of [leadingTerm], if any, and sends the resulting orders and probes. The planner state lasts as long
-     * as the term: a leader whose lease lapses and is renewed must not issue a group epoch of the term again.
+     * Plans as the leader of [leadingTerm], if any, and sends the resulting orders and probes. The planner state lasts
+     * as long as the term: a leader whose lease lapses and is renewed must not issue a group epoch of the term again.
      */
     fun plan(leadingTerm: Long?, document: StoredDocument?, engines: Map<String, KnownBackend>) {
         if (leadingTerm == null || document == null) return
