Count events of a stream as progress, not bytes or comments

Report of other operators: stalled streams that sent a byte now and then never ended. It could happen here: any byte ended the silence of an attempt and of its backend server, so no other one was asked before the deadline.

Change: for streams only a complete event that is no comment is progress. A slow stream is still never cut: silence only permits an attempt beside it.

Shown: StalledStreamTest, the 4 cases of stalled streams failed before, the slow stream passed before and after.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
@@ -164,8 +164,8 @@
     override fun onData(data: ByteBuf) {
         if (ended) return
         bodyReceived = true
-        onResponseData()
         if (!isStream()) {
+            onResponseData()
             forwardHead()
             response.write(data.retain())
         } else {
@@ -179,6 +179,8 @@
         val received = events.split(bytes)
         // An engine that crashes under a request does so when it begins the response, so it sends no second event.
         if (!begun && events.received >= EVENTS_PAST_START) context.promptParts.onSurvived(request.parts)
+        // A part of an event, or a comment, is no progress: a stalled server may send one now and then.
+        if (received.any { !it.isComment }) onResponseData()
         recordEventInterval(received.size)
         if (received.isNotEmpty()) counters.onEvent()
         val wrong = events.forwardNew(received) {
@@ -186,7 +188,7 @@
             response.write(it)
         }
         if (wrong != null) return discard("${load.id} $wrong")
-        if (request.route.idempotent && received.isNotEmpty()) silence.start(STREAM_SILENCE_LIMIT_MS)
+        if (request.route.idempotent && received.any { !it.isComment }) silence.start(STREAM_SILENCE_LIMIT_MS)
     }
 
     private fun recordEventInterval(events: Int) {
