Keep the tombstone of a backend server longer than any memory of it

Report of other operators: after a restart of one of the system's processes, a server that had left was in use again. It could happen here: tombstones were kept for 60 s, but a process that was partitioned when the server left remembers it for 300 s, and reports it to the control instances when it is connected again.

Change: tombstones are kept for 360 s.

Shown: BackendDirectoryTest (the reporting process after 0 to 600 s) failed with 60 s.

--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/BackendDirectory.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/BackendDirectory.kt
@@ -118,10 +118,13 @@
          */
         const val MAX_BACKENDS = 2_048
 
-        /** Much longer than the delay of an announcement, which can be several seconds. */
-        private const val TOMBSTONE_RETENTION_MS = 60_000L
-
         /** A backend server that is partitioned from the control instances stays in use for this long. */
         private const val EXPIRY_MS = 300_000L
+
+        /**
+         * Longer than [EXPIRY_MS], so that a process that was partitioned when the backend server left, and reports
+         * what it knows afterwards, does not bring it back.
+         */
+        private const val TOMBSTONE_RETENTION_MS = 360_000L
     }
 }
--- a/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/backend/BackendDirectoryTest.kt
+++ b/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/backend/BackendDirectoryTest.kt
@@ -49,6 +49,19 @@
             .isEmpty()
     }
 
+    /** Guards against a server that is in use again after a process that was partitioned when it left reports it. */
+    @Test
+    fun `a process that missed a deregistration does not restore the backend server`() {
+        val gone = directory(
+            announcement,
+        ).withAnnouncement(announcement.copy(sequence = 6, state = BackendState.GONE), 0)
+        val restored = (0L..600_000L step 5_000L).filter { nowMs ->
+            val partitioned = directory(announcement).expire(nowMs).backends["a"] ?: return@filter false
+            gone.expire(nowMs).withAnnouncement(partitioned.announcement, partitioned.receivedAtMs).ids().isNotEmpty()
+        }
+        expectThat(restored).isEmpty()
+    }
+
     @Test
     fun `a restart under the same id replaces an earlier deregistration`() {
         val gone = announcement.copy(sequence = 9, state = BackendState.GONE)
