Keep a spare for each model of a fabric domain

Cause: all spares of a domain went to the model whose losses cost most. With spares shared by the models, Heredia's domains had two for the large model and none for the small one: each lost member of a small group cost the group a load.

Change: every model with groups in a domain has a spare there before another one gets a second.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
@@ -14,14 +14,16 @@
 internal fun DomainTargets.groups(domain: String, model: ModelSpec): Int = this[domain]?.get(model.name) ?: 0
 
 /**
- * Number of spares in the domain that hold the weights of the model. Each further spare of the domain goes to the model
- * that the next loss of a member costs most: one with many members there, each with a large part of all the work.
+ * Number of spares in the domain that hold the weights of the model. Every model with groups there has one, since a lost
+ * member without a spare costs its group a load from the weight store. Each further spare goes to the model that the
+ * next loss of a member costs most: one with many members there, each with a large part of all the work.
  */
 internal fun DomainTargets.spares(domain: String, model: ModelSpec, models: List<ModelSpec>): Int {
     val inDomain = models.filter { groups(domain, it) > 0 }
     val spares = inDomain.associateWith { 0 }.toMutableMap()
     repeat(inDomain.sumOf { sparesOf(it) }) {
-        val next = inDomain.maxBy { costOfLosses(domain, it) / (1 + spares.getValue(it)) }
+        val uncovered = inDomain.filter { spares.getValue(it) == 0 }
+        val next = uncovered.ifEmpty { inDomain }.maxBy { costOfLosses(domain, it) / (1 + spares.getValue(it)) }
         spares.merge(next, 1, Int::plus)
     }
     return spares[model] ?: 0
