Let requests wait in a short outage instead of refusing them twice

Cause: while a group forms again, or an entry has just started, requests were refused at once with a short Retry-After.

Change: in the first 3 s of an outage a request waits for up to a third of its time, 1.5 s at most, and is then refused as not run; later ones are refused at once. OutageRules decides it. A request that waits is answered when the process ends.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -77,6 +77,10 @@
     /** Routes of the current configuration document; null before the first one. */
     var routes: RouteTable? = null
     private var holds = BackendHolds()
+    private val startedAtMs = timers.nowMs()
+
+    /** When a backend server was last chosen, by service and model. */
+    private val lastChosenMs = HashMap<Pair<String, String?>, Long>()
     private val budgets = HashMap<String, WindowedRetryBudget>()
 
     /** Records that a backend server stopped responding or accepts no connection, and reports it. */
@@ -145,13 +149,26 @@
     /** Chooses a backend server of [service] that passes [filter]; null when there is none. */
     fun choose(service: DocumentService, model: String?, tokens: TokenCounts, filter: BackendFilter): BackendChoice? {
         val costs = service.costs
-        return if (costs != null && model != null) {
+        val choice = if (costs != null && model != null) {
             chooseEngine(service, costs, model, tokens, filter)
         } else {
             choosePlain(service, filter)
         }
+        if (choice != null) lastChosenMs[service.name to modelKey(service, model)] = timers.nowMs()
+        return choice
     }
 
+    /** Time in milliseconds since requests like this one could last be forwarded, or since the start. */
+    fun outageMs(service: DocumentService, model: String?): Long =
+        timers.nowMs() - (lastChosenMs[service.name to modelKey(service, model)] ?: startedAtMs)
+
+    /** Time in milliseconds since the start. */
+    fun uptimeMs(): Long = timers.nowMs() - startedAtMs
+
+    /** A model that the service does not have is not remembered: callers may name any number of them. */
+    private fun modelKey(service: DocumentService, model: String?): String? =
+        model?.takeIf { name -> service.models.any { it.name == name } }
+
     private fun chooseEngine(
         service: DocumentService,
         costs: EngineCosts,
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -7,11 +7,13 @@
 import org.bramleyspur.core.time.TimerHandle
 import org.bramleyspur.traffic.forward.AttemptEnd
 import org.bramleyspur.traffic.forward.NextStep
+import org.bramleyspur.traffic.forward.OUTAGE_POLL_INTERVAL_MS
 import org.bramleyspur.traffic.forward.OtherAttempts
 import org.bramleyspur.traffic.forward.RequestProgress
 import org.bramleyspur.traffic.forward.RunningAttempts
 import org.bramleyspur.traffic.forward.maySendBesideSilent
 import org.bramleyspur.traffic.forward.nextStep
+import org.bramleyspur.traffic.forward.waitsForOutage
 import org.bramleyspur.traffic.quarantine.PartVerdict
 
 /** An admitted request that is being forwarded. Confined to the traffic thread. */
@@ -90,6 +92,9 @@
         if (isKeptFromEngines()) return
         val choice = if (toSuperseded) takeSuperseded() else chooseUntried()
         when {
+            choice == null && waits() -> context.timers.after(OUTAGE_POLL_INTERVAL_MS) {
+                if (!done) guarded(faultHandler) { send(countsAgainstBudget, toSuperseded) }
+            }
             choice == null ->
                 onNotSendable(
                     context.heldMs(request.service, request.model)?.let { AttemptEnd.Held(it) }
@@ -102,6 +107,15 @@
         }
     }
 
+    /** Whether the request, of which nothing was sent, waits for the end of an outage. */
+    private fun waits(): Boolean = sends == 0 && unsentAttempts == 0 &&
+        context.heldMs(request.service, request.model) == null &&
+        waitsForOutage(
+            request.elapsedMs(),
+            request.remainingMs(),
+            context.outageMs(request.service, request.model),
+        )
+
     private fun start(choice: BackendChoice, countsAgainstBudget: Boolean) {
         // Built before the attempt counts as sent, since it may throw.
         val head = request.head(choice.load.id, response.lastEventId)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -18,6 +18,8 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ReferenceCountUtil
+import org.bramleyspur.traffic.forward.OUTAGE_POLL_INTERVAL_MS
+import org.bramleyspur.traffic.forward.waitsForOutage
 import java.io.IOException
 
 /** Server side of a caller's connection. Confined to the traffic thread. */
@@ -135,7 +137,11 @@
     }
 
     /** Ends a running request with the answer that its progress allows, since the process is about to end. */
-    fun endRunning() = guarded(::onFault) { currentRequest?.endEarly("the entry stops") }
+    fun endRunning() = guarded(::onFault) {
+        val waiting = response?.takeIf { currentRequest == null && !it.begun }
+        currentRequest?.endEarly("the entry stops")
+        waiting?.let { rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE, "not run: the entry stops", it) }
+    }
 
     override fun channelRead(handler: ChannelHandlerContext, message: Any) = guarded(::onFault) { receive(message) }
 
@@ -194,8 +200,20 @@
         val now = context.timers.nowMs()
         val callerRequest =
             CallerRequest(request.method().name(), request.uri(), request.headers(), body, now)
+        admitOrWait(callerRequest, newResponse)
+    }
+
+    private fun admitOrWait(callerRequest: CallerRequest, newResponse: ConnectionResponse) {
         when (val admission = admit(context.routes, callerRequest, context::randomFraction)) {
-            is Admission.Rejected -> rejectRequest(admission.status, admission.text, newResponse)
+            is Admission.Rejected -> if (waitsForConfiguration(callerRequest)) {
+                context.timers.after(OUTAGE_POLL_INTERVAL_MS) {
+                    // The response has begun if the process has ended the request meanwhile.
+                    val waiting = response === newResponse && !newResponse.begun && channel.isActive
+                    if (waiting) guarded(::onFault) { admitOrWait(callerRequest, newResponse) }
+                }
+            } else {
+                rejectRequest(admission.status, admission.text, newResponse)
+            }
             is Admission.Admitted -> {
                 val (route, service, account) = admission
                 val admitted = AdmittedRequest(context, callerRequest, route, service, account)
@@ -209,6 +227,14 @@
         }
     }
 
+    /** Whether the request waits for the first configuration, which an entry receives soon after its start. */
+    private fun waitsForConfiguration(request: CallerRequest): Boolean {
+        if (context.routes != null) return false
+        val waitedMs = context.timers.nowMs() - request.receivedAtMs
+        val limitMs = request.headers.get(context.headers.remainingMs)?.trim()?.toLongOrNull() ?: DEFAULT_LIMIT_MS
+        return waitsForOutage(waitedMs, limitMs - waitedMs, context.uptimeMs())
+    }
+
     private fun newResponse() =
         ConnectionResponse(channel, keepAlive, { server.closesConnections }, ::closeIfStopping).also { response = it }
 
@@ -270,6 +296,9 @@
     private companion object {
         const val MAX_PENDING_MESSAGES = 64
         const val STATUS_UNAVAILABLE = 503
+
+        /** Time limit of a request that names none. */
+        const val DEFAULT_LIMIT_MS = 1_000L
         const val NOT_RUN = "not run: internal error"
         const val STOPPING = "not run: this entry stops before the request could end; send it to another one"
 
