--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
@@ -139,6 +139,11 @@
     var nowMs = 100_000L
         private set
 
+    /** How late the leader reads what arrives, and plans; 0 for at once. */
+    var leaderDelayMs = 0L
+    private var nextPlanMs = 0L
+    private val unread = ArrayList<() -> Unit>()
+
     /** Whether callers' requests run at the heads; without them entries report nothing. */
     var traffic = true
     private var term = 1L
@@ -208,6 +213,7 @@
         directory = BackendDirectory()
         state = PlannerState()
         evidence.clear()
+        unread.clear()
         term++
         scheduled += nowMs + ENTRY_RECONNECT_MS to {
             directory = known.backends.values.fold(directory) { merged, backend ->
@@ -251,7 +257,8 @@
         if (sends && engine.nextAnnouncementMs <= nowMs) {
             engine.sequence++
             engine.nextAnnouncementMs = nowMs + ANNOUNCEMENT_INTERVAL_MS
-            directory = directory.withAnnouncement(announcement(engine), nowMs)
+            val announcement = announcement(engine)
+            receive { directory = directory.withAnnouncement(announcement, nowMs) }
         }
     }
 
@@ -305,8 +312,17 @@
         }
     }
 
+    /** Lets the leader handle a message, which a late one does with its next plan. */
+    private fun receive(message: () -> Unit) {
+        if (leaderDelayMs == 0L) message() else unread += message
+    }
+
     private fun plan() {
-        val input = PlannerInput(nowMs, term, document, directory.backends, evidence, true)
+        if (nowMs < nextPlanMs) return
+        nextPlanMs = nowMs + leaderDelayMs
+        unread.forEach { it() }
+        unread.clear()
+        val input = PlannerInput(nowMs, term, document, directory.backends, evidence, true, leaderDelayMs)
         val before = state
         val startNanos = System.nanoTime()
         val step = planGroups(state, input)
@@ -328,9 +344,11 @@
                 else -> ProbeResult.Refused
             }
             scheduled += nowMs + STEP_MS to {
-                if (probeTerm == term) {
-                    state =
-                        onProbeResult(state, probe.incarnation, result, announced(probe.incarnation.id), sentMs, nowMs)
+                receive {
+                    if (probeTerm == term) {
+                        val announced = announced(probe.incarnation.id)
+                        state = onProbeResult(state, probe.incarnation, result, announced, sentMs, nowMs)
+                    }
                 }
             }
         }
@@ -351,7 +369,7 @@
         val delayMs = if (lost) 2_000L + random.nextInt(10_000) else silentMs + STEP_MS
         if (unanswered) {
             scheduled += nowMs + ORDER_TIMEOUT_MS to {
-                if (sentTerm == term) state = onOrderResult(state, target, order.command, OrderResult.UNANSWERED, nowMs)
+                receive { onResult(sentTerm, target, order.command, OrderResult.UNANSWERED) }
             }
         }
         if (!reachable) return
@@ -361,10 +379,14 @@
             } else {
                 OrderResult.ABSENT
             }
-            if (sentTerm == term && !unanswered) state = onOrderResult(state, target, order.command, result, nowMs)
+            if (!unanswered) receive { onResult(sentTerm, target, order.command, result) }
         }
     }
 
+    private fun onResult(sentTerm: Long, target: EngineIncarnation, command: EngineCommand, result: OrderResult) {
+        if (sentTerm == term) state = onOrderResult(state, target, command, result, nowMs)
+    }
+
     private fun accept(engine: SimulatedEngine, order: EngineOrder): OrderResult {
         if (order.expectedOrders != null && order.expectedOrders != engine.orders) return OrderResult.REFUSED
         val command = order.command
