--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
@@ -14,9 +14,9 @@
 internal fun DomainTargets.groups(domain: String, model: ModelSpec): Int = this[domain]?.get(model.name) ?: 0
 
 /**
- * Number of spares in the domain that hold the weights of the model. Every model with groups there has one, since a lost
- * member without a spare costs its group a load from the weight store. Each further spare goes to the model that the
- * next loss of a member costs most: one with many members there, each with a large part of all the work.
+ * Number of spares in the domain that hold the weights of the model. Every model with groups there has one, since a
+ * lost member without a spare costs its group a load from the weight store. Each further spare goes to the model that
+ * the next loss of a member costs most: one with many members there, each with a large part of all the work.
  */
 internal fun DomainTargets.spares(domain: String, model: ModelSpec, models: List<ModelSpec>): Int {
     val inDomain = models.filter { groups(domain, it) > 0 }
