Send a configuration document once to each entry that lacks it

Change: entries report the version that they have in force. The leader sends a document at once to the entries that lack it; another instance sends it only to entries that still lack it 500 ms after its commit. An entry counts the leader's configuration as confirmed only once it has the leader's version.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
@@ -52,6 +52,7 @@
     /** Backend servers whose renewals have not been sent to control instances, and to entries. */
     private val renewed = LinkedHashSet<String>()
     private val renewedForEntries = LinkedHashSet<String>()
+    private var committedAtMs = timers.nowMs()
 
     /** Number of entries that watch this control instance. */
     val entries: Int get() = watchers.count { it.isEntry }
@@ -67,6 +68,7 @@
         val entryEvent = event.toBuilder().addAllRenewals(renewalsOf(renewedForEntries)).build()
         renewedForEntries.clear()
         watchers.toList().forEach { it.send(if (it.isEntry) entryEvent else event) }
+        sendDocument()
     }
 
     private fun sendRenewals() {
@@ -88,7 +90,7 @@
         renewedForEntries += id
     }
 
-    /** Opens the event stream of a watcher, and sends it the directory and the document. */
+    /** Opens the event stream of a watcher, and sends it the directory. */
     fun watch(events: StreamObserver<DirectoryEvent>): StreamObserver<DirectoryRequest> {
         val watcher = Watcher(events as ServerCallStreamObserver<DirectoryEvent>)
         watchers += watcher
@@ -96,7 +98,6 @@
         val now = timers.nowMs()
         val event = newEvent().addAllAnnouncements(source.backends().toMessages(now))
         event.addAllPromptParts(source.promptParts().map { it.toMessage() })
-        source.document()?.let { event.setDocument(it.toEvent()) }
         watcher.send(event.build())
         return watcher
     }
@@ -109,12 +110,30 @@
     fun onPromptParts(observations: List<PartObservation>) =
         broadcast(newEvent().addAllPromptParts(observations.map { it.toMessage() }).build())
 
-    /** Sends a committed document to all watchers. */
-    fun onDocument(document: StoredDocument) = broadcast(newEvent().setDocument(document.toEvent()).build())
+    /**
+     * Sends a committed document to the entries that lack it: at once if this instance leads. All instances have the
+     * document, so another one sends it only to entries that have not received it from the leader.
+     */
+    fun onDocument() {
+        committedAtMs = timers.nowMs()
+        sendDocument()
+    }
+
+    private fun sendDocument() {
+        val document = source.document() ?: return
+        val leads = source.confirmed()
+        val nowMs = timers.nowMs()
+        val lacking = watchers.filter { it.lacks(document.version) }
+            .filter { leads || nowMs - maxOf(committedAtMs, it.openedAtMs) >= FOLLOWER_DELAY_MS }
+        if (lacking.isEmpty()) return
+        val event = newEvent().setDocument(document.toEvent()).build()
+        lacking.forEach { it.sendDocument(event, document.version) }
+    }
 
     private fun newEvent(): DirectoryEvent.Builder = DirectoryEvent
         .newBuilder()
         .setConfirmed(source.confirmed())
+        .setDocumentVersion(source.document()?.version ?: 0)
         .addAllMembers(source.members())
         .setEntries(entries)
 
@@ -124,7 +143,19 @@
         StreamObserver<DirectoryRequest> {
         var isEntry = false
             private set
-        private var lastReceivedMs = timers.nowMs()
+        val openedAtMs = timers.nowMs()
+        private var lastReceivedMs = openedAtMs
+
+        /** The newest document version that the watcher has in force or was sent. */
+        private var documentVersion = 0L
+
+        /** Whether the watcher needs documents, which control instances receive by the log, and has an older one. */
+        fun lacks(version: Long): Boolean = isEntry && documentVersion < version
+
+        fun sendDocument(event: DirectoryEvent, version: Long) {
+            documentVersion = version
+            send(event)
+        }
 
         fun send(event: DirectoryEvent) {
             // An unresponsive watcher reconnects by itself; its old stream must not buffer further events.
@@ -139,6 +170,8 @@
         override fun onNext(request: DirectoryRequest) {
             lastReceivedMs = timers.nowMs()
             isEntry = request.entry
+            documentVersion = maxOf(documentVersion, request.documentVersion)
+            if (isEntry && source.confirmed()) sendDocument()
             if (request.missingBackendsCount > 0) sendMissing(request.missingBackendsList)
             onRequest(request)
         }
@@ -168,6 +201,9 @@
 
         /** Control instances must know soon that an announcement is not overdue. */
         const val RENEWAL_INTERVAL_MS = 100L
+
+        /** Longer than the leader takes to send a document to all entries and they take to report it. */
+        const val FOLLOWER_DELAY_MS = 500L
         const val WATCHER_UNRESPONSIVE_LIMIT_MS = 3_000L
     }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -280,7 +280,7 @@
         val document = after.document ?: return
         if (document.version != before.document?.version) {
             log.write("document-in-force", "version" to document.version, "before" to (before.document?.version ?: 0L))
-            directoryServer.onDocument(document)
+            directoryServer.onDocument()
         }
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -157,6 +157,7 @@
         }
         return report
             .setInstance(settings.instance)
+            .setDocumentVersion(context.routes?.version ?: 0)
             .setEntry(true)
             .addAllAnsweringBackends(loads.responding(RESPONDING_WINDOW_MS))
             .addAllSilentBackends(loads.unresponsive(UNRESPONSIVE_WINDOW_MS))
@@ -184,7 +185,7 @@
         directoryClient.requestMissing(address, renewals.missing)
         promptParts.receive(event.promptPartsList.map { it.toModel() })
         if (event.hasDocument()) applyDocument(event, address)
-        if (event.confirmed) {
+        if (event.confirmed && event.documentVersion <= (context.routes?.version ?: 0)) {
             leaderConfirmed = true
             updateConfigurationUsable()
         }
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEvent.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEvent.java
@@ -273,6 +273,21 @@
     return renewals_.get(index);
   }
 
+  public static final int DOCUMENT_VERSION_FIELD_NUMBER = 9;
+  private long documentVersion_ = 0L;
+  /**
+   * <pre>
+   * Version of the document that is in force at the sender; 0 for none.
+   * </pre>
+   *
+   * <code>uint64 document_version = 9;</code>
+   * @return The documentVersion.
+   */
+  @java.lang.Override
+  public long getDocumentVersion() {
+    return documentVersion_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -308,6 +323,9 @@
     for (int i = 0; i < renewals_.size(); i++) {
       output.writeMessage(8, renewals_.get(i));
     }
+    if (documentVersion_ != 0L) {
+      output.writeUInt64(9, documentVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -349,6 +367,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(8, renewals_.get(i));
     }
+    if (documentVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(9, documentVersion_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -381,6 +403,8 @@
         .equals(other.getPromptPartsList())) return false;
     if (!getRenewalsList()
         .equals(other.getRenewalsList())) return false;
+    if (getDocumentVersion()
+        != other.getDocumentVersion()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -417,6 +441,9 @@
       hash = (37 * hash) + RENEWALS_FIELD_NUMBER;
       hash = (53 * hash) + getRenewalsList().hashCode();
     }
+    hash = (37 * hash) + DOCUMENT_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getDocumentVersion());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -587,6 +614,7 @@
         renewalsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000040);
+      documentVersion_ = 0L;
       return this;
     }
 
@@ -668,6 +696,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.entries_ = entries_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.documentVersion_ = documentVersion_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -812,6 +843,9 @@
           }
         }
       }
+      if (other.getDocumentVersion() != 0L) {
+        setDocumentVersion(other.getDocumentVersion());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -900,6 +934,11 @@
               }
               break;
             } // case 66
+            case 72: {
+              documentVersion_ = input.readUInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1980,6 +2019,50 @@
       }
       return renewalsBuilder_;
     }
+
+    private long documentVersion_ ;
+    /**
+     * <pre>
+     * Version of the document that is in force at the sender; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 document_version = 9;</code>
+     * @return The documentVersion.
+     */
+    @java.lang.Override
+    public long getDocumentVersion() {
+      return documentVersion_;
+    }
+    /**
+     * <pre>
+     * Version of the document that is in force at the sender; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 document_version = 9;</code>
+     * @param value The documentVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDocumentVersion(long value) {
+
+      documentVersion_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the document that is in force at the sender; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 document_version = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDocumentVersion() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      documentVersion_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEventOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEventOrBuilder.java
@@ -151,4 +151,14 @@
    */
   org.bramleyspur.protocol.BackendRenewalOrBuilder getRenewalsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Version of the document that is in force at the sender; 0 for none.
+   * </pre>
+   *
+   * <code>uint64 document_version = 9;</code>
+   * @return The documentVersion.
+   */
+  long getDocumentVersion();
 }
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryProto.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryProto.java
@@ -84,29 +84,30 @@
       "ge_ms\030\005 \001(\r\"9\n\025ConfigurationDocument\022\017\n\007" +
       "version\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\"N\n\020Prompt" +
       "PartReport\022\014\n\004part\030\001 \001(\t\022\016\n\006engine\030\002 \001(\t" +
-      "\022\034\n\024engine_started_at_ms\030\003 \001(\003\"\374\001\n\020Direc" +
+      "\022\034\n\024engine_started_at_ms\030\003 \001(\003\"\226\002\n\020Direc" +
       "toryRequest\022\020\n\010instance\030\001 \001(\t\022\r\n\005entry\030\002" +
       " \001(\010\022\032\n\022answering_backends\030\003 \003(\t\022\027\n\017sile" +
       "nt_backends\030\004 \003(\t\0227\n\rannouncements\030\007 \003(\013" +
       "2 .bramleyspur.BackendAnnouncement\0223\n\014pr" +
       "ompt_parts\030\010 \003(\0132\035.bramleyspur.PromptPar" +
-      "tReport\022\030\n\020missing_backends\030\t \003(\tJ\004\010\005\020\006J" +
-      "\004\010\006\020\007\"\236\002\n\016DirectoryEvent\0227\n\rannouncement" +
-      "s\030\001 \003(\0132 .bramleyspur.BackendAnnouncemen" +
-      "t\0224\n\010document\030\002 \001(\0132\".bramleyspur.Config" +
-      "urationDocument\022\021\n\tconfirmed\030\003 \001(\010\022\017\n\007me" +
-      "mbers\030\004 \003(\t\022\017\n\007entries\030\005 \001(\r\0223\n\014prompt_p" +
-      "arts\030\007 \003(\0132\035.bramleyspur.PromptPartRepor" +
-      "t\022-\n\010renewals\030\010 \003(\0132\033.bramleyspur.Backen" +
-      "dRenewalJ\004\010\006\020\007\"3\n\020AdmissionRequest\022\016\n\006me" +
-      "mber\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\"2\n\016Admission" +
-      "Reply\022\020\n\010admitted\030\001 \001(\010\022\016\n\006leader\030\002 \001(\t2" +
-      "\240\001\n\020DirectoryService\022G\n\005Watch\022\035.bramleys" +
-      "pur.DirectoryRequest\032\033.bramleyspur.Direc" +
-      "toryEvent(\0010\001\022C\n\005Admit\022\035.bramleyspur.Adm" +
-      "issionRequest\032\033.bramleyspur.AdmissionRep" +
-      "lyB,\n\030org.bramleyspur.protocolB\016Director" +
-      "yProtoP\001b\006proto3"
+      "tReport\022\030\n\020missing_backends\030\t \003(\t\022\030\n\020doc" +
+      "ument_version\030\n \001(\004J\004\010\005\020\006J\004\010\006\020\007\"\270\002\n\016Dire" +
+      "ctoryEvent\0227\n\rannouncements\030\001 \003(\0132 .bram" +
+      "leyspur.BackendAnnouncement\0224\n\010document\030" +
+      "\002 \001(\0132\".bramleyspur.ConfigurationDocumen" +
+      "t\022\021\n\tconfirmed\030\003 \001(\010\022\017\n\007members\030\004 \003(\t\022\017\n" +
+      "\007entries\030\005 \001(\r\0223\n\014prompt_parts\030\007 \003(\0132\035.b" +
+      "ramleyspur.PromptPartReport\022-\n\010renewals\030" +
+      "\010 \003(\0132\033.bramleyspur.BackendRenewal\022\030\n\020do" +
+      "cument_version\030\t \001(\004J\004\010\006\020\007\"3\n\020AdmissionR" +
+      "equest\022\016\n\006member\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\"" +
+      "2\n\016AdmissionReply\022\020\n\010admitted\030\001 \001(\010\022\016\n\006l" +
+      "eader\030\002 \001(\t2\240\001\n\020DirectoryService\022G\n\005Watc" +
+      "h\022\035.bramleyspur.DirectoryRequest\032\033.braml" +
+      "eyspur.DirectoryEvent(\0010\001\022C\n\005Admit\022\035.bra" +
+      "mleyspur.AdmissionRequest\032\033.bramleyspur." +
+      "AdmissionReplyB,\n\030org.bramleyspur.protoc" +
+      "olB\016DirectoryProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -147,13 +148,13 @@
     internal_static_bramleyspur_DirectoryRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_DirectoryRequest_descriptor,
-        new java.lang.String[] { "Instance", "Entry", "AnsweringBackends", "SilentBackends", "Announcements", "PromptParts", "MissingBackends", });
+        new java.lang.String[] { "Instance", "Entry", "AnsweringBackends", "SilentBackends", "Announcements", "PromptParts", "MissingBackends", "DocumentVersion", });
     internal_static_bramleyspur_DirectoryEvent_descriptor =
       getDescriptor().getMessageTypes().get(6);
     internal_static_bramleyspur_DirectoryEvent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_DirectoryEvent_descriptor,
-        new java.lang.String[] { "Announcements", "Document", "Confirmed", "Members", "Entries", "PromptParts", "Renewals", });
+        new java.lang.String[] { "Announcements", "Document", "Confirmed", "Members", "Entries", "PromptParts", "Renewals", "DocumentVersion", });
     internal_static_bramleyspur_AdmissionRequest_descriptor =
       getDescriptor().getMessageTypes().get(7);
     internal_static_bramleyspur_AdmissionRequest_fieldAccessorTable = new
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequest.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequest.java
@@ -383,6 +383,21 @@
     return missingBackends_.getByteString(index);
   }
 
+  public static final int DOCUMENT_VERSION_FIELD_NUMBER = 10;
+  private long documentVersion_ = 0L;
+  /**
+   * <pre>
+   * Version of the configuration document that the sender has in force; 0 for none.
+   * </pre>
+   *
+   * <code>uint64 document_version = 10;</code>
+   * @return The documentVersion.
+   */
+  @java.lang.Override
+  public long getDocumentVersion() {
+    return documentVersion_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -418,6 +433,9 @@
     for (int i = 0; i < missingBackends_.size(); i++) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 9, missingBackends_.getRaw(i));
     }
+    if (documentVersion_ != 0L) {
+      output.writeUInt64(10, documentVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -466,6 +484,10 @@
       size += dataSize;
       size += 1 * getMissingBackendsList().size();
     }
+    if (documentVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(10, documentVersion_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -495,6 +517,8 @@
         .equals(other.getPromptPartsList())) return false;
     if (!getMissingBackendsList()
         .equals(other.getMissingBackendsList())) return false;
+    if (getDocumentVersion()
+        != other.getDocumentVersion()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -531,6 +555,9 @@
       hash = (37 * hash) + MISSING_BACKENDS_FIELD_NUMBER;
       hash = (53 * hash) + getMissingBackendsList().hashCode();
     }
+    hash = (37 * hash) + DOCUMENT_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getDocumentVersion());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -684,6 +711,7 @@
       bitField0_ = (bitField0_ & ~0x00000020);
       missingBackends_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      documentVersion_ = 0L;
       return this;
     }
 
@@ -757,6 +785,9 @@
         missingBackends_.makeImmutable();
         result.missingBackends_ = missingBackends_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.documentVersion_ = documentVersion_;
+      }
     }
 
     @java.lang.Override
@@ -893,6 +924,9 @@
         }
         onChanged();
       }
+      if (other.getDocumentVersion() != 0L) {
+        setDocumentVersion(other.getDocumentVersion());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -973,6 +1007,11 @@
               missingBackends_.add(s);
               break;
             } // case 74
+            case 80: {
+              documentVersion_ = input.readUInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2170,6 +2209,50 @@
       onChanged();
       return this;
     }
+
+    private long documentVersion_ ;
+    /**
+     * <pre>
+     * Version of the configuration document that the sender has in force; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 document_version = 10;</code>
+     * @return The documentVersion.
+     */
+    @java.lang.Override
+    public long getDocumentVersion() {
+      return documentVersion_;
+    }
+    /**
+     * <pre>
+     * Version of the configuration document that the sender has in force; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 document_version = 10;</code>
+     * @param value The documentVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDocumentVersion(long value) {
+
+      documentVersion_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the configuration document that the sender has in force; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 document_version = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDocumentVersion() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      documentVersion_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequestOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequestOrBuilder.java
@@ -240,4 +240,14 @@
    */
   com.google.protobuf.ByteString
       getMissingBackendsBytes(int index);
+
+  /**
+   * <pre>
+   * Version of the configuration document that the sender has in force; 0 for none.
+   * </pre>
+   *
+   * <code>uint64 document_version = 10;</code>
+   * @return The documentVersion.
+   */
+  long getDocumentVersion();
 }
