--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
@@ -332,28 +332,30 @@
         state = step.state
         (before.groups.keys - state.groups.keys).forEach { history += "$nowMs leader $term ends $it" }
         state.groups.values.filter { it != before.groups[it.id] }.forEach { history += "$nowMs leader $term $it" }
-        step.probes.forEach { probe ->
-            val engine = byId.getValue(probe.incarnation.id)
-            val sentMs = nowMs
-            val probeTerm = term
-            val responds = engine.up && engine.controlCutOffUntilMs <= nowMs && engine.silentUntilMs <= nowMs &&
-                engine.startedAtMs == probe.incarnation.startedAtMs
-            val result = when {
-                responds -> ProbeResult.Answered(EngineReport(engine.orders, engine.group))
-                engine.up || engine.dark -> ProbeResult.Unanswered
-                else -> ProbeResult.Refused
-            }
-            scheduled += nowMs + STEP_MS to {
-                receive {
-                    if (probeTerm == term) {
-                        val announced = announced(probe.incarnation.id)
-                        state = onProbeResult(state, probe.incarnation, result, announced, sentMs, nowMs)
-                    }
+        step.probes.forEach { answer(it) }
+        ordersSent += step.orders.size
+        step.orders.forEach { deliver(it) }
+    }
+
+    private fun answer(probe: EngineProbe) {
+        val engine = byId.getValue(probe.incarnation.id)
+        val sentMs = nowMs
+        val probeTerm = term
+        val responds = engine.up && engine.controlCutOffUntilMs <= nowMs && engine.silentUntilMs <= nowMs &&
+            engine.startedAtMs == probe.incarnation.startedAtMs
+        val result = when {
+            responds -> ProbeResult.Answered(EngineReport(engine.orders, engine.group))
+            engine.up || engine.dark -> ProbeResult.Unanswered
+            else -> ProbeResult.Refused
+        }
+        scheduled += nowMs + STEP_MS to {
+            receive {
+                if (probeTerm == term) {
+                    val announced = announced(probe.incarnation.id)
+                    state = onProbeResult(state, probe.incarnation, result, announced, sentMs, nowMs)
                 }
             }
         }
-        ordersSent += step.orders.size
-        step.orders.forEach { deliver(it) }
     }
 
     private fun announced(id: String) = directory.backends[id]?.announcement?.groupMembership?.id
