Answer just accepted requests in a planned stop of entries with agents, too

Cause: the one that FrontServer had: closing the listener reset the connections that waited to be accepted, and idle connections were closed with a request unread in their buffers or its head half read.

Change: the listener closes after one more pass of the event loop, idle connections 250 ms later; the process counts as drained only then.

Not changed: a request that is read after that is passed on however little time the process has left.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerConnection.kt
@@ -110,9 +110,9 @@
         startTimeout(limits.requestTimeoutMs) { rejectTimedOut() }
     }
 
-    /** Closes the connection if no request is in progress. */
+    /** Closes the connection if no request is in progress or being read. */
     fun closeIfIdle() {
-        if (exchange == null) context.close()
+        if (exchange == null && !headPending) context.close()
     }
 
     private fun handlePart(part: HttpObject) {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerServer.kt
@@ -18,6 +18,7 @@
 import org.bramleyspur.daemon.http.WatchableServerChannel
 import org.bramleyspur.daemon.http.listen
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 
 /** HTTP server for callers; passes requests to [handler]. All connections are encrypted if [tls] is set. */
 class CallerServer(
@@ -32,6 +33,11 @@
     @Volatile
     private var closing = false
 
+    /** Whether the listener and the idle connections have been closed. */
+    @Volatile
+    var closed = false
+        private set
+
     /** Starts listening on [address] and returns the bound port. */
     fun start(address: Address, group: EventLoopGroup): Int {
         val listeningChannel =
@@ -39,6 +45,8 @@
                 .group(group)
                 .channelFactory(::WatchableServerChannel)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                // All waiting connections are accepted before a task closes the listener, which would reset them.
+                .option(ChannelOption.MAX_MESSAGES_PER_READ, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(ConnectionInitializer())
                 .listen(address)
@@ -51,13 +59,22 @@
         closing = true
     }
 
-    /** Closes the listener and idle connections; requests in progress continue. */
+    /**
+     * Closes the listener, after the connections that wait to be accepted, and then idle connections; requests in
+     * progress continue.
+     */
     fun closeListener() {
         closing = true
-        listener?.close()
+        val loop = listener?.eventLoop() ?: return
+        loop.schedule({ listener?.close() }, LISTENER_CLOSE_DELAY_MS, TimeUnit.MILLISECONDS)
+        loop.schedule({ closeIdle() }, IDLE_CLOSE_DELAY_MS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun closeIdle() {
         connections.forEach { channel ->
             channel.eventLoop().execute { channel.pipeline().get(CallerConnection::class.java)?.closeIfIdle() }
         }
+        closed = true
     }
 
     private inner class ConnectionInitializer : ChannelInitializer<SocketChannel>() {
@@ -83,6 +100,12 @@
 
     private companion object {
         const val BACKLOG = 1_024
+
+        /** Longer than one pass of the event loop. */
+        const val LISTENER_CLOSE_DELAY_MS = 20L
+
+        /** Longer than the round trip to a caller, whose request may not have been read yet. */
+        const val IDLE_CLOSE_DELAY_MS = 250L
         const val MAX_INITIAL_LINE_BYTES = 8 * 1024
         const val MAX_HEADER_BYTES = 16 * 1024
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
@@ -135,7 +135,7 @@
 
     override fun closeListeners() = callerServer.closeListener()
 
-    override fun isDrained(): Boolean = handler.limits.totalInFlight == 0
+    override fun isDrained(): Boolean = callerServer.closed && handler.limits.totalInFlight == 0
 
     override fun close() {
         session.close()
