--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/SilenceWatch.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/SilenceWatch.kt
@@ -22,6 +22,7 @@
     private var paused = false
     private var lastDataMs = timers.nowMs()
     private var timer: TimerHandle? = null
+    private var dueMs = 0L
 
     /** Checks from now on for silences of [limitMs]. */
     fun start(limitMs: Long) {
@@ -50,11 +51,14 @@
 
     private fun checkAfter(delayMs: Long) {
         timer?.cancel()
+        dueMs = timers.nowMs() + delayMs
         timer = timers.after(delayMs) { check() }
     }
 
     private fun check() {
         val now = timers.nowMs()
+        // While this thread was late, data of the server may have arrived that it reads only after this check.
+        if (now - dueMs > MAX_LATENESS_MS) return checkAfter(SILENCE_RECHECK_INTERVAL_MS)
         val silence = Silence(limitMs, now - lastDataMs, lastServerDataMs()?.let { now - it })
         when (val result = checkSilence(silence)) {
             is SilenceCheck.NotYet -> checkAfter(result.afterMs)
@@ -64,4 +68,9 @@
             }
         }
     }
+
+    private companion object {
+        /** A timer of a thread in time runs within a few milliseconds of its time. */
+        const val MAX_LATENESS_MS = 40L
+    }
 }
