Split what responses say about a server from the shared state of an entry, and count it

Found in a reading of the whole change: ForwardContext had taken on three jobs (choice, backoff, outages); waiting requests, refusals at a stop and servers that ask for no requests had no counter, the first no log line either; the decision on requests during a stop stood in the server instead of a pure function; names (wish, hold) were not the field's; and plain responses through agents had the fault that BrokenHeadTest guards against.

Change: BackendAvailability, OutageTracker, StopRules and ResponseFraming, which the agents' plain responses use too; `request-waits` and three counters; backoff instead of hold and wish; the check for stalled streams skips a late run, as the one for silence does.

Shown: StopRulesTest; PlainServiceTest, 2 new cases failed before. Behaviour of entries is otherwise as before.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
@@ -12,6 +12,7 @@
 import org.bramleyspur.daemon.http.HttpCall
 import org.bramleyspur.daemon.http.HttpFailure
 import org.bramleyspur.daemon.http.HttpListener
+import org.bramleyspur.daemon.http.ResponseFraming
 import org.bramleyspur.traffic.forward.AttemptEnd
 import org.bramleyspur.traffic.forward.NextStep
 import org.bramleyspur.traffic.forward.ResponseUse
@@ -69,10 +70,7 @@
     private var call: HttpCall? = null
     private var ended = false
     private var responseHead: Pair<Int, HttpHeaders>? = null
-
-    /** Whether only the end of the connection ends the response, so that one without a body looks like a cut one. */
-    private var endsWithConnection = false
-    private var bodyReceived = false
+    private var framing: ResponseFraming? = null
     private val startedAtMs = context.timers.nowMs()
     private var lastEventMs: Long? = null
     private val engine = context.engineLife(load.id)
@@ -118,7 +116,7 @@
     override fun onHead(status: Int, headers: HttpHeaders) {
         onResponseData()
         runningRequestsOf(headers.get(context.headers.load))?.let { load.onLoadReport(it, context.timers.nowMs()) }
-        context.onWish(engine, status, headers)
+        context.availability.onResponseHead(engine, status, headers)
         val detail = "$status of ${load.id}"
         when (useOf(responseHeadOf(status, headers, context.headers), request.streaming, response.started)) {
             ResponseUse.REJECTION -> {
@@ -130,8 +128,7 @@
             ResponseUse.NO_CONTINUATION -> endAttempt(AttemptEnd.BrokenOff, "$detail does not continue the stream")
             // Forwarded with the first data: until then, another backend server may answer.
             ResponseUse.EVENTS, ResponseUse.WHOLE -> {
-                endsWithConnection = status !in BODILESS_STATUSES && request.caller.method != "HEAD" &&
-                    endsWithConnection(headers)
+                framing = ResponseFraming(request.caller.method, status, headers)
                 responseHead = status to headers.copyEndToEndHeaders()
             }
         }
@@ -163,7 +160,7 @@
 
     override fun onData(data: ByteBuf) {
         if (ended) return
-        bodyReceived = true
+        framing?.onData()
         if (!isStream()) {
             onResponseData()
             forwardHead()
@@ -203,7 +200,7 @@
     override fun onEnd() {
         if (ended) return
         val wrong = when {
-            endsWithConnection && !bodyReceived -> "closed the connection after the head of its answer"
+            framing?.maybeCut == true -> "closed the connection after the head of its answer"
             isStream() -> events.wrongEnd()
             else -> null
         }
@@ -269,8 +266,6 @@
 
     private companion object {
         val SUCCESS_STATUSES = 200..299
-        val BODILESS_STATUSES = setOf(204, 304)
-        const val STATUS_MISDIRECTED = 421
 
         /** With its second event, an engine has gone past the beginning of its response. */
         const val EVENTS_PAST_START = 2
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -1,6 +1,5 @@
 package org.bramleyspur.daemon.forward
 
-import io.netty.handler.codec.http.HttpHeaders
 import org.bramleyspur.core.backend.Announcement
 import org.bramleyspur.core.backend.BackendDirectory
 import org.bramleyspur.core.document.DocumentRoute
@@ -8,7 +7,6 @@
 import org.bramleyspur.core.document.EngineCosts
 import org.bramleyspur.core.telemetry.DecisionLog
 import org.bramleyspur.core.time.TimerService
-import org.bramleyspur.traffic.forward.BackendHolds
 import org.bramleyspur.traffic.forward.Candidate
 import org.bramleyspur.traffic.forward.RouteTable
 import org.bramleyspur.traffic.forward.WindowedRetryBudget
@@ -76,11 +74,12 @@
 
     /** Routes of the current configuration document; null before the first one. */
     var routes: RouteTable? = null
-    private var holds = BackendHolds()
-    private val startedAtMs = timers.nowMs()
 
-    /** When a backend server was last chosen, by service and model. */
-    private val lastChosenMs = HashMap<Pair<String, String?>, Long>()
+    /** Which backend servers accept requests, according to their responses. */
+    val availability = BackendAvailability(timers, headers, log, metrics)
+
+    /** Since when requests cannot be forwarded. */
+    val outages = OutageTracker(timers)
     private val budgets = HashMap<String, WindowedRetryBudget>()
 
     /** Records that a backend server stopped responding or accepts no connection, and reports it. */
@@ -96,45 +95,21 @@
         log.write("backend-resumed", "id" to load.id, "silent_ms" to silentMs, "streams" to load.activeStreams)
     }
 
-    /** Takes note of a wish that a response of [server] expressed about further requests. */
-    fun onWish(server: EngineLife, status: Int, headers: HttpHeaders) {
-        // A misdirected request was answered by another backend server.
-        if (status == STATUS_MISDIRECTED) return
-        val nowMs = timers.nowMs()
-        if (saysLeaving(headers, this.headers) && holds.waitMs(listOf(server), nowMs) != null) {
-            holds = holds.onLeaving(server)
-            log.write("backend-leaving", "id" to server.id)
-        }
-        if (status != STATUS_UNAVAILABLE) return
-        val delayMs = retryAfterMs(headers) ?: return
-        if (holds.allows(server, nowMs)) log.write("backend-hold", "id" to server.id, "retry_after_ms" to delayMs)
-        holds = holds.onTurnedAway(server, delayMs, nowMs)
-    }
-
-    /** Forgets wishes that have expired, or whose backend server has ended. */
-    fun expireWishes() {
-        val known = directory.backends.values.map { lifeOf(it.announcement) }.toSet()
-        holds = holds.expire(known, timers.nowMs())
-    }
-
-    /**
-     * Time in milliseconds until a backend server of [service] takes requests again; null if one takes them now, or
-     * all are leaving or unknown.
-     */
-    fun heldMs(service: DocumentService, model: String?): Long? {
-        val servers = candidatesOf(service, model).map { lifeOf(it) }
-        return holds.waitMs(servers, timers.nowMs())?.takeIf { it > 0 }
-    }
-
-    private fun candidatesOf(service: DocumentService, model: String?): List<Announcement> {
+    /** Announcements of the backend servers that serve such a request, whether they accept one now or not. */
+    private fun serversOf(service: DocumentService, model: String?): List<Announcement> {
         if (service.costs == null || model == null) return directory.readyPlainBackends(service.name)
         val modelSpec = service.models.firstOrNull { it.name == model } ?: return emptyList()
         return directory.openGroupHeads(service.name, model, modelSpec.groupSize).map { it.announcement }
     }
 
-    private fun lifeOf(announcement: Announcement) = EngineLife(announcement.id, announcement.startedAtMs)
+    /**
+     * Time in milliseconds until a backend server accepts such a request again; null if one does now, or if all are
+     * leaving or unknown.
+     */
+    fun backoffMs(service: DocumentService, model: String?): Long? = availability.backoffMs(serversOf(service, model))
 
-    private fun takesRequests(announcement: Announcement): Boolean = holds.allows(lifeOf(announcement), timers.nowMs())
+    /** Forgets what responses said about further requests, as far as it has expired. */
+    fun expireBackoff() = availability.expire(directory.backends.values.map { it.announcement })
 
     /** The life of the backend server [id] that is announced now. */
     fun engineLife(id: String): EngineLife =
@@ -154,21 +129,10 @@
         } else {
             choosePlain(service, filter)
         }
-        if (choice != null) lastChosenMs[service.name to modelKey(service, model)] = timers.nowMs()
+        if (choice != null) outages.onChosen(service, model)
         return choice
     }
 
-    /** Time in milliseconds since requests like this one could last be forwarded, or since the start. */
-    fun outageMs(service: DocumentService, model: String?): Long =
-        timers.nowMs() - (lastChosenMs[service.name to modelKey(service, model)] ?: startedAtMs)
-
-    /** Time in milliseconds since the start. */
-    fun uptimeMs(): Long = timers.nowMs() - startedAtMs
-
-    /** A model that the service does not have is not remembered: callers may name any number of them. */
-    private fun modelKey(service: DocumentService, model: String?): String? =
-        model?.takeIf { name -> service.models.any { it.name == name } }
-
     private fun chooseEngine(
         service: DocumentService,
         costs: EngineCosts,
@@ -178,7 +142,7 @@
     ): BackendChoice? {
         val modelSpec = service.models.firstOrNull { it.name == model } ?: return null
         val candidates = directory.openGroupHeads(service.name, model, modelSpec.groupSize)
-            .filter { filter.allows(it.announcement.id) && takesRequests(it.announcement) }
+            .filter { filter.allows(it.announcement.id) && availability.accepts(it.announcement) }
             .mapNotNull { head ->
                 val timeFactor = modelSpec.timeFactor * if (head.spansDomains) costs.crossDomainFactor else 1.0
                 loads.loadOf(head.announcement)?.let {
@@ -206,7 +170,7 @@
 
     private fun choosePlain(service: DocumentService, filter: BackendFilter): BackendChoice? {
         val candidates = directory.readyPlainBackends(service.name)
-            .filter { filter.allows(it.id) && takesRequests(it) }
+            .filter { filter.allows(it.id) && availability.accepts(it) }
             .mapNotNull { backend ->
                 loads.loadOf(backend)?.let { it to candidate(it, maxOf(1, backend.slots), 1.0, backend.dataCentre) }
             }
@@ -243,8 +207,6 @@
 
     private companion object {
         const val UNKNOWN_START_MS = 0L
-        const val STATUS_MISDIRECTED = 421
-        const val STATUS_UNAVAILABLE = 503
 
         /** Typical round trip between data centres of one region. */
         const val REMOTE_ROUND_TRIP_MS = 10.0
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
@@ -57,6 +57,16 @@
         .help("Connections closed by the entry on which a request had no complete response, by its progress.")
         .labelNames("progress")
         .register(registry)
+    private val waits = Counter.builder()
+        .name("bramleyspur_requests_waited_total")
+        .help("Requests that waited in a short outage, by route (empty before the first configuration) and reason.")
+        .labelNames("route", "reason")
+        .register(registry)
+    private val backoffs = Counter.builder()
+        .name("bramleyspur_backend_backoffs_total")
+        .help("Backend servers that asked for no more requests, by reason.")
+        .labelNames("reason")
+        .register(registry)
     private val unattributed = Counter.builder()
         .name("bramleyspur_unattributed_responses_total")
         .help("Responses on kept connections that named no request, by service; each one ended its attempt.")
@@ -73,6 +83,12 @@
     fun onPartBlocked(route: String, sentBefore: Boolean) =
         partBlocked.labelValues(route, if (sentBefore) "once" else "never").inc()
 
+    /** Records a request that waits for a backend server, or for the first configuration. */
+    fun onWait(route: String, reason: String) = waits.labelValues(route, reason).inc()
+
+    /** Records a backend server that asked for no more requests, for good or for a time. */
+    fun onBackoff(reason: String) = backoffs.labelValues(reason).inc()
+
     /** Records an exception that was thrown while a request was handled. */
     fun onFault(progress: String) = faults.labelValues(progress).inc()
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -37,6 +37,9 @@
     private var unsentAttempts = 0
     private var mayHaveRun = false
     private var done = false
+
+    /** Whether it has waited for a backend server. */
+    private var waiting = false
     private var predictedMs: Double? = null
     private var deliveringBackend: String? = null
 
@@ -92,12 +95,10 @@
         if (isKeptFromEngines()) return
         val choice = if (toSuperseded) takeSuperseded() else chooseUntried()
         when {
-            choice == null && waits() -> context.timers.after(OUTAGE_POLL_INTERVAL_MS) {
-                if (!done) guarded(faultHandler) { send(countsAgainstBudget, toSuperseded) }
-            }
+            choice == null && waits() -> awaitBackend { send(countsAgainstBudget, toSuperseded) }
             choice == null ->
                 onNotSendable(
-                    context.heldMs(request.service, request.model)?.let { AttemptEnd.Held(it) }
+                    context.backoffMs(request.service, request.model)?.let { AttemptEnd.BackingOff(it) }
                         ?: AttemptEnd.NoCandidate,
                     "no backend server takes ${request.model ?: request.service.name}",
                 )
@@ -109,13 +110,22 @@
 
     /** Whether the request, of which nothing was sent, waits for the end of an outage. */
     private fun waits(): Boolean = sends == 0 && unsentAttempts == 0 &&
-        context.heldMs(request.service, request.model) == null &&
+        context.backoffMs(request.service, request.model) == null &&
         waitsForOutage(
             request.elapsedMs(),
             request.remainingMs(),
-            context.outageMs(request.service, request.model),
+            context.outages.outageMs(request.service, request.model),
         )
 
+    private fun awaitBackend(sendAgain: () -> Unit) {
+        if (!waiting) {
+            waiting = true
+            context.metrics.onWait(route.name, "backend")
+            log.onWait(request.model ?: request.service.name)
+        }
+        context.timers.after(OUTAGE_POLL_INTERVAL_MS) { if (!done) guarded(faultHandler) { sendAgain() } }
+    }
+
     private fun start(choice: BackendChoice, countsAgainstBudget: Boolean) {
         // Built before the attempt counts as sent, since it may throw.
         val head = request.head(choice.load.id, response.lastEventId)
@@ -242,7 +252,7 @@
         val knownRetryAfterMs = when (end) {
             is AttemptEnd.Rejected -> end.retryAfterMs
             is AttemptEnd.PartBlocked -> end.retryAfterMs
-            is AttemptEnd.Held -> end.retryAfterMs
+            is AttemptEnd.BackingOff -> end.retryAfterMs
             else -> null
         }
         response.refuse(STATUS_NOT_RUN, "not run: $detail", knownRetryAfterMs ?: RETRY_AFTER_MS)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ReferenceCountUtil
 import org.bramleyspur.traffic.forward.OUTAGE_POLL_INTERVAL_MS
+import org.bramleyspur.traffic.forward.isTakenDuringStop
 import org.bramleyspur.traffic.forward.waitsForOutage
 import java.io.IOException
 
@@ -48,6 +49,9 @@
     /** The response to the request that was read last; null while the next one is awaited or read. */
     private var response: ConnectionResponse? = null
     private var lastResponse: ConnectionResponse? = null
+
+    /** The response to the last request that waited for the configuration. */
+    private var waitingFor: ConnectionResponse? = null
     private var keepAlive = true
     private var idleSinceMs = context.timers.nowMs()
     private var idleTimeoutMs = server.limits.idleTimeoutMs
@@ -206,18 +210,15 @@
     private fun admitOrWait(callerRequest: CallerRequest, newResponse: ConnectionResponse) {
         when (val admission = admit(context.routes, callerRequest, context::randomFraction)) {
             is Admission.Rejected -> if (waitsForConfiguration(callerRequest)) {
-                context.timers.after(OUTAGE_POLL_INTERVAL_MS) {
-                    // The response has begun if the process has ended the request meanwhile.
-                    val waiting = response === newResponse && !newResponse.begun && channel.isActive
-                    if (waiting) guarded(::onFault) { admitOrWait(callerRequest, newResponse) }
-                }
+                awaitConfiguration(callerRequest, newResponse)
             } else {
                 rejectRequest(admission.status, admission.text, newResponse)
             }
             is Admission.Admitted -> {
                 val (route, service, account) = admission
                 val admitted = AdmittedRequest(context, callerRequest, route, service, account)
-                if (!server.takesRequest(admitted.remainingMs())) {
+                if (!isTakenDuringStop(admitted.remainingMs(), server.remainingMs)) {
+                    context.metrics.onRequestEnd(route.name, "refused-at-stop")
                     return rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE, STOPPING, newResponse)
                 }
                 val forwarded = ForwardedRequest(context, admitted, newResponse, ::onFault, ::onResponded)
@@ -232,7 +233,20 @@
         if (context.routes != null) return false
         val waitedMs = context.timers.nowMs() - request.receivedAtMs
         val limitMs = request.headers.get(context.headers.remainingMs)?.trim()?.toLongOrNull() ?: DEFAULT_LIMIT_MS
-        return waitsForOutage(waitedMs, limitMs - waitedMs, context.uptimeMs())
+        return waitsForOutage(waitedMs, limitMs - waitedMs, context.outages.uptimeMs)
+    }
+
+    private fun awaitConfiguration(request: CallerRequest, newResponse: ConnectionResponse) {
+        if (waitingFor !== newResponse) {
+            waitingFor = newResponse
+            context.metrics.onWait(route = "", "configuration")
+            context.log.write("request-waits", "request" to currentId, "for" to "configuration")
+        }
+        context.timers.after(OUTAGE_POLL_INTERVAL_MS) {
+            // The response has begun if the process has ended the request meanwhile.
+            val waiting = response === newResponse && !newResponse.begun && channel.isActive
+            if (waiting) guarded(::onFault) { admitOrWait(request, newResponse) }
+        }
     }
 
     private fun newResponse() =
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
@@ -38,14 +38,8 @@
     /** Whether responses carry `Connection: close`. */
     val closesConnections: Boolean get() = endsAtMs != null
 
-    /**
-     * Whether a request that has been read now is taken, given that it ends within [limitMs]. After the listener has
-     * closed, one that could outlast the process is not.
-     */
-    fun takesRequest(limitMs: Long): Boolean {
-        val endMs = endsAtMs
-        return !closesListener || endMs == null || context.timers.nowMs() + limitMs + END_MARGIN_MS <= endMs
-    }
+    /** Time in milliseconds until the process ends; null unless a planned stop has closed the listener. */
+    val remainingMs: Long? get() = endsAtMs?.takeIf { closesListener }?.let { it - context.timers.nowMs() }
 
     /** Listens on [address] and returns the bound port. */
     fun start(address: Address): Int {
@@ -121,9 +115,6 @@
         /** Longer than the round trip to a caller. */
         const val IDLE_CLOSE_DELAY_MS = 250L
 
-        /** Time in which the end of a request is written before the process ends. */
-        const val END_MARGIN_MS = 100L
-
         /** Longest delay in enforcing the time limits of connections. */
         const val TIMEOUT_CHECK_INTERVAL_MS = 200L
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/HeaderValues.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/HeaderValues.kt
@@ -26,10 +26,6 @@
 internal fun retryAfterMs(headers: HttpHeaders): Long? =
     retryAfterMs(headers.getAll(HttpHeaderNames.RETRY_AFTER), Instant.now())
 
-/** Whether the end of the connection is the only end of a response with these headers. */
-internal fun endsWithConnection(headers: HttpHeaders): Boolean =
-    !headers.contains(HttpHeaderNames.CONTENT_LENGTH) && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
-
 /** Whether a response says that its backend server is leaving. */
 internal fun saysLeaving(headers: HttpHeaders, names: ForwardHeaders): Boolean =
     headers.getAll(names.leaving).any { it.trim() == "1" }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestLog.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestLog.kt
@@ -19,6 +19,15 @@
             "remaining_ms" to request.remainingMs(),
         )
 
+    /** The request waits for a backend server of [target], a model or a plain service. */
+    fun onWait(target: String) = context.log.write(
+        "request-waits",
+        "request" to request.id,
+        "route" to request.route.name,
+        "for" to target,
+        "remaining_ms" to request.remainingMs(),
+    )
+
     /** [attempt] delivered something new, and the [cancelled] ones end. */
     fun onTakeOver(attempt: Attempt, cancelled: List<Attempt>, lastEventId: Long?) = context.log.write(
         "attempt-took-over",
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/plain/PlainRunner.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/plain/PlainRunner.kt
@@ -21,6 +21,7 @@
 import org.bramleyspur.daemon.http.HttpCallStarter
 import org.bramleyspur.daemon.http.HttpFailure
 import org.bramleyspur.daemon.http.HttpListener
+import org.bramleyspur.daemon.http.ResponseFraming
 import org.bramleyspur.protocol.Head
 import org.bramleyspur.protocol.Header
 import org.bramleyspur.traffic.admission.RefusalReason
@@ -35,7 +36,7 @@
         val start = attempt.start
         val head = headOf(attempt)
         val body = if (start.bodyComplete) Unpooled.wrappedBuffer(start.body.asReadOnlyByteBuffer()) else null
-        return PlainRun(http(head, body, !start.idempotent, ResponseForwarder(listener)))
+        return PlainRun(http(head, body, !start.idempotent, ResponseForwarder(start.method, listener)))
     }
 
     private fun headOf(attempt: BackendAttempt): HttpRequest {
@@ -69,20 +70,30 @@
         override fun cancel() = call.cancel()
     }
 
-    private inner class ResponseForwarder(private val listener: BackendListener) : HttpListener {
+    private inner class ResponseForwarder(private val method: String, private val listener: BackendListener) :
+        HttpListener {
         private var begun = false
+        private var framing: ResponseFraming? = null
 
         override fun onHead(status: Int, headers: HttpHeaders) {
             reportBegun()
+            framing = ResponseFraming(method, status, headers)
             val fields = headers
                 .filter { it.key.lowercase() !in HOP_BY_HOP_HEADERS }
                 .map { Header.newBuilder().setName(it.key).setValue(it.value).build() }
             listener.onHead(Head.newBuilder().setStatus(status).addAllHeaders(fields).build())
         }
 
-        override fun onData(data: ByteBuf) = listener.onBody(ByteString.copyFrom(data.nioBuffer()), false)
+        override fun onData(data: ByteBuf) {
+            framing?.onData()
+            listener.onBody(ByteString.copyFrom(data.nioBuffer()), false)
+        }
 
-        override fun onEnd() = listener.onBody(ByteString.EMPTY, true)
+        override fun onEnd() = if (framing?.maybeCut == true) {
+            listener.onBroken("$address closed the connection after the head of its answer", false)
+        } else {
+            listener.onBody(ByteString.EMPTY, true)
+        }
 
         override fun onFailure(failure: HttpFailure, message: String) = when (failure) {
             HttpFailure.NOT_SENT -> listener.onNotBegun(RefusalReason.NOT_SERVING, message)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -107,6 +107,7 @@
 
     private val startedAtMs = timers.nowMs()
     private var leaderConfirmed = false
+    private var lastStallCheckMs = startedAtMs
 
     @Volatile
     private var stopping = false
@@ -129,6 +130,11 @@
 
     /** Reports backend servers with stalled streams to the control instances, before requests to them time out. */
     private fun reportStalled() {
+        val nowMs = timers.nowMs()
+        val late = nowMs - lastStallCheckMs > 2 * STALL_CHECK_INTERVAL_MS
+        lastStallCheckMs = nowMs
+        // While this thread was late, events may have arrived that it reads only after this check.
+        if (late) return
         val stalled = loads.markStalled()
         stalled.forEach {
             log.write(
@@ -224,7 +230,7 @@
 
     private fun expireBackends() {
         context.directory = context.directory.expire(timers.nowMs())
-        context.expireWishes()
+        context.expireBackoff()
         promptParts.expire()
         loads.closeAllExcept(
             context.directory.backends.filter { it.value.announcement.state != BackendState.GONE }.keys,
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/PlainServiceTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/PlainServiceTest.kt
@@ -59,6 +59,24 @@
         ForwardingCase("redirect", "GET /p/x", 302, "there") { reply(302, "there", "Location: /y\r\n") },
     )
 
+    /** Guards against a response that broke off right after its head and reached the caller as complete. */
+    @TestFactory
+    fun `a response that ends with its head is not complete`() = listOf("", "Connection: close\r\n").map { header ->
+        DynamicTest.dynamicTest("header '${header.trim()}'") {
+            val backend = FakeBackend {
+                write("HTTP/1.1 200 OK\r\n$header\r\n")
+                close()
+            }
+            withBackends(backend) { testBed ->
+                val response = RawClient(testBed.port).use { client ->
+                    client.send(request("GET /p/x"))
+                    client.read()
+                }
+                expectThat(response?.status == 200 && response.complete).isFalse()
+            }
+        }
+    }
+
     @TestFactory
     fun `responses are forwarded unchanged`() = forwardingCases.map { case ->
         DynamicTest.dynamicTest(case.name) {
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/AttemptRules.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/AttemptRules.kt
@@ -28,8 +28,8 @@
     /** No backend server can take the request now. */
     data object NoCandidate : AttemptEnd
 
-    /** Every backend server that could take the request wants none for [retryAfterMs]. */
-    data class Held(val retryAfterMs: Long) : AttemptEnd
+    /** Every backend server that could take the request asked for none until [retryAfterMs] have passed. */
+    data class BackingOff(val retryAfterMs: Long) : AttemptEnd
 }
 
 /**
@@ -115,7 +115,7 @@
         is AttemptEnd.Rejected -> mayAskAnother
         AttemptEnd.NoAnswer, AttemptEnd.BrokenOff -> mayAskAnother && mayRunAgain
         AttemptEnd.Failed -> mayAskAnother && mayRunAgain && !progress.responseStarted
-        is AttemptEnd.PartBlocked, AttemptEnd.NoCandidate, is AttemptEnd.Held -> false
+        is AttemptEnd.PartBlocked, AttemptEnd.NoCandidate, is AttemptEnd.BackingOff -> false
     }
 }
 
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/BackendHolds.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/BackendBackoff.kt
@@ -17,21 +17,24 @@
 import java.time.format.DateTimeFormatter
 
 /** The backend servers to which no request is sent. Each entry belongs to one life of a server. */
-class BackendHolds private constructor(
+class BackendBackoff private constructor(
     private val leaving: PersistentSet<EngineLife>,
     private val untilMs: PersistentMap<EngineLife, Long>,
 ) {
     constructor() : this(persistentSetOf(), persistentMapOf())
 
-    /** The holds after a response of [server] said that it is leaving. */
-    fun onLeaving(server: EngineLife): BackendHolds = BackendHolds(leaving.add(server), untilMs)
+    /** The state after a response of [server] said that it is leaving. */
+    fun onLeaving(server: EngineLife): BackendBackoff = BackendBackoff(leaving.add(server), untilMs)
 
-    /** The holds after [server] turned a request away for [delayMs] at [nowMs]; the latest end counts. */
-    fun onTurnedAway(server: EngineLife, delayMs: Long, nowMs: Long): BackendHolds {
+    /** The state after [server] turned a request away for [delayMs] at [nowMs]; the latest end counts. */
+    fun onTurnedAway(server: EngineLife, delayMs: Long, nowMs: Long): BackendBackoff {
         val endMs = maxOf(nowMs + delayMs, untilMs[server] ?: 0)
-        return BackendHolds(leaving, untilMs.put(server, endMs))
+        return BackendBackoff(leaving, untilMs.put(server, endMs))
     }
 
+    /** Whether [server] has said that it is leaving. */
+    fun isLeaving(server: EngineLife): Boolean = server in leaving
+
     /** Whether a request may be sent to [server] at [nowMs]. */
     fun allows(server: EngineLife, nowMs: Long): Boolean = server !in leaving && (untilMs[server] ?: 0) <= nowMs
 
@@ -39,8 +42,8 @@
     fun waitMs(servers: Collection<EngineLife>, nowMs: Long): Long? =
         servers.filter { it !in leaving }.minOfOrNull { ((untilMs[it] ?: 0) - nowMs).coerceAtLeast(0) }
 
-    /** Without the servers that are not among [known], and the holds that have ended at [nowMs]. */
-    fun expire(known: Set<EngineLife>, nowMs: Long): BackendHolds = BackendHolds(
+    /** Without the servers that are not among [known], and the delays that have ended at [nowMs]. */
+    fun expire(known: Set<EngineLife>, nowMs: Long): BackendBackoff = BackendBackoff(
         leaving.filter { it in known }.toPersistentSet(),
         untilMs.filter { (server, endMs) -> server in known && endMs > nowMs }.toPersistentMap(),
     )
