--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/directory/DirectoryExchangeTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/directory/DirectoryExchangeTest.kt
@@ -10,6 +10,7 @@
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.core.wire.renewAll
 import org.bramleyspur.core.wire.toModel
+import org.bramleyspur.daemon.ResettableRelay
 import org.bramleyspur.daemon.http.listen
 import org.bramleyspur.daemon.process.EventLoops
 import org.bramleyspur.daemon.process.buildServer
@@ -84,6 +85,39 @@
         }
     }
 
+    /** Whether connections are reset before and after a new document is committed, and when it has been received. */
+    private class ResetCase(val name: String, val before: Boolean, val after: Boolean, val received: Boolean)
+
+    private val resetCases = listOf(
+        ResetCase("before the commit", before = true, after = false, received = false),
+        ResetCase("right after the commit", before = false, after = true, received = false),
+        ResetCase("when the entry has it", before = false, after = false, received = true),
+        ResetCase("at each step", before = true, after = true, received = true),
+    )
+
+    /** Guards against a document, or a backend server, that an entry lacks or loses after a reset connection. */
+    @TestFactory
+    fun `an entry whose connection is reset has the newest document and all backend servers`() =
+        resetCases.flatMap { case -> listOf(true, false).map { case to it } }.map { (case, leads) ->
+            DynamicTest.dynamicTest("${case.name}, ${if (leads) "leader" else "follower"}") {
+                val first = StoredDocument(5, ByteString.copyFromUtf8("five"))
+                DirectoryExchange(leads, document = first).use { exchange ->
+                    exchange.start(announcement(1, BackendState.READY))
+                    exchange.await { it?.sequence == 1L }
+                    exchange.awaitVersion(5)
+                    if (case.before) exchange.reset()
+                    exchange.commit(StoredDocument(6, ByteString.copyFromUtf8("six")))
+                    if (case.after) exchange.reset()
+                    exchange.awaitVersion(6)
+                    if (case.received) exchange.reset()
+                    exchange.announceUnseen(announcement(2, BackendState.LEAVING))
+                    exchange.renew(announcement(3, BackendState.LEAVING))
+                    exchange.await { it?.state == BackendState.LEAVING }
+                    expectThat(exchange.versions()).isEqualTo(exchange.versions().sorted())
+                }
+            }
+        }
+
     private fun announcement(sequence: Long, state: BackendState) = Announcement(
         id = "e",
         startedAtMs = 1,
@@ -111,7 +145,7 @@
 private class DirectoryExchange(
     leads: Boolean = true,
     entry: Boolean = true,
-    document: StoredDocument? = null,
+    private var document: StoredDocument? = null,
     knownVersion: Long = 0,
 ) : AutoCloseable {
     private val loops = EventLoops()
@@ -126,10 +160,12 @@
     private var received = BackendDirectory()
     private var receivedVersion = 0L
     private var documentCount = 0
+    private val receivedVersions = ArrayList<Long>()
+    private val relay = ResettableRelay { address.port }
     private val client = DirectoryClient(
         loops.trafficGroup,
         loops.trafficTimers,
-        listOf(address.toString()),
+        listOf("127.0.0.1:${relay.port}"),
         null,
         {
             DirectoryRequest.newBuilder().setEntry(
@@ -145,6 +181,7 @@
     private fun onEvent(from: String, event: DirectoryEvent) {
         if (event.hasDocument()) {
             documentCount++
+            receivedVersions += event.document.version
             receivedVersion = event.document.version
         }
         event.announcementsList.forEach { message ->
@@ -178,6 +215,29 @@
     fun received(id: String): Announcement? =
         loops.traffic.submit<Announcement?> { received.backends[id]?.announcement }.get()
 
+    /** Resets the connection of the watcher. */
+    fun reset() = relay.resetAll()
+
+    /** Puts [next] in force at the control instance. */
+    fun commit(next: StoredDocument) {
+        loops.control.submit {
+            document = next
+            directoryServer.onDocument()
+        }.get()
+    }
+
+    /** Versions of the documents that the watcher has received, in order. */
+    fun versions(): List<Long> = loops.traffic.submit<List<Long>> { receivedVersions.toList() }.get()
+
+    /** Waits until the watcher has received [version]. */
+    fun awaitVersion(version: Long) {
+        val deadline = System.nanoTime() + WAIT_NANOS
+        while (version !in versions()) {
+            check(System.nanoTime() < deadline) { "version $version was not received in time" }
+            Thread.sleep(POLL_MS)
+        }
+    }
+
     /** Number of documents that the watcher has received. */
     fun documents(): Int = loops.traffic.submit<Int> { documentCount }.get()
 
@@ -191,6 +251,7 @@
     }
 
     override fun close() {
+        relay.close()
         server.shutdownNow()
         loops.close()
     }
