Reset the connection of a cancelled call

Cause: a cancelled call closed its connection, and the kernel sends what is buffered before the close.

Change: a cancelled call resets its connection, which drops what was not delivered.

Shown: HttpClientTest, the new case failed before.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
@@ -190,7 +190,13 @@
             done = true
             releasePending()
             releaseBody()
-            channel?.close()
+            channel?.reset()
+        }
+
+        /** Closes with a reset, which drops a request that the network has not delivered yet. */
+        private fun Channel.reset() {
+            config().setOption(ChannelOption.SO_LINGER, 0)
+            close()
         }
 
         override fun onWritable(writable: Boolean) {
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/HttpClientTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/HttpClientTest.kt
@@ -16,8 +16,13 @@
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectCatching
 import strikt.api.expectThat
+import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFailure
 import strikt.assertions.isSuccess
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.SocketException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -151,8 +156,26 @@
         server.close()
     }
 
+    /**
+     * Guards against a cancelled request that still reaches its server, when the network that held it up delivers it
+     * later: a reset drops what was not delivered, a close sends it first.
+     */
+    @Test
+    fun `a cancelled call resets its connection`() {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+            val client = HttpClient(Address("127.0.0.1", server.localPort), loops.trafficGroup)
+            val call = loops.traffic.submit<HttpCall> { client.get("/") {} }.get()
+            server.accept().use { socket ->
+                socket.getInputStream().read(ByteArray(REQUEST_BYTES))
+                loops.traffic.submit { call.cancel() }.get()
+                expectCatching { socket.getInputStream().read() }.isFailure().isA<SocketException>()
+            }
+        }
+    }
+
     private companion object {
         const val PAUSE_MS = 100L
+        const val REQUEST_BYTES = 1_024
         const val WAIT_SECONDS = 5L
         const val ROUNDS = 30
         const val CALLS = 30
