--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/member/ConnectionResetTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/member/ConnectionResetTest.kt
@@ -80,7 +80,7 @@
         private val ports = List(MEMBERS) { freePort() }
         private val relays = ports.map { port -> ResettableRelay { port } }
         private val addresses = relays.map { "127.0.0.1:${it.port}" }
-        private val members = addresses.indices.map { Member(it, directory.resolve("$it")) }
+        private val all = addresses.indices.map { Member(it, directory.resolve("$it")) }
         val reversals = java.util.concurrent.CopyOnWriteArrayList<String>()
 
         /** Called with the number of members that have applied the last document. */
@@ -88,7 +88,7 @@
         var onApplied: (Int) -> Unit = {}
 
         init {
-            members.forEach { it.start() }
+            all.forEach { it.start() }
         }
 
         fun resetAll() = relays.forEach { it.resetAll() }
@@ -96,13 +96,13 @@
         /** Proposes the document to the leader until it is accepted, as an operator without an answer does. */
         fun replaceUntilAccepted(version: Long) {
             val deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S)
-            while (members.none { it.replace(version) }) {
+            while (all.none { it.replace(version) }) {
                 check(System.nanoTime() < deadline) { "version $version was not accepted in time" }
                 Thread.sleep(POLL_MS)
             }
         }
 
-        fun versions(): List<Long> = members.map { it.version }
+        fun versions(): List<Long> = all.map { it.version }
 
         fun awaitAll(version: Long) {
             val deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S)
@@ -113,7 +113,7 @@
         }
 
         override fun close() {
-            members.forEach { it.close() }
+            all.forEach { it.close() }
             relays.forEach { it.close() }
         }
 
