Refuse requests that could outlast a stopping entry, with agents, too

Cause: during a planned stop, an entry with agents passed on requests that it read after its listener had closed, whatever time was left, and cut them without an answer at the end of the drain time-out, among them requests that may not be repeated. Entries without agents (FrontServer) refuse them already.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/DeploymentSnapshot.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/DeploymentSnapshot.kt
@@ -16,6 +16,7 @@
  * @property leaseUntilMs monotonic time until which new requests may be admitted with [configuration]
  * @property shares leased limits of concurrent requests by account, for accounts with a limit
  * @property stopping whether the process is stopping
+ * @property endsAtMs monotonic time at which a stopping process ends at the latest; null while its listener is open
  */
 data class DeploymentSnapshot(
     val configuration: Configuration = Configuration(),
@@ -23,6 +24,7 @@
     val leaseUntilMs: Long = Long.MIN_VALUE,
     val shares: Map<String, Int> = emptyMap(),
     val stopping: Boolean = false,
+    val endsAtMs: Long? = null,
 ) {
     private val accountsByKey: Map<String, Account> by lazy {
         configuration.accounts.values.associateBy { it.keyDigest }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryHandler.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryHandler.kt
@@ -23,6 +23,7 @@
 import org.bramleyspur.daemon.caller.DiscardingListener
 import org.bramleyspur.daemon.caller.ModelEndpoint
 import org.bramleyspur.daemon.caller.respond
+import org.bramleyspur.traffic.forward.isTakenDuringStop
 import org.bramleyspur.traffic.routing.AccountLimits
 import java.util.UUID
 
@@ -59,8 +60,7 @@
 
     /** Admits a request of [account] for [service], or returns why it was refused without being run. */
     internal fun admit(account: Account, service: Service, head: CallerHead): Result<RequestScope, CallerError> {
-        if (!hasLease()) return Err(configurationUnconfirmed())
-        if (account.name !in service.accounts) return Err(CallerError.forbidden(service.name))
+        refusalOf(account, service)?.let { return Err(it) }
         if (!limits.tryAcquire(account.name, account.maxConcurrent, entry.timers.nowMs())) {
             return Err(CallerError.overLimit(RETRY_AFTER_MS))
         }
@@ -71,6 +71,17 @@
         return Ok(RequestScope(id, account, service, entry, limits, span))
     }
 
+    /** Why no request of [account] for [service] is taken now; null if there is no such reason. */
+    private fun refusalOf(account: Account, service: Service): CallerError? {
+        val remainingMs = entry.snapshot().endsAtMs?.let { it - entry.timers.nowMs() }
+        return when {
+            !hasLease() -> configurationUnconfirmed()
+            account.name !in service.accounts -> CallerError.forbidden(service.name)
+            !isTakenDuringStop(service.timeoutMs, remainingMs) -> stopping()
+            else -> null
+        }
+    }
+
     private fun hasLease() = entry.timers.nowMs() < entry.snapshot().leaseUntilMs
 
     private fun configurationUnconfirmed(): CallerError = CallerError(
@@ -81,6 +92,14 @@
         retryAfterMs = RETRY_AFTER_MS,
     )
 
+    private fun stopping(): CallerError = CallerError(
+        status = 503,
+        type = "overloaded_error",
+        code = "entry_stopping",
+        message = "this entry is stopping; send the request again on a new connection",
+        retryAfterMs = 0,
+    )
+
     private fun beginModel(endpoint: ModelEndpoint, head: CallerHead, exchange: CallerExchange): CallerListener {
         if (head.method != HttpMethod.POST) {
             val error = CallerError.invalid("${endpoint.path} takes POST only", METHOD_NOT_ALLOWED)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/EntryProcess.kt
@@ -133,7 +133,11 @@
         callerServer.beginClose()
     }
 
-    override fun closeListeners() = callerServer.closeListener()
+    override fun closeListeners() {
+        val endsAtMs = loops.controlTimers.nowMs() + settings[CommonSettings.DRAIN_TIMEOUT]
+        loops.control.submit { snapshot = snapshot.copy(endsAtMs = endsAtMs) }.get()
+        callerServer.closeListener()
+    }
 
     override fun isDrained(): Boolean = callerServer.closed && handler.limits.totalInFlight == 0
 
