--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
@@ -144,6 +144,9 @@
     private var nextPlanMs = 0L
     private val unread = ArrayList<() -> Unit>()
 
+    /** Whether a request has been served; until then loads take a tenth of their time. */
+    var trafficStarted = true
+
     /** Whether callers' requests run at the heads; without them entries report nothing. */
     var traffic = true
     private var term = 1L
@@ -322,7 +325,7 @@
         nextPlanMs = nowMs + leaderDelayMs
         unread.forEach { it() }
         unread.clear()
-        val input = PlannerInput(nowMs, term, document, directory.backends, evidence, true, leaderDelayMs)
+        val input = PlannerInput(nowMs, term, document, directory.backends, evidence, trafficStarted, leaderDelayMs)
         val before = state
         val startNanos = System.nanoTime()
         val step = planGroups(state, input)
@@ -410,7 +413,7 @@
             is EngineCommand.Leave -> if (engine.group == command.group) engine.group = null
             is EngineCommand.Stage -> if (engine.staged != command.model && engine.stagingModel == null) {
                 engine.stagingModel = command.model
-                engine.stagedAtMs = nowMs + models.first { it.name == command.model }.loadMs
+                engine.stagedAtMs = nowMs + loadMs(models.first { it.name == command.model })
             }
         }
         engine.nextAnnouncementMs = nowMs
@@ -424,7 +427,7 @@
         val costMs = when {
             engine.lastModel == model.name -> 200
             engine.staged == model.name -> model.stagedLoadMs
-            else -> model.loadMs
+            else -> loadMs(model)
         }
         engine.highestJoinedEpoch = command.group.epoch
         engine.group = command.group
@@ -435,6 +438,8 @@
         engine.readyAtMs = nowMs + costMs
     }
 
+    private fun loadMs(model: ModelSpec) = if (trafficStarted) model.loadMs else model.loadMs / 10
+
     private fun checkFormerHead(engine: SimulatedEngine, former: GroupId, next: GroupId) {
         val head = byId[engine.members.firstOrNull()] ?: return
         val serving = head.up && head.group == former &&
