--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/GroupPolicyMeasurement.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/GroupPolicyMeasurement.kt
@@ -1,7 +1,7 @@
 /*
- * Compares policies for groups and spares by simulation: engines that are in groups are lost permanently, in each domain
- * in turn, and each is replaced by an engine without weights; a domain may fail for some seconds. Prints for each model
- * the share of its work that the groups can carry, as mean and minimum over the seeds. Run it with
+ * Compares policies for groups and spares by simulation: engines that are in groups are lost permanently, in each
+ * domain in turn, and each is replaced by an engine without weights; a domain may fail for some seconds. Prints for
+ * each model the share of its work that the groups can carry, as mean and minimum over the seeds. Run it with
  * -Dtest=GroupPolicyMeasurement.
  */
 package org.bramleyspur.control.group
