--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/FakeBackend.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/FakeBackend.kt
@@ -120,4 +120,10 @@
     }
 
     fun close() = socket.close()
+
+    /** Resets the connection. */
+    fun reset() {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
 }
