--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/member/ConnectionResetTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/member/ConnectionResetTest.kt
@@ -8,6 +8,7 @@
 import org.bramleyspur.control.state.StoredDocument
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.daemon.ResettableRelay
+import org.bramleyspur.daemon.freePort
 import org.bramleyspur.daemon.http.listen
 import org.bramleyspur.daemon.process.EventLoops
 import org.bramleyspur.daemon.process.buildServer
@@ -20,8 +21,6 @@
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.CompletableFuture
@@ -202,7 +201,5 @@
         const val POLL_MS = 20L
         const val PROPOSE_LIMIT_MS = 3_000L
         const val SNAPSHOT_ENTRIES = 200L
-
-        fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
     }
 }
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/process/TakenAddressTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/process/TakenAddressTest.kt
@@ -1,5 +1,6 @@
 package org.bramleyspur.daemon.process
 
+import org.bramleyspur.daemon.freePort
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import org.junit.jupiter.api.io.TempDir
@@ -82,8 +83,6 @@
 
     private fun free() = "127.0.0.1:${freePort()}"
 
-    private fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
-
     private companion object {
         const val END_LIMIT_S = 30L
     }
