Count and log requests that an entry with agents does not admit

Cause: found on reading the change again: the refusal of a request by a stopping entry had neither a counter nor a log line, and the other refusals before admission (no lease, account, limit) had none either.

Change: each counts in bramleyspur_entry_requests_total under its error code and is logged at debug level.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryHandler.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryHandler.kt
@@ -7,6 +7,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import kotlinx.serialization.json.JsonArray
@@ -27,6 +28,8 @@
 import org.bramleyspur.traffic.routing.AccountLimits
 import java.util.UUID
 
+private val logger = KotlinLogging.logger {}
+
 /** Starts the requests of callers; used by the traffic thread only. */
 class EntryHandler(private val entry: EntryServices, private val claims: ClaimClient) {
     /** Concurrency limits of the client accounts at this entry. */
@@ -60,9 +63,9 @@
 
     /** Admits a request of [account] for [service], or returns why it was refused without being run. */
     internal fun admit(account: Account, service: Service, head: CallerHead): Result<RequestScope, CallerError> {
-        refusalOf(account, service)?.let { return Err(it) }
+        refusalOf(account, service)?.let { return Err(recorded(it, service)) }
         if (!limits.tryAcquire(account.name, account.maxConcurrent, entry.timers.nowMs())) {
-            return Err(CallerError.overLimit(RETRY_AFTER_MS))
+            return Err(recorded(CallerError.overLimit(RETRY_AFTER_MS), service))
         }
         val id = RequestId(UUID.randomUUID().toString())
         val span = entry.tracing.start("entry", head.headers["traceparent"].orEmpty())
@@ -82,6 +85,16 @@
         }
     }
 
+    /** Counts and logs the refusal of a request that is not admitted. */
+    private fun recorded(error: CallerError, service: Service): CallerError {
+        entry.metrics.requests.labelValues(service.name, error.code).inc()
+        logger.atDebug {
+            message = "request not admitted"
+            payload = mapOf("service" to service.name, "code" to error.code)
+        }
+        return error
+    }
+
     private fun hasLease() = entry.timers.nowMs() < entry.snapshot().leaseUntilMs
 
     private fun configurationUnconfirmed(): CallerError = CallerError(
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryMetrics.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/EntryMetrics.kt
@@ -7,7 +7,10 @@
 
 /** Metrics of an entry. */
 class EntryMetrics(registry: PrometheusRegistry) {
-    /** Requests by service and outcome: answered, not_run, may_have_run, ran_and_failed, abandoned. */
+    /**
+     * Requests by service and outcome: answered, not_run, may_have_run, ran_and_failed, abandoned, or the error code of
+     * a request that was not admitted.
+     */
     val requests: Counter =
         Counter
             .builder()
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/LateCallerTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/LateCallerTest.kt
@@ -24,6 +24,8 @@
                 TrafficTestBed(plains = listOf(backend.port), timeoutMs = REQUEST_MS).use { testBed ->
                     expectThat(statusOf(testBed, case, request("POST /p/x", "{}"))).isEqualTo(case.status)
                     expectThat(backend.requestHeads.size).isEqualTo(case.sentToBackend)
+                    val refused = testBed.metrics.requests.labelValues("p", "entry_stopping").longValue
+                    expectThat(refused).isEqualTo(1L - case.sentToBackend)
                 }
             }
         }
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/TrafficTestBed.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/TrafficTestBed.kt
@@ -81,13 +81,14 @@
     private val client = AgentClient(entryLoops.trafficGroup, entryLoops.trafficTimers)
     private val claims = ClaimClient(entryLoops.trafficGroup)
     private val router = Router(RoutingSettings("dc1"), { LinkCost.LOCAL }, random::nextInt)
+    val metrics = EntryMetrics(PrometheusRegistry())
     private val services = EntryServices(
         Incarnation("entry-1"),
         entryLoops.trafficTimers,
         client,
         router,
         entryTracing,
-        EntryMetrics(PrometheusRegistry()),
+        metrics,
     ) { snapshot }
     private val handler = EntryHandler(services, claims)
     private val server = CallerServer(handler::begin, limits, null)
