Replace slow groups across domains while another one serves

Cause: a group across domains was closed for one within a domain only while another group within a domain served. Once the last of these was gone, none came back. Besides, one across domains was closed without a replacement when fewer groups were wanted than served within and across domains, so the model lost a group. Class of fault: a guard against a gap in service that keeps the worse state for good.

Change: it is closed while any other group of the model serves, within a domain or across; without a replacement only once as many groups within domains serve as are wanted.

Shown: CrossDomainGroupTest, 1 of 5 cases failed before (two groups across domains, engines for one within).

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -35,8 +35,10 @@
         when {
             missing > crossDomain.size && input.trafficStarted && !isReleasePending(service) ->
                 formAcrossDomains(service, model)
-            totals.getValue(model.name) - serving < crossDomain.size -> closeCrossDomainGroup(crossDomain)
-            serving > 0 -> closeCrossDomainGroup(crossDomain.filter { fitsInOneDomain(service, model, it) })
+            serving >= totals.getValue(model.name) -> closeCrossDomainGroup(crossDomain)
+            // Another group serves the model until the members have formed the new one.
+            serving + crossDomain.count { it.phase == GroupPhase.SERVING } > 1 ->
+                closeCrossDomainGroup(crossDomain.filter { fitsInOneDomain(service, model, it) })
         }
     }
     formFromSurplus(service, wanted)
