Limit the queueing time alike for all routes of a model

Cause: a stream was refused when it would queue for more than 1.5 times the target of its own route. The queue of saturated servers grows to the longest of these limits, and a route with a shorter target is refused until the queue is shorter again, so it gets only what the other leaves. Class of fault: one resource, admission by thresholds that differ.

Change: the limit is that of the shortest target among the routes with requests for the model in the last ten seconds; a less urgent route does not shorten it. The smallest limit of 1.5 targets stays.

Shown: WaitLimitsTest, two routes on servers that carry 20, 15 or 10 of 23 requests a second: with a limit for each route (the filter on priorities takes no route) 6 of its 12 cases fail, the three of the load among them.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -9,6 +9,9 @@
 import org.bramleyspur.core.time.TimerService
 import org.bramleyspur.traffic.forward.Candidate
 import org.bramleyspur.traffic.forward.RouteTable
+import org.bramleyspur.traffic.forward.RouteTargets
+import org.bramleyspur.traffic.forward.ServerPool
+import org.bramleyspur.traffic.forward.WaitLimits
 import org.bramleyspur.traffic.forward.WindowedRetryBudget
 import org.bramleyspur.traffic.forward.chooseBackend
 import org.bramleyspur.traffic.forward.firstEventMs
@@ -80,8 +83,28 @@
 
     /** Since when requests cannot be forwarded. */
     val outages = OutageTracker(timers)
+    private var waitLimits = WaitLimits()
     private val budgets = HashMap<String, WindowedRetryBudget>()
 
+    /** Records that a request for a stream has arrived. */
+    fun onStreamRequest(request: AdmittedRequest) {
+        val pool = poolOf(request) ?: return
+        waitLimits = waitLimits.with(pool, request.route.name, targetsOf(request), timers.nowMs())
+    }
+
+    /** Longest acceptable queueing time of the stream of [request] before its first event, in milliseconds. */
+    fun maxWaitMs(request: AdmittedRequest): Double =
+        poolOf(request)?.let { waitLimits.limitMs(it, targetsOf(request)) } ?: 0.0
+
+    /** Null for a model that the service does not have: callers may name any number of them. */
+    private fun poolOf(request: AdmittedRequest): ServerPool? {
+        val known = request.model == null || request.service.models.any { it.name == request.model }
+        return if (known) ServerPool(request.service.name, request.model) else null
+    }
+
+    private fun targetsOf(request: AdmittedRequest) =
+        RouteTargets(request.route.targetLatencyMs, request.route.priority)
+
     /** Records that a backend server stopped responding or accepts no connection, and reports it. */
     fun markUnresponsive(load: BackendLoad) {
         load.onUnresponsive(timers.nowMs())
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -46,6 +46,7 @@
     /** Sets the deadline and starts the first attempt. */
     fun start() {
         budget.onRequest(context.timers.nowMs())
+        if (request.streaming) context.onStreamRequest(request)
         deadlineTimer = context.timers.after(maxOf(0, request.remainingMs())) { guarded(faultHandler) { onDeadline() } }
         send(countsAgainstBudget = false)
     }
@@ -166,11 +167,8 @@
      * Longest acceptable queueing time on a backend server, in milliseconds. Callers give up on a stream that does not
      * begin; one that has begun may wait until its deadline. The limit does not depend on the length of the prompt.
      */
-    private fun maxWaitMs(): Double = if (request.streaming && !response.started) {
-        route.targetLatencyMs * MAX_WAIT_TARGET_RATIO
-    } else {
-        Double.MAX_VALUE
-    }
+    private fun maxWaitMs(): Double =
+        if (request.streaming && !response.started) context.maxWaitMs(request) else Double.MAX_VALUE
 
     override fun onData(attempt: Attempt) {
         running = running.withData(attempt)
@@ -298,8 +296,5 @@
 
         /** Forming a group again without a lost member takes about two seconds; other groups have room sooner. */
         const val RETRY_AFTER_MS = 300L
-
-        /** A first event later than this multiple of its target is of little use, and delays other requests. */
-        const val MAX_WAIT_TARGET_RATIO = 1.5
     }
 }
