Replace a group across domains before another one takes its engines

Cause: while groups were missing, the planner only looked for engines for a further group across domains; replacing one that serves was the last alternative. Each engine that had loaded the weights joined such a group, so no domain got its own group together. Ruled out by its log: a shortage of engines (at 37.8 s five engines of one domain held the weights). Class of fault: the order of alternatives, in which the first one takes what the others need.

Change: a replaceable group is closed first, one at a time, and none is formed across domains while one closes for that.

Shown: CrossDomainGroupTest, 2 of 7 cases failed before.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -30,22 +30,39 @@
     for (model in service.models) {
         var missing = totals.getValue(model.name) - activeGroups(service, model).count { !spansDomains(it) }
         while (missing > 0 && formWithinDomain(service, model, wanted)) missing--
-        val (crossDomain, singleDomain) = activeGroups(service, model).partition { spansDomains(it) }
-        val serving = singleDomain.count { it.phase == GroupPhase.SERVING }
-        when {
-            missing > crossDomain.size && input.trafficStarted && !isReleasePending(service) ->
-                formAcrossDomains(service, model)
-            serving >= totals.getValue(model.name) -> closeCrossDomainGroup(crossDomain)
-            // Another group serves the model until the members have formed the new one.
-            serving + crossDomain.count { it.phase == GroupPhase.SERVING } > 1 ->
-                closeCrossDomainGroup(crossDomain.filter { fitsInOneDomain(service, model, it) })
-        }
+        if (input.trafficStarted) adjustCrossDomainGroups(service, model, totals.getValue(model.name))
     }
     formFromSurplus(service, wanted)
     stageWeights(service, wanted)
     warmSpares(service)
 }
 
+/**
+ * Forms groups across domains in place of missing ones of the [wanted], and closes them for groups within a domain. One
+ * that can be replaced is replaced before another one takes the engines for that.
+ */
+private fun Planning.adjustCrossDomainGroups(service: DocumentService, model: ModelSpec, wanted: Int) {
+    val (crossDomain, singleDomain) = activeGroups(service, model).partition { spansDomains(it) }
+    val serving = singleDomain.count { it.phase == GroupPhase.SERVING }
+    val crossDomainServing = crossDomain.filter { it.phase == GroupPhase.SERVING }
+    val replaceable = crossDomainServing.filter { fitsInOneDomain(service, model, it) }
+    when {
+        serving >= wanted -> closeCrossDomainGroup(crossDomainServing)
+        isReplacementPending(service, model) -> Unit
+        // Another group serves the model until the members have formed the new one.
+        serving + crossDomainServing.size > 1 && replaceable.isNotEmpty() -> closeCrossDomainGroup(replaceable)
+        wanted - singleDomain.size > crossDomain.size && !isReleasePending(service) ->
+            formAcrossDomains(service, model)
+    }
+}
+
+/** Whether a group of the model closes for another one that its members will form. */
+private fun Planning.isReplacementPending(service: DocumentService, model: ModelSpec): Boolean =
+    state.groups.values.any {
+        it.service == service.name && it.model == model.name && it.phase == GroupPhase.CLOSING &&
+            it.reason.cause == PhaseCause.REPLACED
+    }
+
 private fun Planning.targetsOf(service: DocumentService): DomainTargets {
     val engines = usableEnginesByDomain(service)
     val last = state.targets[service.name]
@@ -163,8 +180,8 @@
     return domains.values.any { it >= model.groupSize }
 }
 
-private fun Planning.closeCrossDomainGroup(crossDomain: List<PlannedGroup>) {
-    val group = crossDomain.firstOrNull { it.phase == GroupPhase.SERVING } ?: return
+private fun Planning.closeCrossDomainGroup(serving: List<PlannedGroup>) {
+    val group = serving.firstOrNull() ?: return
     order(group.members.first(), EngineCommand.Close(group.id))
     enterPhase(group, GroupPhase.CLOSING, PhaseReason(PhaseCause.REPLACED))
 }
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/CrossDomainGroupTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/CrossDomainGroupTest.kt
@@ -8,23 +8,41 @@
 import org.bramleyspur.core.backend.GroupState
 import org.bramleyspur.core.backend.KnownBackend
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 
 /**
  * Guards against a model that is served only by slow groups across domains for the rest of its uptime, although the
- * engines of one domain could form a group of their own.
+ * engines of one domain could form a group of their own, and against a further slow group that takes these engines.
  */
 class CrossDomainGroupTest {
-    /** [groups] has the domain of each member, [free] those of the free engines, all of the large model. */
-    private class Case(val name: String, val groups: List<String>, val free: String, val closing: Int)
+    /**
+     * [groups] has the domain of each member, [free] those of the free engines, all of the large model. [spares] has the
+     * domains of spares of the small model, which make room for more groups.
+     */
+    private class Case(
+        val name: String,
+        val groups: List<String>,
+        val free: String,
+        val closing: Int,
+        val spares: String = "",
+    )
 
     private val cases = listOf(
         Case("the only group, with engines for a group in one domain", listOf("abbb"), free = "aaa", closing = 0),
         Case("two groups, with engines for a group in one domain", listOf("abbb", "accc"), free = "aaa", closing = 1),
         Case("two groups, without", listOf("abbb", "accc"), free = "aa", closing = 0),
         Case("two groups, fewer wanted after losses", listOf("abcc", "bbcc"), free = "", closing = 0),
+        Case(
+            "two groups, engines for a third one across domains",
+            listOf("aaab", "bbcc"),
+            free = "bbcc",
+            closing = 1,
+            spares = "aaabbcc",
+        ),
         Case("another one is in one domain", listOf("cccc", "abbb"), free = "aaa", closing = 1),
     )
 
@@ -43,6 +61,10 @@
             }
         }
 
+    private fun spares(domains: String): List<Announcement> = domains.mapIndexed { number, domain ->
+        readyEngine("spare-$number", SPARE_PORTS + number, listOf("small"), "$domain")
+    }
+
     private fun serving(name: String, domains: String) = PlannedGroup(
         GroupId(name, 1),
         "s",
@@ -63,7 +85,7 @@
             }
             val planned = groups.map { (name, domains) -> serving(name, domains) }
             val state = PlannerState(groups = planned.associateBy { it.id }.toPersistentMap())
-            val known = (members + free).associate { it.id to KnownBackend(it, NOW_MS) }
+            val known = (members + free + spares(case.spares)).associate { it.id to KnownBackend(it, NOW_MS) }
             val evidence = members.associate { it.id to EngineEvidence(lastResponseMs = NOW_MS) }
             val step = planGroups(state, PlannerInput(NOW_MS, 1, DOCUMENT, known, evidence, trafficStarted = true))
             val closing = step.state.groups.values.filter { it.phase == GroupPhase.CLOSING }
@@ -71,8 +93,30 @@
         }
     }
 
+    @Test
+    fun `no group across domains takes the engines for the replacement of another one`() {
+        val groups = mapOf("large0" to "abbb", "large1" to "aaab")
+        val members = members(groups)
+        val free = listOf("b", "c", "c", "c").mapIndexed { number, domain ->
+            readyEngine("free-$number", number + 1, listOf("large"), domain)
+        }
+        val replaced = serving("large0", "abbb")
+            .copy(phase = GroupPhase.CLOSING, reason = PhaseReason(PhaseCause.REPLACED))
+        val planned = listOf(replaced, serving("large1", "aaab"))
+        val orders = free.associate { it.incarnation to KnownOrders(0, 0, groupMismatch = false) }
+        val state = PlannerState(
+            groups = planned.associateBy { it.id }.toPersistentMap(),
+            knownOrders = orders.toPersistentMap(),
+        )
+        val known = (members + free + spares("aaabbcc")).associate { it.id to KnownBackend(it, NOW_MS) }
+        val step = planGroups(state, PlannerInput(NOW_MS, 1, DOCUMENT, known, emptyMap(), trafficStarted = true))
+        val forming = step.state.groups.values.filter { it.phase == GroupPhase.FORMING && it.model == "large" }
+        expectThat(forming).isEmpty()
+    }
+
     private companion object {
         const val NOW_MS = 100_000L
         const val PORTS_PER_GROUP = 10
+        const val SPARE_PORTS = 900
     }
 }
