Simulate a lease that lapses and is renewed

Change: TermState holds the rule, and the driver and the simulation both plan through it. The behaviour of the driver is the same.

--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
@@ -150,7 +150,13 @@
     /** Whether callers' requests run at the heads; without them entries report nothing. */
     var traffic = true
     private var term = 1L
-    private var state = PlannerState()
+    private var leaseLapsedUntilMs = 0L
+    private var current = TermState()
+    private var state
+        get() = current.planner
+        set(planner) {
+            current = current.copy(planner = planner)
+        }
     private var directory = BackendDirectory()
     private val evidence = HashMap<String, EngineEvidence>()
     private val scheduled = ArrayList<Pair<Long, () -> Unit>>()
@@ -171,6 +177,9 @@
         member.up && member.group == head.group
     }
 
+    /** Lets each host hold the weights of one of the models, as after a start. */
+    fun stageWeights() = engines.forEachIndexed { index, engine -> engine.staged = models[index % models.size].name }
+
     fun run(durationMs: Long) {
         val endMs = nowMs + durationMs
         while (nowMs < endMs) step()
@@ -200,10 +209,7 @@
             engines[random.nextInt(engines.size)].controlCutOffUntilMs = nowMs + 1_000 + random.nextInt(9_000)
         }
         if (random.nextInt(250) == 0) disconnect(engines[random.nextInt(engines.size)], 1_000L + random.nextInt(9_000))
-        if (random.nextInt(300) == 0) {
-            term++
-            state = PlannerState()
-        }
+        if (random.nextInt(300) == 0) term++
         if (random.nextInt(600) == 0) restartControl()
         if (random.nextInt(200) == 0) deregister(engines[random.nextInt(engines.size)])
     }
@@ -214,7 +220,7 @@
     fun restartControl() {
         val known = directory
         directory = BackendDirectory()
-        state = PlannerState()
+        current = TermState()
         evidence.clear()
         unread.clear()
         term++
@@ -225,6 +231,11 @@
         }
     }
 
+    /** Lets the lease of the leader lapse for [durationMs]; it then leads the same term again. */
+    fun lapseLease(durationMs: Long) {
+        leaseLapsedUntilMs = nowMs + durationMs
+    }
+
     /** Makes the engine unreachable for all processes for [durationMs]; it keeps running. */
     fun disconnect(engine: SimulatedEngine, durationMs: Long) {
         engine.controlCutOffUntilMs = nowMs + durationMs
@@ -325,6 +336,9 @@
         nextPlanMs = nowMs + leaderDelayMs
         unread.forEach { it() }
         unread.clear()
+        val leads = nowMs >= leaseLapsedUntilMs
+        current = current.beginPlan(term.takeIf { leads })
+        if (!leads) return
         val input = PlannerInput(nowMs, term, document, directory.backends, evidence, trafficStarted, leaderDelayMs)
         val before = state
         val startNanos = System.nanoTime()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -13,6 +13,7 @@
 import org.bramleyspur.control.group.PlannerInput
 import org.bramleyspur.control.group.PlannerState
 import org.bramleyspur.control.group.ProbeResult
+import org.bramleyspur.control.group.TermState
 import org.bramleyspur.control.group.onOrderResult
 import org.bramleyspur.control.group.onProbeResult
 import org.bramleyspur.control.group.planGroups
@@ -49,8 +50,13 @@
     private val lagMs: () -> Long,
     private val replan: () -> Unit,
 ) {
-    private var term: Long? = null
-    private var state = PlannerState()
+    private var current = TermState()
+    private val term get() = current.term
+    private var state
+        get() = current.planner
+        set(planner) {
+            current = current.copy(planner = planner)
+        }
     private var evidence: PersistentMap<String, EngineEvidence> = persistentMapOf()
     private var trafficStarted = false
     private var engines: Map<String, KnownBackend> = emptyMap()
@@ -78,17 +84,17 @@
     }
 
     /**
-     * Plans as the leader of [leadingTerm], if any, and sends the resulting orders and probes. The planner state lasts
-     * as long as the term: a leader whose lease lapses and is renewed must not issue a group epoch of the term again.
+     * Plans as the leader of [leadingTerm], if any, and sends the resulting orders and probes.
      */
     fun plan(leadingTerm: Long?, document: StoredDocument?, engines: Map<String, KnownBackend>) {
-        if (leadingTerm == null || document == null) return
-        if (term != leadingTerm) {
-            state = PlannerState()
-            // Groups formed under an earlier leader prove that the system has been running.
-            if (engines.values.any { it.announcement.groupMembership != null }) trafficStarted = true
+        if (document == null) return
+        val previousTerm = term
+        current = current.beginPlan(leadingTerm)
+        if (leadingTerm == null) return
+        // Groups formed under an earlier leader prove that the system has been running.
+        if (previousTerm != leadingTerm && engines.values.any { it.announcement.groupMembership != null }) {
+            trafficStarted = true
         }
-        term = leadingTerm
         val input = PlannerInput(
             timers.nowMs(),
             leadingTerm,
