Free the members of an unknown head only once they have left

What callers saw: on a deployment of 57 engines an engine took a join of another group while the head of its group was serving.

Cause: a head that was not in the directory, or at whose address another backend server answered an order with 421, counted as ended, and its members as free at once. A head leaves the directory while it serves when another backend server announces its address with a later start, or when the bound drops its entry. The same held for a head that is known only from before its restart.

Change: a released group ends only if its head announces another group or none, has confirmed a leave order or has restarted. Otherwise its members are ordered to leave, as for a head that does not respond, and are free once they confirm it. When all of them are out the group is forgotten instead of ended: a member or head that announces it again is adopted, and does not count as free. A group of which only engines that are absent (421) are announced is not adopted.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupAdoption.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupAdoption.kt
@@ -17,7 +17,7 @@
 internal fun Planning.adoptGroups() {
     val members = input.engines.values
         .map { it.announcement }
-        .filter { it.groupMembership != null && isEngine(it) }
+        .filter { it.groupMembership != null && isEngine(it) && !isMissing(it.incarnation) }
         .groupBy { it.groupMembership!!.id }
         .mapValues { (_, announcements) -> ofOneService(announcements) }
     trackPartialGroups(members)
@@ -69,8 +69,6 @@
 }
 
 private fun Planning.adopt(id: GroupId, head: Announcement, announcements: List<Announcement>) {
-    val incarnation = head.incarnation
-    if (hasEnded(incarnation)) return endGroup(id)
     val model = announcements.firstNotNullOfOrNull { it.groupMembership!!.model } ?: return
     val modelSpec = modelSpec(head.service, model)
     val ranks = announcements.map { it.groupMembership!!.rank }.toSet()
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupLifecycle.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupLifecycle.kt
@@ -113,9 +113,9 @@
     }
 }
 
-/** Whether a member has ended or does not announce itself as a member of the group. */
+/** Whether a member is missing or does not announce itself as a member of the group. */
 private fun Planning.departureOf(incarnation: EngineIncarnation, group: PlannedGroup): PhaseReason? = when {
-    hasEnded(incarnation) -> PhaseReason(PhaseCause.MEMBER_ENDED, incarnation.id)
+    isMissing(incarnation) -> PhaseReason(PhaseCause.MEMBER_ENDED, incarnation.id)
     announcementOf(incarnation)?.groupMembership?.id != group.id ->
         PhaseReason(PhaseCause.MEMBER_LEFT, incarnation.id)
     else -> null
@@ -156,17 +156,17 @@
 
 private fun Planning.advanceReleasing(group: PlannedGroup) {
     val head = group.members.first()
-    val announcement = announcementOf(head)
-    if (hasEnded(head) || announcement?.groupMembership?.id != group.id ||
-        hasLeft(head, group.id)
-    ) {
-        return endGroup(group.id)
-    }
+    if (isKnownOut(head, group.id)) return endGroup(group.id)
     order(head, EngineCommand.Leave(group.id))
+    val others = group.members.drop(1)
     // An unreachable head may still be open, but cannot serve without its members; they are free once they have left.
-    if (isUnreachable(head, failures = 1)) orderLeave(group.id, group.members.drop(1))
+    if (isMissing(head) || isUnreachable(head, failures = 1)) orderLeave(group.id, others)
+    if (isMissing(head) && others.all { isMissing(it) || isOut(it, group) }) forgetGroup(group.id)
 }
 
+private fun Planning.isOut(member: EngineIncarnation, group: PlannedGroup): Boolean =
+    !mayBeIn(member, group) && announcementOf(member)?.groupMembership?.id != group.id
+
 private fun Planning.release(group: PlannedGroup, reason: PhaseReason) {
     val released = enterPhase(group, GroupPhase.RELEASING, reason)
     advanceReleasing(released)
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PhaseReason.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PhaseReason.kt
@@ -23,7 +23,7 @@
     /** Members of the group are not known. */
     INCOMPLETE,
 
-    /** The member has ended, or has started anew. */
+    /** The member has started anew, or is not known any more. */
     MEMBER_ENDED,
 
     /** The member's address refuses connections. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
@@ -27,12 +27,24 @@
         announcement(incarnation.id)?.takeIf { it.startedAtMs == incarnation.startedAtMs }
 
     /**
-     * Whether this incarnation has ended. A backend server that has deregistered may go on serving for some seconds, so
-     * deregistration alone does not prove it.
+     * Whether the incarnation is not known any more, or another backend server responds at its address. It can no
+     * longer be counted on, but may still be in its group: an entry with its address may have displaced its own.
      */
-    fun hasEnded(incarnation: EngineIncarnation): Boolean =
+    fun isMissing(incarnation: EngineIncarnation): Boolean =
         announcementOf(incarnation) == null || state.absent[incarnation.id] == incarnation.startedAtMs
 
+    /**
+     * Whether the incarnation is known to be out of the group: it announces so, has confirmed a leave order, or has
+     * restarted. A backend server that has deregistered may go on serving for some seconds.
+     */
+    fun isKnownOut(incarnation: EngineIncarnation, id: GroupId): Boolean {
+        val announcement = announcement(incarnation.id)
+        return hasLeft(incarnation, id) || announcement != null && when {
+            announcement.startedAtMs == incarnation.startedAtMs -> announcement.groupMembership?.id != id
+            else -> announcement.startedAtMs > incarnation.startedAtMs
+        }
+    }
+
     private fun lastContactMs(incarnation: EngineIncarnation): Long =
         maxOf(input.engines[incarnation.id]?.receivedAtMs ?: 0L, state.probes[incarnation]?.lastResponseMs ?: 0L)
 
@@ -51,7 +63,7 @@
         val probe = state.probes[incarnation]
         val silentMs = minOf(probe?.silentMs ?: 0, sinceLastContactMs(incarnation))
         return when {
-            hasEnded(incarnation) -> PhaseReason(PhaseCause.MEMBER_ENDED, incarnation.id)
+            isMissing(incarnation) -> PhaseReason(PhaseCause.MEMBER_ENDED, incarnation.id)
             probe == null || probe.failures < UNREACHABLE_PROBE_FAILURES -> null
             // An engine that drains may no longer listen while it finishes its requests.
             probe.crashed && announcementOf(incarnation)?.state == BackendState.READY ->
@@ -128,8 +140,9 @@
         if (size > MAX_SENT_ORDERS) filterValues { input.nowMs - it < STAGE_REPEAT_MS }.toPersistentMap() else this
 
     /** Orders each member to leave the group, for groups whose head cannot be reached. */
-    fun orderLeave(id: GroupId, members: List<EngineIncarnation>) =
-        members.filter { !hasLeft(it, id) && !isUnreachable(it) }.forEach { order(it, EngineCommand.Leave(id)) }
+    fun orderLeave(id: GroupId, members: List<EngineIncarnation>) = members
+        .filter { !hasLeft(it, id) && !isMissing(it) && !isUnreachable(it) }
+        .forEach { order(it, EngineCommand.Leave(id)) }
 
     fun hasLeft(incarnation: EngineIncarnation, id: GroupId): Boolean =
         state.leftMembers[id]?.contains(incarnation) == true
@@ -142,6 +155,11 @@
         )
     }
 
+    /** Removes a group whose members have left without their head; if one announces it again, it is adopted. */
+    fun forgetGroup(id: GroupId) {
+        state = state.copy(groups = state.groups.remove(id), leftMembers = state.leftMembers.remove(id))
+    }
+
     fun modelSpec(service: String, model: String): ModelSpec? =
         input.document.services[service]?.models?.firstOrNull { it.name == model }
 
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
@@ -27,6 +27,8 @@
 private const val STALL_TIMEOUT_MS = 4_000L
 private const val ENTRY_RECONNECT_MS = 800L
 private const val ORDER_TIMEOUT_MS = 1_000L
+private const val SNAPSHOT_INTERVAL_MS = 1_000L
+private const val MAX_SNAPSHOTS = 8
 
 internal val MODELS = listOf(
     ModelSpec("large", 4, 0.67, 1.0, 16_000, 1_600),
@@ -63,6 +65,9 @@
     /** Until when no process can reach it, although it is running. */
     var unreachableUntilMs = 0L
 
+    /** Until when another backend server responds at the address that control knows. */
+    var misdirectedUntilMs = 0L
+
     /** Until when it sends nothing, although it is sound; it then executes what it has received. */
     var silentUntilMs = 0L
     var group: GroupId? = null
@@ -151,6 +156,7 @@
     var traffic = true
     private var term = 1L
     private var leaseLapsedUntilMs = 0L
+    private val earlierDirectories = ArrayDeque<BackendDirectory>()
     private var current = TermState()
     private var state
         get() = current.planner
@@ -193,9 +199,16 @@
         due.forEach { it.second() }
         engines.filter { it.up }.forEach { progress(it) }
         recordEvidence()
+        recordDirectory()
         plan()
     }
 
+    private fun recordDirectory() {
+        if (nowMs % SNAPSHOT_INTERVAL_MS != 0L) return
+        earlierDirectories += directory
+        if (earlierDirectories.size > MAX_SNAPSHOTS) earlierDirectories.removeFirst()
+    }
+
     private fun injectFaults() {
         if (random.nextInt(60) == 0) {
             val engine = engines[random.nextInt(engines.size)]
@@ -217,8 +230,19 @@
     /**
      * Restarts all control instances, which know no backend server until it announces itself or entries report it.
      */
-    fun restartControl() {
-        val known = directory
+    fun restartControl() = restartControl(directory)
+
+    /**
+     * Restarts all control instances; what entries report is up to some seconds old and, for each engine, missing with
+     * the probability [missingShare].
+     */
+    fun restartControlWithOlderDirectory(missingShare: Double) {
+        val known = earlierDirectories[random.nextInt(earlierDirectories.size)]
+        val missing = known.backends.keys.filter { random.nextDouble() < missingShare }
+        restartControl(BackendDirectory(missing.fold(known.backends) { backends, id -> backends.remove(id) }))
+    }
+
+    private fun restartControl(known: BackendDirectory) {
         directory = BackendDirectory()
         current = TermState()
         evidence.clear()
@@ -236,6 +260,36 @@
         leaseLapsedUntilMs = nowMs + durationMs
     }
 
+    /** Lets another backend server, of no known service, announce the address of the engine for [durationMs]. */
+    fun takeAddress(engine: SimulatedEngine, durationMs: Long) {
+        val other = announcement(engine).copy(
+            id = "other-${engine.id}-$nowMs",
+            startedAtMs = nowMs,
+            service = "unknown",
+            groupMembership = null,
+        )
+        directory = directory.withAnnouncement(other, nowMs)
+        scheduled += nowMs + durationMs to {
+            val gone = other.copy(sequence = other.sequence + 1, state = BackendState.GONE)
+            directory = directory.withAnnouncement(gone, nowMs)
+        }
+    }
+
+    /** Removes the engine from the directory until its next announcement. */
+    fun dropEntry(engine: SimulatedEngine) {
+        directory = BackendDirectory(directory.backends.remove(engine.id))
+    }
+
+    /** Lets another backend server answer the orders to the engine for [durationMs]. */
+    fun misdirectOrders(engine: SimulatedEngine, durationMs: Long) {
+        engine.misdirectedUntilMs = nowMs + durationMs
+    }
+
+    /** Begins another term, as when another control instance leads. */
+    fun changeLeader() {
+        term++
+    }
+
     /** Makes the engine unreachable for all processes for [durationMs]; it keeps running. */
     fun disconnect(engine: SimulatedEngine, durationMs: Long) {
         engine.controlCutOffUntilMs = nowMs + durationMs
@@ -392,8 +446,9 @@
             }
         }
         if (!reachable) return
+        val misdirected = engine.misdirectedUntilMs > nowMs
         scheduled += nowMs + delayMs to {
-            val result = if (engine.up && engine.startedAtMs == target.startedAtMs) {
+            val result = if (engine.up && engine.startedAtMs == target.startedAtMs && !misdirected) {
                 accept(engine, order)
             } else {
                 OrderResult.ABSENT
