--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
@@ -27,6 +27,8 @@
 private const val STALL_TIMEOUT_MS = 4_000L
 private const val ENTRY_RECONNECT_MS = 800L
 private const val ORDER_TIMEOUT_MS = 1_000L
+private const val SNAPSHOT_INTERVAL_MS = 1_000L
+private const val MAX_SNAPSHOTS = 8
 
 internal val MODELS = listOf(
     ModelSpec("large", 4, 0.67, 1.0, 16_000, 1_600),
@@ -63,6 +65,9 @@
     /** Until when no process can reach it, although it is running. */
     var unreachableUntilMs = 0L
 
+    /** Until when another backend server responds at the address that control knows. */
+    var misdirectedUntilMs = 0L
+
     /** Until when it sends nothing, although it is sound; it then executes what it has received. */
     var silentUntilMs = 0L
     var group: GroupId? = null
@@ -150,7 +155,14 @@
     /** Whether callers' requests run at the heads; without them entries report nothing. */
     var traffic = true
     private var term = 1L
-    private var state = PlannerState()
+    private var leaseLapsedUntilMs = 0L
+    private val earlierDirectories = ArrayDeque<BackendDirectory>()
+    private var current = TermState()
+    private var state
+        get() = current.planner
+        set(planner) {
+            current = current.copy(planner = planner)
+        }
     private var directory = BackendDirectory()
     private val evidence = HashMap<String, EngineEvidence>()
     private val scheduled = ArrayList<Pair<Long, () -> Unit>>()
@@ -171,6 +183,9 @@
         member.up && member.group == head.group
     }
 
+    /** Lets each host hold the weights of one of the models, as after a start. */
+    fun stageWeights() = engines.forEachIndexed { index, engine -> engine.staged = models[index % models.size].name }
+
     fun run(durationMs: Long) {
         val endMs = nowMs + durationMs
         while (nowMs < endMs) step()
@@ -184,9 +199,16 @@
         due.forEach { it.second() }
         engines.filter { it.up }.forEach { progress(it) }
         recordEvidence()
+        recordDirectory()
         plan()
     }
 
+    private fun recordDirectory() {
+        if (nowMs % SNAPSHOT_INTERVAL_MS != 0L) return
+        earlierDirectories += directory
+        if (earlierDirectories.size > MAX_SNAPSHOTS) earlierDirectories.removeFirst()
+    }
+
     private fun injectFaults() {
         if (random.nextInt(60) == 0) {
             val engine = engines[random.nextInt(engines.size)]
@@ -200,10 +222,7 @@
             engines[random.nextInt(engines.size)].controlCutOffUntilMs = nowMs + 1_000 + random.nextInt(9_000)
         }
         if (random.nextInt(250) == 0) disconnect(engines[random.nextInt(engines.size)], 1_000L + random.nextInt(9_000))
-        if (random.nextInt(300) == 0) {
-            term++
-            state = PlannerState()
-        }
+        if (random.nextInt(300) == 0) term++
         if (random.nextInt(600) == 0) restartControl()
         if (random.nextInt(200) == 0) deregister(engines[random.nextInt(engines.size)])
     }
@@ -211,10 +230,21 @@
     /**
      * Restarts all control instances, which know no backend server until it announces itself or entries report it.
      */
-    fun restartControl() {
-        val known = directory
+    fun restartControl() = restartControl(directory)
+
+    /**
+     * Restarts all control instances; what entries report is up to some seconds old and, for each engine, missing with
+     * the probability [missingShare].
+     */
+    fun restartControlWithOlderDirectory(missingShare: Double) {
+        val known = earlierDirectories[random.nextInt(earlierDirectories.size)]
+        val missing = known.backends.keys.filter { random.nextDouble() < missingShare }
+        restartControl(BackendDirectory(missing.fold(known.backends) { backends, id -> backends.remove(id) }))
+    }
+
+    private fun restartControl(known: BackendDirectory) {
         directory = BackendDirectory()
-        state = PlannerState()
+        current = TermState()
         evidence.clear()
         unread.clear()
         term++
@@ -225,6 +255,41 @@
         }
     }
 
+    /** Lets the lease of the leader lapse for [durationMs]; it then leads the same term again. */
+    fun lapseLease(durationMs: Long) {
+        leaseLapsedUntilMs = nowMs + durationMs
+    }
+
+    /** Lets another backend server, of no known service, announce the address of the engine for [durationMs]. */
+    fun takeAddress(engine: SimulatedEngine, durationMs: Long) {
+        val other = announcement(engine).copy(
+            id = "other-${engine.id}-$nowMs",
+            startedAtMs = nowMs,
+            service = "unknown",
+            groupMembership = null,
+        )
+        directory = directory.withAnnouncement(other, nowMs)
+        scheduled += nowMs + durationMs to {
+            val gone = other.copy(sequence = other.sequence + 1, state = BackendState.GONE)
+            directory = directory.withAnnouncement(gone, nowMs)
+        }
+    }
+
+    /** Removes the engine from the directory until its next announcement. */
+    fun dropEntry(engine: SimulatedEngine) {
+        directory = BackendDirectory(directory.backends.remove(engine.id))
+    }
+
+    /** Lets another backend server answer the orders to the engine for [durationMs]. */
+    fun misdirectOrders(engine: SimulatedEngine, durationMs: Long) {
+        engine.misdirectedUntilMs = nowMs + durationMs
+    }
+
+    /** Begins another term, as when another control instance leads. */
+    fun changeLeader() {
+        term++
+    }
+
     /** Makes the engine unreachable for all processes for [durationMs]; it keeps running. */
     fun disconnect(engine: SimulatedEngine, durationMs: Long) {
         engine.controlCutOffUntilMs = nowMs + durationMs
@@ -325,6 +390,9 @@
         nextPlanMs = nowMs + leaderDelayMs
         unread.forEach { it() }
         unread.clear()
+        val leads = nowMs >= leaseLapsedUntilMs
+        current = current.beginPlan(term.takeIf { leads })
+        if (!leads) return
         val input = PlannerInput(nowMs, term, document, directory.backends, evidence, trafficStarted, leaderDelayMs)
         val before = state
         val startNanos = System.nanoTime()
@@ -378,8 +446,9 @@
             }
         }
         if (!reachable) return
+        val misdirected = engine.misdirectedUntilMs > nowMs
         scheduled += nowMs + delayMs to {
-            val result = if (engine.up && engine.startedAtMs == target.startedAtMs) {
+            val result = if (engine.up && engine.startedAtMs == target.startedAtMs && !misdirected) {
                 accept(engine, order)
             } else {
                 OrderResult.ABSENT
