--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/Cluster.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/Cluster.kt
@@ -1,6 +1,8 @@
 /*
  * A simulated cluster: members in one thread with a simulated clock and network and [TestFileSystem]s. The
  * [ClusterInvariants] are checked after each action.
+ *
+ * After a storage failure a member's process restarts, or, with a reopen delay, runs on and opens its log again.
  */
 package org.bramleyspur.log
 
@@ -41,6 +43,7 @@
     seed: Long,
     val settings: ConsensusSettings = ConsensusSettings(trailingEntries = 5, snapshotChunkBytes = 64, batchEntries = 4),
     private val clockRates: List<Double> = emptyList(),
+    private val reopenDelayMs: Int? = null,
 ) {
     val random = Random(seed)
     val links = NetworkLinks()
@@ -188,6 +191,7 @@
             val storage = opened.getOrElse {
                 // Restarts after a disk failure, as a process supervisor does.
                 check(it is StorageError.SyncFailed) { it.message }
+                if (reopenDelayMs != null) return reopen(reopenDelayMs)
                 files.crash(UnsyncedWrites.DROPPED, random)
                 return schedule(nowMs + 100) { if (log == null) start(firstStart) }
             }
@@ -197,12 +201,25 @@
                 Executor { scheduleAction(random.nextDouble(0.1, 3.0)) { it.run() } },
             )
             val options =
-                LogOptions(address, settings, snapshotEntries = 20) { crash(unsyncedWritesOnFailure, restartMs = 200) }
+                LogOptions(address, settings, snapshotEntries = 20) {
+                    if (reopenDelayMs ==
+                        null
+                    ) {
+                        crash(unsyncedWritesOnFailure, restartMs = 200)
+                    } else {
+                        reopen(reopenDelayMs)
+                    }
+                }
             val listener = LeadershipListener(won = { invariants.leadershipWon(it, this) })
             applied.clear()
             log = ReplicatedLog(storage, options, threads, ::send, stateMachine(), listener, random.asJavaRandom())
         }
 
+        private fun reopen(delayMs: Int) {
+            log = null
+            schedule(nowMs + delayMs) { if (log == null) start(FirstStart.Join) }
+        }
+
         private fun stateMachine() = StateMachine(
             apply = { index, term, payload -> invariants.applied(this, index, term, payload.decodeToString()) },
             snapshot = { applied.entries.joinToString("\n") { "${it.key} ${it.value}" }.encodeToByteArray() },
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/ClusterInvariants.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/ClusterInvariants.kt
@@ -71,5 +71,14 @@
         }
     }
 
+    /** Checks that every member has applied the first [count] acknowledged entries, while others are in flight. */
+    fun checkConvergedTo(count: Int) {
+        val first = acknowledged.keys.take(count).toSet()
+        for (node in cluster.nodes) {
+            val lost = first - node.applied.keys
+            check(lost.isEmpty()) { "${node.address} lacks the acknowledged entries $lost" }
+        }
+    }
+
     val acknowledgedCount: Int get() = acknowledged.size
 }
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/TestFileSystem.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/TestFileSystem.kt
@@ -9,6 +9,8 @@
 /** What happens to written but unsynced bytes in a simulated power failure. */
 enum class UnsyncedWrites { DROPPED, KEPT, TRUNCATED, CORRUPTED }
 
+private const val NO_SPACE = "No space left on device"
+
 /** An in-memory data directory that tracks which content has been synced. */
 class TestFileSystem : FileSystem {
     private class FileContent {
@@ -24,6 +26,16 @@
     var remainingSyncs: Int? = null
     var syncCount = 0
 
+    /** Number of operations that succeed before all further ones fail, as on a full disk; null if none fails. */
+    var remainingOperations: Int? = null
+    var operationCount = 0
+
+    /** Whether writes fail after a part of their bytes, as on a full disk; all else succeeds. */
+    var full = false
+
+    /** Whether closing a file fails. */
+    var closeFails = false
+
     override fun path(name: String) = name
 
     override fun list() = files.keys.toList()
@@ -31,33 +43,52 @@
     override fun read(name: String): ByteArray = files[name]?.bytes?.toByteArray() ?: throw IOException("no $name")
 
     override fun openForAppend(name: String): AppendFile {
+        consumeOperation()
         val content = files.getOrPut(name) { FileContent() }
         return object : AppendFile {
-            override fun write(bytes: ByteArray) = content.bytes.writeBytes(bytes)
+            override fun write(bytes: ByteArray) {
+                val writable = !full && remainingOperations != 0
+                content.bytes.writeBytes(if (writable) bytes else bytes.copyOf(bytes.size / 2))
+                if (full) throw IOException(NO_SPACE)
+                consumeOperation()
+            }
 
             override fun sync() {
+                consumeOperation()
                 consumeSync()
                 syncCount++
                 content.syncedBytes = content.bytes.size()
             }
 
-            override fun close() = Unit
+            override fun close() {
+                if (closeFails) throw IOException(NO_SPACE)
+            }
         }
     }
 
     override fun rename(from: String, to: String) {
+        consumeOperation()
         files[to] = files.remove(from) ?: throw IOException("no $from")
     }
 
     override fun delete(name: String) {
+        consumeOperation()
         files.remove(name)
     }
 
     override fun syncDirectory() {
+        consumeOperation()
         consumeSync()
         syncedFiles = files.toMap()
     }
 
+    private fun consumeOperation() {
+        operationCount++
+        val left = remainingOperations ?: return
+        if (left == 0) throw IOException(NO_SPACE)
+        remainingOperations = left - 1
+    }
+
     private fun consumeSync() {
         val left = remainingSyncs ?: return
         if (left == 0) throw IOException("simulated sync failure")
