Treat a file that cannot be closed as a storage failure

Callers would see changes without an answer while all processes run: when closing a segment failed, the exception ended the task of the storage thread. The log was neither closed nor did it write again, since the lost entries left a gap, and it acknowledged nothing until the process ended. If closing failed with the storage, the lock of the directory was kept, and each attempt to open it again was refused.

Cause: the four places that close the current segment threw IOException, which only the writes and syncs around them translate into a storage failure; LogStorage.close released the lock only if the segments could be closed.

A full local disk was not seen to fail a close; file systems with delayed allocation over a network or with a quota report a lack of room there. The rest of the storage was searched for other calls outside of the translation.

FullDiskTest: four operations with a file that cannot be closed, and full disks in turn that fail closes as well. Now every close is translated, so that the log closes and opens again, and the lock is released in any case.

--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/StorageQueue.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/StorageQueue.kt
@@ -1,5 +1,6 @@
 package org.bramleyspur.log
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import org.bramleyspur.log.consensus.Persist
 import org.bramleyspur.log.consensus.Snapshot
 import org.bramleyspur.log.storage.LogStorage
@@ -30,6 +31,7 @@
     private val onSnapshotSaved: (Snapshot) -> Unit,
     private val onFailure: (StorageError) -> Unit,
 ) {
+    private val logger = KotlinLogging.logger {}
     private val tasks = ConcurrentLinkedQueue<StorageTask>()
     private var failed = false
 
@@ -37,7 +39,14 @@
 
     fun saveSnapshot(snapshot: Snapshot, keepFrom: Long) = add(SnapshotTask(snapshot, keepFrom))
 
-    fun close() = storageThread.execute { storage.close() }
+    /** Closes the storage. A failure is only logged: every write that was acknowledged is synced. */
+    fun close() = storageThread.execute {
+        try {
+            storage.close()
+        } catch (e: StorageException) {
+            logger.warn { e.error.message }
+        }
+    }
 
     private fun add(task: StorageTask) {
         tasks += task
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/LogStorage.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/LogStorage.kt
@@ -143,10 +143,13 @@
         return lines.first() to Membership.decode(lines.drop(1))
     }
 
-    /** Closes the files and releases the lock of the directory. */
+    /** Closes the files and releases the lock of the directory, also when a file cannot be closed. */
     override fun close() {
-        segments.close()
-        lock.close()
+        try {
+            segments.close()
+        } finally {
+            files.runWrite(LOCK_FILE) { lock.close() }
+        }
     }
 
     companion object {
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/SegmentLog.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/SegmentLog.kt
@@ -105,7 +105,7 @@
     }
 
     private fun startSegment() {
-        currentFile?.close()
+        closeCurrentFile()
         val first = lastIndex + 1
         val header = ByteBuffer.allocate(2 * Long.SIZE_BYTES).putLong(first).putLong(lastTerm).array()
         files.replace(fileName(first), encodeFrame(0, header))
@@ -141,7 +141,7 @@
     /** Removes the entries at [index] and above. */
     fun truncateFrom(index: Long) {
         while (firstIndexes.size > 1 && firstIndexes.last() >= index) deleteLastSegment()
-        currentFile?.close()
+        closeCurrentFile()
         val name = fileName(firstIndexes.last())
         val bodies = readFrames(files.read(name)).bodies
         val kept = bodies.drop(1).flatMap { decodeEntries(it) }.filter { it.index < index }
@@ -162,8 +162,7 @@
 
     /** Deletes the newest segment; syncing after each deletion avoids gaps between the remaining segments. */
     private fun deleteLastSegment() {
-        currentFile?.close()
-        currentFile = null
+        closeCurrentFile()
         files.delete(fileName(firstIndexes.removeLast()))
     }
 
@@ -172,7 +171,11 @@
         while (firstIndexes.size > 1 && firstIndexes[1] <= index) files.delete(fileName(firstIndexes.removeFirst()))
     }
 
-    fun close() {
-        currentFile?.close()
+    fun close() = closeCurrentFile()
+
+    private fun closeCurrentFile() {
+        val file = currentFile ?: return
+        currentFile = null
+        files.runWrite(fileName(firstIndexes.last())) { file.close() }
     }
 }
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/FullDiskTest.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/FullDiskTest.kt
@@ -15,6 +15,7 @@
 import org.bramleyspur.log.storage.StorageException
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
+import org.junit.jupiter.api.assertThrows
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
@@ -144,6 +145,30 @@
             }
         }
 
+    private val closingSteps: List<Pair<String, Persist>> = listOf(
+        "roll of the segment" to Persist(0, entries = entries(13, listOf(1))),
+        "truncation" to Persist(0, truncateFrom = 11, entries = entries(11, listOf(2))),
+        "truncation of a whole segment" to Persist(0, truncateFrom = 3, entries = entries(3, listOf(2))),
+        "received snapshot" to Persist(0, snapshot = Snapshot(30, 2, Membership(), ByteArray(9)), resetLog = true),
+    )
+
+    /** Guards against a log that neither writes nor fails, and a lock that is kept, when a file cannot be closed. */
+    @TestFactory
+    fun `a file that cannot be closed is a storage failure, and the directory opens again`() =
+        closingSteps.map { (name, write) ->
+            DynamicTest.dynamicTest(name) {
+                val files = TestFileSystem()
+                val storage = open(files).getOrElse { error(it.message) }
+                for (i in 1L..12L) storage.persist(listOf(Persist(0, entries = entries(i, listOf(1)))))
+                files.closeFails = true
+                val failure = assertThrows<StorageException> { storage.persist(listOf(write)) }
+                expectThat(failure.error).isA<StorageError.SyncFailed>()
+                runCatching { storage.close() }
+                files.closeFails = false
+                open(files).getOrElse { error(it.message) }.close()
+            }
+        }
+
     /**
      * @property fullMs how long each disk is full
      * @property gapMs time between the end of one and the begin of the next
@@ -154,6 +179,7 @@
         val fullMs: Int = 3_000,
         val gapMs: IntRange = 0..2_000,
         val rounds: Int = 2,
+        val closeFails: Boolean = false,
         val order: (Cluster, Int, Random) -> Cluster.Node = { cluster, i, _ -> cluster.nodes[i % 3] },
     )
 
@@ -161,6 +187,7 @@
         Turn("one after another"),
         Turn("without a pause between them", gapMs = 0..0),
         Turn("for less than the reopen delay", fullMs = 400, gapMs = 0..300, rounds = 6),
+        Turn("with files that cannot be closed", closeFails = true),
         Turn("each while it leads", order = { cluster, i, _ -> cluster.leader() ?: cluster.nodes[i % 3] }),
         Turn(
             "each while it follows",
@@ -187,9 +214,11 @@
         repeat(turn.rounds * 3) { i ->
             val node = turn.order(cluster, i, random)
             node.files.full = true
+            node.files.closeFails = turn.closeFails
             cluster.run(turn.fullMs)
             if (node.log == null) failures++
             node.files.full = false
+            node.files.closeFails = false
             if (i < turn.rounds * 3 - 1) cluster.run(random.nextInt(turn.gapMs.first, turn.gapMs.last + 1))
         }
         check(failures > 0) { "seed $seed: no member noticed that its disk was full" }
