Close the log after an unexpected exception, too

Callers would see no answers, or refusals, for as long as the process runs: an exception on the storage thread that was no translated failure of a file operation lost its writes without closing the log, so later entries never followed the last one on disk. While the directory was opened, such an exception left it locked, and each later attempt was refused as if another process held it.

Cause: StorageQueue and LogStorage.open handled only StorageException. The stream that lists a directory throws UncheckedIOException.

FullDiskTest, two cases, both failed before: a directory that cannot be listed once and then can; an exception of the storage thread, after which the proposal's outcome is unknown and the member opens its log again. Every exception now closes the log and releases the lock. That an exception other than that of the listing can occur on a full disk was not shown.

--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/StorageQueue.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/StorageQueue.kt
@@ -53,6 +53,7 @@
         storageThread.execute { runAll() }
     }
 
+    @Suppress("TooGenericExceptionCaught") // After any exception, the log must not wait for a write that was lost.
     private fun runAll() {
         if (failed) return
         try {
@@ -67,11 +68,17 @@
             }
             flush(writes)
         } catch (e: StorageException) {
-            failed = true
-            control.execute { onFailure(e.error) }
+            fail(e.error)
+        } catch (e: RuntimeException) {
+            fail(StorageError.Unexpected(e.toString()))
         }
     }
 
+    private fun fail(error: StorageError) {
+        failed = true
+        control.execute { onFailure(error) }
+    }
+
     private fun flush(writes: ArrayList<Persist>) {
         if (writes.isEmpty()) return
         storage.persist(writes)
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/DurableFiles.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/DurableFiles.kt
@@ -1,6 +1,7 @@
 package org.bramleyspur.log.storage
 
 import java.io.IOException
+import java.io.UncheckedIOException
 
 private const val TEMPORARY_SUFFIX = ".tmp"
 
@@ -56,6 +57,9 @@
         action()
     } catch (e: IOException) {
         throw StorageException(StorageError.ReadFailed(path(name), e.toString()), e)
+    } catch (e: UncheckedIOException) {
+        // Streams of directory entries throw it.
+        throw StorageException(StorageError.ReadFailed(path(name), e.toString()), e)
     }
 }
 
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/LogStorage.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/LogStorage.kt
@@ -174,11 +174,14 @@
             lock: AutoCloseable,
             segmentBytes: Int,
             firstStart: FirstStart,
-        ): Result<LogStorage, StorageError> = try {
-            Ok(LogStorage(files, lock, segmentBytes, firstStart))
-        } catch (e: StorageException) {
-            lock.close()
-            Err(e.error)
+        ): Result<LogStorage, StorageError> {
+            var opened: LogStorage? = null
+            try {
+                opened = LogStorage(files, lock, segmentBytes, firstStart)
+                return Ok(opened)
+            } finally {
+                if (opened == null) files.runWrite(LOCK_FILE) { lock.close() }
+            }
         }
     }
 }
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/StorageError.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/StorageError.kt
@@ -29,6 +29,12 @@
         override val message
             get() = "reading $file failed ($cause); check the disk and the permissions of the data directory"
     }
+
+    /** An operation failed in a way that is not expected of a file system. */
+    data class Unexpected(val cause: String) : StorageError {
+        override val message
+            get() = "the log storage failed ($cause); check the disk, then start the process again"
+    }
 }
 
 /** Carries a [StorageError] to [LogStorage.open] or to the storage queue. */
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/FullDiskTest.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/FullDiskTest.kt
@@ -1,6 +1,7 @@
 package org.bramleyspur.log
 
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
 import org.bramleyspur.log.consensus.ConsensusSettings
 import org.bramleyspur.log.consensus.Entry
@@ -8,18 +9,23 @@
 import org.bramleyspur.log.consensus.HardState
 import org.bramleyspur.log.consensus.Membership
 import org.bramleyspur.log.consensus.Persist
+import org.bramleyspur.log.consensus.ProposeError
 import org.bramleyspur.log.consensus.Snapshot
 import org.bramleyspur.log.storage.FirstStart
 import org.bramleyspur.log.storage.LogStorage
 import org.bramleyspur.log.storage.StorageError
 import org.bramleyspur.log.storage.StorageException
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import org.junit.jupiter.api.assertThrows
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import java.io.IOException
+import java.io.UncheckedIOException
 import kotlin.random.Random
 
 /**
@@ -169,6 +175,34 @@
             }
         }
 
+    /** Guards against a lock that is kept, so that the directory never opens again, after an unexpected exception. */
+    @Test
+    fun `a directory that could not be listed opens once it can be`() {
+        val files = TestFileSystem()
+        open(files).getOrElse { error(it.message) }.close()
+        files.uncheckedFailure = UncheckedIOException(IOException("simulated failure"))
+        expectThat(open(files).getError()).isA<StorageError.ReadFailed>()
+        open(files).getOrElse { error(it.message) }.close()
+        files.uncheckedFailure = IllegalStateException("simulated failure")
+        assertThrows<IllegalStateException> { open(files) }
+        open(files).getOrElse { error(it.message) }.close()
+    }
+
+    /** Guards against a log that acknowledges nothing, but is not closed, after an unexpected exception. */
+    @Test
+    fun `an unexpected exception on the storage thread closes the log, which opens again`() {
+        val cluster = Cluster(1, seed = 1, reopenDelayMs = REOPEN_DELAY_MS)
+        val leader = cluster.awaitLeader()
+        cluster.run(100)
+        leader.files.uncheckedFailure = IllegalStateException("simulated failure")
+        val outcomes = mutableListOf<ProposeError?>()
+        leader.log!!.propose(ByteArray(1)) { outcomes += it.getError() }
+        cluster.run(100)
+        expectThat(outcomes).containsExactly(ProposeError.OutcomeUnknown)
+        cluster.propose(cluster.awaitLeader(), "p")
+        cluster.runUntil("a commit") { cluster.invariants.acknowledgedCount > 0 }
+    }
+
     /**
      * @property fullMs how long each disk is full
      * @property gapMs time between the end of one and the begin of the next
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/TestFileSystem.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/TestFileSystem.kt
@@ -36,9 +36,15 @@
     /** Whether closing a file fails. */
     var closeFails = false
 
+    /** Thrown by the next operation instead of an [IOException]; null if none is. */
+    var uncheckedFailure: RuntimeException? = null
+
     override fun path(name: String) = name
 
-    override fun list() = files.keys.toList()
+    override fun list(): List<String> {
+        throwUncheckedFailure()
+        return files.keys.toList()
+    }
 
     override fun read(name: String): ByteArray = files[name]?.bytes?.toByteArray() ?: throw IOException("no $name")
 
@@ -82,7 +88,14 @@
         syncedFiles = files.toMap()
     }
 
+    private fun throwUncheckedFailure() {
+        val failure = uncheckedFailure ?: return
+        uncheckedFailure = null
+        throw failure
+    }
+
     private fun consumeOperation() {
+        throwUncheckedFailure()
         operationCount++
         val left = remainingOperations ?: return
         if (left == 0) throw IOException(NO_SPACE)
