Admit instances again that were removed while their disk was full

With more control instances than voters, an instance whose disk was full for over 2 s is removed, and another one gets its vote. The removed one opened its log again and stayed out for as long as its process ran: operators who asked it got "no leader is known". By reading, it also was no spare for the next failure any more.

Cause: no leader sends a removed member the entry that removed it, so it still lists itself as a member, and only an instance that does not list itself requested admission.

MemberReplacementTest lists when an instance asks.

An instance that has heard from no leader for 2 s now requests admission, too. The leader does nothing if it is a member. By reading, a pause or a partition had the same effect, and with as many instances as voters only requests during a long outage are new; neither was run.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/member/MemberReplacement.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/member/MemberReplacement.kt
@@ -23,6 +23,13 @@
     }
 }
 
+/**
+ * Whether this instance has to request admission. A member that was removed while it did not run still lists itself: no
+ * leader sends it the entry that removed it. A member that hears from no leader therefore asks, too.
+ */
+fun needsAdmission(status: LogStatus): Boolean = status.members.none { it.id == status.memberId } ||
+    (status.sinceLeaderContactMs ?: 0) > LEADER_SILENCE_LIMIT_MS
+
 /** The next membership change towards [targetVoters] responsive voters; null if none is due. */
 fun nextMembershipChange(status: LogStatus, targetVoters: Int): MembershipChange? {
     val voters = status.members.filter { it.voter }
@@ -57,6 +64,9 @@
 
 /** Longer than an election; removing a voter for a shorter pause would gain nothing. */
 private const val VOTER_UNRESPONSIVE_LIMIT_MS = 2_000L
+
+/** Longer than an election, in which no leader could admit an instance. */
+private const val LEADER_SILENCE_LIMIT_MS = 2_000L
 private const val MAX_ACK_AGE_MS = 500L
 
 /** Without this limit, a learner that never returns would remain a member. */
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/member/MemberReplacementTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/member/MemberReplacementTest.kt
@@ -74,4 +74,29 @@
             expectThat(admit(status(*threeVoters, learner("c4")), case.id, case.address)).isEqualTo(case.expected)
         }
     }
+
+    private class RequestCase(
+        val name: String,
+        val expected: Boolean,
+        val id: String = "c2",
+        val sinceLeaderContactMs: Long?,
+    )
+
+    private val requests = listOf(
+        RequestCase("follower of a leader", false, sinceLeaderContactMs = 100),
+        RequestCase("leader", false, sinceLeaderContactMs = null),
+        RequestCase("during an election", false, sinceLeaderContactMs = 1_500),
+        RequestCase("removed while it did not run", true, sinceLeaderContactMs = 2_500),
+        RequestCase("not a member", true, id = "x", sinceLeaderContactMs = 100),
+    )
+
+    /** Guards against an instance that was removed while its disk was full, and never has a vote again. */
+    @TestFactory
+    fun `admission request`() = requests.map { case ->
+        DynamicTest.dynamicTest(case.name) {
+            val status = status(*threeVoters)
+                .copy(memberId = case.id, sinceLeaderContactMs = case.sinceLeaderContactMs)
+            expectThat(needsAdmission(status)).isEqualTo(case.expected)
+        }
+    }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -15,6 +15,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.bramleyspur.control.member.Admission
 import org.bramleyspur.control.member.admit
+import org.bramleyspur.control.member.needsAdmission
 import org.bramleyspur.control.member.nextMembershipChange
 import org.bramleyspur.control.state.ControlState
 import org.bramleyspur.control.state.ReplaceDocument
@@ -53,6 +54,7 @@
 import org.bramleyspur.daemon.platform.PlatformServer
 import org.bramleyspur.daemon.platform.Readiness
 import org.bramleyspur.log.storage.DiskFileSystem
+import org.bramleyspur.log.storage.FileSystem
 import org.bramleyspur.log.storage.FirstStart
 import org.bramleyspur.log.storage.LogStorage
 import org.bramleyspur.log.storage.StorageError
@@ -113,11 +115,16 @@
     val engines: EngineDialect,
 )
 
-/** A control instance of a deployment without agents; [ControlProcess] is that of a deployment with agents. */
+/**
+ * A control instance of a deployment without agents; [ControlProcess] is that of a deployment with agents.
+ *
+ * @property openDirectory opens the data directory; may throw
+ */
 class AgentlessControlProcess(
     private val settings: AgentlessControlSettings,
     private val dialect: ControlDialect,
     private val log: DecisionLog,
+    private val openDirectory: (Path) -> FileSystem = ::DiskFileSystem,
 ) : RoleProcess,
     ControlNodeListener {
     private val loops = EventLoops()
@@ -213,7 +220,7 @@
 
     @Suppress("TooGenericExceptionCaught") // Any operation on a directory of a failed disk can throw.
     private fun openStorage(): Result<LogStorage, String> = try {
-        LogStorage.open(DiskFileSystem(Path.of(settings.dataDir)), firstStart()).mapError { it.message }
+        LogStorage.open(openDirectory(Path.of(settings.dataDir)), firstStart()).mapError { it.message }
     } catch (e: Exception) {
         Err(e.toString())
     }
@@ -260,7 +267,7 @@
 
     private fun requestAdmissionIfNeeded() {
         val current = node ?: return
-        if (current.status().members.any { it.id == memberId }) return
+        if (!needsAdmission(current.status())) return
         admission.requestAdmission(
             memberId,
             settings.listenAddress.toString(),
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/LogOptions.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/LogOptions.kt
@@ -82,7 +82,12 @@
     val sinceLastAckMs: Long? = null,
 )
 
-/** Status of this member's log. */
+/**
+ * Status of this member's log.
+ *
+ * @property sinceLeaderContactMs milliseconds since the last message from a leader, or since the start when there was
+ * none; null while this member leads
+ */
 data class LogStatus(
     val memberId: String,
     val term: Long,
@@ -93,4 +98,5 @@
     val appliedIndex: Long,
     val snapshotIndex: Long,
     val members: List<MemberStatus>,
+    val sinceLeaderContactMs: Long? = null,
 )
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/StatusView.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/StatusView.kt
@@ -17,6 +17,7 @@
     appliedIndex = appliedIndex,
     snapshotIndex = state.snapshot?.index ?: 0,
     members = members(state, nowMs),
+    sinceLeaderContactMs = if (state.role is LeaderState) null else nowMs - state.lastLeaderContactMs,
 )
 
 private fun memberRole(state: ConsensusState): MemberRole = when (state.role) {
