Cancel the membership timer of a closed control node

Each time a control instance opened its log again, a timer of the node before stayed, and with it that node's log and state: memory grows with each full disk, by one node for each opening.

Cause: ControlNode never cancelled the timer of its membership rule; only the log cancels its own. The leftover rule proposed nothing, since the lease of a closed log is not valid.

The timer is now cancelled when the node is closed and when its log has closed itself.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/ControlNode.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/ControlNode.kt
@@ -18,6 +18,7 @@
 import org.bramleyspur.control.state.decodeSnapshot
 import org.bramleyspur.control.state.encode
 import org.bramleyspur.control.state.encodeSnapshot
+import org.bramleyspur.core.time.TimerHandle
 import org.bramleyspur.core.time.TimerService
 import org.bramleyspur.log.LeadershipListener
 import org.bramleyspur.log.LogOptions
@@ -81,19 +82,27 @@
         private set
 
     private lateinit var log: ReplicatedLog
+    private var membershipTimer: TimerHandle? = null
 
     /** Starts the log. The listener must be ready, since it may be called at once. */
     fun start() {
         log = ReplicatedLog(
             storage = storage,
-            options = LogOptions(address, consensusSettings(), snapshotEntries, onFatal),
+            options = LogOptions(address, consensusSettings(), snapshotEntries, ::onStorageFailure),
             threads = LogThreads(control, timers, storageThread),
             transport = transport::send,
             stateMachine = StateMachine(::applyEntry, { state.encodeSnapshot() }, ::restore),
             listener = LeadershipListener(ready = ::onReady, lost = { onLost() }),
             random = RandomGenerator.getDefault(),
         )
-        timers.every(MEMBERSHIP_CHECK_INTERVAL_MS) { if (leadingTerm() != null) checkMembership() }
+        membershipTimer =
+            timers.every(MEMBERSHIP_CHECK_INTERVAL_MS) { if (leadingTerm() != null) checkMembership() }
+    }
+
+    /** The log has closed itself. */
+    private fun onStorageFailure(error: StorageError) {
+        membershipTimer?.cancel()
+        onFatal(error)
     }
 
     private fun checkMembership() {
@@ -135,7 +144,10 @@
     /** Handles a message of another member. */
     fun receive(message: ConsensusMessage) = log.receive(message)
 
-    fun close() = log.close()
+    fun close() {
+        membershipTimer?.cancel()
+        log.close()
+    }
 
     private fun applyEntry(index: Long, @Suppress("UNUSED_PARAMETER") term: Long, payload: ByteArray) {
         val command = decodeCommand(payload).getOrElse { error("cannot decode log entry $index: $it") }
