--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/StorageQueue.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/StorageQueue.kt
@@ -1,5 +1,6 @@
 package org.bramleyspur.log
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import org.bramleyspur.log.consensus.Persist
 import org.bramleyspur.log.consensus.Snapshot
 import org.bramleyspur.log.storage.LogStorage
@@ -30,6 +31,7 @@
     private val onSnapshotSaved: (Snapshot) -> Unit,
     private val onFailure: (StorageError) -> Unit,
 ) {
+    private val logger = KotlinLogging.logger {}
     private val tasks = ConcurrentLinkedQueue<StorageTask>()
     private var failed = false
 
@@ -37,13 +39,21 @@
 
     fun saveSnapshot(snapshot: Snapshot, keepFrom: Long) = add(SnapshotTask(snapshot, keepFrom))
 
-    fun close() = storageThread.execute { storage.close() }
+    /** Closes the storage. A failure is only logged: every write that was acknowledged is synced. */
+    fun close() = storageThread.execute {
+        try {
+            storage.close()
+        } catch (e: StorageException) {
+            logger.warn { e.error.message }
+        }
+    }
 
     private fun add(task: StorageTask) {
         tasks += task
         storageThread.execute { runAll() }
     }
 
+    @Suppress("TooGenericExceptionCaught") // After any exception, the log must not wait for a write that was lost.
     private fun runAll() {
         if (failed) return
         try {
@@ -58,11 +68,17 @@
             }
             flush(writes)
         } catch (e: StorageException) {
-            failed = true
-            control.execute { onFailure(e.error) }
+            fail(e.error)
+        } catch (e: RuntimeException) {
+            fail(StorageError.Unexpected(e.toString()))
         }
     }
 
+    private fun fail(error: StorageError) {
+        failed = true
+        control.execute { onFailure(error) }
+    }
+
     private fun flush(writes: ArrayList<Persist>) {
         if (writes.isEmpty()) return
         storage.persist(writes)
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/LogStorage.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/LogStorage.kt
@@ -143,10 +143,13 @@
         return lines.first() to Membership.decode(lines.drop(1))
     }
 
-    /** Closes the files and releases the lock of the directory. */
+    /** Closes the files and releases the lock of the directory, also when a file cannot be closed. */
     override fun close() {
-        segments.close()
-        lock.close()
+        try {
+            segments.close()
+        } finally {
+            files.runWrite(LOCK_FILE) { lock.close() }
+        }
     }
 
     companion object {
@@ -171,11 +174,14 @@
             lock: AutoCloseable,
             segmentBytes: Int,
             firstStart: FirstStart,
-        ): Result<LogStorage, StorageError> = try {
-            Ok(LogStorage(files, lock, segmentBytes, firstStart))
-        } catch (e: StorageException) {
-            lock.close()
-            Err(e.error)
+        ): Result<LogStorage, StorageError> {
+            var opened: LogStorage? = null
+            try {
+                opened = LogStorage(files, lock, segmentBytes, firstStart)
+                return Ok(opened)
+            } finally {
+                if (opened == null) files.runWrite(LOCK_FILE) { lock.close() }
+            }
         }
     }
 }
