End a generation that exceeds a size limit

Callers saw: an engine of an agent sent tokens without end, and the entry kept all of them until the request's deadline, for the continuation on another agent and, if not streamed, for the one answer. Other requests of the entry ended with its memory.

Cause: RequestState.delivered had no limit; reading no faster than the caller takes it bounds nothing if the caller reads, or if the answer is collected.

RequestMachineTest has the limit for empty, short and large tokens.

Change: the size of the delivered tokens is counted, with an allowance for each; above 16 Mi characters the attempt is cancelled and the request ends, without another attempt, which could only exceed the limit again.

--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/stream/RequestEndings.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/stream/RequestEndings.kt
@@ -5,10 +5,10 @@
 
 import org.bramleyspur.traffic.retry.RetryCause
 
-/** Cancels the current attempt, which has begun, and continues on another agent if that is allowed. */
-internal fun RequestState.abandonCurrent(message: String): Transition {
+/** Cancels the current attempt, which has begun, and continues on another agent if [retry] is set and it is allowed. */
+internal fun RequestState.abandonCurrent(message: String, retry: Boolean = true): Transition {
     val attempt = current
-    val next = with(attempt, AttemptPhase.RAN).afterAttempt(attempt, RetryCause.FAILED, message)
+    val next = with(attempt, AttemptPhase.RAN).afterAttempt(attempt, RetryCause.FAILED, message, retry)
     return Transition(next.state, listOf(CancelAttempt(attempt.number)) + next.effects)
 }
 
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/stream/RequestMachine.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/stream/RequestMachine.kt
@@ -66,8 +66,11 @@
 }
 
 private fun RequestState.deliver(event: AttemptToken): Transition {
+    val size = deliveredSize + event.token.length + TOKEN_OVERHEAD
+    if (size > MAX_GENERATION_SIZE) return abandonCurrent("the generation is larger than the limit", retry = false)
     val next = copy(
         delivered = delivered.add(event.token),
+        deliveredSize = size,
         version = version ?: current.version,
         responseStarted = responseStarted || facts.streaming,
     )
@@ -103,4 +106,10 @@
 internal fun RequestState.unchanged(): Transition = Transition(this, emptyList())
 
 private const val FIRST_ERROR_STATUS = 400
+
+/** Limit of [RequestState.deliveredSize]; an entry keeps the tokens of a request until its end. */
+internal const val MAX_GENERATION_SIZE = 16L * 1024 * 1024
+
+/** Size of an empty token, in characters. */
+internal const val TOKEN_OVERHEAD = 32
 internal const val DEADLINE_MESSAGE = "the deadline passed; allow more time or send the request when load is lower"
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/stream/RequestState.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/stream/RequestState.kt
@@ -69,6 +69,7 @@
  *
  * @property attempts in the order of their numbers; the last one is current
  * @property delivered tokens delivered so far; its size is the next position
+ * @property deliveredSize size of [delivered] in characters, with [TOKEN_OVERHEAD] for each token
  * @property version version that generated the first token, null before; later attempts must have the same one
  * @property responseStarted whether a part of the response has reached the caller
  * @property headForwarded whether the response is a head and body that are forwarded
@@ -80,6 +81,7 @@
     val facts: RequestFacts,
     val attempts: PersistentList<Attempt>,
     val delivered: PersistentList<String> = persistentListOf(),
+    val deliveredSize: Long = 0,
     val version: String? = null,
     val responseStarted: Boolean = false,
     val headForwarded: Boolean = false,
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/stream/RequestMachineTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/stream/RequestMachineTest.kt
@@ -4,7 +4,9 @@
 import org.bramleyspur.core.model.Refusal
 import org.bramleyspur.traffic.admission.LookupState
 import org.bramleyspur.traffic.admission.RefusalReason
+import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
 import org.junit.jupiter.api.assertAll
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -74,6 +76,31 @@
         expectEffects(stream, AttemptEnd(1, "stop", 3, 3), Step.ALL_TOKENS to "cancel1 start2@2:v1")
     }
 
+    /** Guards against an entry that keeps the tokens of a generation without end, and repeats it on other agents. */
+    @TestFactory
+    fun `ends a generation that exceeds its limit`() = listOf(
+        "empty tokens" to 0,
+        "short tokens" to 4,
+        "tokens of 1 MiB" to 1024 * 1024,
+    ).flatMap { (name, length) ->
+        val ends = mapOf(stream to "fail:may_have_run", stream.copy(streaming = false) to "refuse:may_have_run")
+        ends.map { (facts, ending) ->
+            DynamicTest.dynamicTest("$name, streaming ${facts.streaming}") {
+                val token = "a".repeat(length)
+                val taken = (MAX_GENERATION_SIZE / (length + TOKEN_OVERHEAD)).toInt()
+                val begun = after(facts, Step.BEGUN.events).state
+                val full = (0 until taken).fold(begun) { state, position ->
+                    val transition = state.on(AttemptToken(1, position, token))
+                    check(transition.effects.single() is DeliverToken)
+                    transition.state
+                }
+                val last = full.on(AttemptToken(1, taken, token))
+                expectThat(describe(last.effects)).isEqualTo("cancel1 $ending")
+                expectThat(last.state.on(AttemptToken(1, taken, token)).effects).isEqualTo(emptyList())
+            }
+        }
+    }
+
     /** Guards against a second begin of a request that must not run twice. */
     @Test
     fun `retries a non-idempotent request only with proof`() {
