Stop reading an engine's response after its generation

Callers saw: nothing; but an engine that went on sending after its last event was read by its agent without end, one connection more for each request.

Cause: the stream's reader reported the end at the event [DONE] and nobody ended the call.

Evidence: EndlessEngineTest, "a response that goes on after its generation", failed before: the connection was open after 3 s.

Change: the rest of the response is discarded as that of other unused responses, for 500 ms and 64 KiB, so that the connection of a sound engine is still reused.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/OpenAiEngine.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/OpenAiEngine.kt
@@ -40,7 +40,9 @@
         head.headers().set("X-Replica", request.replica)
         head.headers().set("X-Fencing-Number", request.fencingNumber)
         if (request.traceparent.isNotEmpty()) head.headers().set("traceparent", request.traceparent)
-        val call = http(head, withBody(head, request.body), !request.idempotent, StreamReader(listener))
+        val reader = StreamReader(listener)
+        val call = http(head, withBody(head, request.body), !request.idempotent, reader)
+        reader.call = call
         return RunningEngineCall(request.id, call)
     }
 
@@ -130,8 +132,9 @@
     override fun onFailure(failure: HttpFailure, message: String) = onResponse(null, message)
 }
 
-/** Reads the token stream of one engine call. */
+/** Reads the token stream of one engine call, which the owner sets as [call]. */
 private class StreamReader(private val listener: EngineListener) : HttpListener {
+    var call: HttpCall? = null
     private var status = 0
     private var ended = false
     private var begun = false
@@ -175,6 +178,8 @@
         if (ended) return
         if (data == "[DONE]") {
             end { onDone() }
+            call?.pauseReading(false)
+            call?.discard()
             return
         }
         val chunk =
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/EndlessEngineTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/EndlessEngineTest.kt
@@ -1,6 +1,7 @@
 package org.bramleyspur.daemon.caller
 
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -83,6 +84,23 @@
         }
     }
 
+    @Test
+    fun `a response that goes on after its generation is not read on`() {
+        val flood = Flood()
+        val usage = """"usage":{"prompt_tokens":1,"completion_tokens":1}"""
+        val end = """{"position":1,"choices":[{"text":"","finish_reason":"stop"}],$usage}"""
+        val start = streamHead + tokenOf(0, " t0") + chunkOf("data: $end\n\ndata: [DONE]\n\n")
+        engine(flood, start) { chunkOf(": more\n\n") }.use { engine ->
+            TrafficTestBed(engines = listOf(engine.port), timeoutMs = LIMIT_MS).use { testBed ->
+                RawClient(testBed.port).use { client ->
+                    client.send(generation(stream = false))
+                    expectThat(client.read()?.status).isEqualTo(200)
+                }
+                expectEnded(testBed, flood)
+            }
+        }
+    }
+
     @TestFactory
     fun `a response without end is read no faster than its caller takes it`() = listOf(
         "generation" to generation(stream = true),
