Limit the time of a cancellation at an engine

Callers saw: nothing; but an agent kept reading the response to a cancellation as long as an engine sent, and kept the connection of one that sent nothing, one more for each cancelled request.

Cause: the call to /admin/cancel had no time limit.

Evidence: EndlessEngineTest, "the answer to a cancellation", failed before for a body without end and for no answer: the connections were open after 3 s. Header fields without end ended before, by the limits of the HTTP client.

Change: the call is cancelled after 2 s. A cancellation that an engine does not read within this time is lost; the connection of the cancelled request has been closed by then.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/OpenAiEngine.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/OpenAiEngine.kt
@@ -13,6 +13,7 @@
 import kotlinx.serialization.SerializationException
 import org.bramleyspur.core.json.decodeBounded
 import org.bramleyspur.core.settings.Address
+import org.bramleyspur.core.time.TimerService
 import org.bramleyspur.daemon.http.HttpCall
 import org.bramleyspur.daemon.http.HttpCallStarter
 import org.bramleyspur.daemon.http.HttpFailure
@@ -29,8 +30,11 @@
 private const val FIRST_SERVER_ERROR = 500
 private const val MAX_RESPONSE_BYTES = 16 * 1024
 
+/** Longer than a pause of an engine; the response to a cancellation is not used. */
+private const val CANCEL_TIMEOUT_MS = 2_000L
+
 /** Client of an engine that implements the OpenAI API and the admin endpoints of docs/engine-api.md. */
-class OpenAiEngine(private val address: Address, private val http: HttpCallStarter) {
+class OpenAiEngine(private val address: Address, private val http: HttpCallStarter, private val timers: TimerService) {
     /** Starts [request]; this function is an [EngineExecutor]. */
     fun execute(request: EngineRequest, listener: EngineListener): EngineCall {
         val head = post(request.path)
@@ -84,7 +88,8 @@
         call.cancel()
         val head = post("/admin/cancel")
         val body = """{"request":"$requestId"}"""
-        http(head, withBody(head, body), false, BodyReader { _, _ -> })
+        val cancellation = http(head, withBody(head, body), false, BodyReader { _, _ -> })
+        timers.after(CANCEL_TIMEOUT_MS) { cancellation.cancel() }
     }
 
     private fun stateOf(status: Int?, body: String): BackendStateResponse? = try {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentProcess.kt
@@ -40,7 +40,7 @@
     private val trafficHttp = HttpClient(backend, loops.trafficGroup)
     private val controlHttp = HttpClient(backend, loops.controlGroup)
     private val confirmClient = ConfirmClient(loops.controlGroup)
-    private val adminEngine = OpenAiEngine(backend, controlHttp::call)
+    private val adminEngine = OpenAiEngine(backend, controlHttp::call, loops.controlTimers)
     private val attemptManager =
         AttemptManager(incarnation, loops.trafficTimers, tracing, AgentMetrics(registry), runner())
     private val backendManager: BackendManager = newBackendManager()
@@ -105,7 +105,7 @@
     private fun runner(): BackendRunner = if (isPlain) {
         PlainRunner(backend, trafficHttp::call)::run
     } else {
-        EngineRunner(OpenAiEngine(backend, trafficHttp::call)::execute)::run
+        EngineRunner(OpenAiEngine(backend, trafficHttp::call, loops.trafficTimers)::execute)::run
     }
 
     private fun newBackendManager(): BackendManager = if (isPlain) {
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/EndlessEngineTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/EndlessEngineTest.kt
@@ -101,6 +101,36 @@
         }
     }
 
+    @TestFactory
+    fun `the answer to a cancellation is not awaited without end`() = listOf(
+        "header fields" to ("HTTP/1.1 200 OK\r\n" to "X-Field: value\r\n"),
+        "a body" to ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" to chunkOf("abcd")),
+        "nothing" to ("" to ""),
+    ).map { (name, answer) ->
+        DynamicTest.dynamicTest(name) {
+            val (start, next) = answer
+            val flood = Flood()
+            val server = FakeBackend {
+                bodyText()
+                when {
+                    path != "/admin/cancel" -> write(streamHead + tokenOf(0, " t0")).also { awaitDisconnect() }
+                    next.isEmpty() -> flood.beSilent(this)
+                    else -> flood.send(this, start) { next }
+                }
+            }
+            server.use { engine ->
+                TrafficTestBed(engines = listOf(engine.port)).use { testBed ->
+                    RawClient(testBed.port).use { client ->
+                        client.send(generation(stream = true))
+                        client.readUntil(" t0")
+                    }
+                    awaitTrue(MARGIN_MS, "the cancellation") { flood.begun.get() > 0 }
+                    expectEnded(testBed, flood)
+                }
+            }
+        }
+    }
+
     @TestFactory
     fun `a response without end is read no faster than its caller takes it`() = listOf(
         "generation" to generation(stream = true),
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/Flood.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/Flood.kt
@@ -31,6 +31,17 @@
         }
     }
 
+    /** Sends nothing until the connection is closed. */
+    fun beSilent(call: FakeCall) {
+        open.incrementAndGet()
+        begun.incrementAndGet()
+        try {
+            call.awaitDisconnect()
+        } finally {
+            open.decrementAndGet()
+        }
+    }
+
     private companion object {
         const val PART_BYTES = 4_096
     }
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/TrafficTestBed.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/TrafficTestBed.kt
@@ -145,7 +145,7 @@
         tracing,
         AgentMetrics(PrometheusRegistry()),
         if (service == "m") {
-            EngineRunner(OpenAiEngine(address, http::call)::execute)::run
+            EngineRunner(OpenAiEngine(address, http::call, loops.trafficTimers)::execute)::run
         } else {
             PlainRunner(address, http::call)::run
         },
