Open the cache event stream again after an error or an endless line

Callers saw: nothing; but an agent whose engine responded to the cache event request with an error without end, or with a line without end, read it for ever and had no cache events until its next start.

Cause: only the end of the response led to the next request; an error's body and input after an overlong line were ignored.

Evidence: EndlessCacheEventsTest failed before in 2 of 4 cases (the body of an error, a line): no second stream within 4 s. The heads were bounded before.

Change: both close the connection; the stream is opened again after the usual delay.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/CacheEventReader.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/engine/CacheEventReader.kt
@@ -14,6 +14,7 @@
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.core.time.TimerService
 import org.bramleyspur.daemon.entry.CacheEventBuffer
+import org.bramleyspur.daemon.http.HttpCall
 import org.bramleyspur.daemon.http.HttpCallStarter
 import org.bramleyspur.daemon.http.HttpFailure
 import org.bramleyspur.daemon.http.HttpListener
@@ -37,7 +38,8 @@
         val path = "/admin/cache-events?after=${buffer.lastSequence()}"
         val request = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path)
         request.headers().set(HttpHeaderNames.HOST, address.toString())
-        http(request, Unpooled.EMPTY_BUFFER, true, EventStreamListener())
+        val listener = EventStreamListener()
+        listener.call = http(request, Unpooled.EMPTY_BUFFER, true, listener)
     }
 
     private fun retry() {
@@ -45,15 +47,22 @@
     }
 
     private inner class EventStreamListener : HttpListener {
+        var call: HttpCall? = null
         private val events = SseParser(::onEvent)
-        private var status = 0
 
         override fun onHead(status: Int, headers: HttpHeaders) {
-            this.status = status
+            if (status != OK) breakOff()
         }
 
         override fun onData(data: ByteBuf) {
-            if (status == OK) events.feed(data)
+            events.feed(data)
+            if (events.overflowed) breakOff()
+        }
+
+        /** Closes the connection, whose response may not end. */
+        private fun breakOff() {
+            call?.cancel()
+            retry()
         }
 
         override fun onEnd() = retry()
