Refuse malformed and oversized requests of control and platform listeners for good

Callers saw: nothing; but a client that sent a head, chunk extension, trailers or body without end was read, and its bytes dropped, until it stopped. A request with a malformed head or trailers was decoded as a call.

Cause: the aggregator passes on a request that could not be decoded, and the handlers did not look at its decoder result; after 413 the aggregator keeps the connection of a client that wishes so.

Change: a request that cannot be decoded gets 400, one that is too long 413; both responses declare the end of the connection, which is closed after a second. Closing at once could destroy the response before the client has read it.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
-import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
@@ -23,8 +22,10 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import org.bramleyspur.core.settings.Address
+import org.bramleyspur.daemon.http.RequestAggregator
 import org.bramleyspur.daemon.http.fullResponse
 import org.bramleyspur.daemon.http.listen
+import org.bramleyspur.daemon.http.respondAndClose
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 
@@ -56,7 +57,7 @@
                         channel.pipeline().addLast(
                             ReadTimeoutHandler(IDLE_TIMEOUT_MS, TimeUnit.MILLISECONDS),
                             HttpServerCodec(),
-                            HttpObjectAggregator(MAX_BODY_BYTES),
+                            RequestAggregator(MAX_BODY_BYTES),
                             Handler(),
                         )
                     }
@@ -70,6 +71,11 @@
 
     private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            val malformed = request.decoderResult().cause()
+            if (malformed != null) {
+                val text = "the request is not HTTP/1.1: ${malformed.message}"
+                return context.respondAndClose(message(HttpResponseStatus.BAD_REQUEST, text))
+            }
             val keepAlive = HttpUtil.isKeepAlive(request)
             val path = request.uri()
             val call =
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/platform/PlatformServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/platform/PlatformServer.kt
@@ -14,14 +14,15 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.bramleyspur.core.settings.Address
+import org.bramleyspur.daemon.http.RequestAggregator
 import org.bramleyspur.daemon.http.fullResponse
 import org.bramleyspur.daemon.http.listen
+import org.bramleyspur.daemon.http.respondAndClose
 import java.io.ByteArrayOutputStream
 
 private const val MAX_REQUEST_BYTES = 16 * 1024
@@ -79,12 +80,15 @@
 
     private inner class PipelineInitializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
-            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAX_REQUEST_BYTES), Handler())
+            channel.pipeline().addLast(HttpServerCodec(), RequestAggregator(MAX_REQUEST_BYTES), Handler())
         }
     }
 
     private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            if (request.decoderResult().isFailure) {
+                return context.respondAndClose(text(HttpResponseStatus.BAD_REQUEST, "the request is not HTTP/1.1\n"))
+            }
             val response = respond(request.uri().substringBefore('?'))
             context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
         }
