Execute one call of a connection to control at a time

Callers saw: a client that sent calls without end and read no response made a control instance keep all responses; the calls of other clients ended with its memory.

Cause: each call was executed when it arrived, and its response was written whether the client took the earlier ones or not.

Change: reading stops while a call is executed and until the client has taken its response; what was read before waits in the flow control handler, one read's worth of bytes at most.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.flow.FlowControlHandler
 import io.netty.handler.timeout.ReadTimeoutException
 import io.netty.handler.timeout.ReadTimeoutHandler
 import kotlinx.serialization.json.buildJsonObject
@@ -58,6 +59,7 @@
                             ReadTimeoutHandler(IDLE_TIMEOUT_MS, TimeUnit.MILLISECONDS),
                             HttpServerCodec(),
                             RequestAggregator(MAX_BODY_BYTES),
+                            FlowControlHandler(),
                             Handler(),
                         )
                     }
@@ -77,6 +79,9 @@
                 return context.respondAndClose(message(HttpResponseStatus.BAD_REQUEST, text))
             }
             val keepAlive = HttpUtil.isKeepAlive(request)
+            // The next call of the connection is read once the client has taken the response to this one.
+            val settings = context.channel().config()
+            settings.isAutoRead = false
             val path = request.uri()
             val call =
                 decode(request.method().name(), path.substringBefore('?'), ByteBufUtil.getBytes(request.content()))
@@ -84,7 +89,11 @@
                 val response = httpResponse(outcome, path)
                 if (!keepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
                 val written = context.writeAndFlush(response)
-                if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
+                if (keepAlive) {
+                    written.addListener { settings.isAutoRead = true }
+                } else {
+                    written.addListener(ChannelFutureListener.CLOSE)
+                }
             }
         }
 
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/controlplane/EndlessCallTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/controlplane/EndlessCallTest.kt
@@ -3,15 +3,18 @@
 import com.google.protobuf.ByteString
 import io.netty.channel.nio.NioEventLoopGroup
 import org.bramleyspur.core.settings.Address
+import org.bramleyspur.daemon.caller.RawClient
 import org.bramleyspur.daemon.caller.awaitTrue
 import org.bramleyspur.daemon.freePort
 import org.bramleyspur.daemon.http.Sender
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -59,8 +62,30 @@
         }
     }
 
+    @Test
+    fun `calls without end whose answers are not read are not executed`() {
+        Sender(port, "", "GET / HTTP/1.1\r\nHost: h\r\n\r\n").use {
+            Thread.sleep(SEND_PERIOD_MS)
+            expectThat(calls.get()).isLessThan(MAX_UNREAD_ANSWERS)
+        }
+    }
+
+    @Test
+    fun `calls that were sent together are answered in order`() {
+        RawClient(port).use { client ->
+            client.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n".repeat(SENT_TOGETHER))
+            repeat(SENT_TOGETHER) { expectThat(client.read()?.body?.length).isEqualTo(CONTENT_BYTES) }
+        }
+        expectThat(calls.get()).isEqualTo(SENT_TOGETHER)
+    }
+
     private companion object {
         const val CONTENT_BYTES = 1024 * 1024
+        const val SENT_TOGETHER = 20
         const val CLOSE_LIMIT_MS = 5_000L
+        const val SEND_PERIOD_MS = 1_000L
+
+        /** What the buffers of two sockets and of the connection hold. */
+        const val MAX_UNREAD_ANSWERS = 20
     }
 }
