Respond once on a connection to the platform endpoints

Callers saw: a client that sent requests without end and read no response made the process keep a response for each until the first one was taken.

Cause: the connection closes after the first response is written, and requests that arrived before that were answered, too.

Change: requests after the first one of a connection are ignored.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/platform/PlatformServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/platform/PlatformServer.kt
@@ -84,8 +84,13 @@
         }
     }
 
+    /** Responds to the first request of a connection. */
     private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
+        private var responded = false
+
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            if (responded) return
+            responded = true
             if (request.decoderResult().isFailure) {
                 return context.respondAndClose(text(HttpResponseStatus.BAD_REQUEST, "the request is not HTTP/1.1\n"))
             }
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/platform/EndlessPlatformRequestTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/platform/EndlessPlatformRequestTest.kt
@@ -7,7 +7,10 @@
 import org.bramleyspur.daemon.http.Sender
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Guards against a client of the platform endpoints that sends without end, and answers that are kept for it. */
@@ -44,8 +47,17 @@
         }
     }
 
+    @Test
+    fun `one request of a connection is answered`() {
+        Sender(port, "", "GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n").use {
+            Thread.sleep(SEND_PERIOD_MS)
+            expectThat(answers.get()).isEqualTo(1)
+        }
+    }
+
     private companion object {
         const val CLOSE_LIMIT_MS = 5_000L
+        const val SEND_PERIOD_MS = 1_000L
 
         /** More than the buffers of two sockets hold. */
         const val LARGE_ANSWER = 16 * 1024 * 1024
