--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/EndlessResponseTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/EndlessResponseTest.kt
@@ -18,6 +18,9 @@
 
     private val cases = listOf(
         Case("header fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n", 502),
+        Case("a header field", "HTTP/1.1 200 OK\r\nX-Field: ", "a", 502),
+        Case("a chunk extension", "${sealedHead()}1;", "a", 502),
+        Case("trailers", "${sealedHead()}0\r\n", "X-Field: value\r\n", 502),
         Case("a status line", "HTTP/1.1 200 ", "O", 502),
         Case("line breaks before the status line", "", "\r\n", 502),
         Case("bytes that are not HTTP", "", "\u0001\u0002", 502),
@@ -70,6 +73,20 @@
         expectClosed(backends.last())
     }
 
+    @TestFactory
+    fun `a stream with an event without end is broken off at once`() = listOf(
+        "a line" to chunkOf("a"),
+        "lines" to chunkOf("data: a\n"),
+    ).map { (name, endlessly) ->
+        DynamicTest.dynamicTest(name) {
+            startBackends(listOf(Script(sealedHead(), endlessly = endlessly)))
+            val startedAt = Instant.now()
+            expectThat(post("/stream/1")!!.status).isEqualTo(502)
+            expectThat(Duration.between(startedAt, Instant.now())).isLessThan(Duration.ofSeconds(1))
+            expectClosed(backends.last())
+        }
+    }
+
     @TestFactory
     fun `a body without end is read no faster than the caller takes it`() = listOf(
         "/once/1" to chunkOf("a".repeat(LARGE_CHUNK)),
