--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
@@ -14,17 +14,19 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
-import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.flow.FlowControlHandler
 import io.netty.handler.timeout.ReadTimeoutException
 import io.netty.handler.timeout.ReadTimeoutHandler
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import org.bramleyspur.core.settings.Address
+import org.bramleyspur.daemon.http.RequestAggregator
 import org.bramleyspur.daemon.http.fullResponse
 import org.bramleyspur.daemon.http.listen
+import org.bramleyspur.daemon.http.respondAndClose
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 
@@ -56,7 +58,8 @@
                         channel.pipeline().addLast(
                             ReadTimeoutHandler(IDLE_TIMEOUT_MS, TimeUnit.MILLISECONDS),
                             HttpServerCodec(),
-                            HttpObjectAggregator(MAX_BODY_BYTES),
+                            RequestAggregator(MAX_BODY_BYTES),
+                            FlowControlHandler(),
                             Handler(),
                         )
                     }
@@ -70,7 +73,15 @@
 
     private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            val malformed = request.decoderResult().cause()
+            if (malformed != null) {
+                val text = "the request is not HTTP/1.1: ${malformed.message}"
+                return context.respondAndClose(message(HttpResponseStatus.BAD_REQUEST, text))
+            }
             val keepAlive = HttpUtil.isKeepAlive(request)
+            // The next call of the connection is read once the client has taken the response to this one.
+            val settings = context.channel().config()
+            settings.isAutoRead = false
             val path = request.uri()
             val call =
                 decode(request.method().name(), path.substringBefore('?'), ByteBufUtil.getBytes(request.content()))
@@ -78,7 +89,11 @@
                 val response = httpResponse(outcome, path)
                 if (!keepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
                 val written = context.writeAndFlush(response)
-                if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
+                if (keepAlive) {
+                    written.addListener { settings.isAutoRead = true }
+                } else {
+                    written.addListener(ChannelFutureListener.CLOSE)
+                }
             }
         }
 
