--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/CrossDomainGroupTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/CrossDomainGroupTest.kt
@@ -20,8 +20,8 @@
  */
 class CrossDomainGroupTest {
     /**
-     * [groups] has the domain of each member, [free] those of the free engines, all of the large model. [spares] has the
-     * domains of spares of the small model, which make room for more groups.
+     * [groups] has the domain of each member, [free] those of the free engines, all of the large model. [spares] has
+     * the domains of spares of the small model, which make room for more groups.
      */
     private class Case(
         val name: String,
