Log what proves that the members of a group are free

The planner keeps the proof with each ended group: the head announces another group or none, it has confirmed a leave order, or it has restarted. The line of a new group names the reason for each member, at most 16; the line of a group that ends names the proof, or that the members have left.

Shown: ReleaseProofTest, which names the proof of each case that ends.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupAdoption.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupAdoption.kt
@@ -5,7 +5,6 @@
 
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.collections.immutable.toPersistentMap
-import kotlinx.collections.immutable.toPersistentSet
 import org.bramleyspur.core.backend.Announcement
 import org.bramleyspur.core.backend.GroupId
 import org.bramleyspur.core.backend.GroupState
@@ -51,7 +50,7 @@
     state = state.copy(
         partialSinceMs = partial.associateWith { previousMs[it] ?: input.nowMs }.toPersistentMap(),
         endedGroups = if (state.endedGroups.size > PRUNE_THRESHOLD) {
-            state.endedGroups.filter { it in members }.toPersistentSet()
+            state.endedGroups.filterKeys { it in members }.toPersistentMap()
         } else {
             state.endedGroups
         },
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupLifecycle.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupLifecycle.kt
@@ -156,7 +156,7 @@
 
 private fun Planning.advanceReleasing(group: PlannedGroup) {
     val head = group.members.first()
-    if (isKnownOut(head, group.id)) return endGroup(group.id)
+    departureOfHead(head, group.id)?.let { return endGroup(group.id, it) }
     order(head, EngineCommand.Leave(group.id))
     val others = group.members.drop(1)
     // An unreachable head may still be open, but cannot serve without its members; they are free once they have left.
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -6,7 +6,6 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.persistentSetOf
 import org.bramleyspur.core.backend.Announcement
 import org.bramleyspur.core.backend.GroupId
 import org.bramleyspur.core.backend.KnownBackend
@@ -70,7 +69,7 @@
  * @property knownOrders the engines' confirmed order counts, which joins refer to
  * @property pendingJoins joins without a result, which may still be executed
  * @property leftMembers engines that have left a group on order while its head may still be in it
- * @property endedGroups groups whose head is known to have left; their members are free
+ * @property endedGroups groups whose head is known to have left, with the proof; their members are free
  * @property partialSinceMs when each group some of whose members have not announced themselves was first seen
  * @property probes probes of engines whose announcement is overdue or whose group is stalled
  * @property targets the last computed targets of each service; they change only with the engines or the models
@@ -90,7 +89,7 @@
     val knownOrders: PersistentMap<EngineIncarnation, KnownOrders> = persistentMapOf(),
     val pendingJoins: PersistentMap<EngineIncarnation, PendingJoin> = persistentMapOf(),
     val leftMembers: PersistentMap<GroupId, PersistentSet<EngineIncarnation>> = persistentMapOf(),
-    val endedGroups: PersistentSet<GroupId> = persistentSetOf(),
+    val endedGroups: PersistentMap<GroupId, FreeReason> = persistentMapOf(),
     val partialSinceMs: PersistentMap<GroupId, Long> = persistentMapOf(),
     val targets: PersistentMap<String, ServiceTargets> = persistentMapOf(),
 )
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
@@ -34,14 +34,16 @@
         announcementOf(incarnation) == null || state.absent[incarnation.id] == incarnation.startedAtMs
 
     /**
-     * Whether the incarnation is known to be out of the group: it announces so, has confirmed a leave order, or has
-     * restarted. A backend server that has deregistered may go on serving for some seconds.
+     * What proves that the head is out of the group; null for nothing. A backend server that has deregistered may go on
+     * serving for some seconds.
      */
-    fun isKnownOut(incarnation: EngineIncarnation, id: GroupId): Boolean {
-        val announcement = announcement(incarnation.id)
-        return hasLeft(incarnation, id) || announcement != null && when {
-            announcement.startedAtMs == incarnation.startedAtMs -> announcement.groupMembership?.id != id
-            else -> announcement.startedAtMs > incarnation.startedAtMs
+    fun departureOfHead(head: EngineIncarnation, id: GroupId): FreeReason? {
+        if (hasLeft(head, id)) return FreeReason.HEAD_LEFT
+        val announcement = announcement(head.id) ?: return null
+        return when {
+            announcement.startedAtMs > head.startedAtMs -> FreeReason.HEAD_RESTARTED
+            announcement.startedAtMs < head.startedAtMs || announcement.groupMembership?.id == id -> null
+            else -> FreeReason.HEAD_ANNOUNCED
         }
     }
 
@@ -147,10 +149,10 @@
     fun hasLeft(incarnation: EngineIncarnation, id: GroupId): Boolean =
         state.leftMembers[id]?.contains(incarnation) == true
 
-    fun endGroup(id: GroupId) {
+    fun endGroup(id: GroupId, reason: FreeReason) {
         state = state.copy(
             groups = state.groups.remove(id),
-            endedGroups = state.endedGroups.add(id),
+            endedGroups = state.endedGroups.put(id, reason),
             leftMembers = state.leftMembers.remove(id),
         )
     }
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/ReleaseProofTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/ReleaseProofTest.kt
@@ -24,19 +24,36 @@
         val left: List<EngineIncarnation> = emptyList(),
         val absent: List<EngineIncarnation> = emptyList(),
         val expected: Outcome,
+        val proof: FreeReason? = null,
     )
 
     private val cases = listOf(
         Case("open head", announcement(HEAD, 0, GROUP), expected = Outcome.WAITING),
-        Case("head in no group", announcement(HEAD, 0, null), expected = Outcome.ENDED),
-        Case("head in another group", announcement(HEAD, 0, OTHER_GROUP), expected = Outcome.ENDED),
+        Case(
+            "head in no group",
+            announcement(HEAD, 0, null),
+            expected = Outcome.ENDED,
+            proof = FreeReason.HEAD_ANNOUNCED,
+        ),
+        Case(
+            "head in another group",
+            announcement(HEAD, 0, OTHER_GROUP),
+            expected = Outcome.ENDED,
+            proof = FreeReason.HEAD_ANNOUNCED,
+        ),
         Case(
             "head that confirmed a leave",
             announcement(HEAD, 0, GROUP),
             left = listOf(HEAD),
             expected = Outcome.ENDED,
+            proof = FreeReason.HEAD_LEFT,
+        ),
+        Case(
+            "restarted head",
+            announcement(HEAD.copy(startedAtMs = 2), 0, null),
+            expected = Outcome.ENDED,
+            proof = FreeReason.HEAD_RESTARTED,
         ),
-        Case("restarted head", announcement(HEAD.copy(startedAtMs = 2), 0, null), expected = Outcome.ENDED),
         Case(
             "head known from before its restart",
             announcement(HEAD.copy(startedAtMs = 0), 0, null),
@@ -88,6 +105,7 @@
                 else -> Outcome.WAITING
             }
             expectThat(outcome).isEqualTo(case.expected)
+            expectThat(step.state.endedGroups[GROUP]).isEqualTo(case.proof)
         }
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -10,10 +10,14 @@
 import org.bramleyspur.control.group.EngineOrder
 import org.bramleyspur.control.group.EngineProbe
 import org.bramleyspur.control.group.OrderResult
+import org.bramleyspur.control.group.PhaseCause
+import org.bramleyspur.control.group.PlannedGroup
 import org.bramleyspur.control.group.PlannerInput
 import org.bramleyspur.control.group.PlannerState
 import org.bramleyspur.control.group.ProbeResult
 import org.bramleyspur.control.group.TermState
+import org.bramleyspur.control.group.endReasonOf
+import org.bramleyspur.control.group.freeReasonOf
 import org.bramleyspur.control.group.onOrderResult
 import org.bramleyspur.control.group.onProbeResult
 import org.bramleyspur.control.group.planGroups
@@ -107,7 +111,7 @@
         val before = state
         val step = planGroups(state, input)
         state = step.state
-        logGroups(before)
+        logGroups(before, engines)
         logRecoveries(before)
         this.engines = engines
         step.probes.forEach { sendProbe(it) }
@@ -145,7 +149,7 @@
         return document
     }
 
-    private fun logGroups(before: PlannerState) {
+    private fun logGroups(before: PlannerState, engines: Map<String, KnownBackend>) {
         for ((id, group) in state.groups) {
             if (before.groups[id]?.phase == group.phase) continue
             log.write(
@@ -157,11 +161,20 @@
                 "reason" to group.reason.cause.name,
                 "member" to group.reason.member.orEmpty(),
                 "reason_ms" to (group.reason.durationMs ?: 0),
+                "freed_by" to if (group.reason.cause == PhaseCause.WANTED) freeReasons(group, engines) else "",
             )
         }
-        for (id in before.groups.keys - state.groups.keys) log.write("group", "name" to id.name, "phase" to "ENDED")
+        for (id in before.groups.keys - state.groups.keys) {
+            log.write("group", "name" to id.name, "phase" to "ENDED", "freed_by" to endReasonOf(state, id).name)
+        }
     }
 
+    /** Why each member was free to join; the reasons of the first [MAX_LOGGED_REASONS] members, in their order. */
+    private fun freeReasons(group: PlannedGroup, engines: Map<String, KnownBackend>): String =
+        group.members.take(MAX_LOGGED_REASONS).joinToString(",") { member ->
+            engines[member.id]?.let { freeReasonOf(state, it.announcement) }?.name.orEmpty()
+        }
+
     private fun logRecoveries(before: PlannerState) = recoveredEngines(before, state, timers.nowMs()).forEach {
         log.write(
             "engine-responds",
@@ -197,4 +210,8 @@
         is EngineCommand.Leave -> "leave ${command.group.name}"
         is EngineCommand.Stage -> "stage ${command.model}"
     }
+
+    private companion object {
+        const val MAX_LOGGED_REASONS = 16
+    }
 }
