Limit the queueing time of streams that name an unknown model, too

A model that the service does not have now names no pool of its own; its requests share the pool of the service.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -88,18 +88,16 @@
 
     /** Records that a request for a stream has arrived. */
     fun onStreamRequest(request: AdmittedRequest) {
-        val pool = poolOf(request) ?: return
-        waitLimits = waitLimits.with(pool, request.route.name, targetsOf(request), timers.nowMs())
+        waitLimits = waitLimits.with(poolOf(request), request.route.name, targetsOf(request), timers.nowMs())
     }
 
     /** Longest acceptable queueing time of the stream of [request] before its first event, in milliseconds. */
-    fun maxWaitMs(request: AdmittedRequest): Double =
-        poolOf(request)?.let { waitLimits.limitMs(it, targetsOf(request)) } ?: 0.0
+    fun maxWaitMs(request: AdmittedRequest): Double = waitLimits.limitMs(poolOf(request), targetsOf(request))
 
-    /** Null for a model that the service does not have: callers may name any number of them. */
-    private fun poolOf(request: AdmittedRequest): ServerPool? {
-        val known = request.model == null || request.service.models.any { it.name == request.model }
-        return if (known) ServerPool(request.service.name, request.model) else null
+    /** A model that the service does not have names no pool of its own: callers may name any number of them. */
+    private fun poolOf(request: AdmittedRequest): ServerPool {
+        val model = request.model?.takeIf { name -> request.service.models.any { it.name == name } }
+        return ServerPool(request.service.name, model)
     }
 
     private fun targetsOf(request: AdmittedRequest) =
