Form groups within a domain beside groups across domains

Found by review: a group across domains counted as one of each domain in which it has a member, so a domain with all the engines of a group formed none; the engines went into the next group across domains, which was then replaced, and so on. Besides, the only group of a model was closed when its domains had room for no group of their own.

Only groups within a domain count there now, and a group across domains is closed without a replacement only while another one serves within a domain.

Shown: CrossDomainGroupTest, 2 of 9 cases failed before.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -47,7 +47,7 @@
     val crossDomainServing = crossDomain.filter { it.phase == GroupPhase.SERVING }
     val replaceable = crossDomainServing.filter { fitsInOneDomain(service, model, it) }
     when {
-        serving >= wanted -> closeCrossDomainGroup(crossDomainServing)
+        serving >= maxOf(wanted, 1) -> closeCrossDomainGroup(crossDomainServing)
         isReplacementPending(service, model) -> Unit
         // Another group serves the model until the members have formed the new one.
         serving + crossDomainServing.size > 1 && replaceable.isNotEmpty() -> closeCrossDomainGroup(replaceable)
@@ -56,7 +56,7 @@
     }
 }
 
-/** Whether a group of the model closes for another one that its members will form. */
+/** Whether a group of the model closes for one within a domain. */
 private fun Planning.isReplacementPending(service: DocumentService, model: ModelSpec): Boolean =
     state.groups.values.any {
         it.service == service.name && it.model == model.name && it.phase == GroupPhase.CLOSING &&
@@ -180,8 +180,8 @@
     return domains.values.any { it >= model.groupSize }
 }
 
-private fun Planning.closeCrossDomainGroup(serving: List<PlannedGroup>) {
-    val group = serving.firstOrNull() ?: return
+private fun Planning.closeCrossDomainGroup(candidates: List<PlannedGroup>) {
+    val group = candidates.firstOrNull() ?: return
     order(group.members.first(), EngineCommand.Close(group.id))
     enterPhase(group, GroupPhase.CLOSING, PhaseReason(PhaseCause.REPLACED))
 }
@@ -198,8 +198,11 @@
 ): List<Announcement> = free.filter { joinTimeMs(it, model) < model.loadMs }
     .sortedWith(compareBy({ if (stagedModel(service, it) == model.name) 0 else 1 }, { joinTimeMs(it, model) }))
 
+/** Number of groups of the model within the domain; a group across domains takes the place of none of them. */
 private fun Planning.groupCountIn(service: DocumentService, model: ModelSpec, domain: String): Int =
-    activeGroups(service, model).count { group -> group.members.any { announcement(it.id)?.fabricDomain == domain } }
+    activeGroups(service, model).count { group ->
+        !spansDomains(group) && group.members.any { announcement(it.id)?.fabricDomain == domain }
+    }
 
 /** Time until the engine is ready in a group of the model. */
 private fun Planning.joinTimeMs(engine: Announcement, model: ModelSpec): Long = when {
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/CrossDomainGroupTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/CrossDomainGroupTest.kt
@@ -33,6 +33,7 @@
 
     private val cases = listOf(
         Case("the only group, with engines for a group in one domain", listOf("abbb"), free = "aaa", closing = 0),
+        Case("the only group, none wanted within a domain", listOf("abcd"), free = "", closing = 0),
         Case("two groups, with engines for a group in one domain", listOf("abbb", "accc"), free = "aaa", closing = 1),
         Case("two groups, without", listOf("abbb", "accc"), free = "aa", closing = 0),
         Case("two groups, fewer wanted after losses", listOf("abcc", "bbcc"), free = "", closing = 0),
@@ -114,6 +115,25 @@
         expectThat(forming).isEmpty()
     }
 
+    @Test
+    fun `a group across domains takes the place of none within its domains`() {
+        val members = members(mapOf("large0" to "abcc"))
+        val free = "aaaabbbb".mapIndexed { number, domain ->
+            readyEngine("free-$number", number + 1, listOf("large"), "$domain")
+        }
+        val orders = free.associate { it.incarnation to KnownOrders(0, 0, groupMismatch = false) }
+        val group = serving("large0", "abcc")
+        val state = PlannerState(
+            groups = mapOf(group.id to group).toPersistentMap(),
+            knownOrders = orders.toPersistentMap(),
+        )
+        val known = (members + free + spares("aabbcc")).associate { it.id to KnownBackend(it, NOW_MS) }
+        val step = planGroups(state, PlannerInput(NOW_MS, 1, DOCUMENT, known, emptyMap(), trafficStarted = true))
+        val forming = step.state.groups.values.filter { it.phase == GroupPhase.FORMING && it.model == "large" }
+        val domains = forming.map { group -> group.members.map { known.getValue(it.id).announcement.fabricDomain } }
+        expectThat(domains.map { it.distinct() }.sortedBy { it.first() }).isEqualTo(listOf(listOf("a"), listOf("b")))
+    }
+
     private companion object {
         const val NOW_MS = 100_000L
         const val PORTS_PER_GROUP = 10
