Share the endless heads among tests, and name unknown heads in the planner's file comment

Found on reading the change again: two tests listed the same five responses whose head does not end; the comment of the planner spoke of unreachable heads only.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -3,9 +3,10 @@
  * the leader's own earlier orders; runs at each announcement and at short intervals.
  *
  * An engine is assigned to another group only after it or the head of its former group has left that group: its
- * announcement says so, it confirmed a leave order, or it restarted. An unreachable head may still be open, so the
- * members of its group are ordered to leave; without them it cannot serve. Epochs increase with every group, across all
- * leaders, and a join names the number of orders that the engine has started, so the engine refuses a delayed join.
+ * announcement says so, it confirmed a leave order, or it restarted. A head that is unreachable or not known any more
+ * may still be open, so the members of its group are ordered to leave; without them it cannot serve. Epochs increase
+ * with every group, across all leaders, and a join names the number of orders that the engine has started, so the
+ * engine refuses a delayed join.
  */
 package org.bramleyspur.control.group
 
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/EndlessEngineTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/EndlessEngineTest.kt
@@ -48,24 +48,21 @@
             }
         }
 
-    private class Case(val name: String, val start: String, val next: String)
-
-    private val cases = listOf(
-        Case("a status line", "HTTP/1.1 200 ", "O"),
-        Case("line breaks before the status line", "", "\r\n"),
-        Case("header fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"),
-        Case("a header field", "HTTP/1.1 200 OK\r\nX-Field: ", "a"),
-        Case("interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"),
-        Case("a chunk extension", "$streamHead;1", "a"),
-        Case("trailers", "${streamHead}0\r\n", "X-Field: value\r\n"),
-        Case("a line of a stream", streamHead, chunkOf("a")),
-        Case("comments", streamHead, chunkOf(": wait\n\n")),
-        Case("events without an end", streamHead, chunkOf("id: 1\n")),
-        Case("events without choices", streamHead, chunkOf("data: {\"position\":0,\"choices\":[]}\n\n")),
-        Case("a repeated token", streamHead, tokenOf(0, " t0")),
-        Case("the body of a rejection", "HTTP/1.1 400 Bad\r\nTransfer-Encoding: chunked\r\n\r\n", chunkOf("abcd")),
-        Case("the body of a refusal", "HTTP/1.1 429 Full\r\n\r\n", "abcd"),
-        Case("the body of an error", "HTTP/1.1 500 Error\r\n\r\n", "abcd"),
+    private val cases = ENDLESS_HEADS + listOf(
+        EndlessResponse("a chunk extension", "$streamHead;1", "a"),
+        EndlessResponse("trailers", "${streamHead}0\r\n", "X-Field: value\r\n"),
+        EndlessResponse("a line of a stream", streamHead, chunkOf("a")),
+        EndlessResponse("comments", streamHead, chunkOf(": wait\n\n")),
+        EndlessResponse("events without an end", streamHead, chunkOf("id: 1\n")),
+        EndlessResponse("events without choices", streamHead, chunkOf("data: {\"position\":0,\"choices\":[]}\n\n")),
+        EndlessResponse("a repeated token", streamHead, tokenOf(0, " t0")),
+        EndlessResponse(
+            "the body of a rejection",
+            "HTTP/1.1 400 Bad\r\nTransfer-Encoding: chunked\r\n\r\n",
+            chunkOf("abcd"),
+        ),
+        EndlessResponse("the body of a refusal", "HTTP/1.1 429 Full\r\n\r\n", "abcd"),
+        EndlessResponse("the body of an error", "HTTP/1.1 500 Error\r\n\r\n", "abcd"),
     )
 
     @TestFactory
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/Flood.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/Flood.kt
@@ -46,3 +46,15 @@
         const val PART_BYTES = 4_096
     }
 }
+
+/** A response without end: what precedes [next], which is sent for ever. */
+internal class EndlessResponse(val name: String, val start: String, val next: String)
+
+/** Responses whose head does not end. */
+internal val ENDLESS_HEADS = listOf(
+    EndlessResponse("a status line", "HTTP/1.1 200 ", "O"),
+    EndlessResponse("line breaks before the status line", "", "\r\n"),
+    EndlessResponse("header fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"),
+    EndlessResponse("a header field", "HTTP/1.1 200 OK\r\nX-Field: ", "a"),
+    EndlessResponse("interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"),
+)
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/EndlessEngineResponseTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/EndlessEngineResponseTest.kt
@@ -5,6 +5,8 @@
 import org.bramleyspur.control.group.EngineOrder
 import org.bramleyspur.control.group.OrderResult
 import org.bramleyspur.control.group.ProbeResult
+import org.bramleyspur.daemon.caller.ENDLESS_HEADS
+import org.bramleyspur.daemon.caller.EndlessResponse
 import org.bramleyspur.daemon.caller.FakeBackend
 import org.bramleyspur.daemon.caller.Flood
 import org.bramleyspur.daemon.caller.awaitTrue
@@ -22,8 +24,6 @@
 
 /** Guards against an engine that responds to control without end, and control that keeps or reads all of it. */
 class EndlessEngineResponseTest {
-    private class Case(val name: String, val start: String, val next: String)
-
     private val largestReport = AtomicInteger()
     private val loops = EventLoops()
     private val dialect = EngineDialect(
@@ -39,17 +39,12 @@
     @AfterEach
     fun close() = loops.close()
 
-    private val cases = listOf(
-        Case("a status line", "HTTP/1.1 200 ", "O"),
-        Case("line breaks before the status line", "", "\r\n"),
-        Case("header fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"),
-        Case("a header field", "HTTP/1.1 200 OK\r\nX-Field: ", "a"),
-        Case("interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"),
-        Case("a chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "a"),
-        Case("trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Field: value\r\n"),
-        Case("chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"),
-        Case("a body without a length", "HTTP/1.1 200 OK\r\n\r\n", "abcd"),
-        Case("a refusal without a length", "HTTP/1.1 421 Not here\r\n\r\n", "abcd"),
+    private val cases = ENDLESS_HEADS + listOf(
+        EndlessResponse("a chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "a"),
+        EndlessResponse("trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Field: value\r\n"),
+        EndlessResponse("chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"),
+        EndlessResponse("a body without a length", "HTTP/1.1 200 OK\r\n\r\n", "abcd"),
+        EndlessResponse("a refusal without a length", "HTTP/1.1 421 Not here\r\n\r\n", "abcd"),
     )
 
     @TestFactory
