--- a/review/harness/Harness.java
+++ b/review/harness/Harness.java
@@ -265,11 +265,16 @@
 
     /** Sends an order of the operator to any control process until it is acknowledged; returns whether it was. */
     boolean operatorCall(String path, String body, long limitMs) {
+        return operatorCall(path, body, 1_000, limitMs);
+    }
+
+    /** The same with [callMs] as the time limit of one call. */
+    boolean operatorCall(String path, String body, int callMs, long limitMs) {
         long endMs = nowMs() + limitMs;
         for (int i = 0; nowMs() < endMs; i++) {
             InetSocketAddress address = control(i % 3);
             for (int hop = 0; hop < 3 && address != null; hop++) {
-                try (Connection connection = new Connection(address, 1_000)) {
+                try (Connection connection = new Connection(address, callMs)) {
                     Response response = connection.exchange("POST", path,
                         new TreeMap<>(Map.of("Host", "control", "Content-Type", "application/json")),
                         body.getBytes(StandardCharsets.UTF_8));
