--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,4 @@
 # Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves out the disruption.
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
-exec java -Xmx256m -cp target/review LateHeartbeat "$folder/record.txt"
+exec java -Xmx256m -cp target/review GrownThenKilled "$folder/record.txt"
--- a/review/2/GrownConfiguration.java
+++ b/review/3/GrownConfiguration.java
@@ -77,7 +77,7 @@
         }
     }
 
-    private static String configuration(int version, int routes) {
+    static String configuration(int version, int routes) {
         StringBuilder text = new StringBuilder("{\"version\":").append(version).append(",\"routes\":[");
         for (int i = 0; i < routes; i++) {
             // Successive versions change a time limit.
