--- a/review/harness/Harness.java
+++ b/review/harness/Harness.java
@@ -268,6 +268,9 @@
         return operatorCall(path, body, 1_000, limitMs);
     }
 
+    /** The last answer to an order of the operator, for the record. */
+    volatile String lastOperatorAnswer = "none";
+
     /** The same with [callMs] as the time limit of one call. */
     boolean operatorCall(String path, String body, int callMs, long limitMs) {
         long endMs = nowMs() + limitMs;
@@ -278,6 +281,10 @@
                     Response response = connection.exchange("POST", path,
                         new TreeMap<>(Map.of("Host", "control", "Content-Type", "application/json")),
                         body.getBytes(StandardCharsets.UTF_8));
+                    if (response.status != 307) {
+                        lastOperatorAnswer =
+                            response.status + " " + new String(response.body, StandardCharsets.UTF_8).trim();
+                    }
                     if (response.status == 200) return true;
                     String location = response.header("Location");
                     address = response.status == 307 && location != null ? addressOf(location) : null;
