Bound the replicated log by bytes

Callers saw: with 1,515 routes (461 kB), after about 180 changes in a row a valid configuration had no acknowledgement within its limit; after a kill of all control processes none could open its log, and every read and change was answered 503.

Cause: the log counted entries and did not weigh them. One entry is a whole configuration, so 176 of them were 81 MB of a heap of 96 MB. The stack traces of both cases end in OutOfMemoryError: on the storage thread in decodeEntries under SegmentLog.readSegments, and on the control thread while it ran.

Ruled out: the parsed document alone (115 routes and 300 changes held; the trace names the entries), and the segment size alone (all segments are read at an open).

The state read at an open is dropped once the log has taken it over.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/ControlNode.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/ControlNode.kt
@@ -88,7 +88,7 @@
     fun start() {
         log = ReplicatedLog(
             storage = storage,
-            options = LogOptions(address, consensusSettings(), snapshotEntries, ::onStorageFailure),
+            options = LogOptions(address, consensusSettings(), snapshotEntries, onStorageFailure = ::onStorageFailure),
             threads = LogThreads(control, timers, storageThread),
             transport = transport::send,
             stateMachine = StateMachine(::applyEntry, { state.encodeSnapshot() }, ::restore),
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/LogOptions.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/LogOptions.kt
@@ -55,12 +55,14 @@
  * @property address `host:port` at which peers reach this member
  * @property consensus timing and sizes; must be equal on all members
  * @property snapshotEntries applied entries after which a snapshot is taken
+ * @property snapshotBytes payload bytes of applied entries after which a snapshot is taken
  * @property onStorageFailure receives a fatal storage error, on the control thread; the process then exits with code 74
  */
 class LogOptions(
     val address: String,
     val consensus: ConsensusSettings = ConsensusSettings(),
     val snapshotEntries: Long = 10_000,
+    val snapshotBytes: Long = 4L shl 20,
     val onStorageFailure: (StorageError) -> Unit,
 )
 
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/ReplicatedLog.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/ReplicatedLog.kt
@@ -97,6 +97,7 @@
 
     private fun recoveredState(): ConsensusState {
         val recoveredData = storage.recovered
+        storage.releaseRecovered()
         return ConsensusState.recovered(
             recoveredData.memberId,
             options.consensus,
@@ -133,9 +134,11 @@
     }
 
     private fun proposeQueued() {
-        val batch = queuedProposals.toList()
+        val queued = queuedProposals.toList()
         queuedProposals.clear()
-        if (batch.isNotEmpty()) handle(Propose(nowMs(), batch.map { it.payload }), batch.map { it.callback })
+        chunkedByBytes(queued, options.consensus.batchBytes) { it.payload.size }.forEach { batch ->
+            handle(Propose(nowMs(), batch.map { it.payload }), batch.map { it.callback })
+        }
     }
 
     /** Handles a message from a peer; a malformed one is dropped. */
@@ -243,15 +246,18 @@
     }
 
     private fun takeSnapshotIfDue() {
-        val lastSnapshotIndex = state.snapshot?.index ?: 0
-        if (savingSnapshot || appliedIndex - lastSnapshotIndex < options.snapshotEntries) return
+        if (savingSnapshot || !isSnapshotDue(state.snapshot?.index ?: 0)) return
         val term = state.log.term(appliedIndex) ?: return
         val membership = state.memberships.last { it.index <= appliedIndex }.membership
         savingSnapshot = true
         val snapshot = Snapshot(appliedIndex, term, membership, stateMachine.snapshot())
-        storageQueue.saveSnapshot(snapshot, keepFrom = appliedIndex - options.consensus.trailingEntries)
+        storageQueue.saveSnapshot(snapshot, keepFrom = state.trailingBase(appliedIndex) + 1)
     }
 
+    private fun isSnapshotDue(lastSnapshotIndex: Long): Boolean =
+        appliedIndex - lastSnapshotIndex >= options.snapshotEntries ||
+            state.log.payloadBytes(lastSnapshotIndex + 1, appliedIndex) >= options.snapshotBytes
+
     private fun onSnapshotSaved(snapshot: Snapshot) {
         savingSnapshot = false
         handle(SnapshotSaved(nowMs(), snapshot))
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/ConsensusSettings.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/ConsensusSettings.kt
@@ -13,8 +13,11 @@
  * @property batchBytes payload bytes after which no entry is added to an append message; also the maximum payload size
  * of one entry
  * @property maxInFlightEntries maximum number of unacknowledged entries sent to a peer
+ * @property maxInFlightBytes payload bytes sent to a peer without acknowledgement, after which no entry is sent
  * @property snapshotChunkBytes payload bytes of one snapshot chunk
  * @property trailingEntries entries kept before a snapshot, so that slightly lagging followers need no snapshot
+ * @property trailingBytes maximum payload bytes of the trailing entries
+ * @property maxLogBytes payload bytes held in memory above which a leader refuses proposals until a snapshot is saved
  * @property caughtUpLagEntries maximum lag at which a learner counts as caught up
  */
 data class ConsensusSettings(
@@ -25,8 +28,11 @@
     val batchEntries: Int = 512,
     val batchBytes: Int = 1 shl 20,
     val maxInFlightEntries: Int = 4096,
+    val maxInFlightBytes: Long = 4L shl 20,
     val snapshotChunkBytes: Int = 256 shl 10,
     val trailingEntries: Long = 1000,
+    val trailingBytes: Long = 2L shl 20,
+    val maxLogBytes: Long = 16L shl 20,
     val caughtUpLagEntries: Long = 100,
 ) {
     init {
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/ConsensusState.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/ConsensusState.kt
@@ -117,6 +117,10 @@
     val membership: Membership get() = memberships.last().membership
     val leader: Leader? get() = leaderId?.let { Leader(it, leaderAddress ?: membership.address(it).orEmpty()) }
 
+    /** Returns the index after which entries are kept once a snapshot at [snapshotIndex] has been saved. */
+    fun trailingBase(snapshotIndex: Long): Long =
+        log.trailingBase(snapshotIndex, settings.trailingEntries, settings.trailingBytes)
+
     /** Send time of the newest round that a majority acknowledged, or null when there is none. */
     fun majorityAckedRoundMs(leaderState: LeaderState, nowMs: Long): Long? {
         val acked = membership.voters.keys.map { if (it == self) nowMs else leaderState.progress[it]?.ackedRoundMs }
@@ -147,10 +151,12 @@
         ): ConsensusState {
             val base = IndexedMembership(snapshot?.index ?: 0, snapshot?.membership ?: initialMembership)
             val laterMemberships = membershipsIn(log.entries).filter { it.index > base.index }
-            return ConsensusState(
+            val recovered = ConsensusState(
                 self, settings, hardState, log, snapshot,
                 persistentListOf(base).addAll(laterMemberships), snapshot?.index ?: 0, nowMs, nowMs, electionTimeoutMs,
             )
+            // Segments are deleted as a whole, so they can hold entries that were compacted before.
+            return recovered.copy(log = log.compactTo(recovered.trailingBase(base.index)))
         }
     }
 }
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/Entry.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/Entry.kt
@@ -32,12 +32,25 @@
     override fun toString(): String = "Entry($index, term $term, $kind, ${payload.size} bytes)"
 }
 
-/** The entries after [baseIndex], whose own entry had [baseTerm]. */
-internal class EntryLog(
+/**
+ * The entries after [baseIndex], whose own entry had [baseTerm].
+ *
+ * @property baseEnd payload bytes up to and including the entry at [baseIndex], counted from an arbitrary origin
+ * @property ends the same count for each of [entries], so that the payload of a range is a difference of two counts
+ */
+internal class EntryLog private constructor(
     val baseIndex: Long,
     val baseTerm: Long,
-    val entries: PersistentList<Entry> = persistentListOf(),
+    val entries: PersistentList<Entry>,
+    private val baseEnd: Long,
+    private val ends: PersistentList<Long>,
 ) {
+    constructor(baseIndex: Long, baseTerm: Long, entries: PersistentList<Entry> = persistentListOf()) :
+        this(baseIndex, baseTerm, entries, 0, payloadEnds(0, entries).toPersistentList())
+
+    /** Payload bytes of all entries. */
+    val payloadBytes: Long get() = end(lastIndex) - baseEnd
+
     val lastIndex: Long get() = baseIndex + entries.size
     val lastTerm: Long get() = if (entries.isEmpty()) baseTerm else entries.last().term
 
@@ -48,6 +61,22 @@
     /** Returns the term at [index], or null when it is not known. */
     fun term(index: Long): Long? = if (index == baseIndex) baseTerm else entry(index)?.term
 
+    /** Returns the payload bytes of the entries from [first] to [last], as far as they are not compacted. */
+    fun payloadBytes(first: Long, last: Long): Long = maxOf(0, end(last) - end(first - 1))
+
+    private fun end(index: Long): Long =
+        if (index <= baseIndex) baseEnd else ends[(minOf(index, lastIndex) - baseIndex - 1).toInt()]
+
+    /**
+     * Returns the index after which the log keeps entries when a snapshot at [index] has been saved: at most
+     * [maxEntries] entries of together at most [maxBytes] remain up to [index].
+     */
+    fun trailingBase(index: Long, maxEntries: Long, maxBytes: Long): Long {
+        var base = index
+        while (base > baseIndex && index - base < maxEntries && payloadBytes(base, index) <= maxBytes) base--
+        return base
+    }
+
     /** Returns entries beginning at [from], up to [maxEntries] or until their payloads reach [maxBytes]. */
     fun slice(from: Long, maxEntries: Int, maxBytes: Int): List<Entry> {
         val result = ArrayList<Entry>()
@@ -61,7 +90,13 @@
         return result
     }
 
-    fun append(added: List<Entry>): EntryLog = EntryLog(baseIndex, baseTerm, entries.addAll(added))
+    fun append(added: List<Entry>): EntryLog = EntryLog(
+        baseIndex,
+        baseTerm,
+        entries.addAll(added),
+        baseEnd,
+        ends.addAll(payloadEnds(end(lastIndex), added)),
+    )
 
     /** Removes the entries at [index] and above. */
     fun truncateFrom(index: Long): EntryLog {
@@ -70,6 +105,8 @@
             baseIndex,
             baseTerm,
             entries.mutate { while (it.size > remainingCount) it.removeAt(it.lastIndex) },
+            baseEnd,
+            ends.mutate { while (it.size > remainingCount) it.removeAt(it.lastIndex) },
         )
     }
 
@@ -77,7 +114,14 @@
     fun compactTo(index: Long): EntryLog {
         val term = term(index)
         if (index <= baseIndex || term == null) return this
-        return EntryLog(index, term, entries.subList((index - baseIndex).toInt(), entries.size).toPersistentList())
+        val removed = (index - baseIndex).toInt()
+        return EntryLog(
+            index,
+            term,
+            entries.subList(removed, entries.size).toPersistentList(),
+            end(index),
+            ends.subList(removed, ends.size).toPersistentList(),
+        )
     }
 
     /** Returns the first index that has the same term as [index]. */
@@ -88,3 +132,7 @@
         return first
     }
 }
+
+/** Returns the running count of payload bytes after each of [entries], beginning at [origin]. */
+private fun payloadEnds(origin: Long, entries: List<Entry>): List<Long> =
+    entries.runningFold(origin) { end, entry -> end + entry.payload.size }.drop(1)
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/Leadership.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/Leadership.kt
@@ -67,7 +67,9 @@
         val progress = progress(id) ?: return sent
         val inFlight = progress.nextIndex - progress.matchIndex - 1
         val remainingWindow = state.settings.maxInFlightEntries - inFlight
-        val blocked = progress.probing || progress.snapshotTransfer != null || remainingWindow <= 0
+        val inFlightBytes = state.log.payloadBytes(progress.matchIndex + 1, progress.nextIndex - 1)
+        val windowFull = remainingWindow <= 0 || inFlightBytes >= state.settings.maxInFlightBytes
+        val blocked = progress.probing || progress.snapshotTransfer != null || windowFull
         if (blocked || state.log.term(progress.nextIndex - 1) == null) return sent
         val limit = minOf(remainingWindow, state.settings.batchEntries.toLong()).toInt()
         val entries = state.log.slice(progress.nextIndex, limit, state.settings.batchBytes)
@@ -90,11 +92,17 @@
 }
 
 internal fun Transition.propose(payloads: List<ByteArray>) {
-    if (state.role !is LeaderState) {
-        effects += Refused(ProposeError.NotLeader(state.leader))
-        return
+    when {
+        state.role !is LeaderState -> effects += Refused(ProposeError.NotLeader(state.leader))
+        !hasRoomFor(payloads) -> effects += Refused(ProposeError.Overloaded)
+        else -> appendAsLeader(EntryKind.COMMAND, payloads)
     }
-    appendAsLeader(EntryKind.COMMAND, payloads)
+}
+
+/** An empty log takes any payload, so that one that is larger than the limit is not refused for good. */
+private fun Transition.hasRoomFor(payloads: List<ByteArray>): Boolean {
+    val bytes = state.log.payloadBytes
+    return bytes == 0L || bytes + payloads.sumOf { it.size.toLong() } <= state.settings.maxLogBytes
 }
 
 /** Appends [payloads] to the log and sends them to the peers without waiting for the own write. */
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/Membership.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/Membership.kt
@@ -91,6 +91,11 @@
         override val message get() = "the payload exceeds $limitBytes bytes; split the command"
     }
 
+    /** The entry was not appended, since the log holds too many bytes that no snapshot covers. */
+    data object Overloaded : ProposeError {
+        override val message get() = "the log has too many bytes that are not in a snapshot yet; send the command again"
+    }
+
     /** The log has been closed. */
     data object Closed : ProposeError {
         override val message get() = "the log has been closed; ask another control instance"
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/Transition.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/Transition.kt
@@ -142,7 +142,7 @@
         val base = state.memberships.last { it.index <= snapshot.index }
         state = state.copy(
             snapshot = snapshot,
-            log = state.log.compactTo(snapshot.index - state.settings.trailingEntries),
+            log = state.log.compactTo(state.trailingBase(snapshot.index)),
             memberships = state.memberships.removeAll { it.index < base.index },
         )
     }
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/LogStorage.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/LogStorage.kt
@@ -8,6 +8,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import kotlinx.collections.immutable.toPersistentMap
+import org.bramleyspur.log.chunkedByBytes
 import org.bramleyspur.log.consensus.Entry
 import org.bramleyspur.log.consensus.EntryLog
 import org.bramleyspur.log.consensus.HardState
@@ -21,7 +22,10 @@
 private const val IDENTITY_FILE = "identity"
 private const val HARD_STATE_FILE = "term-and-vote"
 private const val SNAPSHOT_FILE = "snapshot"
-private const val DEFAULT_SEGMENT_BYTES = 8 shl 20
+private const val DEFAULT_SEGMENT_BYTES = 2 shl 20
+
+/** Entries of a longer queue of writes are synced in several frames, since a frame is built in memory. */
+private const val MAX_FRAME_BYTES = 1 shl 20
 
 /** How a member starts when its data directory is empty. A directory with an identity keeps that identity. */
 sealed interface FirstStart {
@@ -50,10 +54,18 @@
 ) : AutoCloseable {
     private val segments = SegmentLog(files, segmentBytes)
 
-    internal val recovered: RecoveredData = recover(firstStart)
+    private var unreleasedData: RecoveredData? = recover(firstStart)
+
+    /** The state that was read when the directory was opened, until it is released. */
+    internal val recovered: RecoveredData get() = checkNotNull(unreleasedData) { "the recovered state was released" }
 
     /** Id of this member, as stored in the directory. */
-    val memberId: String get() = recovered.memberId
+    val memberId: String = recovered.memberId
+
+    /** Drops the recovered state, whose entries would otherwise be held as long as the directory is open. */
+    internal fun releaseRecovered() {
+        unreleasedData = null
+    }
 
     private fun recover(firstStart: FirstStart): RecoveredData {
         files.deleteTemporaryFiles()
@@ -81,21 +93,24 @@
         files.replace(IDENTITY_FILE, encodeFrames(encodeIdentity(id, Membership(voters.toPersistentMap()))))
     }
 
-    /** Performs [writes] in order; consecutive appends share one frame and one sync. */
+    /** Performs [writes] in order; consecutive appends share one frame and one sync, up to [MAX_FRAME_BYTES]. */
     internal fun persist(writes: List<Persist>) {
         val batchedEntries = ArrayList<Entry>()
         for (write in writes) {
             val appendOnly = write.hardState == null && write.snapshot == null && write.truncateFrom == null
             if (!appendOnly) {
-                segments.append(batchedEntries)
+                append(batchedEntries)
                 batchedEntries.clear()
                 writeBeforeEntries(write)
             }
             batchedEntries += write.entries
         }
-        segments.append(batchedEntries)
+        append(batchedEntries)
     }
 
+    private fun append(entries: List<Entry>) =
+        chunkedByBytes(entries, MAX_FRAME_BYTES) { it.payload.size }.forEach { segments.append(it) }
+
     private fun writeBeforeEntries(write: Persist) {
         write.hardState?.let { writeHardState(it) }
         write.snapshot?.let {
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/SegmentLog.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/SegmentLog.kt
@@ -77,7 +77,7 @@
         }
         if (frames.bodies.isEmpty()) files.damaged(name, 0, "wrong checksum or length of the first frame")
         // After a failed sync, pages of the last segment may be in the page cache but not on disk, so it is rewritten.
-        if (isLast) files.replace(name, bytes.copyOf(frames.end))
+        if (isLast) files.replace(name, if (frames.end == bytes.size) bytes else bytes.copyOf(frames.end))
         val header = ByteBuffer.wrap(frames.bodies.first())
         return Segment(name, header.getLong(), header.getLong(), frames.bodies.drop(1).flatMap { decodeEntries(it) })
     }
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/TestFileSystem.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/TestFileSystem.kt
@@ -39,6 +39,9 @@
     /** Thrown by the next operation instead of an [IOException]; null if none is. */
     var uncheckedFailure: RuntimeException? = null
 
+    /** Bytes of all files. */
+    val totalBytes: Long get() = files.values.sumOf { it.bytes.size().toLong() }
+
     override fun path(name: String) = name
 
     override fun list(): List<String> {
