Make the end of a backend server final for its life

Callers saw: an engine that had deregistered was in use again after two heartbeats that it had sent before and that arrived late; about 50 requests reached it later than the drain time, and those that it was working on at its exit were lost.

Cause: a control instance recorded the end as one more announcement, with the sequence number after the newest one that it knew. Announcements under way had higher numbers and replaced it. With several instances that each know another number, no number is right.

Ruled out: the exchange between control instances (the tombstone reached all of them before the second heartbeat), and its retention (6 minutes).

Change: within one life, which its start time names, an end replaces every announcement and is replaced by none; only a later life begins again. The same order holds for renewals, for the pictures that entries and other instances report, and for a life that the instance does not know yet, which gets a tombstone as well instead of being forgotten.

--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/Announcement.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/Announcement.kt
@@ -4,6 +4,7 @@
 package org.bramleyspur.core.backend
 
 import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.persistentListOf
 import java.util.zip.CRC32
 
 /** Whether a backend server accepts new requests. */
@@ -42,14 +43,35 @@
     val stagedModels: ImmutableList<String>,
     val groupMembership: GroupMembership?,
 ) {
-    /** Whether this announcement was made after [other] by the same backend server. */
-    fun isNewerThan(other: Announcement): Boolean =
-        startedAtMs > other.startedAtMs || (startedAtMs == other.startedAtMs && sequence > other.sequence)
+    /**
+     * Whether this announcement replaces [other] of the same backend server. Within one life the end is final:
+     * announcements that were under way when it was recorded may have any sequence number.
+     */
+    fun replaces(other: Announcement): Boolean = when {
+        startedAtMs != other.startedAtMs -> startedAtMs > other.startedAtMs
+        other.state == BackendState.GONE -> false
+        else -> state == BackendState.GONE || sequence > other.sequence
+    }
 
     /** Whether this announcement says the same as [other], apart from its sequence number. */
     fun hasContentOf(other: Announcement): Boolean = copy(sequence = other.sequence) == other
 }
 
+/** The announcement that the life of [id] which began at [startedAtMs] has ended, when nothing else is known of it. */
+internal fun unknownTombstone(id: String, startedAtMs: Long) = Announcement(
+    id = id,
+    startedAtMs = startedAtMs,
+    sequence = 0,
+    service = "",
+    address = "",
+    dataCentre = "",
+    slots = 0,
+    state = BackendState.GONE,
+    fabricDomain = "",
+    stagedModels = persistentListOf(),
+    groupMembership = null,
+)
+
 /** Checksum of all fields of the announcement but its sequence number; the same on all instances. */
 internal fun Announcement.contentChecksum(): Int {
     val group = groupMembership
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/AnnouncementValidation.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/AnnouncementValidation.kt
@@ -49,6 +49,10 @@
 fun Announcement.validate(nowMs: Long): AnnouncementError? =
     idError() ?: numberError(nowMs) ?: textError() ?: addressError()
 
+/** Whether only the end of a backend server is known, which names no service, address or slots. */
+private val Announcement.isBareTombstone: Boolean
+    get() = state == BackendState.GONE && service.isEmpty() && address.isEmpty() && slots == 0
+
 /** The id becomes the value of a header of every request to the server. */
 private fun Announcement.idError(): AnnouncementError? =
     if (id.length in 1..AnnouncementBounds.MAX_NAME_CHARS && id.all { it in '!'..'~' }) {
@@ -64,10 +68,14 @@
     val sequences = if (state == BackendState.GONE) 0..Long.MAX_VALUE else AnnouncementBounds.SEQUENCE
     return rangeError(AnnouncementField.STARTED_AT, startedAtMs, startedAt)
         ?: rangeError(AnnouncementField.SEQUENCE, sequence, sequences)
-        ?: rangeError(AnnouncementField.SLOTS, slots.toLong(), AnnouncementBounds.SLOTS)
-        ?: groupMembership?.let {
-            rangeError(AnnouncementField.GROUP_EPOCH, it.id.epoch, AnnouncementBounds.EPOCH)
-                ?: rangeError(AnnouncementField.GROUP_RANK, it.rank.toLong(), AnnouncementBounds.RANK)
+        ?: if (isBareTombstone) {
+            null
+        } else {
+            rangeError(AnnouncementField.SLOTS, slots.toLong(), AnnouncementBounds.SLOTS)
+                ?: groupMembership?.let {
+                    rangeError(AnnouncementField.GROUP_EPOCH, it.id.epoch, AnnouncementBounds.EPOCH)
+                        ?: rangeError(AnnouncementField.GROUP_RANK, it.rank.toLong(), AnnouncementBounds.RANK)
+                }
         }
 }
 
@@ -87,7 +95,10 @@
         AnnouncementField.GROUP_MODEL to groupMembership?.model.orEmpty(),
     ) + stagedModels.map { AnnouncementField.STAGED_MODELS to it }
     return when {
-        service.isEmpty() -> AnnouncementError(AnnouncementField.SERVICE, "is empty; name the service")
+        service.isEmpty() && !isBareTombstone -> AnnouncementError(
+            AnnouncementField.SERVICE,
+            "is empty; name the service",
+        )
         stagedModels.size > AnnouncementBounds.MAX_STAGED_MODELS -> AnnouncementError(
             AnnouncementField.STAGED_MODELS,
             "has ${stagedModels.size} entries; give at most ${AnnouncementBounds.MAX_STAGED_MODELS}",
@@ -111,5 +122,8 @@
     else -> null
 }
 
-private fun Announcement.addressError(): AnnouncementError? =
+private fun Announcement.addressError(): AnnouncementError? = if (isBareTombstone) {
+    null
+} else {
     Address.parseServer(address).fold({ null }, { AnnouncementError(AnnouncementField.ADDRESS, it) })
+}
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/BackendDirectory.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/BackendDirectory.kt
@@ -49,10 +49,10 @@
         BackendIndex(backends),
     )
 
-    /** Adds [announcement], received at [receivedAtMs], unless a newer one of the same backend server is known. */
+    /** Adds [announcement], received at [receivedAtMs], unless what is known of its sender is newer or final. */
     fun withAnnouncement(announcement: Announcement, receivedAtMs: Long): BackendDirectory {
         val current = backends[announcement.id]
-        if (current != null && !announcement.isNewerThan(current.announcement)) return this
+        if (current != null && !announcement.replaces(current.announcement)) return this
         if (current != null && announcement.hasContentOf(current.announcement)) {
             return withSequence(current, announcement.sequence, receivedAtMs)
         }
@@ -75,13 +75,28 @@
         val known = current.announcement
         return when {
             known.startedAtMs > renewal.startedAtMs -> RenewalOutcome.Outdated
-            known.startedAtMs == renewal.startedAtMs && known.sequence >= renewal.sequence -> RenewalOutcome.Outdated
             known.startedAtMs < renewal.startedAtMs -> RenewalOutcome.Unknown
+            known.state == BackendState.GONE || known.sequence >= renewal.sequence -> RenewalOutcome.Outdated
             current.contentChecksum != renewal.contentChecksum -> RenewalOutcome.Unknown
             else -> RenewalOutcome.Renewed(withSequence(current, renewal.sequence, receivedAtMs))
         }
     }
 
+    /**
+     * Returns the announcement that a life of the backend server [id] has ended: the one that began at [startedAtMs],
+     * or by default the known one; null if a later life is known. A life that is not known yet may still be announced
+     * late, so it gets a tombstone as well.
+     */
+    fun tombstone(id: String, startedAtMs: Long?): Announcement? {
+        val known = backends[id]?.announcement
+        val life = startedAtMs ?: known?.startedAtMs ?: 0
+        return when {
+            known == null || life > known.startedAtMs -> unknownTombstone(id, life)
+            life < known.startedAtMs -> null
+            else -> known.copy(state = BackendState.GONE, sequence = known.sequence + 1)
+        }
+    }
+
     private fun withSequence(current: KnownBackend, sequence: Long, receivedAtMs: Long): BackendDirectory {
         val announcement = current.announcement.copy(sequence = sequence)
         return BackendDirectory(backends.put(announcement.id, KnownBackend(announcement, receivedAtMs)), index)
--- a/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/backend/RenewalTest.kt
+++ b/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/backend/RenewalTest.kt
@@ -14,6 +14,7 @@
     private val group = GroupMembership(GroupId("g1", 1), 0, GroupState.READY, "m")
     private val known = testAnnouncement.copy(stagedModels = persistentListOf("m"), groupMembership = group)
     private val directory = BackendDirectory().withAnnouncement(known, 0)
+        .withAnnouncement(known.copy(id = "gone", address = "10.0.0.2:80", state = BackendState.GONE), 0)
 
     private fun renewalOf(announcement: Announcement) =
         Renewal(announcement.id, announcement.startedAtMs, announcement.sequence, announcement.contentChecksum())
@@ -29,6 +30,7 @@
         Case("an earlier life", next.copy(startedAtMs = 90), renewed = false, missing = false),
         Case("an unknown life", known.copy(startedAtMs = 200, sequence = 2), renewed = false, missing = true),
         Case("an unknown backend server", next.copy(id = "b"), renewed = false, missing = true),
+        Case("a life that has ended", next.copy(id = "gone"), renewed = false, missing = false),
         Case("another state", next.copy(state = BackendState.LEAVING), renewed = false, missing = true),
         Case("another address", next.copy(address = "10.0.0.1:81"), renewed = false, missing = true),
         Case("other weights", next.copy(stagedModels = persistentListOf()), renewed = false, missing = true),
--- a/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/wire/DirectoryWireTest.kt
+++ b/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/wire/DirectoryWireTest.kt
@@ -73,6 +73,7 @@
         "in a group" to sound,
         "in no group" to sound.copy(groupMembership = null),
         "deregistered" to sound.copy(state = BackendState.GONE),
+        "deregistered before it was known" to BackendDirectory().tombstone("a", 200)!!,
         "without a start time" to sound.copy(startedAtMs = 0),
     ).map { (name, announcement) ->
         DynamicTest.dynamicTest(name) { expectThat(decode(announcement.toMessage(0))).isEqualTo(announcement) }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -22,7 +22,7 @@
 import org.bramleyspur.control.state.StoredDocument
 import org.bramleyspur.core.backend.Announcement
 import org.bramleyspur.core.backend.BackendDirectory
-import org.bramleyspur.core.backend.BackendState
+import org.bramleyspur.core.backend.validate
 import org.bramleyspur.core.document.DocumentDecoder
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.core.telemetry.DecisionLog
@@ -393,10 +393,7 @@
             recordOwn(call.announcement)
             respond(ControlPlaneResponse.Accepted)
         }
-        is ControlPlaneCall.Deregister -> {
-            deregister(call)
-            respond(ControlPlaneResponse.Accepted)
-        }
+        is ControlPlaneCall.Deregister -> respond(deregister(call))
         is ControlPlaneCall.Replace -> replace(call, respond)
         is ControlPlaneCall.Read -> read(respond)
         is ControlPlaneCall.Invalid -> {
@@ -408,13 +405,17 @@
 
     private fun onCallFailure(cause: Throwable) = log.write("call-failed", "reason" to cause.toString())
 
-    private fun deregister(call: ControlPlaneCall.Deregister) {
-        val known = directory.backends[call.id]?.announcement ?: return
-        if (call.startedAtMs != null && call.startedAtMs != known.startedAtMs) return
-        // A deregistered engine may serve for some time, so its place in a group is free only after the group's head
-        // is known to have left.
-        val deregistered = known.copy(state = BackendState.GONE, sequence = known.sequence + 1)
-        recordOwn(deregistered)
+    /** A deregistered engine may serve for some time, so its place in a group is free only once the head has left. */
+    private fun deregister(call: ControlPlaneCall.Deregister): ControlPlaneResponse {
+        val tombstone = directory.tombstone(call.id, call.startedAtMs) ?: return ControlPlaneResponse.Accepted
+        val error = tombstone.validate(System.currentTimeMillis())
+        if (error != null) {
+            val reason = "${error.field.name} ${error.reason}"
+            log.write("call-refused", "reason" to reason)
+            return ControlPlaneResponse.Refused(reason)
+        }
+        recordOwn(tombstone)
+        return ControlPlaneResponse.Accepted
     }
 
     private fun replace(call: ControlPlaneCall.Replace, respond: (ControlPlaneResponse) -> Unit) {
