Close the log of a member after any error in the midst of an event

Callers saw: after an OutOfMemoryError a control process ran on and neither voted, read nor acknowledged, until it was restarted by hand.

Cause: the storage thread caught exceptions but not errors, so a failed open was never repeated. On the control thread an error in a step left the state ahead of its effects: a write that was counted and never issued would have been reported as synced by the next one.

A failure while the recovered state is restored closes the directory and is repeated as well.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -210,18 +210,21 @@
         storageThread.execute {
             val opened = openStorage()
             loops.control.execute {
-                opened.fold({ startNode(it) }, { message ->
-                    log.write("log-not-open", "reason" to message, "retry_ms" to LOG_REOPEN_DELAY_MS)
-                    timers.after(LOG_REOPEN_DELAY_MS) { openLog() }
-                })
+                opened.fold({ startNode(it) }, { reopenLog(it) })
             }
         }
     }
 
-    @Suppress("TooGenericExceptionCaught") // Any operation on a directory of a failed disk can throw.
+    private fun reopenLog(reason: String) {
+        log.write("log-not-open", "reason" to reason, "retry_ms" to LOG_REOPEN_DELAY_MS)
+        timers.after(LOG_REOPEN_DELAY_MS) { openLog() }
+    }
+
+    // Any operation on a directory of a failed disk can throw, and reading a large log can exhaust the memory.
+    @Suppress("TooGenericExceptionCaught")
     private fun openStorage(): Result<LogStorage, String> = try {
         LogStorage.open(openDirectory(Path.of(settings.dataDir)), firstStart()).mapError { it.message }
-    } catch (e: Exception) {
+    } catch (e: Throwable) {
         Err(e.toString())
     }
 
@@ -234,6 +237,7 @@
         }
     }
 
+    @Suppress("TooGenericExceptionCaught") // Restoring a large state can exhaust the memory.
     private fun startNode(storage: LogStorage) {
         memberId = storage.memberId
         val startedNode = ControlNode(
@@ -248,7 +252,13 @@
             ::onStorageFailure,
         ) { nextMembershipChange(it, settings.voterCount) }
         node = startedNode
-        startedNode.start()
+        try {
+            startedNode.start()
+        } catch (e: Throwable) {
+            node = null
+            storageThread.execute { storage.close() }
+            return reopenLog(e.toString())
+        }
         log.write("log-open", "member" to memberId, "document" to (startedNode.state.document?.version ?: 0L))
     }
 
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/ReplicatedLog.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/ReplicatedLog.kt
@@ -184,12 +184,21 @@
         if (processing) return
         processing = true
         try {
-            while (true) process(eventQueue.removeFirstOrNull() ?: break)
+            while (true) processOrFail(eventQueue.removeFirstOrNull() ?: break)
         } finally {
             processing = false
         }
     }
 
+    /** Closes the log after any error in the midst of an event, since the state may be ahead of its effects. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun processOrFail(pending: PendingEvent) = try {
+        process(pending)
+    } catch (e: Throwable) {
+        onStorageFailure(StorageError.MemberFailed(e.toString()))
+        pending.callbacks.forEach { it(Err(ProposeError.OutcomeUnknown)) }
+    }
+
     private fun process(pending: PendingEvent) {
         if (closed) return pending.callbacks.forEach { it(Err(ProposeError.Closed)) }
         val step = step(state, pending.event)
@@ -265,7 +274,10 @@
 
     private fun onStorageFailure(error: StorageError) {
         logger.error { error.message }
-        close()
-        options.onStorageFailure(error)
+        try {
+            close()
+        } finally {
+            options.onStorageFailure(error)
+        }
     }
 }
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/StorageQueue.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/StorageQueue.kt
@@ -53,7 +53,8 @@
         storageThread.execute { runAll() }
     }
 
-    @Suppress("TooGenericExceptionCaught") // After any exception, the log must not wait for a write that was lost.
+    // After any exception or error, the log must not wait for a write that was lost.
+    @Suppress("TooGenericExceptionCaught")
     private fun runAll() {
         if (failed) return
         try {
@@ -69,7 +70,7 @@
             flush(writes)
         } catch (e: StorageException) {
             fail(e.error)
-        } catch (e: RuntimeException) {
+        } catch (e: Throwable) {
             fail(StorageError.Unexpected(e.toString()))
         }
     }
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/StorageError.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/storage/StorageError.kt
@@ -1,6 +1,6 @@
 package org.bramleyspur.log.storage
 
-/** A failure of the log storage. All kinds are fatal for the process. */
+/** A failure of the log storage, or of the log that uses it. The log is closed after any of them. */
 sealed interface StorageError {
     /** Message for operators, including the remedy. */
     val message: String
@@ -30,6 +30,15 @@
             get() = "reading $file failed ($cause); check the disk and the permissions of the data directory"
     }
 
+    /**
+     * The member failed outside the storage, for instance for want of memory, in the midst of an event. Effects of that
+     * event may be missing, so its state in memory must not be used any longer.
+     */
+    data class MemberFailed(val cause: String) : StorageError {
+        override val message
+            get() = "the log of this member failed ($cause) and is closed; its state is read from the disk again"
+    }
+
     /** An operation failed in a way that is not expected of a file system. */
     data class Unexpected(val cause: String) : StorageError {
         override val message
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/Cluster.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/Cluster.kt
@@ -151,6 +151,19 @@
         var log: ReplicatedLog? = null
         var paused = false
 
+        /** Thrown by the next call of the state machine that its name matches, once; null if none is. */
+        var stateMachineFailure: Pair<String, Throwable>? = null
+
+        private fun failIn(call: String) {
+            val (target, failure) = stateMachineFailure ?: return
+            if (target != call) return
+            stateMachineFailure = null
+            expectedFailure = failure.toString()
+            throw failure
+        }
+
+        private var expectedFailure: String? = null
+
         /** Additional delay of each write to the disk. */
         var diskDelayMs = 0.0
         private var incarnation = 0
@@ -222,6 +235,7 @@
             )
             val options =
                 LogOptions(address, settings, snapshotEntries) {
+                    check(it !is StorageError.MemberFailed || it.cause == expectedFailure) { it.message }
                     if (reopenDelayMs ==
                         null
                     ) {
@@ -242,9 +256,16 @@
         }
 
         private fun stateMachine() = StateMachine(
-            apply = { index, term, payload -> invariants.applied(this, index, term, payload.decodeToString()) },
-            snapshot = { applied.entries.joinToString("\n") { "${it.key} ${it.value}" }.encodeToByteArray() },
+            apply = { index, term, payload ->
+                failIn("apply")
+                invariants.applied(this, index, term, payload.decodeToString())
+            },
+            snapshot = {
+                failIn("snapshot")
+                applied.entries.joinToString("\n") { "${it.key} ${it.value}" }.encodeToByteArray()
+            },
             restore = { bytes ->
+                failIn("restore")
                 applied.clear()
                 bytes.decodeToString().lines().filter { it.isNotEmpty() }
                     .forEach { applied[it.substringBefore(' ').toLong()] = it.substringAfter(' ') }
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/FullDiskTest.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/FullDiskTest.kt
@@ -19,6 +19,8 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import org.junit.jupiter.api.assertThrows
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isA
@@ -188,13 +190,14 @@
         open(files).getOrElse { error(it.message) }.close()
     }
 
-    /** Guards against a log that acknowledges nothing, but is not closed, after an unexpected exception. */
-    @Test
-    fun `an unexpected exception on the storage thread closes the log, which opens again`() {
+    /** Guards against a log that acknowledges nothing, but is not closed, after an unexpected exception or error. */
+    @ParameterizedTest
+    @MethodSource("unexpected")
+    fun `an unexpected exception on the storage thread closes the log, which opens again`(failure: Throwable) {
         val cluster = Cluster(1, seed = 1, reopenDelayMs = REOPEN_DELAY_MS)
         val leader = cluster.awaitLeader()
         cluster.run(100)
-        leader.files.uncheckedFailure = IllegalStateException("simulated failure")
+        leader.files.uncheckedFailure = failure
         val outcomes = mutableListOf<ProposeError?>()
         leader.log!!.propose(ByteArray(1)) { outcomes += it.getError() }
         cluster.run(100)
@@ -273,7 +276,11 @@
         }
     }
 
-    private companion object {
+    companion object {
+        @JvmStatic
+        fun unexpected(): List<Throwable> =
+            listOf(IllegalStateException("simulated failure"), OutOfMemoryError("simulated"))
+
         const val SEEDS = 30L
         const val REOPEN_DELAY_MS = 1_000
         const val PROPOSAL_INTERVAL_MS = 40
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/TestFileSystem.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/TestFileSystem.kt
@@ -37,7 +37,7 @@
     var closeFails = false
 
     /** Thrown by the next operation instead of an [IOException]; null if none is. */
-    var uncheckedFailure: RuntimeException? = null
+    var uncheckedFailure: Throwable? = null
 
     /** Bytes of all files. */
     val totalBytes: Long get() = files.values.sumOf { it.bytes.size().toLong() }
