Hold one document at most for a watcher that takes nothing

Callers would see: a control instance without memory while an entry is frozen or slow and configurations follow each other; at 461 kB and 16 changes a second the 3 s until the watcher is dropped amount to 22 MB for each entry, of 64 MB.

Cause: each change was written to the stream of every entry that lacked it, whether the earlier ones had been taken or not.

Change: a document goes to an entry whose stream is ready. Once it becomes ready, it gets the newest one.

SlowWatcherTest fails in 3 of 4 cases without the condition, and passes with it.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
@@ -95,6 +95,7 @@
         val watcher = Watcher(events as ServerCallStreamObserver<DirectoryEvent>)
         watchers += watcher
         events.setOnCancelHandler { watchers -= watcher }
+        events.setOnReadyHandler { sendDocument() }
         val now = timers.nowMs()
         val event = newEvent().addAllAnnouncements(source.backends().toMessages(now))
         event.addAllPromptParts(source.promptParts().map { it.toMessage() })
@@ -123,7 +124,7 @@
         val document = source.document() ?: return
         val leads = source.confirmed()
         val nowMs = timers.nowMs()
-        val lacking = watchers.filter { it.lacks(document.version) }
+        val lacking = watchers.filter { it.lacks(document.version) && it.takesDocuments }
             .filter { leads || nowMs - maxOf(committedAtMs, it.openedAtMs) >= FOLLOWER_DELAY_MS }
         if (lacking.isEmpty()) return
         val event = newEvent().setDocument(document.toEvent()).build()
@@ -149,6 +150,12 @@
         /** The newest document version that the watcher has in force or was sent. */
         private var documentVersion = 0L
 
+        /**
+         * Whether the watcher has taken what was sent to it. One that is slow or frozen gets only the newest document
+         * once it is ready, so that the documents of many changes do not queue up in memory.
+         */
+        val takesDocuments: Boolean get() = events.isReady
+
         /** Whether the watcher needs documents, which control instances receive by the log, and has an older one. */
         fun lacks(version: Long): Boolean = isEntry && documentVersion < version
 
