Accept documents up to one documented size, and refuse larger ones for good

Callers saw: a valid configuration of 3,615 routes (1.1 MB) was answered 503 "the payload exceeds 1048576 bytes" by the leader, again and again.

Cause: the bytes of an append message were also the maximum of one entry, while the interface took bodies of 5 MiB; and every error of a proposal was answered as one that may pass.

Change: Document.MAX_BYTES (3 MiB) is the size that the interface takes; the maximum of an entry follows from it, an append message holds a batch and one more entry, and stays below the limit of a message between instances. A larger body is answered 413, and an entry that is too large is refused for good.

--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/Document.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/Document.kt
@@ -145,7 +145,12 @@
     val services: ImmutableMap<String, DocumentService>,
     val accounts: ImmutableList<DocumentAccount>?,
     val limits: ClientLimits,
-)
+) {
+    companion object {
+        /** Maximum size of an encoded document. The limits of each transport and of the control log follow from it. */
+        const val MAX_BYTES = 3 * 1024 * 1024
+    }
+}
 
 /** Why a document is rejected; [message] includes the remedy. */
 data class DocumentError(val message: String)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
@@ -22,6 +22,7 @@
 import io.netty.handler.timeout.ReadTimeoutHandler
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
+import org.bramleyspur.core.document.Document
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.daemon.http.RequestAggregator
 import org.bramleyspur.daemon.http.fullResponse
@@ -58,7 +59,7 @@
                         channel.pipeline().addLast(
                             ReadTimeoutHandler(IDLE_TIMEOUT_MS, TimeUnit.MILLISECONDS),
                             HttpServerCodec(),
-                            RequestAggregator(MAX_BODY_BYTES),
+                            RequestAggregator(Document.MAX_BYTES),
                             FlowControlHandler(),
                             Handler(),
                         )
@@ -123,8 +124,6 @@
         fullResponse(status, body, HttpHeaderValues.APPLICATION_JSON)
 
     private companion object {
-        /** Room for the largest configuration document and its framing. */
-        const val MAX_BODY_BYTES = 5 * 1024 * 1024
         const val IDLE_TIMEOUT_MS = 30_000L
     }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/ControlNode.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/ControlNode.kt
@@ -18,6 +18,7 @@
 import org.bramleyspur.control.state.decodeSnapshot
 import org.bramleyspur.control.state.encode
 import org.bramleyspur.control.state.encodeSnapshot
+import org.bramleyspur.core.document.Document
 import org.bramleyspur.core.time.TimerHandle
 import org.bramleyspur.core.time.TimerService
 import org.bramleyspur.log.LeadershipListener
@@ -113,7 +114,7 @@
         }
     }
 
-    private fun consensusSettings() = ConsensusSettings().let {
+    private fun consensusSettings() = SETTINGS.let {
         it.copy(trailingEntries = minOf(it.trailingEntries, snapshotEntries / TRAILING_DIVISOR))
     }
 
@@ -177,9 +178,12 @@
         listener.onLeadershipLost()
     }
 
-    private companion object {
-        const val MEMBERSHIP_CHECK_INTERVAL_MS = 500L
-        const val TRAILING_DIVISOR = 10
+    internal companion object {
+        /** A document and the other fields of its command. */
+        const val MAX_COMMAND_BYTES = Document.MAX_BYTES + 64 * 1024
+        val SETTINGS = ConsensusSettings(maxEntryBytes = MAX_COMMAND_BYTES)
+        private const val MEMBERSHIP_CHECK_INTERVAL_MS = 500L
+        private const val TRAILING_DIVISOR = 10
     }
 }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -53,6 +53,7 @@
 import org.bramleyspur.daemon.orders.OrderSender
 import org.bramleyspur.daemon.platform.PlatformServer
 import org.bramleyspur.daemon.platform.Readiness
+import org.bramleyspur.log.consensus.ProposeError
 import org.bramleyspur.log.storage.DiskFileSystem
 import org.bramleyspur.log.storage.FileSystem
 import org.bramleyspur.log.storage.FirstStart
@@ -436,15 +437,16 @@
         current.propose(ReplaceDocument(document)) { result ->
             val outcome = result.fold({ "accepted" }, { it.message })
             log.write("document", "version" to call.version, "outcome" to outcome)
-            respond(
-                result.fold(
-                    { ControlPlaneResponse.Accepted },
-                    { ControlPlaneResponse.Unavailable(it.message) },
-                ),
-            )
+            respond(result.fold({ ControlPlaneResponse.Accepted }, ::refusalOf))
         }
     }
 
+    /** Only an entry that is too large is refused for good; all other errors may pass. */
+    private fun refusalOf(error: ProposeError): ControlPlaneResponse = when (error) {
+        is ProposeError.TooLarge -> ControlPlaneResponse.Refused(error.message)
+        else -> ControlPlaneResponse.Unavailable(error.message)
+    }
+
     private fun read(respond: (ControlPlaneResponse) -> Unit) {
         val current =
             node ?: return respond(ControlPlaneResponse.Unavailable("the log is not open; ask another instance"))
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/Channels.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/Channels.kt
@@ -18,7 +18,9 @@
  */
 private const val KEEPALIVE_TIME_MS = 1_000L
 private const val KEEPALIVE_TIMEOUT_MS = 1_000L
-private const val MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+
+/** Room for the largest append message of the control log, a document, and a full directory of backend servers. */
+internal const val MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
 /**
  * Opens a gRPC channel whose callbacks run on [group]. gRPC's retries and name resolution are disabled, since the
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/ReplicatedLog.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/ReplicatedLog.kt
@@ -120,7 +120,7 @@
      * with an error. Proposals made within one task of the control thread are written together.
      */
     fun propose(payload: ByteArray, callback: ProposeCallback) {
-        val maxPayloadBytes = options.consensus.batchBytes
+        val maxPayloadBytes = options.consensus.maxEntryBytes
         when {
             closed -> callback(Err(ProposeError.Closed))
 
--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/ConsensusSettings.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/ConsensusSettings.kt
@@ -10,8 +10,8 @@
  * @property maxElectionTimeoutMs longest election timeout in milliseconds
  * @property clockDriftPercent allowance for the drift between two members' clocks, in percent of the elapsed time
  * @property batchEntries maximum number of entries in one append message
- * @property batchBytes payload bytes after which no entry is added to an append message; also the maximum payload size
- * of one entry
+ * @property batchBytes payload bytes after which no entry is added to an append message
+ * @property maxEntryBytes maximum payload size of one entry
  * @property maxInFlightEntries maximum number of unacknowledged entries sent to a peer
  * @property maxInFlightBytes payload bytes sent to a peer without acknowledgement, after which no entry is sent
  * @property snapshotChunkBytes payload bytes of one snapshot chunk
@@ -27,6 +27,7 @@
     val clockDriftPercent: Int = 1,
     val batchEntries: Int = 512,
     val batchBytes: Int = 1 shl 20,
+    val maxEntryBytes: Int = 1 shl 20,
     val maxInFlightEntries: Int = 4096,
     val maxInFlightBytes: Long = 4L shl 20,
     val snapshotChunkBytes: Int = 256 shl 10,
@@ -44,6 +45,9 @@
         }
     }
 
+    /** Maximum payload bytes of an append message, to which an entry is added as long as it is below [batchBytes]. */
+    val maxAppendBytes: Int get() = batchBytes + maxEntryBytes
+
     /** Duration of the leader's lease in milliseconds, from the time at which an acknowledged round was sent. */
     val leaseMs: Long get() = minElectionTimeoutMs * PERCENT / (PERCENT + clockDriftPercent)
 
