Answer a proposal once when its member fails

Callers would see: two responses to one change on a connection, if a member ran out of memory after it had accepted the proposal, for instance while it built the message to a peer.

Cause: an accepted proposal is among the pending ones, which the close answers, and among those of the event that failed, which were answered as well. An error after the close, or a failed write after it, would also have reported the failure twice and opened the log twice.

Change: a callback has no effect after its first call, and a closed log reports no failure.

--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/ReplicatedLog.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/ReplicatedLog.kt
@@ -180,7 +180,7 @@
 
     /** Queues [event] behind those being processed, since callbacks may raise further events. */
     private fun handle(event: Event, callbacks: List<ProposeCallback> = emptyList()) {
-        eventQueue += PendingEvent(event, callbacks)
+        eventQueue += PendingEvent(event, callbacks.map { once(it) })
         if (processing) return
         processing = true
         try {
@@ -190,6 +190,17 @@
         }
     }
 
+    /** Returns [callback] without effect after its first call: an error can occur after some callbacks were called. */
+    private fun once(callback: ProposeCallback): ProposeCallback {
+        var called = false
+        return { result ->
+            if (!called) {
+                called = true
+                callback(result)
+            }
+        }
+    }
+
     /** Closes the log after any error in the midst of an event, since the state may be ahead of its effects. */
     @Suppress("TooGenericExceptionCaught")
     private fun processOrFail(pending: PendingEvent) = try {
@@ -273,6 +284,7 @@
     }
 
     private fun onStorageFailure(error: StorageError) {
+        if (closed) return
         logger.error { error.message }
         try {
             close()
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/Cluster.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/Cluster.kt
@@ -151,15 +151,15 @@
         var log: ReplicatedLog? = null
         var paused = false
 
-        /** Thrown by the next call of the state machine that its name matches, once; null if none is. */
-        var stateMachineFailure: Pair<String, Throwable>? = null
+        /** Thrown by the next call of the state machine or the transport with this name, once; null if none is. */
+        var failure: Pair<String, Throwable>? = null
 
         private fun failIn(call: String) {
-            val (target, failure) = stateMachineFailure ?: return
+            val (target, cause) = failure ?: return
             if (target != call) return
-            stateMachineFailure = null
-            expectedFailure = failure.toString()
-            throw failure
+            failure = null
+            expectedFailure = cause.toString()
+            throw cause
         }
 
         private var expectedFailure: String? = null
@@ -275,6 +275,7 @@
         )
 
         private fun send(to: String, message: ConsensusMessage) {
+            failIn("send")
             if (address to to in links.disconnected || random.nextInt(100) < links.lossPercent) return
             val copies = if (random.nextInt(100) < links.duplicatePercent) 2 else 1
             repeat(copies) {
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/MemberFailureTest.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/MemberFailureTest.kt
@@ -3,10 +3,12 @@
 import com.github.michaelbull.result.getError
 import org.bramleyspur.log.consensus.ProposeError
 import org.junit.jupiter.api.DynamicTest
-import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
 
 /**
  * Guards against a member that runs on after an error in the midst of an event, for instance for want of memory: its
@@ -15,7 +17,7 @@
 class MemberFailureTest {
     private class Case(val call: String, val atLeader: Boolean, val failure: Throwable)
 
-    private val cases = listOf("apply", "snapshot", "restore").flatMap { call ->
+    private val cases = listOf("apply", "snapshot", "restore", "send").flatMap { call ->
         listOf(true, false).flatMap { atLeader ->
             listOf(OutOfMemoryError("simulated"), StackOverflowError(), IllegalStateException("simulated"))
                 .map { Case(call, atLeader, it) }
@@ -31,10 +33,10 @@
             val leader = cluster.awaitLeader()
             val failing = if (case.atLeader) leader else cluster.nodes.first { it !== leader }
             if (case.call == "restore") cluster.isolate(failing)
-            failing.stateMachineFailure = case.call to case.failure
+            failing.failure = case.call to case.failure
             cluster.commit(60)
             cluster.links.reset()
-            cluster.runUntil("the member has failed") { failing.stateMachineFailure == null }
+            cluster.runUntil("the member has failed") { failing.failure == null }
             cluster.commit(10)
             cluster.runUntil("the member is open again") { failing.log != null }
             cluster.run(3_000)
@@ -42,14 +44,17 @@
         }
     }
 
-    @Test
-    fun `the callers of a member that fails learn that the outcome is unknown`() {
-        val cluster = Cluster(1, seed = 1, reopenDelayMs = REOPEN_DELAY_MS)
+    /** In `send`, the proposal has been accepted before the error. */
+    @ParameterizedTest
+    @ValueSource(strings = ["apply", "send"])
+    fun `the callers of a member that fails learn once that the outcome is unknown`(call: String) {
+        val cluster = Cluster(3, seed = 1, reopenDelayMs = REOPEN_DELAY_MS)
         val leader = cluster.awaitLeader()
-        leader.stateMachineFailure = "apply" to OutOfMemoryError("simulated")
         val errors = ArrayList<ProposeError?>()
         repeat(2) { leader.log!!.propose(ByteArray(1)) { errors += it.getError() } }
-        cluster.run(100)
+        leader.failure = call to OutOfMemoryError("simulated")
+        cluster.run(3_000)
+        expectThat(leader.failure).isEqualTo(null)
         expectThat(errors).containsExactly(ProposeError.OutcomeUnknown, ProposeError.OutcomeUnknown)
         cluster.commit(1)
     }
