State what a bare tombstone is by its fields, and name the room for a command's fields

Only an announcement that equals the one made for an unknown life skips the checks of the content; one with long texts and without a service passed them before. DirectoryWireTest has a deregistration without a service as a case.

--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/AnnouncementValidation.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/AnnouncementValidation.kt
@@ -47,11 +47,13 @@
 
 /** Checks the announcement at the Unix time [nowMs]; returns null when it names a usable backend server. */
 fun Announcement.validate(nowMs: Long): AnnouncementError? =
-    idError() ?: numberError(nowMs) ?: textError() ?: addressError()
+    idError() ?: lifeError(nowMs) ?: if (isBareTombstone) null else contentError()
 
-/** Whether only the end of a backend server is known, which names no service, address or slots. */
+private fun Announcement.contentError(): AnnouncementError? = numberError() ?: textError() ?: addressError()
+
+/** Whether the end of a life is all that is known of it. */
 private val Announcement.isBareTombstone: Boolean
-    get() = state == BackendState.GONE && service.isEmpty() && address.isEmpty() && slots == 0
+    get() = copy(sequence = 0) == unknownTombstone(id, startedAtMs)
 
 /** The id becomes the value of a header of every request to the server. */
 private fun Announcement.idError(): AnnouncementError? =
@@ -62,23 +64,21 @@
         AnnouncementError(AnnouncementField.ID, reason)
     }
 
-private fun Announcement.numberError(nowMs: Long): AnnouncementError? {
+private fun Announcement.lifeError(nowMs: Long): AnnouncementError? {
     val startedAt = 0..nowMs + AnnouncementBounds.MAX_CLOCK_DIFFERENCE_MS
     // A deregistration continues the sequence of the last announcement.
     val sequences = if (state == BackendState.GONE) 0..Long.MAX_VALUE else AnnouncementBounds.SEQUENCE
     return rangeError(AnnouncementField.STARTED_AT, startedAtMs, startedAt)
         ?: rangeError(AnnouncementField.SEQUENCE, sequence, sequences)
-        ?: if (isBareTombstone) {
-            null
-        } else {
-            rangeError(AnnouncementField.SLOTS, slots.toLong(), AnnouncementBounds.SLOTS)
-                ?: groupMembership?.let {
-                    rangeError(AnnouncementField.GROUP_EPOCH, it.id.epoch, AnnouncementBounds.EPOCH)
-                        ?: rangeError(AnnouncementField.GROUP_RANK, it.rank.toLong(), AnnouncementBounds.RANK)
-                }
-        }
 }
 
+private fun Announcement.numberError(): AnnouncementError? =
+    rangeError(AnnouncementField.SLOTS, slots.toLong(), AnnouncementBounds.SLOTS)
+        ?: groupMembership?.let {
+            rangeError(AnnouncementField.GROUP_EPOCH, it.id.epoch, AnnouncementBounds.EPOCH)
+                ?: rangeError(AnnouncementField.GROUP_RANK, it.rank.toLong(), AnnouncementBounds.RANK)
+        }
+
 private fun rangeError(field: AnnouncementField, value: Long, range: LongRange): AnnouncementError? =
     if (value in range) null else AnnouncementError(field, outsideRange(value, range))
 
@@ -95,10 +95,7 @@
         AnnouncementField.GROUP_MODEL to groupMembership?.model.orEmpty(),
     ) + stagedModels.map { AnnouncementField.STAGED_MODELS to it }
     return when {
-        service.isEmpty() && !isBareTombstone -> AnnouncementError(
-            AnnouncementField.SERVICE,
-            "is empty; name the service",
-        )
+        service.isEmpty() -> AnnouncementError(AnnouncementField.SERVICE, "is empty; name the service")
         stagedModels.size > AnnouncementBounds.MAX_STAGED_MODELS -> AnnouncementError(
             AnnouncementField.STAGED_MODELS,
             "has ${stagedModels.size} entries; give at most ${AnnouncementBounds.MAX_STAGED_MODELS}",
@@ -122,8 +119,5 @@
     else -> null
 }
 
-private fun Announcement.addressError(): AnnouncementError? = if (isBareTombstone) {
-    null
-} else {
+private fun Announcement.addressError(): AnnouncementError? =
     Address.parseServer(address).fold({ null }, { AnnouncementError(AnnouncementField.ADDRESS, it) })
-}
--- a/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/wire/DirectoryWireTest.kt
+++ b/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/wire/DirectoryWireTest.kt
@@ -60,6 +60,10 @@
         "long models" to changed { addAllStagedModels(List(60) { "x".repeat(120) }) },
         "rank out of range" to changed { setGroup(group.toBuilder().setRank(-1)) },
         "epoch out of range" to changed { setGroup(group.toBuilder().setEpoch(-1)) },
+        "no service after a deregistration" to changed {
+            state = BackendState.GONE.name
+            clearService()
+        },
         "two ports" to changed { address = "10.0.0.1:80:81" },
     )
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/ControlNode.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/ControlNode.kt
@@ -179,9 +179,9 @@
     }
 
     internal companion object {
-        /** A document and the other fields of its command. */
-        const val MAX_COMMAND_BYTES = Document.MAX_BYTES + 64 * 1024
-        val SETTINGS = ConsensusSettings(maxEntryBytes = MAX_COMMAND_BYTES)
+        /** Room for the fields of a command beside a document. */
+        private const val COMMAND_FIELDS_BYTES = 64 * 1024
+        val SETTINGS = ConsensusSettings(maxEntryBytes = Document.MAX_BYTES + COMMAND_FIELDS_BYTES)
         private const val MEMBERSHIP_CHECK_INTERVAL_MS = 500L
         private const val TRAILING_DIVISOR = 10
     }
