--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/BackendAnnouncement.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/BackendAnnouncement.java
@@ -405,6 +405,21 @@
     return ageMs_;
   }
 
+  public static final int COLD_REMAINING_MS_FIELD_NUMBER = 13;
+  private int coldRemainingMs_ = 0;
+  /**
+   * <pre>
+   * How long the backend server stays cold after the announcement arrived; 0 if it is not cold.
+   * </pre>
+   *
+   * <code>uint32 cold_remaining_ms = 13;</code>
+   * @return The coldRemainingMs.
+   */
+  @java.lang.Override
+  public int getColdRemainingMs() {
+    return coldRemainingMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -455,6 +470,9 @@
     if (ageMs_ != 0) {
       output.writeUInt32(12, ageMs_);
     }
+    if (coldRemainingMs_ != 0) {
+      output.writeUInt32(13, coldRemainingMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -510,6 +528,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(12, ageMs_);
     }
+    if (coldRemainingMs_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(13, coldRemainingMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -552,6 +574,8 @@
     }
     if (getAgeMs()
         != other.getAgeMs()) return false;
+    if (getColdRemainingMs()
+        != other.getColdRemainingMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -593,6 +617,8 @@
     }
     hash = (37 * hash) + AGE_MS_FIELD_NUMBER;
     hash = (53 * hash) + getAgeMs();
+    hash = (37 * hash) + COLD_REMAINING_MS_FIELD_NUMBER;
+    hash = (53 * hash) + getColdRemainingMs();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -747,6 +773,7 @@
         groupBuilder_ = null;
       }
       ageMs_ = 0;
+      coldRemainingMs_ = 0;
       return this;
     }
 
@@ -821,6 +848,9 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.ageMs_ = ageMs_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.coldRemainingMs_ = coldRemainingMs_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -923,6 +953,9 @@
       if (other.getAgeMs() != 0) {
         setAgeMs(other.getAgeMs());
       }
+      if (other.getColdRemainingMs() != 0) {
+        setColdRemainingMs(other.getColdRemainingMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1012,6 +1045,11 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 96
+            case 104: {
+              coldRemainingMs_ = input.readUInt32();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1864,6 +1902,50 @@
       onChanged();
       return this;
     }
+
+    private int coldRemainingMs_ ;
+    /**
+     * <pre>
+     * How long the backend server stays cold after the announcement arrived; 0 if it is not cold.
+     * </pre>
+     *
+     * <code>uint32 cold_remaining_ms = 13;</code>
+     * @return The coldRemainingMs.
+     */
+    @java.lang.Override
+    public int getColdRemainingMs() {
+      return coldRemainingMs_;
+    }
+    /**
+     * <pre>
+     * How long the backend server stays cold after the announcement arrived; 0 if it is not cold.
+     * </pre>
+     *
+     * <code>uint32 cold_remaining_ms = 13;</code>
+     * @param value The coldRemainingMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setColdRemainingMs(int value) {
+
+      coldRemainingMs_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long the backend server stays cold after the announcement arrived; 0 if it is not cold.
+     * </pre>
+     *
+     * <code>uint32 cold_remaining_ms = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearColdRemainingMs() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      coldRemainingMs_ = 0;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/BackendAnnouncementOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/BackendAnnouncementOrBuilder.java
@@ -159,4 +159,14 @@
    * @return The ageMs.
    */
   int getAgeMs();
+
+  /**
+   * <pre>
+   * How long the backend server stays cold after the announcement arrived; 0 if it is not cold.
+   * </pre>
+   *
+   * <code>uint32 cold_remaining_ms = 13;</code>
+   * @return The coldRemainingMs.
+   */
+  int getColdRemainingMs();
 }
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ControlLogCommand.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ControlLogCommand.java
@@ -53,6 +53,7 @@
     COMPLETE(6),
     EXPIRE_CLAIMS(7),
     REPLACE_DOCUMENT(8),
+    EVACUATE(9),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -78,6 +79,7 @@
         case 6: return COMPLETE;
         case 7: return EXPIRE_CLAIMS;
         case 8: return REPLACE_DOCUMENT;
+        case 9: return EVACUATE;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -341,6 +343,37 @@
     return org.bramleyspur.protocol.ReplaceDocumentCommand.getDefaultInstance();
   }
 
+  public static final int EVACUATE_FIELD_NUMBER = 9;
+  /**
+   * <code>.bramleyspur.EvacuateCommand evacuate = 9;</code>
+   * @return Whether the evacuate field is set.
+   */
+  @java.lang.Override
+  public boolean hasEvacuate() {
+    return kindCase_ == 9;
+  }
+  /**
+   * <code>.bramleyspur.EvacuateCommand evacuate = 9;</code>
+   * @return The evacuate.
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.EvacuateCommand getEvacuate() {
+    if (kindCase_ == 9) {
+       return (org.bramleyspur.protocol.EvacuateCommand) kind_;
+    }
+    return org.bramleyspur.protocol.EvacuateCommand.getDefaultInstance();
+  }
+  /**
+   * <code>.bramleyspur.EvacuateCommand evacuate = 9;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.EvacuateCommandOrBuilder getEvacuateOrBuilder() {
+    if (kindCase_ == 9) {
+       return (org.bramleyspur.protocol.EvacuateCommand) kind_;
+    }
+    return org.bramleyspur.protocol.EvacuateCommand.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -379,6 +412,9 @@
     if (kindCase_ == 8) {
       output.writeMessage(8, (org.bramleyspur.protocol.ReplaceDocumentCommand) kind_);
     }
+    if (kindCase_ == 9) {
+      output.writeMessage(9, (org.bramleyspur.protocol.EvacuateCommand) kind_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -420,6 +456,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(8, (org.bramleyspur.protocol.ReplaceDocumentCommand) kind_);
     }
+    if (kindCase_ == 9) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(9, (org.bramleyspur.protocol.EvacuateCommand) kind_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -469,6 +509,10 @@
         if (!getReplaceDocument()
             .equals(other.getReplaceDocument())) return false;
         break;
+      case 9:
+        if (!getEvacuate()
+            .equals(other.getEvacuate())) return false;
+        break;
       case 0:
       default:
     }
@@ -516,6 +560,10 @@
         hash = (37 * hash) + REPLACE_DOCUMENT_FIELD_NUMBER;
         hash = (53 * hash) + getReplaceDocument().hashCode();
         break;
+      case 9:
+        hash = (37 * hash) + EVACUATE_FIELD_NUMBER;
+        hash = (53 * hash) + getEvacuate().hashCode();
+        break;
       case 0:
       default:
     }
@@ -674,6 +722,9 @@
       if (replaceDocumentBuilder_ != null) {
         replaceDocumentBuilder_.clear();
       }
+      if (evacuateBuilder_ != null) {
+        evacuateBuilder_.clear();
+      }
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -747,6 +798,10 @@
           replaceDocumentBuilder_ != null) {
         result.kind_ = replaceDocumentBuilder_.build();
       }
+      if (kindCase_ == 9 &&
+          evacuateBuilder_ != null) {
+        result.kind_ = evacuateBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -826,6 +881,10 @@
           mergeReplaceDocument(other.getReplaceDocument());
           break;
         }
+        case EVACUATE: {
+          mergeEvacuate(other.getEvacuate());
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -912,6 +971,13 @@
               kindCase_ = 8;
               break;
             } // case 66
+            case 74: {
+              input.readMessage(
+                  getEvacuateFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 9;
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2079,6 +2145,148 @@
       onChanged();
       return replaceDocumentBuilder_;
     }
+
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.bramleyspur.protocol.EvacuateCommand, org.bramleyspur.protocol.EvacuateCommand.Builder, org.bramleyspur.protocol.EvacuateCommandOrBuilder> evacuateBuilder_;
+    /**
+     * <code>.bramleyspur.EvacuateCommand evacuate = 9;</code>
+     * @return Whether the evacuate field is set.
+     */
+    @java.lang.Override
+    public boolean hasEvacuate() {
+      return kindCase_ == 9;
+    }
+    /**
+     * <code>.bramleyspur.EvacuateCommand evacuate = 9;</code>
+     * @return The evacuate.
+     */
+    @java.lang.Override
+    public org.bramleyspur.protocol.EvacuateCommand getEvacuate() {
+      if (evacuateBuilder_ == null) {
+        if (kindCase_ == 9) {
+          return (org.bramleyspur.protocol.EvacuateCommand) kind_;
+        }
+        return org.bramleyspur.protocol.EvacuateCommand.getDefaultInstance();
+      } else {
+        if (kindCase_ == 9) {
+          return evacuateBuilder_.getMessage();
+        }
+        return org.bramleyspur.protocol.EvacuateCommand.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramleyspur.EvacuateCommand evacuate = 9;</code>
+     */
+    public Builder setEvacuate(org.bramleyspur.protocol.EvacuateCommand value) {
+      if (evacuateBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        evacuateBuilder_.setMessage(value);
+      }
+      kindCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.bramleyspur.EvacuateCommand evacuate = 9;</code>
+     */
+    public Builder setEvacuate(
+        org.bramleyspur.protocol.EvacuateCommand.Builder builderForValue) {
+      if (evacuateBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        evacuateBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.bramleyspur.EvacuateCommand evacuate = 9;</code>
+     */
+    public Builder mergeEvacuate(org.bramleyspur.protocol.EvacuateCommand value) {
+      if (evacuateBuilder_ == null) {
+        if (kindCase_ == 9 &&
+            kind_ != org.bramleyspur.protocol.EvacuateCommand.getDefaultInstance()) {
+          kind_ = org.bramleyspur.protocol.EvacuateCommand.newBuilder((org.bramleyspur.protocol.EvacuateCommand) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 9) {
+          evacuateBuilder_.mergeFrom(value);
+        } else {
+          evacuateBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.bramleyspur.EvacuateCommand evacuate = 9;</code>
+     */
+    public Builder clearEvacuate() {
+      if (evacuateBuilder_ == null) {
+        if (kindCase_ == 9) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 9) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        evacuateBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramleyspur.EvacuateCommand evacuate = 9;</code>
+     */
+    public org.bramleyspur.protocol.EvacuateCommand.Builder getEvacuateBuilder() {
+      return getEvacuateFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramleyspur.EvacuateCommand evacuate = 9;</code>
+     */
+    @java.lang.Override
+    public org.bramleyspur.protocol.EvacuateCommandOrBuilder getEvacuateOrBuilder() {
+      if ((kindCase_ == 9) && (evacuateBuilder_ != null)) {
+        return evacuateBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 9) {
+          return (org.bramleyspur.protocol.EvacuateCommand) kind_;
+        }
+        return org.bramleyspur.protocol.EvacuateCommand.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramleyspur.EvacuateCommand evacuate = 9;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.bramleyspur.protocol.EvacuateCommand, org.bramleyspur.protocol.EvacuateCommand.Builder, org.bramleyspur.protocol.EvacuateCommandOrBuilder> 
+        getEvacuateFieldBuilder() {
+      if (evacuateBuilder_ == null) {
+        if (!(kindCase_ == 9)) {
+          kind_ = org.bramleyspur.protocol.EvacuateCommand.getDefaultInstance();
+        }
+        evacuateBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.bramleyspur.protocol.EvacuateCommand, org.bramleyspur.protocol.EvacuateCommand.Builder, org.bramleyspur.protocol.EvacuateCommandOrBuilder>(
+                (org.bramleyspur.protocol.EvacuateCommand) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 9;
+      onChanged();
+      return evacuateBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ControlLogCommandOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/ControlLogCommandOrBuilder.java
@@ -128,5 +128,20 @@
    */
   org.bramleyspur.protocol.ReplaceDocumentCommandOrBuilder getReplaceDocumentOrBuilder();
 
+  /**
+   * <code>.bramleyspur.EvacuateCommand evacuate = 9;</code>
+   * @return Whether the evacuate field is set.
+   */
+  boolean hasEvacuate();
+  /**
+   * <code>.bramleyspur.EvacuateCommand evacuate = 9;</code>
+   * @return The evacuate.
+   */
+  org.bramleyspur.protocol.EvacuateCommand getEvacuate();
+  /**
+   * <code>.bramleyspur.EvacuateCommand evacuate = 9;</code>
+   */
+  org.bramleyspur.protocol.EvacuateCommandOrBuilder getEvacuateOrBuilder();
+
   org.bramleyspur.protocol.ControlLogCommand.KindCase getKindCase();
 }
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEvent.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEvent.java
@@ -22,6 +22,7 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     promptParts_ = java.util.Collections.emptyList();
     renewals_ = java.util.Collections.emptyList();
+    work_ = java.util.Collections.emptyList();
   }
 
   @java.lang.Override
@@ -288,6 +289,105 @@
     return documentVersion_;
   }
 
+  public static final int EVACUATIONS_FIELD_NUMBER = 10;
+  private org.bramleyspur.protocol.EvacuationState evacuations_;
+  /**
+   * <pre>
+   * The evacuations that are in force at the sender.
+   * </pre>
+   *
+   * <code>.bramleyspur.EvacuationState evacuations = 10;</code>
+   * @return Whether the evacuations field is set.
+   */
+  @java.lang.Override
+  public boolean hasEvacuations() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * The evacuations that are in force at the sender.
+   * </pre>
+   *
+   * <code>.bramleyspur.EvacuationState evacuations = 10;</code>
+   * @return The evacuations.
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.EvacuationState getEvacuations() {
+    return evacuations_ == null ? org.bramleyspur.protocol.EvacuationState.getDefaultInstance() : evacuations_;
+  }
+  /**
+   * <pre>
+   * The evacuations that are in force at the sender.
+   * </pre>
+   *
+   * <code>.bramleyspur.EvacuationState evacuations = 10;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.EvacuationStateOrBuilder getEvacuationsOrBuilder() {
+    return evacuations_ == null ? org.bramleyspur.protocol.EvacuationState.getDefaultInstance() : evacuations_;
+  }
+
+  public static final int WORK_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private java.util.List<org.bramleyspur.protocol.ServerWork> work_;
+  /**
+   * <pre>
+   * Work of all other entries at each backend server; sent by the leader to entries.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.bramleyspur.protocol.ServerWork> getWorkList() {
+    return work_;
+  }
+  /**
+   * <pre>
+   * Work of all other entries at each backend server; sent by the leader to entries.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.bramleyspur.protocol.ServerWorkOrBuilder> 
+      getWorkOrBuilderList() {
+    return work_;
+  }
+  /**
+   * <pre>
+   * Work of all other entries at each backend server; sent by the leader to entries.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+   */
+  @java.lang.Override
+  public int getWorkCount() {
+    return work_.size();
+  }
+  /**
+   * <pre>
+   * Work of all other entries at each backend server; sent by the leader to entries.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.ServerWork getWork(int index) {
+    return work_.get(index);
+  }
+  /**
+   * <pre>
+   * Work of all other entries at each backend server; sent by the leader to entries.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.ServerWorkOrBuilder getWorkOrBuilder(
+      int index) {
+    return work_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -326,6 +426,12 @@
     if (documentVersion_ != 0L) {
       output.writeUInt64(9, documentVersion_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(10, getEvacuations());
+    }
+    for (int i = 0; i < work_.size(); i++) {
+      output.writeMessage(11, work_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -371,6 +477,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(9, documentVersion_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, getEvacuations());
+    }
+    for (int i = 0; i < work_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, work_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -405,6 +519,13 @@
         .equals(other.getRenewalsList())) return false;
     if (getDocumentVersion()
         != other.getDocumentVersion()) return false;
+    if (hasEvacuations() != other.hasEvacuations()) return false;
+    if (hasEvacuations()) {
+      if (!getEvacuations()
+          .equals(other.getEvacuations())) return false;
+    }
+    if (!getWorkList()
+        .equals(other.getWorkList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -444,6 +565,14 @@
     hash = (37 * hash) + DOCUMENT_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getDocumentVersion());
+    if (hasEvacuations()) {
+      hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getEvacuations().hashCode();
+    }
+    if (getWorkCount() > 0) {
+      hash = (37 * hash) + WORK_FIELD_NUMBER;
+      hash = (53 * hash) + getWorkList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -578,6 +707,8 @@
         getDocumentFieldBuilder();
         getPromptPartsFieldBuilder();
         getRenewalsFieldBuilder();
+        getEvacuationsFieldBuilder();
+        getWorkFieldBuilder();
       }
     }
     @java.lang.Override
@@ -615,6 +746,18 @@
       }
       bitField0_ = (bitField0_ & ~0x00000040);
       documentVersion_ = 0L;
+      evacuations_ = null;
+      if (evacuationsBuilder_ != null) {
+        evacuationsBuilder_.dispose();
+        evacuationsBuilder_ = null;
+      }
+      if (workBuilder_ == null) {
+        work_ = java.util.Collections.emptyList();
+      } else {
+        work_ = null;
+        workBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000200);
       return this;
     }
 
@@ -675,6 +818,15 @@
       } else {
         result.renewals_ = renewalsBuilder_.build();
       }
+      if (workBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0)) {
+          work_ = java.util.Collections.unmodifiableList(work_);
+          bitField0_ = (bitField0_ & ~0x00000200);
+        }
+        result.work_ = work_;
+      } else {
+        result.work_ = workBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.bramleyspur.protocol.DirectoryEvent result) {
@@ -699,6 +851,12 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.documentVersion_ = documentVersion_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.evacuations_ = evacuationsBuilder_ == null
+            ? evacuations_
+            : evacuationsBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -846,6 +1004,35 @@
       if (other.getDocumentVersion() != 0L) {
         setDocumentVersion(other.getDocumentVersion());
       }
+      if (other.hasEvacuations()) {
+        mergeEvacuations(other.getEvacuations());
+      }
+      if (workBuilder_ == null) {
+        if (!other.work_.isEmpty()) {
+          if (work_.isEmpty()) {
+            work_ = other.work_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+          } else {
+            ensureWorkIsMutable();
+            work_.addAll(other.work_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.work_.isEmpty()) {
+          if (workBuilder_.isEmpty()) {
+            workBuilder_.dispose();
+            workBuilder_ = null;
+            work_ = other.work_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+            workBuilder_ = 
+              com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
+                 getWorkFieldBuilder() : null;
+          } else {
+            workBuilder_.addAllMessages(other.work_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -939,6 +1126,26 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 72
+            case 82: {
+              input.readMessage(
+                  getEvacuationsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 82
+            case 90: {
+              org.bramleyspur.protocol.ServerWork m =
+                  input.readMessage(
+                      org.bramleyspur.protocol.ServerWork.parser(),
+                      extensionRegistry);
+              if (workBuilder_ == null) {
+                ensureWorkIsMutable();
+                work_.add(m);
+              } else {
+                workBuilder_.addMessage(m);
+              }
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2063,6 +2270,475 @@
       onChanged();
       return this;
     }
+
+    private org.bramleyspur.protocol.EvacuationState evacuations_;
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.bramleyspur.protocol.EvacuationState, org.bramleyspur.protocol.EvacuationState.Builder, org.bramleyspur.protocol.EvacuationStateOrBuilder> evacuationsBuilder_;
+    /**
+     * <pre>
+     * The evacuations that are in force at the sender.
+     * </pre>
+     *
+     * <code>.bramleyspur.EvacuationState evacuations = 10;</code>
+     * @return Whether the evacuations field is set.
+     */
+    public boolean hasEvacuations() {
+      return ((bitField0_ & 0x00000100) != 0);
+    }
+    /**
+     * <pre>
+     * The evacuations that are in force at the sender.
+     * </pre>
+     *
+     * <code>.bramleyspur.EvacuationState evacuations = 10;</code>
+     * @return The evacuations.
+     */
+    public org.bramleyspur.protocol.EvacuationState getEvacuations() {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_ == null ? org.bramleyspur.protocol.EvacuationState.getDefaultInstance() : evacuations_;
+      } else {
+        return evacuationsBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * The evacuations that are in force at the sender.
+     * </pre>
+     *
+     * <code>.bramleyspur.EvacuationState evacuations = 10;</code>
+     */
+    public Builder setEvacuations(org.bramleyspur.protocol.EvacuationState value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        evacuations_ = value;
+      } else {
+        evacuationsBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The evacuations that are in force at the sender.
+     * </pre>
+     *
+     * <code>.bramleyspur.EvacuationState evacuations = 10;</code>
+     */
+    public Builder setEvacuations(
+        org.bramleyspur.protocol.EvacuationState.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        evacuations_ = builderForValue.build();
+      } else {
+        evacuationsBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The evacuations that are in force at the sender.
+     * </pre>
+     *
+     * <code>.bramleyspur.EvacuationState evacuations = 10;</code>
+     */
+    public Builder mergeEvacuations(org.bramleyspur.protocol.EvacuationState value) {
+      if (evacuationsBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0) &&
+          evacuations_ != null &&
+          evacuations_ != org.bramleyspur.protocol.EvacuationState.getDefaultInstance()) {
+          getEvacuationsBuilder().mergeFrom(value);
+        } else {
+          evacuations_ = value;
+        }
+      } else {
+        evacuationsBuilder_.mergeFrom(value);
+      }
+      if (evacuations_ != null) {
+        bitField0_ |= 0x00000100;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The evacuations that are in force at the sender.
+     * </pre>
+     *
+     * <code>.bramleyspur.EvacuationState evacuations = 10;</code>
+     */
+    public Builder clearEvacuations() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      evacuations_ = null;
+      if (evacuationsBuilder_ != null) {
+        evacuationsBuilder_.dispose();
+        evacuationsBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The evacuations that are in force at the sender.
+     * </pre>
+     *
+     * <code>.bramleyspur.EvacuationState evacuations = 10;</code>
+     */
+    public org.bramleyspur.protocol.EvacuationState.Builder getEvacuationsBuilder() {
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return getEvacuationsFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * The evacuations that are in force at the sender.
+     * </pre>
+     *
+     * <code>.bramleyspur.EvacuationState evacuations = 10;</code>
+     */
+    public org.bramleyspur.protocol.EvacuationStateOrBuilder getEvacuationsOrBuilder() {
+      if (evacuationsBuilder_ != null) {
+        return evacuationsBuilder_.getMessageOrBuilder();
+      } else {
+        return evacuations_ == null ?
+            org.bramleyspur.protocol.EvacuationState.getDefaultInstance() : evacuations_;
+      }
+    }
+    /**
+     * <pre>
+     * The evacuations that are in force at the sender.
+     * </pre>
+     *
+     * <code>.bramleyspur.EvacuationState evacuations = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.bramleyspur.protocol.EvacuationState, org.bramleyspur.protocol.EvacuationState.Builder, org.bramleyspur.protocol.EvacuationStateOrBuilder> 
+        getEvacuationsFieldBuilder() {
+      if (evacuationsBuilder_ == null) {
+        evacuationsBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.bramleyspur.protocol.EvacuationState, org.bramleyspur.protocol.EvacuationState.Builder, org.bramleyspur.protocol.EvacuationStateOrBuilder>(
+                getEvacuations(),
+                getParentForChildren(),
+                isClean());
+        evacuations_ = null;
+      }
+      return evacuationsBuilder_;
+    }
+
+    private java.util.List<org.bramleyspur.protocol.ServerWork> work_ =
+      java.util.Collections.emptyList();
+    private void ensureWorkIsMutable() {
+      if (!((bitField0_ & 0x00000200) != 0)) {
+        work_ = new java.util.ArrayList<org.bramleyspur.protocol.ServerWork>(work_);
+        bitField0_ |= 0x00000200;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.bramleyspur.protocol.ServerWork, org.bramleyspur.protocol.ServerWork.Builder, org.bramleyspur.protocol.ServerWorkOrBuilder> workBuilder_;
+
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public java.util.List<org.bramleyspur.protocol.ServerWork> getWorkList() {
+      if (workBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(work_);
+      } else {
+        return workBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public int getWorkCount() {
+      if (workBuilder_ == null) {
+        return work_.size();
+      } else {
+        return workBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public org.bramleyspur.protocol.ServerWork getWork(int index) {
+      if (workBuilder_ == null) {
+        return work_.get(index);
+      } else {
+        return workBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public Builder setWork(
+        int index, org.bramleyspur.protocol.ServerWork value) {
+      if (workBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWorkIsMutable();
+        work_.set(index, value);
+        onChanged();
+      } else {
+        workBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public Builder setWork(
+        int index, org.bramleyspur.protocol.ServerWork.Builder builderForValue) {
+      if (workBuilder_ == null) {
+        ensureWorkIsMutable();
+        work_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        workBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public Builder addWork(org.bramleyspur.protocol.ServerWork value) {
+      if (workBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWorkIsMutable();
+        work_.add(value);
+        onChanged();
+      } else {
+        workBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public Builder addWork(
+        int index, org.bramleyspur.protocol.ServerWork value) {
+      if (workBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWorkIsMutable();
+        work_.add(index, value);
+        onChanged();
+      } else {
+        workBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public Builder addWork(
+        org.bramleyspur.protocol.ServerWork.Builder builderForValue) {
+      if (workBuilder_ == null) {
+        ensureWorkIsMutable();
+        work_.add(builderForValue.build());
+        onChanged();
+      } else {
+        workBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public Builder addWork(
+        int index, org.bramleyspur.protocol.ServerWork.Builder builderForValue) {
+      if (workBuilder_ == null) {
+        ensureWorkIsMutable();
+        work_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        workBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public Builder addAllWork(
+        java.lang.Iterable<? extends org.bramleyspur.protocol.ServerWork> values) {
+      if (workBuilder_ == null) {
+        ensureWorkIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, work_);
+        onChanged();
+      } else {
+        workBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public Builder clearWork() {
+      if (workBuilder_ == null) {
+        work_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000200);
+        onChanged();
+      } else {
+        workBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public Builder removeWork(int index) {
+      if (workBuilder_ == null) {
+        ensureWorkIsMutable();
+        work_.remove(index);
+        onChanged();
+      } else {
+        workBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public org.bramleyspur.protocol.ServerWork.Builder getWorkBuilder(
+        int index) {
+      return getWorkFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public org.bramleyspur.protocol.ServerWorkOrBuilder getWorkOrBuilder(
+        int index) {
+      if (workBuilder_ == null) {
+        return work_.get(index);  } else {
+        return workBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public java.util.List<? extends org.bramleyspur.protocol.ServerWorkOrBuilder> 
+         getWorkOrBuilderList() {
+      if (workBuilder_ != null) {
+        return workBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(work_);
+      }
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public org.bramleyspur.protocol.ServerWork.Builder addWorkBuilder() {
+      return getWorkFieldBuilder().addBuilder(
+          org.bramleyspur.protocol.ServerWork.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public org.bramleyspur.protocol.ServerWork.Builder addWorkBuilder(
+        int index) {
+      return getWorkFieldBuilder().addBuilder(
+          index, org.bramleyspur.protocol.ServerWork.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Work of all other entries at each backend server; sent by the leader to entries.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+     */
+    public java.util.List<org.bramleyspur.protocol.ServerWork.Builder> 
+         getWorkBuilderList() {
+      return getWorkFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.bramleyspur.protocol.ServerWork, org.bramleyspur.protocol.ServerWork.Builder, org.bramleyspur.protocol.ServerWorkOrBuilder> 
+        getWorkFieldBuilder() {
+      if (workBuilder_ == null) {
+        workBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            org.bramleyspur.protocol.ServerWork, org.bramleyspur.protocol.ServerWork.Builder, org.bramleyspur.protocol.ServerWorkOrBuilder>(
+                work_,
+                ((bitField0_ & 0x00000200) != 0),
+                getParentForChildren(),
+                isClean());
+        work_ = null;
+      }
+      return workBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEventOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryEventOrBuilder.java
@@ -161,4 +161,75 @@
    * @return The documentVersion.
    */
   long getDocumentVersion();
+
+  /**
+   * <pre>
+   * The evacuations that are in force at the sender.
+   * </pre>
+   *
+   * <code>.bramleyspur.EvacuationState evacuations = 10;</code>
+   * @return Whether the evacuations field is set.
+   */
+  boolean hasEvacuations();
+  /**
+   * <pre>
+   * The evacuations that are in force at the sender.
+   * </pre>
+   *
+   * <code>.bramleyspur.EvacuationState evacuations = 10;</code>
+   * @return The evacuations.
+   */
+  org.bramleyspur.protocol.EvacuationState getEvacuations();
+  /**
+   * <pre>
+   * The evacuations that are in force at the sender.
+   * </pre>
+   *
+   * <code>.bramleyspur.EvacuationState evacuations = 10;</code>
+   */
+  org.bramleyspur.protocol.EvacuationStateOrBuilder getEvacuationsOrBuilder();
+
+  /**
+   * <pre>
+   * Work of all other entries at each backend server; sent by the leader to entries.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+   */
+  java.util.List<org.bramleyspur.protocol.ServerWork> 
+      getWorkList();
+  /**
+   * <pre>
+   * Work of all other entries at each backend server; sent by the leader to entries.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+   */
+  org.bramleyspur.protocol.ServerWork getWork(int index);
+  /**
+   * <pre>
+   * Work of all other entries at each backend server; sent by the leader to entries.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+   */
+  int getWorkCount();
+  /**
+   * <pre>
+   * Work of all other entries at each backend server; sent by the leader to entries.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+   */
+  java.util.List<? extends org.bramleyspur.protocol.ServerWorkOrBuilder> 
+      getWorkOrBuilderList();
+  /**
+   * <pre>
+   * Work of all other entries at each backend server; sent by the leader to entries.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 11;</code>
+   */
+  org.bramleyspur.protocol.ServerWorkOrBuilder getWorkOrBuilder(
+      int index);
 }
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryProto.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryProto.java
@@ -40,6 +40,21 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_bramleyspur_PromptPartReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramleyspur_EvacuationState_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_bramleyspur_EvacuationState_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramleyspur_ServerWork_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_bramleyspur_ServerWork_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramleyspur_ModelDemand_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_bramleyspur_ModelDemand_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bramleyspur_DirectoryRequest_descriptor;
   static final 
@@ -72,42 +87,56 @@
       "\n\033bramleyspur/directory.proto\022\013bramleysp" +
       "ur\"W\n\014BackendGroup\022\014\n\004name\030\001 \001(\t\022\r\n\005epoc" +
       "h\030\002 \001(\004\022\014\n\004rank\030\003 \001(\r\022\r\n\005state\030\004 \001(\t\022\r\n\005" +
-      "model\030\005 \001(\t\"\372\001\n\023BackendAnnouncement\022\n\n\002i" +
+      "model\030\005 \001(\t\"\225\002\n\023BackendAnnouncement\022\n\n\002i" +
       "d\030\001 \001(\t\022\017\n\007born_ms\030\002 \001(\004\022\020\n\010sequence\030\003 \001" +
       "(\004\022\017\n\007service\030\004 \001(\t\022\017\n\007address\030\005 \001(\t\022\023\n\013" +
       "data_centre\030\006 \001(\t\022\r\n\005slots\030\007 \001(\r\022\r\n\005stat" +
       "e\030\010 \001(\t\022\016\n\006domain\030\t \001(\t\022\025\n\rstaged_models" +
       "\030\n \003(\t\022(\n\005group\030\013 \001(\0132\031.bramleyspur.Back" +
-      "endGroup\022\016\n\006age_ms\030\014 \001(\r\"i\n\016BackendRenew" +
-      "al\022\n\n\002id\030\001 \001(\t\022\017\n\007born_ms\030\002 \001(\004\022\020\n\010seque" +
-      "nce\030\003 \001(\004\022\030\n\020content_checksum\030\004 \001(\007\022\016\n\006a" +
-      "ge_ms\030\005 \001(\r\"9\n\025ConfigurationDocument\022\017\n\007" +
-      "version\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\"N\n\020Prompt" +
-      "PartReport\022\014\n\004part\030\001 \001(\t\022\016\n\006engine\030\002 \001(\t" +
-      "\022\034\n\024engine_started_at_ms\030\003 \001(\003\"\226\002\n\020Direc" +
+      "endGroup\022\016\n\006age_ms\030\014 \001(\r\022\031\n\021cold_remaini" +
+      "ng_ms\030\r \001(\r\"i\n\016BackendRenewal\022\n\n\002id\030\001 \001(" +
+      "\t\022\017\n\007born_ms\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\030\n\020" +
+      "content_checksum\030\004 \001(\007\022\016\n\006age_ms\030\005 \001(\r\"9" +
+      "\n\025ConfigurationDocument\022\017\n\007version\030\001 \001(\004" +
+      "\022\017\n\007content\030\002 \001(\014\"N\n\020PromptPartReport\022\014\n" +
+      "\004part\030\001 \001(\t\022\016\n\006engine\030\002 \001(\t\022\034\n\024engine_st" +
+      "arted_at_ms\030\003 \001(\003\"9\n\017EvacuationState\022\020\n\010" +
+      "revision\030\001 \001(\004\022\024\n\014data_centres\030\002 \003(\t\"h\n\n" +
+      "ServerWork\022\017\n\007backend\030\001 \001(\t\022\021\n\tin_flight" +
+      "\030\002 \001(\r\022\036\n\026pending_prefill_tokens\030\003 \001(\004\022\026" +
+      "\n\016context_tokens\030\004 \001(\004\"~\n\013ModelDemand\022\017\n" +
+      "\007service\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\020\n\010request" +
+      "s\030\003 \001(\004\022\017\n\007refused\030\004 \001(\004\022\025\n\rprompt_token" +
+      "s\030\005 \001(\004\022\025\n\routput_tokens\030\006 \001(\004\"\233\003\n\020Direc" +
       "toryRequest\022\020\n\010instance\030\001 \001(\t\022\r\n\005entry\030\002" +
       " \001(\010\022\032\n\022answering_backends\030\003 \003(\t\022\027\n\017sile" +
       "nt_backends\030\004 \003(\t\0227\n\rannouncements\030\007 \003(\013" +
       "2 .bramleyspur.BackendAnnouncement\0223\n\014pr" +
       "ompt_parts\030\010 \003(\0132\035.bramleyspur.PromptPar" +
       "tReport\022\030\n\020missing_backends\030\t \003(\t\022\030\n\020doc" +
-      "ument_version\030\n \001(\004J\004\010\005\020\006J\004\010\006\020\007\"\270\002\n\016Dire" +
-      "ctoryEvent\0227\n\rannouncements\030\001 \003(\0132 .bram" +
-      "leyspur.BackendAnnouncement\0224\n\010document\030" +
-      "\002 \001(\0132\".bramleyspur.ConfigurationDocumen" +
-      "t\022\021\n\tconfirmed\030\003 \001(\010\022\017\n\007members\030\004 \003(\t\022\017\n" +
-      "\007entries\030\005 \001(\r\0223\n\014prompt_parts\030\007 \003(\0132\035.b" +
-      "ramleyspur.PromptPartReport\022-\n\010renewals\030" +
-      "\010 \003(\0132\033.bramleyspur.BackendRenewal\022\030\n\020do" +
-      "cument_version\030\t \001(\004J\004\010\006\020\007\"3\n\020AdmissionR" +
-      "equest\022\016\n\006member\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\"" +
-      "2\n\016AdmissionReply\022\020\n\010admitted\030\001 \001(\010\022\016\n\006l" +
-      "eader\030\002 \001(\t2\240\001\n\020DirectoryService\022G\n\005Watc" +
-      "h\022\035.bramleyspur.DirectoryRequest\032\033.braml" +
-      "eyspur.DirectoryEvent(\0010\001\022C\n\005Admit\022\035.bra" +
-      "mleyspur.AdmissionRequest\032\033.bramleyspur." +
-      "AdmissionReplyB,\n\030org.bramleyspur.protoc" +
-      "olB\016DirectoryProtoP\001b\006proto3"
+      "ument_version\030\n \001(\004\022\033\n\023evacuation_revisi" +
+      "on\030\013 \001(\004\022%\n\004work\030\014 \003(\0132\027.bramleyspur.Ser" +
+      "verWork\022(\n\006demand\030\r \003(\0132\030.bramleyspur.Mo" +
+      "delDemand\022\025\n\rstarted_at_ms\030\016 \001(\003J\004\010\005\020\006J\004" +
+      "\010\006\020\007\"\222\003\n\016DirectoryEvent\0227\n\rannouncements" +
+      "\030\001 \003(\0132 .bramleyspur.BackendAnnouncement" +
+      "\0224\n\010document\030\002 \001(\0132\".bramleyspur.Configu" +
+      "rationDocument\022\021\n\tconfirmed\030\003 \001(\010\022\017\n\007mem" +
+      "bers\030\004 \003(\t\022\017\n\007entries\030\005 \001(\r\0223\n\014prompt_pa" +
+      "rts\030\007 \003(\0132\035.bramleyspur.PromptPartReport" +
+      "\022-\n\010renewals\030\010 \003(\0132\033.bramleyspur.Backend" +
+      "Renewal\022\030\n\020document_version\030\t \001(\004\0221\n\013eva" +
+      "cuations\030\n \001(\0132\034.bramleyspur.EvacuationS" +
+      "tate\022%\n\004work\030\013 \003(\0132\027.bramleyspur.ServerW" +
+      "orkJ\004\010\006\020\007\"3\n\020AdmissionRequest\022\016\n\006member\030" +
+      "\001 \001(\t\022\017\n\007address\030\002 \001(\t\"2\n\016AdmissionReply" +
+      "\022\020\n\010admitted\030\001 \001(\010\022\016\n\006leader\030\002 \001(\t2\240\001\n\020D" +
+      "irectoryService\022G\n\005Watch\022\035.bramleyspur.D" +
+      "irectoryRequest\032\033.bramleyspur.DirectoryE" +
+      "vent(\0010\001\022C\n\005Admit\022\035.bramleyspur.Admissio" +
+      "nRequest\032\033.bramleyspur.AdmissionReplyB,\n" +
+      "\030org.bramleyspur.protocolB\016DirectoryProt" +
+      "oP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -124,7 +153,7 @@
     internal_static_bramleyspur_BackendAnnouncement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_BackendAnnouncement_descriptor,
-        new java.lang.String[] { "Id", "BornMs", "Sequence", "Service", "Address", "DataCentre", "Slots", "State", "Domain", "StagedModels", "Group", "AgeMs", });
+        new java.lang.String[] { "Id", "BornMs", "Sequence", "Service", "Address", "DataCentre", "Slots", "State", "Domain", "StagedModels", "Group", "AgeMs", "ColdRemainingMs", });
     internal_static_bramleyspur_BackendRenewal_descriptor =
       getDescriptor().getMessageTypes().get(2);
     internal_static_bramleyspur_BackendRenewal_fieldAccessorTable = new
@@ -143,26 +172,44 @@
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_PromptPartReport_descriptor,
         new java.lang.String[] { "Part", "Engine", "EngineStartedAtMs", });
-    internal_static_bramleyspur_DirectoryRequest_descriptor =
+    internal_static_bramleyspur_EvacuationState_descriptor =
       getDescriptor().getMessageTypes().get(5);
+    internal_static_bramleyspur_EvacuationState_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_bramleyspur_EvacuationState_descriptor,
+        new java.lang.String[] { "Revision", "DataCentres", });
+    internal_static_bramleyspur_ServerWork_descriptor =
+      getDescriptor().getMessageTypes().get(6);
+    internal_static_bramleyspur_ServerWork_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_bramleyspur_ServerWork_descriptor,
+        new java.lang.String[] { "Backend", "InFlight", "PendingPrefillTokens", "ContextTokens", });
+    internal_static_bramleyspur_ModelDemand_descriptor =
+      getDescriptor().getMessageTypes().get(7);
+    internal_static_bramleyspur_ModelDemand_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_bramleyspur_ModelDemand_descriptor,
+        new java.lang.String[] { "Service", "Model", "Requests", "Refused", "PromptTokens", "OutputTokens", });
+    internal_static_bramleyspur_DirectoryRequest_descriptor =
+      getDescriptor().getMessageTypes().get(8);
     internal_static_bramleyspur_DirectoryRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_DirectoryRequest_descriptor,
-        new java.lang.String[] { "Instance", "Entry", "AnsweringBackends", "SilentBackends", "Announcements", "PromptParts", "MissingBackends", "DocumentVersion", });
+        new java.lang.String[] { "Instance", "Entry", "AnsweringBackends", "SilentBackends", "Announcements", "PromptParts", "MissingBackends", "DocumentVersion", "EvacuationRevision", "Work", "Demand", "StartedAtMs", });
     internal_static_bramleyspur_DirectoryEvent_descriptor =
-      getDescriptor().getMessageTypes().get(6);
+      getDescriptor().getMessageTypes().get(9);
     internal_static_bramleyspur_DirectoryEvent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_DirectoryEvent_descriptor,
-        new java.lang.String[] { "Announcements", "Document", "Confirmed", "Members", "Entries", "PromptParts", "Renewals", "DocumentVersion", });
+        new java.lang.String[] { "Announcements", "Document", "Confirmed", "Members", "Entries", "PromptParts", "Renewals", "DocumentVersion", "Evacuations", "Work", });
     internal_static_bramleyspur_AdmissionRequest_descriptor =
-      getDescriptor().getMessageTypes().get(7);
+      getDescriptor().getMessageTypes().get(10);
     internal_static_bramleyspur_AdmissionRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_AdmissionRequest_descriptor,
         new java.lang.String[] { "Member", "Address", });
     internal_static_bramleyspur_AdmissionReply_descriptor =
-      getDescriptor().getMessageTypes().get(8);
+      getDescriptor().getMessageTypes().get(11);
     internal_static_bramleyspur_AdmissionReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_AdmissionReply_descriptor,
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequest.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequest.java
@@ -26,6 +26,8 @@
     promptParts_ = java.util.Collections.emptyList();
     missingBackends_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    work_ = java.util.Collections.emptyList();
+    demand_ = java.util.Collections.emptyList();
   }
 
   @java.lang.Override
@@ -398,6 +400,158 @@
     return documentVersion_;
   }
 
+  public static final int EVACUATION_REVISION_FIELD_NUMBER = 11;
+  private long evacuationRevision_ = 0L;
+  /**
+   * <pre>
+   * Revision of the evacuations that the sender obeys; 0 for none.
+   * </pre>
+   *
+   * <code>uint64 evacuation_revision = 11;</code>
+   * @return The evacuationRevision.
+   */
+  @java.lang.Override
+  public long getEvacuationRevision() {
+    return evacuationRevision_;
+  }
+
+  public static final int WORK_FIELD_NUMBER = 12;
+  @SuppressWarnings("serial")
+  private java.util.List<org.bramleyspur.protocol.ServerWork> work_;
+  /**
+   * <pre>
+   * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.bramleyspur.protocol.ServerWork> getWorkList() {
+    return work_;
+  }
+  /**
+   * <pre>
+   * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.bramleyspur.protocol.ServerWorkOrBuilder> 
+      getWorkOrBuilderList() {
+    return work_;
+  }
+  /**
+   * <pre>
+   * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+   */
+  @java.lang.Override
+  public int getWorkCount() {
+    return work_.size();
+  }
+  /**
+   * <pre>
+   * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.ServerWork getWork(int index) {
+    return work_.get(index);
+  }
+  /**
+   * <pre>
+   * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.ServerWorkOrBuilder getWorkOrBuilder(
+      int index) {
+    return work_.get(index);
+  }
+
+  public static final int DEMAND_FIELD_NUMBER = 13;
+  @SuppressWarnings("serial")
+  private java.util.List<org.bramleyspur.protocol.ModelDemand> demand_;
+  /**
+   * <pre>
+   * Demand for each model since the sender started.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.bramleyspur.protocol.ModelDemand> getDemandList() {
+    return demand_;
+  }
+  /**
+   * <pre>
+   * Demand for each model since the sender started.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.bramleyspur.protocol.ModelDemandOrBuilder> 
+      getDemandOrBuilderList() {
+    return demand_;
+  }
+  /**
+   * <pre>
+   * Demand for each model since the sender started.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+   */
+  @java.lang.Override
+  public int getDemandCount() {
+    return demand_.size();
+  }
+  /**
+   * <pre>
+   * Demand for each model since the sender started.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.ModelDemand getDemand(int index) {
+    return demand_.get(index);
+  }
+  /**
+   * <pre>
+   * Demand for each model since the sender started.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.ModelDemandOrBuilder getDemandOrBuilder(
+      int index) {
+    return demand_.get(index);
+  }
+
+  public static final int STARTED_AT_MS_FIELD_NUMBER = 14;
+  private long startedAtMs_ = 0L;
+  /**
+   * <pre>
+   * Start time of the sender in Unix milliseconds; the counts of its demand begin there.
+   * </pre>
+   *
+   * <code>int64 started_at_ms = 14;</code>
+   * @return The startedAtMs.
+   */
+  @java.lang.Override
+  public long getStartedAtMs() {
+    return startedAtMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -436,6 +590,18 @@
     if (documentVersion_ != 0L) {
       output.writeUInt64(10, documentVersion_);
     }
+    if (evacuationRevision_ != 0L) {
+      output.writeUInt64(11, evacuationRevision_);
+    }
+    for (int i = 0; i < work_.size(); i++) {
+      output.writeMessage(12, work_.get(i));
+    }
+    for (int i = 0; i < demand_.size(); i++) {
+      output.writeMessage(13, demand_.get(i));
+    }
+    if (startedAtMs_ != 0L) {
+      output.writeInt64(14, startedAtMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -488,6 +654,22 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(10, documentVersion_);
     }
+    if (evacuationRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(11, evacuationRevision_);
+    }
+    for (int i = 0; i < work_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(12, work_.get(i));
+    }
+    for (int i = 0; i < demand_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(13, demand_.get(i));
+    }
+    if (startedAtMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(14, startedAtMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -519,6 +701,14 @@
         .equals(other.getMissingBackendsList())) return false;
     if (getDocumentVersion()
         != other.getDocumentVersion()) return false;
+    if (getEvacuationRevision()
+        != other.getEvacuationRevision()) return false;
+    if (!getWorkList()
+        .equals(other.getWorkList())) return false;
+    if (!getDemandList()
+        .equals(other.getDemandList())) return false;
+    if (getStartedAtMs()
+        != other.getStartedAtMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -558,6 +748,20 @@
     hash = (37 * hash) + DOCUMENT_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getDocumentVersion());
+    hash = (37 * hash) + EVACUATION_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEvacuationRevision());
+    if (getWorkCount() > 0) {
+      hash = (37 * hash) + WORK_FIELD_NUMBER;
+      hash = (53 * hash) + getWorkList().hashCode();
+    }
+    if (getDemandCount() > 0) {
+      hash = (37 * hash) + DEMAND_FIELD_NUMBER;
+      hash = (53 * hash) + getDemandList().hashCode();
+    }
+    hash = (37 * hash) + STARTED_AT_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStartedAtMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -712,6 +916,22 @@
       missingBackends_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       documentVersion_ = 0L;
+      evacuationRevision_ = 0L;
+      if (workBuilder_ == null) {
+        work_ = java.util.Collections.emptyList();
+      } else {
+        work_ = null;
+        workBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000200);
+      if (demandBuilder_ == null) {
+        demand_ = java.util.Collections.emptyList();
+      } else {
+        demand_ = null;
+        demandBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000400);
+      startedAtMs_ = 0L;
       return this;
     }
 
@@ -763,6 +983,24 @@
       } else {
         result.promptParts_ = promptPartsBuilder_.build();
       }
+      if (workBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0)) {
+          work_ = java.util.Collections.unmodifiableList(work_);
+          bitField0_ = (bitField0_ & ~0x00000200);
+        }
+        result.work_ = work_;
+      } else {
+        result.work_ = workBuilder_.build();
+      }
+      if (demandBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0)) {
+          demand_ = java.util.Collections.unmodifiableList(demand_);
+          bitField0_ = (bitField0_ & ~0x00000400);
+        }
+        result.demand_ = demand_;
+      } else {
+        result.demand_ = demandBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.bramleyspur.protocol.DirectoryRequest result) {
@@ -788,6 +1026,12 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.documentVersion_ = documentVersion_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.evacuationRevision_ = evacuationRevision_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.startedAtMs_ = startedAtMs_;
+      }
     }
 
     @java.lang.Override
@@ -927,6 +1171,64 @@
       if (other.getDocumentVersion() != 0L) {
         setDocumentVersion(other.getDocumentVersion());
       }
+      if (other.getEvacuationRevision() != 0L) {
+        setEvacuationRevision(other.getEvacuationRevision());
+      }
+      if (workBuilder_ == null) {
+        if (!other.work_.isEmpty()) {
+          if (work_.isEmpty()) {
+            work_ = other.work_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+          } else {
+            ensureWorkIsMutable();
+            work_.addAll(other.work_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.work_.isEmpty()) {
+          if (workBuilder_.isEmpty()) {
+            workBuilder_.dispose();
+            workBuilder_ = null;
+            work_ = other.work_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+            workBuilder_ = 
+              com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
+                 getWorkFieldBuilder() : null;
+          } else {
+            workBuilder_.addAllMessages(other.work_);
+          }
+        }
+      }
+      if (demandBuilder_ == null) {
+        if (!other.demand_.isEmpty()) {
+          if (demand_.isEmpty()) {
+            demand_ = other.demand_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+          } else {
+            ensureDemandIsMutable();
+            demand_.addAll(other.demand_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.demand_.isEmpty()) {
+          if (demandBuilder_.isEmpty()) {
+            demandBuilder_.dispose();
+            demandBuilder_ = null;
+            demand_ = other.demand_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+            demandBuilder_ = 
+              com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
+                 getDemandFieldBuilder() : null;
+          } else {
+            demandBuilder_.addAllMessages(other.demand_);
+          }
+        }
+      }
+      if (other.getStartedAtMs() != 0L) {
+        setStartedAtMs(other.getStartedAtMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1012,6 +1314,42 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 80
+            case 88: {
+              evacuationRevision_ = input.readUInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 88
+            case 98: {
+              org.bramleyspur.protocol.ServerWork m =
+                  input.readMessage(
+                      org.bramleyspur.protocol.ServerWork.parser(),
+                      extensionRegistry);
+              if (workBuilder_ == null) {
+                ensureWorkIsMutable();
+                work_.add(m);
+              } else {
+                workBuilder_.addMessage(m);
+              }
+              break;
+            } // case 98
+            case 106: {
+              org.bramleyspur.protocol.ModelDemand m =
+                  input.readMessage(
+                      org.bramleyspur.protocol.ModelDemand.parser(),
+                      extensionRegistry);
+              if (demandBuilder_ == null) {
+                ensureDemandIsMutable();
+                demand_.add(m);
+              } else {
+                demandBuilder_.addMessage(m);
+              }
+              break;
+            } // case 106
+            case 112: {
+              startedAtMs_ = input.readInt64();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 112
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2253,6 +2591,718 @@
       onChanged();
       return this;
     }
+
+    private long evacuationRevision_ ;
+    /**
+     * <pre>
+     * Revision of the evacuations that the sender obeys; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 evacuation_revision = 11;</code>
+     * @return The evacuationRevision.
+     */
+    @java.lang.Override
+    public long getEvacuationRevision() {
+      return evacuationRevision_;
+    }
+    /**
+     * <pre>
+     * Revision of the evacuations that the sender obeys; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 evacuation_revision = 11;</code>
+     * @param value The evacuationRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEvacuationRevision(long value) {
+
+      evacuationRevision_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Revision of the evacuations that the sender obeys; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 evacuation_revision = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEvacuationRevision() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      evacuationRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.bramleyspur.protocol.ServerWork> work_ =
+      java.util.Collections.emptyList();
+    private void ensureWorkIsMutable() {
+      if (!((bitField0_ & 0x00000200) != 0)) {
+        work_ = new java.util.ArrayList<org.bramleyspur.protocol.ServerWork>(work_);
+        bitField0_ |= 0x00000200;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.bramleyspur.protocol.ServerWork, org.bramleyspur.protocol.ServerWork.Builder, org.bramleyspur.protocol.ServerWorkOrBuilder> workBuilder_;
+
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public java.util.List<org.bramleyspur.protocol.ServerWork> getWorkList() {
+      if (workBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(work_);
+      } else {
+        return workBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public int getWorkCount() {
+      if (workBuilder_ == null) {
+        return work_.size();
+      } else {
+        return workBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public org.bramleyspur.protocol.ServerWork getWork(int index) {
+      if (workBuilder_ == null) {
+        return work_.get(index);
+      } else {
+        return workBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public Builder setWork(
+        int index, org.bramleyspur.protocol.ServerWork value) {
+      if (workBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWorkIsMutable();
+        work_.set(index, value);
+        onChanged();
+      } else {
+        workBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public Builder setWork(
+        int index, org.bramleyspur.protocol.ServerWork.Builder builderForValue) {
+      if (workBuilder_ == null) {
+        ensureWorkIsMutable();
+        work_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        workBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public Builder addWork(org.bramleyspur.protocol.ServerWork value) {
+      if (workBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWorkIsMutable();
+        work_.add(value);
+        onChanged();
+      } else {
+        workBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public Builder addWork(
+        int index, org.bramleyspur.protocol.ServerWork value) {
+      if (workBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWorkIsMutable();
+        work_.add(index, value);
+        onChanged();
+      } else {
+        workBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public Builder addWork(
+        org.bramleyspur.protocol.ServerWork.Builder builderForValue) {
+      if (workBuilder_ == null) {
+        ensureWorkIsMutable();
+        work_.add(builderForValue.build());
+        onChanged();
+      } else {
+        workBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public Builder addWork(
+        int index, org.bramleyspur.protocol.ServerWork.Builder builderForValue) {
+      if (workBuilder_ == null) {
+        ensureWorkIsMutable();
+        work_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        workBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public Builder addAllWork(
+        java.lang.Iterable<? extends org.bramleyspur.protocol.ServerWork> values) {
+      if (workBuilder_ == null) {
+        ensureWorkIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, work_);
+        onChanged();
+      } else {
+        workBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public Builder clearWork() {
+      if (workBuilder_ == null) {
+        work_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000200);
+        onChanged();
+      } else {
+        workBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public Builder removeWork(int index) {
+      if (workBuilder_ == null) {
+        ensureWorkIsMutable();
+        work_.remove(index);
+        onChanged();
+      } else {
+        workBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public org.bramleyspur.protocol.ServerWork.Builder getWorkBuilder(
+        int index) {
+      return getWorkFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public org.bramleyspur.protocol.ServerWorkOrBuilder getWorkOrBuilder(
+        int index) {
+      if (workBuilder_ == null) {
+        return work_.get(index);  } else {
+        return workBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public java.util.List<? extends org.bramleyspur.protocol.ServerWorkOrBuilder> 
+         getWorkOrBuilderList() {
+      if (workBuilder_ != null) {
+        return workBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(work_);
+      }
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public org.bramleyspur.protocol.ServerWork.Builder addWorkBuilder() {
+      return getWorkFieldBuilder().addBuilder(
+          org.bramleyspur.protocol.ServerWork.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public org.bramleyspur.protocol.ServerWork.Builder addWorkBuilder(
+        int index) {
+      return getWorkFieldBuilder().addBuilder(
+          index, org.bramleyspur.protocol.ServerWork.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+     */
+    public java.util.List<org.bramleyspur.protocol.ServerWork.Builder> 
+         getWorkBuilderList() {
+      return getWorkFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.bramleyspur.protocol.ServerWork, org.bramleyspur.protocol.ServerWork.Builder, org.bramleyspur.protocol.ServerWorkOrBuilder> 
+        getWorkFieldBuilder() {
+      if (workBuilder_ == null) {
+        workBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            org.bramleyspur.protocol.ServerWork, org.bramleyspur.protocol.ServerWork.Builder, org.bramleyspur.protocol.ServerWorkOrBuilder>(
+                work_,
+                ((bitField0_ & 0x00000200) != 0),
+                getParentForChildren(),
+                isClean());
+        work_ = null;
+      }
+      return workBuilder_;
+    }
+
+    private java.util.List<org.bramleyspur.protocol.ModelDemand> demand_ =
+      java.util.Collections.emptyList();
+    private void ensureDemandIsMutable() {
+      if (!((bitField0_ & 0x00000400) != 0)) {
+        demand_ = new java.util.ArrayList<org.bramleyspur.protocol.ModelDemand>(demand_);
+        bitField0_ |= 0x00000400;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.bramleyspur.protocol.ModelDemand, org.bramleyspur.protocol.ModelDemand.Builder, org.bramleyspur.protocol.ModelDemandOrBuilder> demandBuilder_;
+
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public java.util.List<org.bramleyspur.protocol.ModelDemand> getDemandList() {
+      if (demandBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(demand_);
+      } else {
+        return demandBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public int getDemandCount() {
+      if (demandBuilder_ == null) {
+        return demand_.size();
+      } else {
+        return demandBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public org.bramleyspur.protocol.ModelDemand getDemand(int index) {
+      if (demandBuilder_ == null) {
+        return demand_.get(index);
+      } else {
+        return demandBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public Builder setDemand(
+        int index, org.bramleyspur.protocol.ModelDemand value) {
+      if (demandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDemandIsMutable();
+        demand_.set(index, value);
+        onChanged();
+      } else {
+        demandBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public Builder setDemand(
+        int index, org.bramleyspur.protocol.ModelDemand.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public Builder addDemand(org.bramleyspur.protocol.ModelDemand value) {
+      if (demandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDemandIsMutable();
+        demand_.add(value);
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public Builder addDemand(
+        int index, org.bramleyspur.protocol.ModelDemand value) {
+      if (demandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDemandIsMutable();
+        demand_.add(index, value);
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public Builder addDemand(
+        org.bramleyspur.protocol.ModelDemand.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.add(builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public Builder addDemand(
+        int index, org.bramleyspur.protocol.ModelDemand.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public Builder addAllDemand(
+        java.lang.Iterable<? extends org.bramleyspur.protocol.ModelDemand> values) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, demand_);
+        onChanged();
+      } else {
+        demandBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public Builder clearDemand() {
+      if (demandBuilder_ == null) {
+        demand_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000400);
+        onChanged();
+      } else {
+        demandBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public Builder removeDemand(int index) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.remove(index);
+        onChanged();
+      } else {
+        demandBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public org.bramleyspur.protocol.ModelDemand.Builder getDemandBuilder(
+        int index) {
+      return getDemandFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public org.bramleyspur.protocol.ModelDemandOrBuilder getDemandOrBuilder(
+        int index) {
+      if (demandBuilder_ == null) {
+        return demand_.get(index);  } else {
+        return demandBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public java.util.List<? extends org.bramleyspur.protocol.ModelDemandOrBuilder> 
+         getDemandOrBuilderList() {
+      if (demandBuilder_ != null) {
+        return demandBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(demand_);
+      }
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public org.bramleyspur.protocol.ModelDemand.Builder addDemandBuilder() {
+      return getDemandFieldBuilder().addBuilder(
+          org.bramleyspur.protocol.ModelDemand.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public org.bramleyspur.protocol.ModelDemand.Builder addDemandBuilder(
+        int index) {
+      return getDemandFieldBuilder().addBuilder(
+          index, org.bramleyspur.protocol.ModelDemand.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Demand for each model since the sender started.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+     */
+    public java.util.List<org.bramleyspur.protocol.ModelDemand.Builder> 
+         getDemandBuilderList() {
+      return getDemandFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.bramleyspur.protocol.ModelDemand, org.bramleyspur.protocol.ModelDemand.Builder, org.bramleyspur.protocol.ModelDemandOrBuilder> 
+        getDemandFieldBuilder() {
+      if (demandBuilder_ == null) {
+        demandBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            org.bramleyspur.protocol.ModelDemand, org.bramleyspur.protocol.ModelDemand.Builder, org.bramleyspur.protocol.ModelDemandOrBuilder>(
+                demand_,
+                ((bitField0_ & 0x00000400) != 0),
+                getParentForChildren(),
+                isClean());
+        demand_ = null;
+      }
+      return demandBuilder_;
+    }
+
+    private long startedAtMs_ ;
+    /**
+     * <pre>
+     * Start time of the sender in Unix milliseconds; the counts of its demand begin there.
+     * </pre>
+     *
+     * <code>int64 started_at_ms = 14;</code>
+     * @return The startedAtMs.
+     */
+    @java.lang.Override
+    public long getStartedAtMs() {
+      return startedAtMs_;
+    }
+    /**
+     * <pre>
+     * Start time of the sender in Unix milliseconds; the counts of its demand begin there.
+     * </pre>
+     *
+     * <code>int64 started_at_ms = 14;</code>
+     * @param value The startedAtMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStartedAtMs(long value) {
+
+      startedAtMs_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Start time of the sender in Unix milliseconds; the counts of its demand begin there.
+     * </pre>
+     *
+     * <code>int64 started_at_ms = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStartedAtMs() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      startedAtMs_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequestOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/DirectoryRequestOrBuilder.java
@@ -250,4 +250,112 @@
    * @return The documentVersion.
    */
   long getDocumentVersion();
+
+  /**
+   * <pre>
+   * Revision of the evacuations that the sender obeys; 0 for none.
+   * </pre>
+   *
+   * <code>uint64 evacuation_revision = 11;</code>
+   * @return The evacuationRevision.
+   */
+  long getEvacuationRevision();
+
+  /**
+   * <pre>
+   * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+   */
+  java.util.List<org.bramleyspur.protocol.ServerWork> 
+      getWorkList();
+  /**
+   * <pre>
+   * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+   */
+  org.bramleyspur.protocol.ServerWork getWork(int index);
+  /**
+   * <pre>
+   * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+   */
+  int getWorkCount();
+  /**
+   * <pre>
+   * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+   */
+  java.util.List<? extends org.bramleyspur.protocol.ServerWorkOrBuilder> 
+      getWorkOrBuilderList();
+  /**
+   * <pre>
+   * Work of the sender at each backend server at which it has requests. Sent to the leader only.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ServerWork work = 12;</code>
+   */
+  org.bramleyspur.protocol.ServerWorkOrBuilder getWorkOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Demand for each model since the sender started.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+   */
+  java.util.List<org.bramleyspur.protocol.ModelDemand> 
+      getDemandList();
+  /**
+   * <pre>
+   * Demand for each model since the sender started.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+   */
+  org.bramleyspur.protocol.ModelDemand getDemand(int index);
+  /**
+   * <pre>
+   * Demand for each model since the sender started.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+   */
+  int getDemandCount();
+  /**
+   * <pre>
+   * Demand for each model since the sender started.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+   */
+  java.util.List<? extends org.bramleyspur.protocol.ModelDemandOrBuilder> 
+      getDemandOrBuilderList();
+  /**
+   * <pre>
+   * Demand for each model since the sender started.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.ModelDemand demand = 13;</code>
+   */
+  org.bramleyspur.protocol.ModelDemandOrBuilder getDemandOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Start time of the sender in Unix milliseconds; the counts of its demand begin there.
+   * </pre>
+   *
+   * <code>int64 started_at_ms = 14;</code>
+   * @return The startedAtMs.
+   */
+  long getStartedAtMs();
 }
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StateProto.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StateProto.java
@@ -65,6 +65,11 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_bramleyspur_ReplaceDocumentCommand_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramleyspur_EvacuateCommand_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_bramleyspur_EvacuateCommand_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bramleyspur_ControlLogCommand_descriptor;
   static final 
@@ -85,6 +90,11 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_bramleyspur_CommandRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramleyspur_EvacuationRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_bramleyspur_EvacuationRecord_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bramleyspur_StateSnapshot_descriptor;
   static final 
@@ -126,41 +136,48 @@
       "NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002\"%\n\023ExpireClaimsCo" +
       "mmand\022\016\n\006now_ms\030\001 \001(\004\":\n\026ReplaceDocument" +
       "Command\022\017\n\007version\030\001 \001(\004\022\017\n\007content\030\002 \001(" +
-      "\014\"\314\003\n\021ControlLogCommand\022,\n\006submit\030\001 \001(\0132" +
-      "\032.bramleyspur.SubmitCommandH\000\022,\n\006assign\030" +
-      "\002 \001(\0132\032.bramleyspur.AssignCommandH\000\022;\n\016e" +
-      "nd_assignment\030\003 \001(\0132!.bramleyspur.EndAss" +
-      "ignmentCommandH\000\022<\n\017finish_roll_out\030\004 \001(" +
-      "\0132!.bramleyspur.FinishRollOutCommandH\000\022*" +
-      "\n\005claim\030\005 \001(\0132\031.bramleyspur.ClaimCommand" +
-      "H\000\0220\n\010complete\030\006 \001(\0132\034.bramleyspur.Compl" +
-      "eteCommandH\000\0229\n\rexpire_claims\030\007 \001(\0132 .br" +
-      "amleyspur.ExpireClaimsCommandH\000\022?\n\020repla" +
-      "ce_document\030\010 \001(\0132#.bramleyspur.ReplaceD" +
-      "ocumentCommandH\000B\006\n\004kind\"3\n\017PreviousVers" +
-      "ion\022\017\n\007service\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\"\260\002" +
-      "\n\013ClaimRecord\022\"\n\003key\030\001 \001(\0132\025.bramleyspur" +
-      ".ClaimKey\022\016\n\006digest\030\002 \001(\014\022\017\n\007request\030\003 \001" +
-      "(\t\022\023\n\013incarnation\030\004 \001(\t\022\025\n\ragent_address" +
-      "\030\005 \001(\t\022\r\n\005grant\030\006 \001(\004\022\025\n\rexpires_at_ms\030\007" +
-      " \001(\004\022-\n\005state\030\010 \001(\0162\036.bramleyspur.ClaimR" +
-      "ecord.State\022-\n\010response\030\t \001(\0132\033.bramleys" +
-      "pur.StoredResponse\",\n\005State\022\010\n\004HELD\020\000\022\013\n" +
-      "\007UNKNOWN\020\001\022\014\n\010ANSWERED\020\002\"\232\001\n\rCommandReco" +
-      "rd\022\022\n\ncommand_id\030\001 \001(\t\022\020\n\010accepted\030\002 \001(\010" +
-      "\022\020\n\010revision\030\003 \001(\004\022\017\n\007message\030\004 \001(\t\022\027\n\017s" +
-      "ubmitted_at_ms\030\005 \001(\004\022\026\n\016command_digest\030\006" +
-      " \001(\014\022\017\n\007summary\030\007 \001(\t\"\317\002\n\rStateSnapshot\022" +
-      "\025\n\rapplied_index\030\001 \001(\004\0221\n\rconfiguration\030" +
-      "\002 \001(\0132\032.bramleyspur.Configuration\0227\n\021pre" +
-      "vious_versions\030\003 \003(\0132\034.bramleyspur.Previ" +
-      "ousVersion\022,\n\013assignments\030\004 \003(\0132\027.bramle" +
-      "yspur.Assignment\022(\n\006claims\030\005 \003(\0132\030.braml" +
-      "eyspur.ClaimRecord\022,\n\010commands\030\006 \003(\0132\032.b" +
-      "ramleyspur.CommandRecord\0225\n\010document\030\007 \001" +
-      "(\0132#.bramleyspur.ReplaceDocumentCommandB" +
-      "(\n\030org.bramleyspur.protocolB\nStateProtoP" +
-      "\001b\006proto3"
+      "\014\"R\n\017EvacuateCommand\022\023\n\013data_centre\030\001 \001(" +
+      "\t\022\021\n\tevacuated\030\002 \001(\010\022\027\n\017submitted_at_ms\030" +
+      "\003 \001(\004\"\376\003\n\021ControlLogCommand\022,\n\006submit\030\001 " +
+      "\001(\0132\032.bramleyspur.SubmitCommandH\000\022,\n\006ass" +
+      "ign\030\002 \001(\0132\032.bramleyspur.AssignCommandH\000\022" +
+      ";\n\016end_assignment\030\003 \001(\0132!.bramleyspur.En" +
+      "dAssignmentCommandH\000\022<\n\017finish_roll_out\030" +
+      "\004 \001(\0132!.bramleyspur.FinishRollOutCommand" +
+      "H\000\022*\n\005claim\030\005 \001(\0132\031.bramleyspur.ClaimCom" +
+      "mandH\000\0220\n\010complete\030\006 \001(\0132\034.bramleyspur.C" +
+      "ompleteCommandH\000\0229\n\rexpire_claims\030\007 \001(\0132" +
+      " .bramleyspur.ExpireClaimsCommandH\000\022?\n\020r" +
+      "eplace_document\030\010 \001(\0132#.bramleyspur.Repl" +
+      "aceDocumentCommandH\000\0220\n\010evacuate\030\t \001(\0132\034" +
+      ".bramleyspur.EvacuateCommandH\000B\006\n\004kind\"3" +
+      "\n\017PreviousVersion\022\017\n\007service\030\001 \001(\t\022\017\n\007ve" +
+      "rsion\030\002 \001(\t\"\260\002\n\013ClaimRecord\022\"\n\003key\030\001 \001(\013" +
+      "2\025.bramleyspur.ClaimKey\022\016\n\006digest\030\002 \001(\014\022" +
+      "\017\n\007request\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\t\022\025\n" +
+      "\ragent_address\030\005 \001(\t\022\r\n\005grant\030\006 \001(\004\022\025\n\re" +
+      "xpires_at_ms\030\007 \001(\004\022-\n\005state\030\010 \001(\0162\036.bram" +
+      "leyspur.ClaimRecord.State\022-\n\010response\030\t " +
+      "\001(\0132\033.bramleyspur.StoredResponse\",\n\005Stat" +
+      "e\022\010\n\004HELD\020\000\022\013\n\007UNKNOWN\020\001\022\014\n\010ANSWERED\020\002\"\232" +
+      "\001\n\rCommandRecord\022\022\n\ncommand_id\030\001 \001(\t\022\020\n\010" +
+      "accepted\030\002 \001(\010\022\020\n\010revision\030\003 \001(\004\022\017\n\007mess" +
+      "age\030\004 \001(\t\022\027\n\017submitted_at_ms\030\005 \001(\004\022\026\n\016co" +
+      "mmand_digest\030\006 \001(\014\022\017\n\007summary\030\007 \001(\t\"P\n\020E" +
+      "vacuationRecord\022\023\n\013data_centre\030\001 \001(\t\022\020\n\010" +
+      "revision\030\002 \001(\004\022\025\n\rstarted_at_ms\030\003 \001(\004\"\240\003" +
+      "\n\rStateSnapshot\022\025\n\rapplied_index\030\001 \001(\004\0221" +
+      "\n\rconfiguration\030\002 \001(\0132\032.bramleyspur.Conf" +
+      "iguration\0227\n\021previous_versions\030\003 \003(\0132\034.b" +
+      "ramleyspur.PreviousVersion\022,\n\013assignment" +
+      "s\030\004 \003(\0132\027.bramleyspur.Assignment\022(\n\006clai" +
+      "ms\030\005 \003(\0132\030.bramleyspur.ClaimRecord\022,\n\010co" +
+      "mmands\030\006 \003(\0132\032.bramleyspur.CommandRecord" +
+      "\0225\n\010document\030\007 \001(\0132#.bramleyspur.Replace" +
+      "DocumentCommand\0222\n\013evacuations\030\010 \003(\0132\035.b" +
+      "ramleyspur.EvacuationRecord\022\033\n\023evacuatio" +
+      "n_revision\030\t \001(\004B(\n\030org.bramleyspur.prot" +
+      "ocolB\nStateProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -228,36 +245,48 @@
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_ReplaceDocumentCommand_descriptor,
         new java.lang.String[] { "Version", "Content", });
-    internal_static_bramleyspur_ControlLogCommand_descriptor =
+    internal_static_bramleyspur_EvacuateCommand_descriptor =
       getDescriptor().getMessageTypes().get(10);
+    internal_static_bramleyspur_EvacuateCommand_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_bramleyspur_EvacuateCommand_descriptor,
+        new java.lang.String[] { "DataCentre", "Evacuated", "SubmittedAtMs", });
+    internal_static_bramleyspur_ControlLogCommand_descriptor =
+      getDescriptor().getMessageTypes().get(11);
     internal_static_bramleyspur_ControlLogCommand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_ControlLogCommand_descriptor,
-        new java.lang.String[] { "Submit", "Assign", "EndAssignment", "FinishRollOut", "Claim", "Complete", "ExpireClaims", "ReplaceDocument", "Kind", });
+        new java.lang.String[] { "Submit", "Assign", "EndAssignment", "FinishRollOut", "Claim", "Complete", "ExpireClaims", "ReplaceDocument", "Evacuate", "Kind", });
     internal_static_bramleyspur_PreviousVersion_descriptor =
-      getDescriptor().getMessageTypes().get(11);
+      getDescriptor().getMessageTypes().get(12);
     internal_static_bramleyspur_PreviousVersion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_PreviousVersion_descriptor,
         new java.lang.String[] { "Service", "Version", });
     internal_static_bramleyspur_ClaimRecord_descriptor =
-      getDescriptor().getMessageTypes().get(12);
+      getDescriptor().getMessageTypes().get(13);
     internal_static_bramleyspur_ClaimRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_ClaimRecord_descriptor,
         new java.lang.String[] { "Key", "Digest", "Request", "Incarnation", "AgentAddress", "Grant", "ExpiresAtMs", "State", "Response", });
     internal_static_bramleyspur_CommandRecord_descriptor =
-      getDescriptor().getMessageTypes().get(13);
+      getDescriptor().getMessageTypes().get(14);
     internal_static_bramleyspur_CommandRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_CommandRecord_descriptor,
         new java.lang.String[] { "CommandId", "Accepted", "Revision", "Message", "SubmittedAtMs", "CommandDigest", "Summary", });
+    internal_static_bramleyspur_EvacuationRecord_descriptor =
+      getDescriptor().getMessageTypes().get(15);
+    internal_static_bramleyspur_EvacuationRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_bramleyspur_EvacuationRecord_descriptor,
+        new java.lang.String[] { "DataCentre", "Revision", "StartedAtMs", });
     internal_static_bramleyspur_StateSnapshot_descriptor =
-      getDescriptor().getMessageTypes().get(14);
+      getDescriptor().getMessageTypes().get(16);
     internal_static_bramleyspur_StateSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bramleyspur_StateSnapshot_descriptor,
-        new java.lang.String[] { "AppliedIndex", "Configuration", "PreviousVersions", "Assignments", "Claims", "Commands", "Document", });
+        new java.lang.String[] { "AppliedIndex", "Configuration", "PreviousVersions", "Assignments", "Claims", "Commands", "Document", "Evacuations", "EvacuationRevision", });
     org.bramleyspur.protocol.ConfigurationOuterClass.getDescriptor();
     org.bramleyspur.protocol.Session.getDescriptor();
   }
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StateSnapshot.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StateSnapshot.java
@@ -21,6 +21,7 @@
     assignments_ = java.util.Collections.emptyList();
     claims_ = java.util.Collections.emptyList();
     commands_ = java.util.Collections.emptyList();
+    evacuations_ = java.util.Collections.emptyList();
   }
 
   @java.lang.Override
@@ -291,6 +292,82 @@
     return document_ == null ? org.bramleyspur.protocol.ReplaceDocumentCommand.getDefaultInstance() : document_;
   }
 
+  public static final int EVACUATIONS_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.bramleyspur.protocol.EvacuationRecord> evacuations_;
+  /**
+   * <pre>
+   * Sorted by data centre.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.bramleyspur.protocol.EvacuationRecord> getEvacuationsList() {
+    return evacuations_;
+  }
+  /**
+   * <pre>
+   * Sorted by data centre.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.bramleyspur.protocol.EvacuationRecordOrBuilder> 
+      getEvacuationsOrBuilderList() {
+    return evacuations_;
+  }
+  /**
+   * <pre>
+   * Sorted by data centre.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+   */
+  @java.lang.Override
+  public int getEvacuationsCount() {
+    return evacuations_.size();
+  }
+  /**
+   * <pre>
+   * Sorted by data centre.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.EvacuationRecord getEvacuations(int index) {
+    return evacuations_.get(index);
+  }
+  /**
+   * <pre>
+   * Sorted by data centre.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+   */
+  @java.lang.Override
+  public org.bramleyspur.protocol.EvacuationRecordOrBuilder getEvacuationsOrBuilder(
+      int index) {
+    return evacuations_.get(index);
+  }
+
+  public static final int EVACUATION_REVISION_FIELD_NUMBER = 9;
+  private long evacuationRevision_ = 0L;
+  /**
+   * <pre>
+   * Log index of the last command that began or ended an evacuation.
+   * </pre>
+   *
+   * <code>uint64 evacuation_revision = 9;</code>
+   * @return The evacuationRevision.
+   */
+  @java.lang.Override
+  public long getEvacuationRevision() {
+    return evacuationRevision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -326,6 +403,12 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(7, getDocument());
     }
+    for (int i = 0; i < evacuations_.size(); i++) {
+      output.writeMessage(8, evacuations_.get(i));
+    }
+    if (evacuationRevision_ != 0L) {
+      output.writeUInt64(9, evacuationRevision_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -363,6 +446,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(7, getDocument());
     }
+    for (int i = 0; i < evacuations_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, evacuations_.get(i));
+    }
+    if (evacuationRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(9, evacuationRevision_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -398,6 +489,10 @@
       if (!getDocument()
           .equals(other.getDocument())) return false;
     }
+    if (!getEvacuationsList()
+        .equals(other.getEvacuationsList())) return false;
+    if (getEvacuationRevision()
+        != other.getEvacuationRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -436,6 +531,13 @@
       hash = (37 * hash) + DOCUMENT_FIELD_NUMBER;
       hash = (53 * hash) + getDocument().hashCode();
     }
+    if (getEvacuationsCount() > 0) {
+      hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getEvacuationsList().hashCode();
+    }
+    hash = (37 * hash) + EVACUATION_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEvacuationRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -572,6 +674,7 @@
         getClaimsFieldBuilder();
         getCommandsFieldBuilder();
         getDocumentFieldBuilder();
+        getEvacuationsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -617,6 +720,14 @@
         documentBuilder_.dispose();
         documentBuilder_ = null;
       }
+      if (evacuationsBuilder_ == null) {
+        evacuations_ = java.util.Collections.emptyList();
+      } else {
+        evacuations_ = null;
+        evacuationsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000080);
+      evacuationRevision_ = 0L;
       return this;
     }
 
@@ -686,6 +797,15 @@
       } else {
         result.commands_ = commandsBuilder_.build();
       }
+      if (evacuationsBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0)) {
+          evacuations_ = java.util.Collections.unmodifiableList(evacuations_);
+          bitField0_ = (bitField0_ & ~0x00000080);
+        }
+        result.evacuations_ = evacuations_;
+      } else {
+        result.evacuations_ = evacuationsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.bramleyspur.protocol.StateSnapshot result) {
@@ -706,6 +826,9 @@
             : documentBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.evacuationRevision_ = evacuationRevision_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -866,6 +989,35 @@
       if (other.hasDocument()) {
         mergeDocument(other.getDocument());
       }
+      if (evacuationsBuilder_ == null) {
+        if (!other.evacuations_.isEmpty()) {
+          if (evacuations_.isEmpty()) {
+            evacuations_ = other.evacuations_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+          } else {
+            ensureEvacuationsIsMutable();
+            evacuations_.addAll(other.evacuations_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.evacuations_.isEmpty()) {
+          if (evacuationsBuilder_.isEmpty()) {
+            evacuationsBuilder_.dispose();
+            evacuationsBuilder_ = null;
+            evacuations_ = other.evacuations_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+            evacuationsBuilder_ = 
+              com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
+                 getEvacuationsFieldBuilder() : null;
+          } else {
+            evacuationsBuilder_.addAllMessages(other.evacuations_);
+          }
+        }
+      }
+      if (other.getEvacuationRevision() != 0L) {
+        setEvacuationRevision(other.getEvacuationRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -963,6 +1115,24 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 58
+            case 66: {
+              org.bramleyspur.protocol.EvacuationRecord m =
+                  input.readMessage(
+                      org.bramleyspur.protocol.EvacuationRecord.parser(),
+                      extensionRegistry);
+              if (evacuationsBuilder_ == null) {
+                ensureEvacuationsIsMutable();
+                evacuations_.add(m);
+              } else {
+                evacuationsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
+            case 72: {
+              evacuationRevision_ = input.readUInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2285,6 +2455,362 @@
       }
       return documentBuilder_;
     }
+
+    private java.util.List<org.bramleyspur.protocol.EvacuationRecord> evacuations_ =
+      java.util.Collections.emptyList();
+    private void ensureEvacuationsIsMutable() {
+      if (!((bitField0_ & 0x00000080) != 0)) {
+        evacuations_ = new java.util.ArrayList<org.bramleyspur.protocol.EvacuationRecord>(evacuations_);
+        bitField0_ |= 0x00000080;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.bramleyspur.protocol.EvacuationRecord, org.bramleyspur.protocol.EvacuationRecord.Builder, org.bramleyspur.protocol.EvacuationRecordOrBuilder> evacuationsBuilder_;
+
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public java.util.List<org.bramleyspur.protocol.EvacuationRecord> getEvacuationsList() {
+      if (evacuationsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(evacuations_);
+      } else {
+        return evacuationsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public int getEvacuationsCount() {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.size();
+      } else {
+        return evacuationsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public org.bramleyspur.protocol.EvacuationRecord getEvacuations(int index) {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.get(index);
+      } else {
+        return evacuationsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder setEvacuations(
+        int index, org.bramleyspur.protocol.EvacuationRecord value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.set(index, value);
+        onChanged();
+      } else {
+        evacuationsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder setEvacuations(
+        int index, org.bramleyspur.protocol.EvacuationRecord.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder addEvacuations(org.bramleyspur.protocol.EvacuationRecord value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.add(value);
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder addEvacuations(
+        int index, org.bramleyspur.protocol.EvacuationRecord value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.add(index, value);
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder addEvacuations(
+        org.bramleyspur.protocol.EvacuationRecord.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.add(builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder addEvacuations(
+        int index, org.bramleyspur.protocol.EvacuationRecord.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder addAllEvacuations(
+        java.lang.Iterable<? extends org.bramleyspur.protocol.EvacuationRecord> values) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, evacuations_);
+        onChanged();
+      } else {
+        evacuationsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder clearEvacuations() {
+      if (evacuationsBuilder_ == null) {
+        evacuations_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+      } else {
+        evacuationsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder removeEvacuations(int index) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.remove(index);
+        onChanged();
+      } else {
+        evacuationsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public org.bramleyspur.protocol.EvacuationRecord.Builder getEvacuationsBuilder(
+        int index) {
+      return getEvacuationsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public org.bramleyspur.protocol.EvacuationRecordOrBuilder getEvacuationsOrBuilder(
+        int index) {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.get(index);  } else {
+        return evacuationsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public java.util.List<? extends org.bramleyspur.protocol.EvacuationRecordOrBuilder> 
+         getEvacuationsOrBuilderList() {
+      if (evacuationsBuilder_ != null) {
+        return evacuationsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(evacuations_);
+      }
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public org.bramleyspur.protocol.EvacuationRecord.Builder addEvacuationsBuilder() {
+      return getEvacuationsFieldBuilder().addBuilder(
+          org.bramleyspur.protocol.EvacuationRecord.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public org.bramleyspur.protocol.EvacuationRecord.Builder addEvacuationsBuilder(
+        int index) {
+      return getEvacuationsFieldBuilder().addBuilder(
+          index, org.bramleyspur.protocol.EvacuationRecord.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Sorted by data centre.
+     * </pre>
+     *
+     * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+     */
+    public java.util.List<org.bramleyspur.protocol.EvacuationRecord.Builder> 
+         getEvacuationsBuilderList() {
+      return getEvacuationsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.bramleyspur.protocol.EvacuationRecord, org.bramleyspur.protocol.EvacuationRecord.Builder, org.bramleyspur.protocol.EvacuationRecordOrBuilder> 
+        getEvacuationsFieldBuilder() {
+      if (evacuationsBuilder_ == null) {
+        evacuationsBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            org.bramleyspur.protocol.EvacuationRecord, org.bramleyspur.protocol.EvacuationRecord.Builder, org.bramleyspur.protocol.EvacuationRecordOrBuilder>(
+                evacuations_,
+                ((bitField0_ & 0x00000080) != 0),
+                getParentForChildren(),
+                isClean());
+        evacuations_ = null;
+      }
+      return evacuationsBuilder_;
+    }
+
+    private long evacuationRevision_ ;
+    /**
+     * <pre>
+     * Log index of the last command that began or ended an evacuation.
+     * </pre>
+     *
+     * <code>uint64 evacuation_revision = 9;</code>
+     * @return The evacuationRevision.
+     */
+    @java.lang.Override
+    public long getEvacuationRevision() {
+      return evacuationRevision_;
+    }
+    /**
+     * <pre>
+     * Log index of the last command that began or ended an evacuation.
+     * </pre>
+     *
+     * <code>uint64 evacuation_revision = 9;</code>
+     * @param value The evacuationRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEvacuationRevision(long value) {
+
+      evacuationRevision_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Log index of the last command that began or ended an evacuation.
+     * </pre>
+     *
+     * <code>uint64 evacuation_revision = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEvacuationRevision() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      evacuationRevision_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StateSnapshotOrBuilder.java
+++ b/bramleyspur-protocol/src/main/java/org/bramleyspur/protocol/StateSnapshotOrBuilder.java
@@ -159,4 +159,58 @@
    * <code>.bramleyspur.ReplaceDocumentCommand document = 7;</code>
    */
   org.bramleyspur.protocol.ReplaceDocumentCommandOrBuilder getDocumentOrBuilder();
+
+  /**
+   * <pre>
+   * Sorted by data centre.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+   */
+  java.util.List<org.bramleyspur.protocol.EvacuationRecord> 
+      getEvacuationsList();
+  /**
+   * <pre>
+   * Sorted by data centre.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+   */
+  org.bramleyspur.protocol.EvacuationRecord getEvacuations(int index);
+  /**
+   * <pre>
+   * Sorted by data centre.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+   */
+  int getEvacuationsCount();
+  /**
+   * <pre>
+   * Sorted by data centre.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+   */
+  java.util.List<? extends org.bramleyspur.protocol.EvacuationRecordOrBuilder> 
+      getEvacuationsOrBuilderList();
+  /**
+   * <pre>
+   * Sorted by data centre.
+   * </pre>
+   *
+   * <code>repeated .bramleyspur.EvacuationRecord evacuations = 8;</code>
+   */
+  org.bramleyspur.protocol.EvacuationRecordOrBuilder getEvacuationsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Log index of the last command that began or ended an evacuation.
+   * </pre>
+   *
+   * <code>uint64 evacuation_revision = 9;</code>
+   * @return The evacuationRevision.
+   */
+  long getEvacuationRevision();
 }
