Add the evacuations of data centres to the replicated state

Cause: nothing keeps which data centres get no requests, so it cannot survive what a configuration survives.

A start of a begun evacuation and a finish of an ended one change nothing. Nothing proposes the command yet.

--- /dev/null
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/evacuation/Evacuations.kt
@@ -0,0 +1,37 @@
+/*
+ * The data centres whose backend servers get no requests. Part of the replicated state: the order of a start and a
+ * finish is the order in which the log holds them.
+ */
+package org.bramleyspur.control.evacuation
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+
+/**
+ * An evacuation in force.
+ *
+ * @property revision log index of the command that began it
+ * @property startedAtMs wall-clock milliseconds of the leader that accepted the command
+ */
+data class Evacuation(val revision: Long, val startedAtMs: Long)
+
+/**
+ * The evacuated data centres, by name.
+ *
+ * @property revision log index of the last change; 0 before the first one
+ */
+data class Evacuations(
+    val revision: Long = 0,
+    val byDataCentre: PersistentMap<String, Evacuation> = persistentMapOf(),
+) {
+    /** Begins the evacuation of [dataCentre] with the command at [index]; one that has begun is left as it is. */
+    fun start(dataCentre: String, index: Long, nowMs: Long): Evacuations = if (dataCentre in byDataCentre) {
+        this
+    } else {
+        Evacuations(index, byDataCentre.put(dataCentre, Evacuation(index, nowMs)))
+    }
+
+    /** Ends the evacuation of [dataCentre] with the command at [index]; without one, nothing changes. */
+    fun finish(dataCentre: String, index: Long): Evacuations =
+        if (dataCentre in byDataCentre) Evacuations(index, byDataCentre.remove(dataCentre)) else this
+}
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/CommandResult.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/CommandResult.kt
@@ -75,5 +75,8 @@
 /** Result of [ReplaceDocument] with the version that is active after it. */
 data class DocumentReplaced(val replaced: Boolean, val version: Long) : CommandResult
 
+/** Result of [EvacuateDataCentre] with the [revision] of the evacuations after it. */
+data class EvacuationChanged(val changed: Boolean, val revision: Long) : CommandResult
+
 /** Result of [ExpireClaims] with the number of removed records. */
 data class ClaimsExpired(val count: Int) : CommandResult
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/CommandWire.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/CommandWire.kt
@@ -20,6 +20,7 @@
 import org.bramleyspur.protocol.CompleteCommand
 import org.bramleyspur.protocol.ControlLogCommand
 import org.bramleyspur.protocol.EndAssignmentCommand
+import org.bramleyspur.protocol.EvacuateCommand
 import org.bramleyspur.protocol.ExpireClaimsCommand
 import org.bramleyspur.protocol.FinishRollOutCommand
 import org.bramleyspur.protocol.ReplaceDocumentCommand
@@ -54,6 +55,7 @@
         is Claim -> message.setClaim(toMessage())
         is Complete -> message.setComplete(toMessage())
         is ReplaceDocument -> message.setReplaceDocument(document.toMessage())
+        is EvacuateDataCentre -> message.setEvacuate(toMessage())
         is ExpireClaims -> message.setExpireClaims(ExpireClaimsCommand.newBuilder().setNowMs(nowMs))
     }
     return message.build()
@@ -69,9 +71,17 @@
     ControlLogCommand.KindCase.COMPLETE -> complete.toModel()
     ControlLogCommand.KindCase.EXPIRE_CLAIMS -> ExpireClaims(expireClaims.nowMs)
     ControlLogCommand.KindCase.REPLACE_DOCUMENT -> ReplaceDocument(replaceDocument.toModel())
+    ControlLogCommand.KindCase.EVACUATE ->
+        EvacuateDataCentre(evacuate.dataCentre, evacuate.evacuated, evacuate.submittedAtMs)
     ControlLogCommand.KindCase.KIND_NOT_SET, null -> null
 }
 
+private fun EvacuateDataCentre.toMessage() = EvacuateCommand
+    .newBuilder()
+    .setDataCentre(dataCentre)
+    .setEvacuated(evacuated)
+    .setSubmittedAtMs(submittedAtMs)
+
 private fun Submit.toMessage() = SubmitCommand
     .newBuilder()
     .setCommandId(commandId)
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/ControlCommand.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/ControlCommand.kt
@@ -93,5 +93,12 @@
 /** Activates [document] unless the active one has the same or a higher version. */
 data class ReplaceDocument(val document: StoredDocument) : ControlCommand
 
+/**
+ * Begins the evacuation of a data centre, or ends it if not [evacuated].
+ *
+ * @property submittedAtMs wall-clock milliseconds of the leader
+ */
+data class EvacuateDataCentre(val dataCentre: String, val evacuated: Boolean, val submittedAtMs: Long) : ControlCommand
+
 /** Removes idempotency records whose retention has ended at [nowMs], the wall-clock time of the leader. */
 data class ExpireClaims(val nowMs: Long) : ControlCommand
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/ControlState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/ControlState.kt
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import org.bramleyspur.control.evacuation.Evacuations
 import org.bramleyspur.core.model.Assignment
 import org.bramleyspur.core.model.Configuration
 import org.bramleyspur.core.model.ReplicaId
@@ -15,6 +16,7 @@
  * @property previousVersions for each service, the version that served before the last finished roll-out
  * @property commands operators' commands by id, the oldest first
  * @property document active configuration document; null before the first one
+ * @property evacuations data centres whose backend servers get no requests
  */
 data class ControlState(
     val appliedIndex: Long = 0,
@@ -24,6 +26,7 @@
     val claims: ClaimTable = ClaimTable(),
     val commands: PersistentMap<String, CommandRecord> = persistentMapOf(),
     val document: StoredDocument? = null,
+    val evacuations: Evacuations = Evacuations(),
 )
 
 /** A configuration document in the form in which it was accepted. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/SnapshotWire.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/SnapshotWire.kt
@@ -8,11 +8,14 @@
 import com.github.michaelbull.result.Result
 import com.google.protobuf.InvalidProtocolBufferException
 import kotlinx.collections.immutable.toPersistentMap
+import org.bramleyspur.control.evacuation.Evacuation
+import org.bramleyspur.control.evacuation.Evacuations
 import org.bramleyspur.core.model.Incarnation
 import org.bramleyspur.core.model.RequestId
 import org.bramleyspur.core.model.Revision
 import org.bramleyspur.core.wire.toMessage
 import org.bramleyspur.core.wire.toModel
+import org.bramleyspur.protocol.EvacuationRecord
 import org.bramleyspur.protocol.PreviousVersion
 import org.bramleyspur.protocol.StateSnapshot
 import org.bramleyspur.protocol.ClaimRecord as ClaimRecordMessage
@@ -28,6 +31,8 @@
     .addAllClaims(claims.records.entries.sortedBy { it.value.grant }.map { it.value.toMessage(it.key) })
     .addAllCommands(commands.map { (id, record) -> record.toMessage(id) })
     .apply { this@encodeSnapshot.document?.let { setDocument(it.toMessage()) } }
+    .addAllEvacuations(evacuations.byDataCentre.entries.sortedBy { it.key }.map { it.value.toMessage(it.key) })
+    .setEvacuationRevision(evacuations.revision)
     .build()
     .toByteArray()
 
@@ -46,8 +51,19 @@
     claims = claimsList.fold(ClaimTable()) { table, record -> table.with(record.key.toModel(), record.toModel()) },
     commands = commandsList.associate { it.commandId to it.toModel() }.toPersistentMap(),
     document = if (hasDocument()) document.toModel() else null,
+    evacuations = Evacuations(
+        evacuationRevision,
+        evacuationsList.associate { it.dataCentre to Evacuation(it.revision, it.startedAtMs) }.toPersistentMap(),
+    ),
 )
 
+private fun Evacuation.toMessage(dataCentre: String): EvacuationRecord = EvacuationRecord
+    .newBuilder()
+    .setDataCentre(dataCentre)
+    .setRevision(revision)
+    .setStartedAtMs(startedAtMs)
+    .build()
+
 private fun previousVersion(service: String, version: String) =
     PreviousVersion.newBuilder().setService(service).setVersion(version).build()
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/StateMachine.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/StateMachine.kt
@@ -24,6 +24,7 @@
     is Claim -> withClaims(claims.claim(index, command))
     is Complete -> withClaims(claims.complete(command))
     is ReplaceDocument -> replaceDocument(command.document)
+    is EvacuateDataCentre -> evacuate(index, command)
     is ExpireClaims -> withClaims(claims.expire(command.nowMs))
 }
 
@@ -39,6 +40,16 @@
     return Applied(copy(document = next), DocumentReplaced(replaced = true, next.version))
 }
 
+/** Begins or ends an evacuation; a resend finds it begun or ended, and changes nothing. */
+private fun ControlState.evacuate(index: Long, command: EvacuateDataCentre): Applied {
+    val next = if (command.evacuated) {
+        evacuations.start(command.dataCentre, index, command.submittedAtMs)
+    } else {
+        evacuations.finish(command.dataCentre, index)
+    }
+    return Applied(copy(evacuations = next), EvacuationChanged(next !== evacuations, next.revision))
+}
+
 /** Makes the next version the serving one and records the former one for `roll back`. */
 private fun ControlState.finishRollOut(index: Long, command: FinishRollOut): Applied {
     val service = configuration.services[command.service]
