Read the regions and the room contracts of a deployment's settings

Cause: the parts for competing callers need a word of the deployment that calls for them, and evacuations and homes need the known data centres.

Change: regions by data centre, and switches for admission under pressure, shared load and targets by demand, all off unless the settings say otherwise. Nothing uses them yet.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -6,6 +6,8 @@
 package org.bramleyspur.daemon.process
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.persistentMapOf
 import org.bramleyspur.control.state.ControlState
 import org.bramleyspur.core.document.DocumentDecoder
 import org.bramleyspur.core.settings.Address
@@ -44,6 +46,9 @@
  * @property seeds `host:port` at which the other processes reach the first control instances
  * @property bootstrap whether the whole system starts for the first time
  * @property toleratedFailures number of simultaneous failures of control instances to tolerate
+ * @property regions region of each data centre of the deployment; empty if they are not known
+ * @property sharedLoad whether entries are told what the others have sent to each backend server
+ * @property demandTargets whether the numbers of groups follow the measured demand for each model
  */
 data class AgentlessControlSettings(
     val instance: String,
@@ -54,6 +59,9 @@
     val seeds: List<String>,
     val bootstrap: Boolean,
     val toleratedFailures: Int,
+    val regions: ImmutableMap<String, String> = persistentMapOf(),
+    val sharedLoad: Boolean = false,
+    val demandTargets: Boolean = false,
 ) {
     /** Number of voters of the log: a majority remains after [toleratedFailures] failures. */
     val voterCount: Int get() = (2 * toleratedFailures + 1).coerceIn(1, MAX_VOTERS)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -6,6 +6,8 @@
 
 import com.github.michaelbull.result.getOrElse
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.persistentMapOf
 import org.bramleyspur.core.backend.BackendDirectory
 import org.bramleyspur.core.backend.BackendState
 import org.bramleyspur.core.document.DocumentDecoder
@@ -45,6 +47,10 @@
  * @property retryBudgetSlack retries allowed per window in addition, over all entries
  * @property retryBudgetWindowMs length of the window in milliseconds
  * @property stopTimeoutMs time in milliseconds from SIGTERM to the end of the process
+ * @property regions region of each data centre of the deployment; empty if they are not known
+ * @property pressureAdmission whether requests that compete for room are admitted by what can still be in time
+ * @property sharedLoad whether entries tell each other, through control, what they have sent to each backend server
+ * @property demandTargets whether control is told what is asked of each model
  */
 data class AgentlessEntrySettings(
     val instance: String,
@@ -58,6 +64,10 @@
     val retryBudgetSlack: Double,
     val retryBudgetWindowMs: Long,
     val stopTimeoutMs: Long,
+    val regions: ImmutableMap<String, String> = persistentMapOf(),
+    val pressureAdmission: Boolean = false,
+    val sharedLoad: Boolean = false,
+    val demandTargets: Boolean = false,
 )
 
 /** Header names and document format that an adapter supplies to an entry. */
