Evacuate a data centre on an operator's call

Cause: both calls of an evacuation were answered 404, and entries had no rule that keeps requests from a data centre.

Change: the platform's calls become a command of the control log; every directory event carries the evacuations in force, and a change is sent at once; an entry keeps the highest revision, sends nothing to the backend servers of an evacuated data centre, and after its start awaits the leader's word on them. A request all of whose servers are evacuated is refused at once.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneCall.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneCall.kt
@@ -20,6 +20,9 @@
     /** An operator requests the current configuration document. */
     data object Read : ControlPlaneCall
 
+    /** An operator begins the evacuation of a data centre, or ends it if not [evacuated]. */
+    data class Evacuate(val dataCentre: String, val evacuated: Boolean) : ControlPlaneCall
+
     /** A malformed call; [message] says what to correct. */
     data class Invalid(val message: String) : ControlPlaneCall
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneCalls.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneCalls.kt
@@ -5,6 +5,7 @@
 package org.bramleyspur.daemon.controlplane
 
 import com.github.michaelbull.result.fold
+import org.bramleyspur.control.state.EvacuateDataCentre
 import org.bramleyspur.control.state.ReplaceDocument
 import org.bramleyspur.control.state.StoredDocument
 import org.bramleyspur.core.backend.validate
@@ -16,12 +17,14 @@
 /**
  * Serves calls to the control instance at [self] (`host:port`).
  *
+ * @property dataCentres names of the known data centres; empty if they are not known
  * @property node returns the member of the control log; null while the log is not open
  */
 internal class ControlPlaneCalls(
     private val self: String,
     private val directory: ControlDirectory,
     private val log: DecisionLog,
+    private val dataCentres: Set<String>,
     private val node: () -> ControlNode?,
 ) {
     /** Handles [call] and calls [respond] exactly once. */
@@ -33,6 +36,7 @@
         is ControlPlaneCall.Deregister -> respond(deregister(call))
         is ControlPlaneCall.Replace -> replace(call, respond)
         is ControlPlaneCall.Read -> read(respond)
+        is ControlPlaneCall.Evacuate -> evacuate(call, respond)
         is ControlPlaneCall.Invalid -> {
             log.write("call-refused", "reason" to call.message)
             respond(ControlPlaneResponse.Refused(call.message))
@@ -64,6 +68,28 @@
         }
     }
 
+    private fun evacuate(call: ControlPlaneCall.Evacuate, respond: (ControlPlaneResponse) -> Unit) {
+        if (dataCentres.isNotEmpty() && call.dataCentre !in dataCentres) {
+            log.write("call-refused", "reason" to "unknown data centre ${call.dataCentre}")
+            val known = dataCentres.sorted().joinToString(", ")
+            return respond(
+                ControlPlaneResponse.Refused("there is no data centre '${call.dataCentre}'; name one of $known"),
+            )
+        }
+        val current = node() ?: return respond(LOG_NOT_OPEN)
+        if (current.leadingTerm() == null) return respond(redirectToLeader(current))
+        current.propose(EvacuateDataCentre(call.dataCentre, call.evacuated, System.currentTimeMillis())) { result ->
+            val outcome = result.fold({ "accepted" }, { it.message })
+            log.write(
+                "evacuation-call",
+                "data_centre" to call.dataCentre,
+                "evacuated" to call.evacuated,
+                "outcome" to outcome,
+            )
+            respond(result.fold({ ControlPlaneResponse.Accepted }, ::refusalOf))
+        }
+    }
+
     /** Only an entry that is too large is refused for good; all other errors may pass. */
     private fun refusalOf(error: ProposeError): ControlPlaneResponse = when (error) {
         is ProposeError.TooLarge -> ControlPlaneResponse.Refused(error.message)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/ControlDirectory.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/ControlDirectory.kt
@@ -8,6 +8,7 @@
 import com.github.michaelbull.result.fold
 import io.grpc.stub.StreamObserver
 import io.netty.channel.EventLoopGroup
+import org.bramleyspur.control.evacuation.Evacuations
 import org.bramleyspur.control.state.StoredDocument
 import org.bramleyspur.core.backend.Announcement
 import org.bramleyspur.core.backend.BackendDirectory
@@ -27,6 +28,7 @@
  * What a [ControlDirectory] needs from the rest of its process.
  *
  * @property document the active configuration document
+ * @property evacuations the evacuations in force
  * @property confirmed whether this instance leads and holds a valid lease
  * @property members `host:port` of the members of the control log
  * @property onEntryReport receives the reports of entries
@@ -34,6 +36,7 @@
  */
 internal class ControlDirectoryContext(
     val document: () -> StoredDocument?,
+    val evacuations: () -> Evacuations,
     val confirmed: () -> Boolean,
     val members: () -> List<String>,
     val onEntryReport: (DirectoryRequest) -> Unit,
@@ -61,6 +64,7 @@
             backends = { directory },
             promptParts = { promptParts.observations() },
             document = context.document,
+            evacuations = context.evacuations,
             confirmed = context.confirmed,
             members = context.members,
         ),
@@ -91,6 +95,9 @@
     /** Sends a document that has been committed. */
     fun onDocument() = server.onDocument()
 
+    /** Sends a change of the evacuations. */
+    fun onEvacuations() = server.onEvacuations()
+
     private fun onEvent(address: String, event: DirectoryEvent) {
         val now = timers.nowMs()
         event.announcementsList.forEach { recordReceived(it, now) }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
@@ -10,6 +10,7 @@
 import io.grpc.Status
 import io.grpc.stub.ServerCallStreamObserver
 import io.grpc.stub.StreamObserver
+import org.bramleyspur.control.evacuation.Evacuations
 import org.bramleyspur.control.state.StoredDocument
 import org.bramleyspur.core.backend.Announcement
 import org.bramleyspur.core.backend.BackendDirectory
@@ -21,6 +22,7 @@
 import org.bramleyspur.protocol.ConfigurationDocument
 import org.bramleyspur.protocol.DirectoryEvent
 import org.bramleyspur.protocol.DirectoryRequest
+import org.bramleyspur.protocol.EvacuationState
 import org.bramleyspur.traffic.quarantine.PartObservation
 
 private val logger = KotlinLogging.logger {}
@@ -30,6 +32,7 @@
  *
  * @property backends all known backend servers, sent to a new watcher
  * @property promptParts what is known about suspect prompt parts, sent to a new watcher
+ * @property evacuations the evacuations in force
  * @property confirmed whether this instance leads with a valid lease
  * @property members `host:port` of the members of the control log
  */
@@ -37,6 +40,7 @@
     val backends: () -> BackendDirectory,
     val promptParts: () -> List<PartObservation>,
     val document: () -> StoredDocument?,
+    val evacuations: () -> Evacuations,
     val confirmed: () -> Boolean,
     val members: () -> List<String>,
 )
@@ -120,6 +124,9 @@
         sendDocument()
     }
 
+    /** Sends a change of the evacuations to all watchers, at once. */
+    fun onEvacuations() = broadcast(newEvent().build())
+
     private fun sendDocument() {
         val document = source.document() ?: return
         val leads = source.confirmed()
@@ -133,6 +140,7 @@
 
     private fun newEvent(): DirectoryEvent.Builder = DirectoryEvent
         .newBuilder()
+        .setEvacuations(source.evacuations().toMessage())
         .setConfirmed(source.confirmed())
         .setDocumentVersion(source.document()?.version ?: 0)
         .addAllMembers(source.members())
@@ -215,5 +223,8 @@
     }
 }
 
+private fun Evacuations.toMessage(): EvacuationState =
+    EvacuationState.newBuilder().setRevision(revision).addAllDataCentres(byDataCentre.keys.sorted()).build()
+
 private fun StoredDocument.toEvent(): ConfigurationDocument =
     ConfigurationDocument.newBuilder().setVersion(version).setContent(content).build()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -7,6 +7,7 @@
 import org.bramleyspur.core.document.EngineCosts
 import org.bramleyspur.core.telemetry.DecisionLog
 import org.bramleyspur.core.time.TimerService
+import org.bramleyspur.traffic.evacuation.EvacuationView
 import org.bramleyspur.traffic.forward.Candidate
 import org.bramleyspur.traffic.forward.RouteTable
 import org.bramleyspur.traffic.forward.RouteTargets
@@ -78,6 +79,10 @@
     /** Routes of the current configuration document; null before the first one. */
     var routes: RouteTable? = null
 
+    /** The evacuated data centres, and whether requests await the leader's word on them after a start. */
+    var evacuations = EvacuationView()
+    var awaitsEvacuations = false
+
     /** Which backend servers accept requests, according to their responses. */
     val availability = BackendAvailability(timers, headers, log, metrics)
 
@@ -116,6 +121,16 @@
         log.write("backend-resumed", "id" to load.id, "silent_ms" to silentMs, "streams" to load.activeStreams)
     }
 
+    /** Whether requests may be sent to the backend servers of a data centre. */
+    private fun allows(announcement: Announcement): Boolean =
+        (!awaitsEvacuations || evacuations.usable(outages.uptimeMs)) && evacuations.allows(announcement.dataCentre)
+
+    /** Whether all backend servers that could serve such a request are in evacuated data centres. */
+    fun isEvacuated(service: DocumentService, model: String?): Boolean {
+        val servers = serversOf(service, model)
+        return servers.isNotEmpty() && servers.none { evacuations.allows(it.dataCentre) }
+    }
+
     /** Announcements of the backend servers that serve such a request, whether they accept one now or not. */
     private fun serversOf(service: DocumentService, model: String?): List<Announcement> {
         if (service.costs == null || model == null) return directory.readyPlainBackends(service.name)
@@ -163,7 +178,8 @@
     ): BackendChoice? {
         val modelSpec = service.models.firstOrNull { it.name == model } ?: return null
         val candidates = directory.openGroupHeads(service.name, model, modelSpec.groupSize)
-            .filter { filter.allows(it.announcement.id) && availability.accepts(it.announcement) }
+            .filter { filter.allows(it.announcement.id) && allows(it.announcement) }
+            .filter { availability.accepts(it.announcement) }
             .mapNotNull { head ->
                 val timeFactor = modelSpec.timeFactor * if (head.spansDomains) costs.crossDomainFactor else 1.0
                 loads.loadOf(head.announcement)?.let {
@@ -191,7 +207,7 @@
 
     private fun choosePlain(service: DocumentService, filter: BackendFilter): BackendChoice? {
         val candidates = directory.readyPlainBackends(service.name)
-            .filter { filter.allows(it.id) && availability.accepts(it) }
+            .filter { filter.allows(it.id) && allows(it) && availability.accepts(it) }
             .mapNotNull { backend ->
                 loads.loadOf(backend)?.let { it to candidate(it, maxOf(1, backend.slots), 1.0, backend.dataCentre) }
             }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
@@ -1,6 +1,7 @@
 package org.bramleyspur.daemon.forward
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
@@ -73,6 +74,22 @@
         .labelNames("service")
         .register(registry)
 
+    private val evacuatedRefusals = Counter.builder()
+        .name("bramleyspur_evacuation_refusals_total")
+        .help("Requests refused because all their backend servers are in evacuated data centres, by route.")
+        .labelNames("route")
+        .register(registry)
+    private val evacuatedDataCentres = Gauge.builder()
+        .name("bramleyspur_evacuated_data_centres")
+        .help("Data centres to which this entry sends nothing since they are evacuated.")
+        .register(registry)
+
+    /** Records a request all of whose backend servers are in evacuated data centres. */
+    fun onEvacuated(route: String) = evacuatedRefusals.labelValues(route).inc()
+
+    /** Records the number of evacuated data centres. */
+    fun onEvacuations(count: Int) = evacuatedDataCentres.set(count.toDouble())
+
     fun onRequestEnd(route: String, outcome: String) = requests.labelValues(route, outcome).inc()
 
     /** Records the time from the receipt of a request to the first byte of its response. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -101,7 +101,7 @@
                 onNotSendable(
                     context.backoffMs(request.service, request.model)?.let { AttemptEnd.BackingOff(it) }
                         ?: AttemptEnd.NoCandidate,
-                    "no backend server takes ${request.model ?: request.service.name}",
+                    noServerText(),
                 )
             !isSoonEnough(choice) ->
                 onNotSendable(AttemptEnd.NoCandidate, "expected ${choice.expectedMs.toLong()} ms to the first event")
@@ -109,8 +109,16 @@
         }
     }
 
+    private fun noServerText(): String {
+        val target = request.model ?: request.service.name
+        if (!context.isEvacuated(request.service, request.model)) return "no backend server takes $target"
+        context.metrics.onEvacuated(route.name)
+        return "all backend servers of $target are in evacuated data centres"
+    }
+
     /** Whether the request, of which nothing was sent, waits for the end of an outage. */
     private fun waits(): Boolean = sends == 0 && unsentAttempts == 0 &&
+        !context.isEvacuated(request.service, request.model) &&
         context.backoffMs(request.service, request.model) == null &&
         waitsForOutage(
             request.elapsedMs(),
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -8,6 +8,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.persistentMapOf
+import org.bramleyspur.control.evacuation.Evacuations
 import org.bramleyspur.control.state.ControlState
 import org.bramleyspur.core.document.DocumentDecoder
 import org.bramleyspur.core.settings.Address
@@ -118,6 +119,7 @@
         log,
         ControlDirectoryContext(
             document = { member.node?.state?.document },
+            evacuations = { member.node?.state?.evacuations ?: Evacuations() },
             confirmed = { member.node?.leadingTerm() != null },
             members = member::memberAddresses,
             onEntryReport = { groupDriver.onEntryReport(it) },
@@ -134,7 +136,12 @@
         { lag.recentMs() },
         { planning.request() },
     )
-    private val calls = ControlPlaneCalls(settings.listenAddress.toString(), directory, log) { member.node }
+    private val calls = ControlPlaneCalls(
+        settings.listenAddress.toString(),
+        directory,
+        log,
+        settings.regions.keys,
+    ) { member.node }
     private val controlPlane = ControlPlaneServer(dialect.decodeCall, ::onCallFailure, calls::handle)
     private val platform = PlatformServer(::readiness, registry)
     private val internalServer = buildServer(
@@ -177,6 +184,7 @@
     }
 
     override fun onStateChanged(before: ControlState, after: ControlState) {
+        if (after.evacuations.revision != before.evacuations.revision) onEvacuations(after.evacuations)
         val document = after.document ?: return
         if (document.version != before.document?.version) {
             log.write("document-in-force", "version" to document.version, "before" to (before.document?.version ?: 0L))
@@ -184,6 +192,16 @@
         }
     }
 
+    private fun onEvacuations(evacuations: Evacuations) {
+        log.write(
+            "evacuation",
+            "revision" to evacuations.revision,
+            "data_centres" to evacuations.byDataCentre.keys.sorted().joinToString(","),
+        )
+        directory.onEvacuations()
+        planning.request()
+    }
+
     private fun expireBackends() {
         directory.expire()
         groupDriver.closeAllExcept(directory.backends.backends)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -47,6 +47,7 @@
  * @property retryBudgetSlack retries allowed per window in addition, over all entries
  * @property retryBudgetWindowMs length of the window in milliseconds
  * @property stopTimeoutMs time in milliseconds from SIGTERM to the end of the process
+ * @property evacuations whether operators evacuate data centres, so that an entry awaits the leader's word at its start
  * @property regions region of each data centre of the deployment; empty if they are not known
  * @property pressureAdmission whether requests that compete for room are admitted by what can still be in time
  * @property sharedLoad whether entries tell each other, through control, what they have sent to each backend server
@@ -64,6 +65,7 @@
     val retryBudgetSlack: Double,
     val retryBudgetWindowMs: Long,
     val stopTimeoutMs: Long,
+    val evacuations: Boolean = false,
     val regions: ImmutableMap<String, String> = persistentMapOf(),
     val pressureAdmission: Boolean = false,
     val sharedLoad: Boolean = false,
@@ -102,6 +104,10 @@
             entryCount
         }
     }
+    init {
+        context.awaitsEvacuations = settings.evacuations
+    }
+
     private val front = FrontServer(loops.trafficGroup, context)
     private val platform = PlatformServer(::readiness, registry, settings.readyPath)
     private val directoryClient =
@@ -175,6 +181,7 @@
             .setInstance(settings.instance)
             .setDocumentVersion(context.routes?.version ?: 0)
             .setEntry(true)
+            .setEvacuationRevision(context.evacuations.revision)
             .addAllAnsweringBackends(loads.responding(RESPONDING_WINDOW_MS))
             .addAllSilentBackends(loads.unresponsive(UNRESPONSIVE_WINDOW_MS))
             .build()
@@ -195,6 +202,7 @@
     private fun onEvent(address: String, event: DirectoryEvent) {
         val now = timers.nowMs()
         entryCount = maxOf(event.entries, 1)
+        applyEvacuations(event, address)
         event.announcementsList.forEach { recordAnnouncement(it, address, now) }
         val renewals = context.directory.renewAll(event.renewalsList, now)
         context.directory = renewals.directory
@@ -226,6 +234,20 @@
         }
     }
 
+    private fun applyEvacuations(event: DirectoryEvent, address: String) {
+        val before = context.evacuations
+        val told = event.evacuations
+        context.evacuations = before.onEvent(told.revision, told.dataCentresList, event.confirmed)
+        if (context.evacuations.revision == before.revision) return
+        context.metrics.onEvacuations(context.evacuations.dataCentres.size)
+        log.write(
+            "evacuation",
+            "revision" to told.revision,
+            "data_centres" to told.dataCentresList.joinToString(","),
+            "from" to address,
+        )
+    }
+
     private fun applyDocument(event: DirectoryEvent, address: String) {
         val version = event.document.version
         val current = context.routes?.version
