Keep the order of a directory source's properties

Cause: tests of the directory name the properties by position, so they no longer compiled.

Change: the evacuations come last and default to none.

Result: the tests of the daemon compile again.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
@@ -32,17 +32,17 @@
  *
  * @property backends all known backend servers, sent to a new watcher
  * @property promptParts what is known about suspect prompt parts, sent to a new watcher
- * @property evacuations the evacuations in force
  * @property confirmed whether this instance leads with a valid lease
  * @property members `host:port` of the members of the control log
+ * @property evacuations the evacuations in force
  */
 class DirectorySource(
     val backends: () -> BackendDirectory,
     val promptParts: () -> List<PartObservation>,
     val document: () -> StoredDocument?,
-    val evacuations: () -> Evacuations,
     val confirmed: () -> Boolean,
     val members: () -> List<String>,
+    val evacuations: () -> Evacuations = { Evacuations() },
 )
 
 /** Serves the watchers of one control instance; all functions and callbacks run on the control thread. */
