Bound the bytes that an entry holds for its callers

Cause: each caller that stopped reading in mid-stream could hold 64 KB and a body of megabytes; nothing bounded their sum, and the engine of such a caller was left unread until it cut the response off by itself.

Change: one bound for bodies and unsent responses of a process; the limit of each caller falls with what is free, and a body without room is refused as not run before it is read. A response whose caller takes nothing for 3 s is broken off, which frees its engine. Log lines caller-limit and the request's outcome caller-stalled, metrics bramleyspur_held_bytes and bramleyspur_stalled_callers_total.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ConnectionResponse.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ConnectionResponse.kt
@@ -19,12 +19,14 @@
  *
  * @property keepAlive whether the connection stays open for further requests
  * @property closesConnections whether the entry closes its connections after their responses
+ * @property onWritten called with the bytes of each part of a body that was written
  * @property onSent called when the caller's network connection has taken the whole response
  */
 internal class ConnectionResponse(
     private val channel: Channel,
     var keepAlive: Boolean,
     private val closesConnections: () -> Boolean,
+    private val onWritten: (bytes: Int) -> Unit,
     private val onSent: () -> Unit,
 ) : CallerResponse {
     /** Whether a part of the response was written. */
@@ -68,7 +70,9 @@
     }
 
     override fun write(data: ByteBuf) {
+        val bytes = data.readableBytes()
         channel.writeAndFlush(DefaultHttpContent(data))
+        onWritten(bytes)
     }
 
     override fun finish() = end(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
@@ -90,6 +90,26 @@
     /** Records the number of evacuated data centres. */
     fun onEvacuations(count: Int) = evacuatedDataCentres.set(count.toDouble())
 
+    private val heldBytes = Gauge.builder()
+        .name("bramleyspur_held_bytes")
+        .help("Bytes held for callers, by what they belong to.")
+        .labelNames("part")
+        .register(registry)
+    private val stalledCallers = Counter.builder()
+        .name("bramleyspur_stalled_callers_total")
+        .help("Responses that were broken off since their callers took nothing for too long, by route.")
+        .labelNames("route")
+        .register(registry)
+
+    /** Records what is held for callers, in bytes. */
+    fun onHeldBytes(bodies: Long, responses: Long) {
+        heldBytes.labelValues("bodies").set(bodies.toDouble())
+        heldBytes.labelValues("responses").set(responses.toDouble())
+    }
+
+    /** Records a response that was broken off since its caller took nothing for too long. */
+    fun onStalledCaller(route: String) = stalledCallers.labelValues(route).inc()
+
     fun onRequestEnd(route: String, outcome: String) = requests.labelValues(route, outcome).inc()
 
     /** Records the time from the receipt of a request to the first byte of its response. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -75,6 +75,16 @@
         }
     }
 
+    /** Size of the body, which is kept for further attempts. */
+    val bodyBytes: Int get() = request.caller.body.size
+
+    /** Breaks the response off, of which [unsentBytes] wait for a caller that has taken nothing for [stalledMs]. */
+    fun endForStalledCaller(stalledMs: Long, unsentBytes: Long) {
+        if (done) return
+        context.metrics.onStalledCaller(route.name)
+        fail(STATUS_OUTCOME_UNKNOWN, "caller-stalled", "took nothing for $stalledMs ms, $unsentBytes bytes unsent")
+    }
+
     override fun onFault(cause: Throwable) = faultHandler(cause)
 
     /** Pauses reading from the backend servers while the caller's connection accepts no more data. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.WriteBufferWaterMark
 import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpRequest
@@ -40,7 +41,7 @@
     }
 
     private val faults = FaultLog(context)
-    private val reader = RequestReader({ server.limits }, context.timers::nowMs)
+    private val reader = RequestReader({ server.limits }, context.timers::nowMs, server::takesBody)
     private val pendingMessages = ArrayDeque<HttpObject>()
     private var discardingInput = false
     private var currentRequest: ForwardedRequest? = null
@@ -56,6 +57,15 @@
     private var idleSinceMs = context.timers.nowMs()
     private var idleTimeoutMs = server.limits.idleTimeoutMs
 
+    /** Bytes of the body of the request that is being read or forwarded. */
+    val bodyBytes: Long get() = reader.bodyBytes + (currentRequest?.bodyBytes ?: 0).toLong()
+
+    /** Bytes of responses that the caller's connection has not taken. */
+    val unsentBytes: Long get() = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0L
+
+    /** Since when the caller's connection takes no more data; null while it does. */
+    private var unwritableSinceMs: Long? = null
+
     private val responding: Boolean get() = response != null
 
     /** Whether a request is being read or a response is being sent. */
@@ -75,6 +85,7 @@
     }
 
     override fun channelWritabilityChanged(handler: ChannelHandlerContext) {
+        unwritableSinceMs = if (channel.isWritable) null else context.timers.nowMs()
         currentRequest?.onCallerWritable(channel.isWritable)
     }
 
@@ -124,8 +135,25 @@
         faults.onUnanswered(currentId, progress, cause)
     }
 
+    /** Limits the bytes of responses that are held before backend servers are not read any more. */
+    fun limitUnsent(bytes: Int) {
+        channel.config().writeBufferWaterMark = WriteBufferWaterMark(bytes / 2, bytes)
+    }
+
+    /**
+     * Breaks off a response whose caller takes nothing. Its backend server is not read meanwhile, and would cut it off
+     * by itself; it has room for other requests before that.
+     */
+    private fun endIfStalled() {
+        val stalledMs = unwritableSinceMs?.let { context.timers.nowMs() - it } ?: return
+        val request = currentRequest ?: return
+        if (stalledMs <= STALLED_CALLER_LIMIT_MS) return
+        request.endForStalledCaller(stalledMs, unsentBytes)
+    }
+
     /** Ends the connection when it has been idle, or an incomplete request has been arriving, for too long. */
     fun closeIfTimedOut() = guarded(::onFault) {
+        endIfStalled()
         val idleMs = context.timers.nowMs() - idleSinceMs
         when {
             responding || lastResponse?.sent == false -> Unit
@@ -249,8 +277,12 @@
         }
     }
 
-    private fun newResponse() =
-        ConnectionResponse(channel, keepAlive, { server.closesConnections }, ::closeIfStopping).also { response = it }
+    private fun newResponse() = ConnectionResponse(channel, keepAlive, {
+        server.closesConnections
+    }, server::onWritten, ::closeIfStopping).also {
+        response =
+            it
+    }
 
     private fun rejectRequest(status: HttpResponseStatus, text: String, response: CallerResponse) {
         context.log.write(
@@ -309,6 +341,9 @@
 
     private companion object {
         const val MAX_PENDING_MESSAGES = 64
+
+        /** Shorter than the time after which engines cut off a response that is not read. */
+        const val STALLED_CALLER_LIMIT_MS = 3_000L
         const val STATUS_UNAVAILABLE = 503
 
         /** Time limit of a request that names none. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
@@ -11,10 +11,19 @@
 import org.bramleyspur.core.document.ClientLimits
 import org.bramleyspur.core.settings.Address
 import org.bramleyspur.daemon.http.listen
+import org.bramleyspur.traffic.forward.HeldBytes
 import java.net.InetSocketAddress
 
-/** HTTP/1.1 server for callers; runs on the single thread of [group]. */
-internal class FrontServer(private val group: EventLoopGroup, private val context: ForwardContext) {
+/**
+ * HTTP/1.1 server for callers; runs on the single thread of [group].
+ *
+ * @property heldBoundBytes what may be held for all callers together: bodies, and responses that they have not taken
+ */
+internal class FrontServer(
+    private val group: EventLoopGroup,
+    private val context: ForwardContext,
+    private val heldBoundBytes: Long = DEFAULT_HELD_BYTES,
+) {
     private val connections = LinkedHashSet<FrontConnection>()
     private var listener: Channel? = null
 
@@ -32,6 +41,10 @@
     /** Number of connections on which a request is being read or a response is being sent. */
     val runningRequests: Int get() = connections.count { it.busy }
 
+    private var held = HeldBytes(heldBoundBytes)
+    private var writtenBytes = 0L
+    private var callerLimitBytes = HeldBytes.MAX_CALLER_BYTES
+
     /** Limits of the current configuration document; defaults before the first one. */
     val limits: ClientLimits get() = context.routes?.document?.limits ?: ClientLimits()
 
@@ -60,12 +73,45 @@
                 },
             ).listen(address)
         listener = bound
+        context.timers.every(HELD_CHECK_INTERVAL_MS) { updateHeldBytes() }
         context.timers.every(TIMEOUT_CHECK_INTERVAL_MS) { connections.toList().forEach { it.closeIfTimedOut() } }
         return (bound.localAddress() as InetSocketAddress).port
     }
 
+    /** Sums up what is held for all callers, and sets the limit of each one. */
+    private fun updateHeldBytes() {
+        writtenBytes = 0
+        held = HeldBytes(heldBoundBytes, connections.sumOf { it.bodyBytes }, connections.sumOf { it.unsentBytes })
+        context.metrics.onHeldBytes(held.bodyBytes, held.responseBytes)
+        val limit = held.callerLimitBytes()
+        if (limit == callerLimitBytes) return
+        context.log.write(
+            "caller-limit",
+            "bytes" to limit,
+            "before" to callerLimitBytes,
+            "bodies" to held.bodyBytes,
+            "responses" to held.responseBytes,
+            "connections" to connections.size,
+        )
+        callerLimitBytes = limit
+        connections.forEach { it.limitUnsent(limit) }
+    }
+
+    /** Bytes that are held for callers now. */
+    val heldBytes: Long get() = connections.sumOf { it.bodyBytes + it.unsentBytes }
+
+    /** Records that [bytes] of a response were written; the limits follow after some of them. */
+    fun onWritten(bytes: Int) {
+        writtenBytes += bytes
+        if (writtenBytes >= heldBoundBytes / CHECKS_PER_BOUND) updateHeldBytes()
+    }
+
+    /** Whether a body of [bytes] may be read beside what is held. */
+    fun takesBody(bytes: Long): Boolean = held.takesBody(bytes)
+
     fun onOpen(connection: FrontConnection) {
         connections += connection
+        connection.limitUnsent(callerLimitBytes)
         if (closesIdle) connection.close()
     }
 
@@ -103,6 +149,8 @@
     fun endRunning() = connections.toList().forEach { it.endRunning() }
 
     private companion object {
+        /** Less than half of the direct memory that the roles are started with. */
+        const val DEFAULT_HELD_BYTES = 24L * 1024 * 1024
         const val ACCEPT_BACKLOG = 1024
 
         /** The connection applies the limits, which can change while it is open. */
@@ -115,6 +163,12 @@
         /** Longer than the round trip to a caller. */
         const val IDLE_CLOSE_DELAY_MS = 250L
 
+        /** The limits follow at least each time that this part of the bound was written. */
+        const val CHECKS_PER_BOUND = 64
+
+        /** At the speed of an instance's link, little arrives in this time. */
+        const val HELD_CHECK_INTERVAL_MS = 100L
+
         /** Longest delay in enforcing the time limits of connections. */
         const val TIMEOUT_CHECK_INTERVAL_MS = 200L
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestReader.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestReader.kt
@@ -26,7 +26,11 @@
 }
 
 /** Reads one request after the other. */
-internal class RequestReader(private val limitsInForce: () -> ClientLimits, private val nowMs: () -> Long) {
+internal class RequestReader(
+    private val limitsInForce: () -> ClientLimits,
+    private val nowMs: () -> Long,
+    private val takesBody: (bytes: Long) -> Boolean = { true },
+) {
     private var head: HttpRequest? = null
     private var body = ByteArrayOutputStream()
     private var startedAtMs: Long? = null
@@ -35,6 +39,9 @@
 
     private val limits: ClientLimits get() = limitsInForce().orMoreGenerous(limitsAtStart)
 
+    /** Bytes of the body that is being read. */
+    val bodyBytes: Int get() = body.size()
+
     /** Whether the head of a request was read and its body was not. */
     val headRead: Boolean get() = head != null
 
@@ -84,6 +91,7 @@
         return when {
             maxOf(request.uri().length, headerBytes(request)) > limits.maxHeaderBytes -> refused(HEAD_TOO_LARGE)
             HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes -> refused(BODY_TOO_LARGE)
+            !takesBody(HttpUtil.getContentLength(request, 0L)) -> refused(NO_ROOM)
             HttpUtil.is100ContinueExpected(request) -> ReadStep.ContinueExpected
             else -> ReadStep.Incomplete
         }
@@ -98,11 +106,13 @@
     private fun readContent(content: HttpContent): ReadStep {
         val data = content.content()
         if (body.size() + data.readableBytes() > limits.maxBodyBytes) return refused(BODY_TOO_LARGE)
+        if (!takesBody(data.readableBytes().toLong())) return refused(NO_ROOM)
         data.readBytes(body, data.readableBytes())
         val request = head
         if (content !is LastHttpContent || request == null) return ReadStep.Incomplete
+        val bytes = body.toByteArray()
         reset()
-        return ReadStep.Whole(request, body.toByteArray())
+        return ReadStep.Whole(request, bytes)
     }
 
     private fun refused(step: ReadStep.Refused): ReadStep.Refused = step.also { reset() }
@@ -111,12 +121,17 @@
     fun reset() {
         head = null
         startedAtMs = null
+        body = ByteArrayOutputStream()
     }
 
     private companion object {
         /** Line ends are not counted in the size of the header fields, and take up to two thirds of the bytes. */
         const val MAX_HEAD_OVERHEAD_FACTOR = 3L
         const val MAX_REQUEST_LINE_BYTES = 8 * 1024L
+        val NO_ROOM = ReadStep.Refused(
+            HttpResponseStatus.SERVICE_UNAVAILABLE,
+            "not run: this entry holds as many bytes for callers as it may; send it again",
+        )
         val BODY_TOO_LARGE =
             ReadStep.Refused(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is larger than the limit")
     }
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
@@ -192,12 +192,13 @@
     }
 
     /** Sends a request of a caller that reads nothing of the response. */
-    internal fun sendWithoutReading(path: String, remainingMs: Long = 2_000): RawClient = RawClient(port).also {
-        it.send(
-            "POST $path HTTP/1.1\r\nHost: h\r\n$ATTEMPT_ID_HEADER: 7\r\nX-Left: $remainingMs\r\n" +
-                "Authorization: Bearer key\r\nContent-Length: 0\r\n\r\n",
-        )
-    }
+    internal fun sendWithoutReading(path: String, remainingMs: Long = 2_000, atPort: Int = port) =
+        RawClient(atPort).also {
+            it.send(
+                "POST $path HTTP/1.1\r\nHost: h\r\n$ATTEMPT_ID_HEADER: 7\r\nX-Left: $remainingMs\r\n" +
+                    "Authorization: Bearer key\r\nContent-Length: 0\r\n\r\n",
+            )
+        }
 
     internal fun okResponse(body: String, id: String = "7") =
         "HTTP/1.1 200 OK\r\n$ATTEMPT_ID_HEADER: $id\r\n$SEAL_HEADER: s\r\nContent-Length: ${body.length}\r\n\r\n$body"
