Complete the evacuation of a data centre, and form groups without its engines

Cause: an evacuated data centre kept its place in the numbers of groups, a call that its caller had given up was carried out, a server that backs off was overlooked beside an evacuated one, and nothing tested the calls.

Change: the group planner computes targets and forms groups for evacuated engines and all others on their own, and closes mixed groups as it does those across domains. A call whose caller has closed the connection is dropped. A request may wait for a group of open engines while it forms. Log lines name each data centre that begins or ends; control counts the evacuated ones.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/evacuation/Evacuations.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/evacuation/Evacuations.kt
@@ -15,6 +15,9 @@
  */
 data class Evacuation(val revision: Long, val startedAtMs: Long)
 
+/** A data centre whose [evacuation] has begun, or has ended if not [begun]. */
+data class EvacuationChange(val dataCentre: String, val evacuation: Evacuation, val begun: Boolean)
+
 /**
  * The evacuated data centres, by name.
  *
@@ -34,4 +37,12 @@
     /** Ends the evacuation of [dataCentre] with the command at [index]; without one, nothing changes. */
     fun finish(dataCentre: String, index: Long): Evacuations =
         if (dataCentre in byDataCentre) Evacuations(index, byDataCentre.remove(dataCentre)) else this
+
+    /** The evacuations that have begun or ended since [before]. */
+    fun changesSince(before: Evacuations): List<EvacuationChange> {
+        val ended = before.byDataCentre.filter { (name, evacuation) -> byDataCentre[name] != evacuation }
+        val begun = byDataCentre.filter { (name, evacuation) -> before.byDataCentre[name] != evacuation }
+        return ended.map { (name, evacuation) -> EvacuationChange(name, evacuation, begun = false) } +
+            begun.map { (name, evacuation) -> EvacuationChange(name, evacuation, begun = true) }
+    }
 }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -26,6 +26,14 @@
 internal fun Planning.formGroups(service: DocumentService) {
     if (isStartingUp(service)) return
     val wanted = targetsOf(service)
+    formGroups(service, wanted.ofPart(EnginePart.OPEN))
+    if (input.evacuated.isEmpty()) return
+    part = EnginePart.EVACUATED
+    formGroups(service, wanted.ofPart(EnginePart.EVACUATED))
+    part = EnginePart.OPEN
+}
+
+private fun Planning.formGroups(service: DocumentService, wanted: DomainTargets) {
     val totals = service.models.associate { m -> m.name to wanted.values.sumOf { it[m.name] ?: 0 } }
     for (model in service.models) {
         var missing = totals.getValue(model.name) - activeGroups(service, model).count { !spansDomains(it) }
@@ -46,7 +54,9 @@
     val serving = singleDomain.count { it.phase == GroupPhase.SERVING }
     val crossDomainServing = crossDomain.filter { it.phase == GroupPhase.SERVING }
     val replaceable = crossDomainServing.filter { fitsInOneDomain(service, model, it) }
+    val cutOff = crossDomainServing.filter { isCutOff(it) }
     when {
+        cutOff.isNotEmpty() -> closeCrossDomainGroup(cutOff)
         serving >= maxOf(wanted, 1) -> closeCrossDomainGroup(crossDomainServing)
         isReplacementPending(service, model) -> Unit
         // Another group serves the model until the members have formed the new one.
@@ -67,7 +77,7 @@
     val engines = usableEnginesByDomain(service)
     val last = state.targets[service.name]
     if (last != null && last.engines == engines && last.models == service.models) return last.wanted
-    val wanted = wantedGroups(engines, service.models)
+    val wanted = wantedByPart(engines) { wantedGroups(it, service.models) }
     val targets = ServiceTargets(engines, service.models, wanted)
     state = state.copy(targets = state.targets.put(service.name, targets))
     return wanted
@@ -90,7 +100,7 @@
 
 private fun Planning.formSurplusGroup(service: DocumentService, model: ModelSpec, wanted: DomainTargets): Boolean {
     val free = freeEngines(service.name)
-    val members = fastJoiningAmong(service, free, model).groupBy { it.fabricDomain }
+    val members = fastJoiningAmong(service, free, model).groupBy { domainOf(it) }
         .filter { (domain, engines) ->
             engines.size - reserved(service, model, domain, wanted, free) >= model.groupSize
         }
@@ -109,7 +119,7 @@
     wanted: DomainTargets,
     free: List<Announcement>,
 ): Int {
-    val spares = free.filter { it.fabricDomain == domain }
+    val spares = free.filter { domainOf(it) == domain }
     val ownWork = workPerEngine(service, model)
     return service.models.filter { it.name != model.name }
         .filter { !input.trafficStarted || workPerEngine(service, it) > ownWork }
@@ -135,7 +145,7 @@
         .map { it.announcement }
         .filter { it.service == service.name && it.state == BackendState.READY }
         .filter { isUsable(it.incarnation, inGroup = it.incarnation in groupModels) }
-        .groupBy { it.fabricDomain }
+        .groupBy { domainOf(it) }
         .mapValues { (_, engines) ->
             val models = engines.mapNotNull { groupModels[it.incarnation] ?: stagedModel(service, it) }
             DomainEngines(engines.size, models.groupingBy { it }.eachCount())
@@ -147,11 +157,11 @@
     if (inGroup) lossOf(incarnation) == null else !isUnreachable(incarnation)
 
 private fun Planning.spansDomains(group: PlannedGroup): Boolean =
-    group.members.mapNotNull { announcement(it.id)?.fabricDomain }.distinct().size > 1
+    group.members.mapNotNull { member -> announcement(member.id)?.let { domainOf(it) } }.distinct().size > 1
 
 /** Forms a group in a domain that has fewer groups of the model than wanted, preferring the fastest joins. */
 private fun Planning.formWithinDomain(service: DocumentService, model: ModelSpec, wanted: DomainTargets): Boolean {
-    val best = fastJoiningEngines(service, model).groupBy { it.fabricDomain }
+    val best = fastJoiningEngines(service, model).groupBy { domainOf(it) }
         .filter { it.value.size >= model.groupSize }
         .filter { (domain, _) -> groupCountIn(service, model, domain) < wanted.groups(domain, model) }
         .map { (domain, engines) -> domain to engines.take(model.groupSize) }
@@ -169,14 +179,14 @@
 private fun Planning.formAcrossDomains(service: DocumentService, model: ModelSpec) {
     val engines = fastJoiningEngines(service, model)
     if (engines.size < model.groupSize) return
-    val perDomain = engines.groupingBy { it.fabricDomain }.eachCount()
-    formGroup(service, model, engines.sortedByDescending { perDomain.getValue(it.fabricDomain) }.take(model.groupSize))
+    val perDomain = engines.groupingBy { domainOf(it) }.eachCount()
+    formGroup(service, model, engines.sortedByDescending { perDomain.getValue(domainOf(it)) }.take(model.groupSize))
 }
 
 /** Whether the members of a cross-domain group and the free engines could form a group within one domain. */
 private fun Planning.fitsInOneDomain(service: DocumentService, model: ModelSpec, crossDomain: PlannedGroup): Boolean {
-    val members = crossDomain.members.mapNotNull { announcementOf(it) }
-    val domains = (fastJoiningEngines(service, model) + members).groupingBy { it.fabricDomain }.eachCount()
+    val members = crossDomain.members.mapNotNull { announcementOf(it) }.filter { isInPart(it) }
+    val domains = (fastJoiningEngines(service, model) + members).groupingBy { domainOf(it) }.eachCount()
     return domains.values.any { it >= model.groupSize }
 }
 
@@ -201,7 +211,7 @@
 /** Number of groups of the model within the domain; a group across domains takes the place of none of them. */
 private fun Planning.groupCountIn(service: DocumentService, model: ModelSpec, domain: String): Int =
     activeGroups(service, model).count { group ->
-        !spansDomains(group) && group.members.any { announcement(it.id)?.fabricDomain == domain }
+        !spansDomains(group) && group.members.any { member -> announcement(member.id)?.let { domainOf(it) } == domain }
     }
 
 /** Time until the engine is ready in a group of the model. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
@@ -17,9 +17,12 @@
 internal class Planning(var state: PlannerState, val input: PlannerInput) {
     val orders = ArrayList<EngineOrder>()
     val probes = ArrayList<EngineProbe>()
-    private val freeEnginesMemo = HashMap<String, FreeEngines>()
+    private val freeEnginesMemo = HashMap<Pair<String, EnginePart>, FreeEngines>()
     private val assignedMemo = AssignedMembers()
 
+    /** The engines among which groups are formed now. */
+    var part = EnginePart.OPEN
+
     fun announcement(id: String): Announcement? = input.engines[id]?.announcement
 
     /** The announcement of this incarnation; null if the engine is unknown or has restarted. */
@@ -176,18 +179,19 @@
         return next
     }
 
-    /** Ready engines of [service] that are in no group and respond to control. */
+    /** Ready engines of [service], of the current part, that are in no group and respond to control. */
     fun freeEngines(service: String): List<Announcement> {
-        val last = freeEnginesMemo[service]
+        val key = service to part
+        val last = freeEnginesMemo[key]
         if (last != null && last.isValidFor(state)) return last.engines
-        return computeFreeEngines(service).also { freeEnginesMemo[service] = FreeEngines(state, it) }
+        return computeFreeEngines(service).also { freeEnginesMemo[key] = FreeEngines(state, it) }
     }
 
     private fun computeFreeEngines(service: String): List<Announcement> {
         val occupied = state.groups.values.flatMap { group -> group.members.filter { mayBeIn(it, group) } }.toSet()
         return input.engines.values
             .map { it.announcement }
-            .filter { it.service == service && it.state == BackendState.READY && isFree(it, occupied) }
+            .filter { it.service == service && it.state == BackendState.READY && isInPart(it) && isFree(it, occupied) }
     }
 
     private fun isFree(engine: Announcement, occupied: Set<EngineIncarnation>): Boolean {
@@ -200,7 +204,7 @@
 
     /** Members of groups of the model, in each domain, that serve, form or warm up. */
     fun assignedByDomain(service: String, model: String): Map<String, List<EngineIncarnation>> =
-        assignedMemo.of(state.groups, service, model) { announcement(it.id)?.fabricDomain.orEmpty() }
+        assignedMemo.of(state.groups, service, model) { member -> announcement(member.id)?.let { domainOf(it) }.orEmpty() }
 
     /** Whether a member may still be in the group, according to its announcements and orders. */
     fun mayBeIn(incarnation: EngineIncarnation, group: PlannedGroup): Boolean {
@@ -224,8 +228,9 @@
         state = state.copy(firstSeenMs = added.fold(state.firstSeenMs) { map, id -> map.put(id, input.nowMs) })
     }
 
+    /** Groups of the model, in the current part, that form or serve. */
     fun activeGroups(service: DocumentService, model: ModelSpec): List<PlannedGroup> = state.groups.values.filter {
-        it.service == service.name && it.model == model.name &&
+        it.service == service.name && it.model == model.name && isInPart(it) &&
             (it.phase == GroupPhase.FORMING || it.phase == GroupPhase.SERVING)
     }
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightReplacement.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightReplacement.kt
@@ -41,9 +41,9 @@
 
 /** Records since when each model has lacked engines in each domain, [free] being the free engines of all domains. */
 internal fun Planning.recordShortages(service: DocumentService, wanted: DomainTargets, free: List<Announcement>) {
-    val freeByDomain = free.groupBy { it.fabricDomain }
+    val freeByDomain = free.groupBy { domainOf(it) }
     val before = state.shortageSinceMs
-    var shortages = before.filterKeys { it.service != service.name }.toPersistentMap()
+    var shortages = before.filterKeys { it.service != service.name || !isOfPart(it.domain, part) }.toPersistentMap()
     for (domain in wanted.keys + freeByDomain.keys) {
         val spares = freeByDomain[domain].orEmpty()
         val surplus = service.models.associate { it.name to surplus(service, it, domain, wanted, spares) }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
@@ -17,7 +17,7 @@
     val engineCounts = service.models.associate { it.name to enginesOf(service, it, free) }.toMutableMap()
     val countsBefore = engineCounts.toMap()
     recordShortages(service, wanted, free)
-    for ((domain, spares) in free.groupBy { it.fabricDomain }) {
+    for ((domain, spares) in free.groupBy { domainOf(it) }) {
         val surplus = service.models.associate { it.name to surplus(service, it, domain, wanted, spares) }
             .toMutableMap()
         val wantedSpares = service.models.associate { it.name to wanted.spares(domain, it, service.models) }
@@ -76,7 +76,7 @@
 
 /** Number of engines that are in groups of the model or staged for it. */
 private fun Planning.enginesOf(service: DocumentService, model: ModelSpec, free: List<Announcement>): Int =
-    assignedByDomain(service.name, model.name).values.sumOf { it.size } +
+    assignedByDomain(service.name, model.name).filterKeys { isOfPart(it, part) }.values.sumOf { it.size } +
         free.count { stagedModel(service, it) == model.name }
 
 internal fun Planning.enginesPerWork(model: ModelSpec, engineCounts: Map<String, Int>): Double =
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneCall.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneCall.kt
@@ -8,6 +8,9 @@
 
 /** A call to a control instance. */
 sealed interface ControlPlaneCall {
+    /** Whether the call is dropped if its caller has closed the connection before it is handled. */
+    val endsWithCaller: Boolean get() = false
+
     /** A backend server announces itself. */
     data class Announce(val announcement: Announcement) : ControlPlaneCall
 
@@ -21,7 +24,9 @@
     data object Read : ControlPlaneCall
 
     /** An operator begins the evacuation of a data centre, or ends it if not [evacuated]. */
-    data class Evacuate(val dataCentre: String, val evacuated: Boolean) : ControlPlaneCall
+    data class Evacuate(val dataCentre: String, val evacuated: Boolean) : ControlPlaneCall {
+        override val endsWithCaller get() = true
+    }
 
     /** A malformed call; [message] says what to correct. */
     data class Invalid(val message: String) : ControlPlaneCall
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -38,10 +39,12 @@
  * HTTP server for backend servers and operators; calls are handled on the threads of the event loop group.
  *
  * @property onFailure receives an error that closed a connection without a response, unless the peer caused it
+ * @property onDropped receives a call that is not handled since its caller has closed the connection
  */
 class ControlPlaneServer(
     private val decode: ControlPlaneDecoder,
     private val onFailure: (Throwable) -> Unit,
+    private val onDropped: (ControlPlaneCall) -> Unit = {},
     private val handle: ControlPlaneHandler,
 ) : AutoCloseable {
     private var listener: Channel? = null
@@ -81,21 +84,42 @@
             }
             val keepAlive = HttpUtil.isKeepAlive(request)
             // The next call of the connection is read once the client has taken the response to this one.
-            val settings = context.channel().config()
-            settings.isAutoRead = false
+            context.channel().config().isAutoRead = false
             val path = request.uri()
             val call =
                 decode(request.method().name(), path.substringBefore('?'), ByteBufUtil.getBytes(request.content()))
-            handle(call) { outcome ->
-                val response = httpResponse(outcome, path)
-                if (!keepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-                val written = context.writeAndFlush(response)
-                if (keepAlive) {
-                    written.addListener { settings.isAutoRead = true }
+            val respond = { outcome: ControlPlaneResponse -> write(context, httpResponse(outcome, path), keepAlive) }
+            if (call.endsWithCaller) handleUnlessEnded(context, call, respond) else handle(call, respond)
+        }
+
+        private fun write(context: ChannelHandlerContext, response: FullHttpResponse, keepAlive: Boolean) {
+            if (!keepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+            val written = context.writeAndFlush(response)
+            if (keepAlive) {
+                written.addListener { context.channel().config().isAutoRead = true }
+            } else {
+                written.addListener(ChannelFutureListener.CLOSE)
+            }
+        }
+
+        /**
+         * Handles [call] unless its caller has closed the connection, as before a late copy of a call arrives. The end
+         * of the connection follows the call and is read with the next bytes, which the flow control holds back.
+         */
+        private fun handleUnlessEnded(
+            context: ChannelHandlerContext,
+            call: ControlPlaneCall,
+            respond: (ControlPlaneResponse) -> Unit,
+        ) {
+            context.pipeline().firstContext().read()
+            val handleIfOpen = {
+                if (context.channel().isActive) {
+                    runCatching { handle(call, respond) }.onFailure { context.fireExceptionCaught(it) }
                 } else {
-                    written.addListener(ChannelFutureListener.CLOSE)
+                    onDropped(call)
                 }
             }
+            context.executor().schedule(handleIfOpen, END_READ_MS, TimeUnit.MILLISECONDS)
         }
 
         @Deprecated("Deprecated in Netty's handler interface, which still calls it.")
@@ -125,5 +149,8 @@
 
     private companion object {
         const val IDLE_TIMEOUT_MS = 30_000L
+
+        /** Time in which the event loop reads what has arrived on the connection. */
+        const val END_READ_MS = 2L
     }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -2,6 +2,7 @@
 
 import org.bramleyspur.core.backend.Announcement
 import org.bramleyspur.core.backend.BackendDirectory
+import org.bramleyspur.core.backend.BackendState
 import org.bramleyspur.core.document.DocumentRoute
 import org.bramleyspur.core.document.DocumentService
 import org.bramleyspur.core.document.EngineCosts
@@ -125,10 +126,19 @@
     private fun allows(announcement: Announcement): Boolean =
         (!awaitsEvacuations || evacuations.usable(outages.uptimeMs)) && evacuations.allows(announcement.dataCentre)
 
-    /** Whether all backend servers that could serve such a request are in evacuated data centres. */
+    /**
+     * Whether all backend servers that could serve such a request are in evacuated data centres. Engines of the others
+     * that are enough for a group form one soon, so a request may wait for them.
+     */
     fun isEvacuated(service: DocumentService, model: String?): Boolean {
+        if (evacuations.dataCentres.isEmpty()) return false
         val servers = serversOf(service, model)
-        return servers.isNotEmpty() && servers.none { evacuations.allows(it.dataCentre) }
+        if (servers.isEmpty() || servers.any { evacuations.allows(it.dataCentre) }) return false
+        val groupSize = service.models.firstOrNull { it.name == model }?.groupSize ?: return true
+        val others = directory.backends.values.map { it.announcement }.count {
+            it.service == service.name && it.state == BackendState.READY && evacuations.allows(it.dataCentre)
+        }
+        return others < groupSize
     }
 
     /** Announcements of the backend servers that serve such a request, whether they accept one now or not. */
@@ -140,9 +150,10 @@
 
     /**
      * Time in milliseconds until a backend server accepts such a request again; null if one does now, or if all are
-     * leaving or unknown.
+     * leaving, unknown or in evacuated data centres.
      */
-    fun backoffMs(service: DocumentService, model: String?): Long? = availability.backoffMs(serversOf(service, model))
+    fun backoffMs(service: DocumentService, model: String?): Long? =
+        availability.backoffMs(serversOf(service, model).filter { evacuations.allows(it.dataCentre) })
 
     /** Forgets what responses said about further requests, as far as it has expired. */
     fun expireBackoff() = availability.expire(directory.backends.values.map { it.announcement })
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -111,14 +111,18 @@
 
     private fun noServerText(): String {
         val target = request.model ?: request.service.name
-        if (!context.isEvacuated(request.service, request.model)) return "no backend server takes $target"
-        context.metrics.onEvacuated(route.name)
-        return "all backend servers of $target are in evacuated data centres"
+        return if (isEvacuated()) {
+            "all backend servers of $target are in evacuated data centres"
+        } else {
+            "no backend server takes $target"
+        }
     }
 
+    private fun isEvacuated(): Boolean = context.isEvacuated(request.service, request.model)
+
     /** Whether the request, of which nothing was sent, waits for the end of an outage. */
     private fun waits(): Boolean = sends == 0 && unsentAttempts == 0 &&
-        !context.isEvacuated(request.service, request.model) &&
+        !isEvacuated() &&
         context.backoffMs(request.service, request.model) == null &&
         waitsForOutage(
             request.elapsedMs(),
@@ -261,7 +265,10 @@
             is AttemptEnd.BackingOff -> end.retryAfterMs
             else -> null
         }
-        response.refuse(STATUS_NOT_RUN, "not run: $detail", knownRetryAfterMs ?: RETRY_AFTER_MS)
+        val evacuated = end is AttemptEnd.NoCandidate && isEvacuated()
+        if (evacuated) context.metrics.onEvacuated(route.name)
+        val retryAfterMs = knownRetryAfterMs ?: if (evacuated) EVACUATED_RETRY_AFTER_MS else RETRY_AFTER_MS
+        response.refuse(STATUS_NOT_RUN, "not run: $detail", retryAfterMs)
         end("not-run", detail)
     }
 
@@ -304,5 +311,8 @@
 
         /** Forming a group again without a lost member takes about two seconds; other groups have room sooner. */
         const val RETRY_AFTER_MS = 300L
+
+        /** An operator ends an evacuation after seconds at the soonest. */
+        const val EVACUATED_RETRY_AFTER_MS = 1_000L
     }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -88,9 +88,15 @@
     }
 
     /**
-     * Plans as the leader of [leadingTerm], if any, and sends the resulting orders and probes.
+     * Plans as the leader of [leadingTerm], if any, and sends the resulting orders and probes. The data centres
+     * [evacuated] get no requests.
      */
-    fun plan(leadingTerm: Long?, document: StoredDocument?, engines: Map<String, KnownBackend>) {
+    fun plan(
+        leadingTerm: Long?,
+        document: StoredDocument?,
+        engines: Map<String, KnownBackend>,
+        evacuated: Set<String> = emptySet(),
+    ) {
         if (document == null) return
         val previousTerm = term
         current = current.beginPlan(leadingTerm)
@@ -107,6 +113,7 @@
             evidence,
             trafficStarted,
             lagMs(),
+            evacuated,
         )
         val before = state
         val step = planGroups(state, input)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -5,6 +5,7 @@
  */
 package org.bramleyspur.daemon.process
 
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.persistentMapOf
@@ -15,6 +16,7 @@
 import org.bramleyspur.core.telemetry.DecisionLog
 import org.bramleyspur.core.time.CoalescedTask
 import org.bramleyspur.core.time.LoopLag
+import org.bramleyspur.daemon.controlplane.ControlPlaneCall
 import org.bramleyspur.daemon.controlplane.ControlPlaneCalls
 import org.bramleyspur.daemon.controlplane.ControlPlaneDecoder
 import org.bramleyspur.daemon.controlplane.ControlPlaneServer
@@ -94,6 +96,10 @@
     private val loops = EventLoops()
     private val timers = loops.controlTimers
     private val registry = PrometheusRegistry()
+    private val evacuatedDataCentres = Gauge.builder()
+        .name("bramleyspur_control_evacuated_data_centres")
+        .help("Data centres whose backend servers get no requests, as far as this control instance knows.")
+        .register(registry)
     private val lag = LoopLag(timers) { log.write("control-late", "lag_ms" to it) }
     private val planning = CoalescedTask(timers, ::plan)
     private val member = LogMember(
@@ -142,7 +148,7 @@
         log,
         settings.regions.keys,
     ) { member.node }
-    private val controlPlane = ControlPlaneServer(dialect.decodeCall, ::onCallFailure, calls::handle)
+    private val controlPlane = ControlPlaneServer(dialect.decodeCall, ::onCallFailure, ::onCallDropped, calls::handle)
     private val platform = PlatformServer(::readiness, registry)
     private val internalServer = buildServer(
         settings.listenAddress,
@@ -184,7 +190,7 @@
     }
 
     override fun onStateChanged(before: ControlState, after: ControlState) {
-        if (after.evacuations.revision != before.evacuations.revision) onEvacuations(after.evacuations)
+        if (after.evacuations.revision != before.evacuations.revision) onEvacuations(before.evacuations, after.evacuations)
         val document = after.document ?: return
         if (document.version != before.document?.version) {
             log.write("document-in-force", "version" to document.version, "before" to (before.document?.version ?: 0L))
@@ -192,12 +198,17 @@
         }
     }
 
-    private fun onEvacuations(evacuations: Evacuations) {
-        log.write(
-            "evacuation",
-            "revision" to evacuations.revision,
-            "data_centres" to evacuations.byDataCentre.keys.sorted().joinToString(","),
-        )
+    private fun onEvacuations(before: Evacuations, after: Evacuations) {
+        after.changesSince(before).forEach {
+            log.write(
+                "evacuation",
+                "data_centre" to it.dataCentre,
+                "change" to if (it.begun) "begun" else "ended",
+                "revision" to after.revision,
+                "since_ms" to it.evacuation.startedAtMs,
+            )
+        }
+        evacuatedDataCentres.set(after.byDataCentre.size.toDouble())
         directory.onEvacuations()
         planning.request()
     }
@@ -209,11 +220,18 @@
 
     private fun plan() {
         val current = member.node ?: return
-        groupDriver.plan(current.leadingTerm(), current.state.document, directory.backends.backends)
+        groupDriver.plan(
+            current.leadingTerm(),
+            current.state.document,
+            directory.backends.backends,
+            current.state.evacuations.byDataCentre.keys,
+        )
     }
 
     private fun onCallFailure(cause: Throwable) = log.write("call-failed", "reason" to cause.toString())
 
+    private fun onCallDropped(call: ControlPlaneCall) = log.write("call-dropped", "call" to call.toString())
+
     private fun readiness() = Readiness(!stopping, if (stopping) "stopping" else "ready")
 
     override fun beginStop() {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -240,14 +240,16 @@
         context.evacuations = before.onEvent(told.revision, told.dataCentresList, event.confirmed)
         if (context.evacuations.revision == before.revision) return
         context.metrics.onEvacuations(context.evacuations.dataCentres.size)
-        log.write(
-            "evacuation",
-            "revision" to told.revision,
-            "data_centres" to told.dataCentresList.joinToString(","),
-            "from" to address,
-        )
+        val after = context.evacuations.dataCentres
+        logEvacuations(after - before.dataCentres, "begun", told.revision, address)
+        logEvacuations(before.dataCentres - after, "ended", told.revision, address)
     }
 
+    private fun logEvacuations(dataCentres: Set<String>, change: String, revision: Long, from: String) =
+        dataCentres.forEach {
+            log.write("evacuation", "data_centre" to it, "change" to change, "revision" to revision, "from" to from)
+        }
+
     private fun applyDocument(event: DirectoryEvent, address: String) {
         val version = event.document.version
         val current = context.routes?.version
--- /dev/null
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/controlplane/EvacuationCallTest.kt
@@ -0,0 +1,137 @@
+package org.bramleyspur.daemon.controlplane
+
+import com.github.michaelbull.result.Err
+import kotlinx.collections.immutable.persistentMapOf
+import org.bramleyspur.core.document.DocumentError
+import org.bramleyspur.core.settings.Address
+import org.bramleyspur.core.telemetry.DecisionLog
+import org.bramleyspur.daemon.freePort
+import org.bramleyspur.daemon.orders.EngineDialect
+import org.bramleyspur.daemon.process.AgentlessControlProcess
+import org.bramleyspur.daemon.process.AgentlessControlSettings
+import org.bramleyspur.daemon.process.ControlDialect
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import java.io.ByteArrayOutputStream
+import java.io.PrintStream
+import java.net.Socket
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.nio.file.Path
+
+/**
+ * Guards against an evacuation that is acknowledged and lost, is refused when it is sent again, or is begun by a copy
+ * of a call whose caller has given up.
+ */
+class EvacuationCallTest {
+    @TempDir
+    lateinit var data: Path
+
+    @Test
+    fun `calls are acknowledged, also when they are sent again, and outlive the process`() {
+        ControlInstance(data).use { control ->
+            expectThat(control.post("a", "start").statusCode()).isEqualTo(200)
+            expectThat(control.post("a", "start").statusCode()).isEqualTo(200)
+            expectThat(control.post("b", "finish").statusCode()).isEqualTo(200)
+            expectThat(control.changes()).isEqualTo(listOf("a begun"))
+            expectThat(control.post("b", "start").statusCode()).isEqualTo(200)
+            expectThat(control.post("a", "finish").statusCode()).isEqualTo(200)
+            expectThat(control.changes()).isEqualTo(listOf("a begun", "b begun", "a ended"))
+        }
+        ControlInstance(data).use { control ->
+            expectThat(control.post("a", "finish").statusCode()).isEqualTo(200)
+            expectThat(control.changes()).isEqualTo(listOf("a begun", "b begun", "a ended"))
+        }
+    }
+
+    @Test
+    fun `an unknown data centre is refused with the known ones`() {
+        ControlInstance(data).use { control ->
+            val response = control.post("c", "start")
+            expectThat(response.statusCode()).isEqualTo(400)
+            expectThat(response.body()).contains("a, b")
+            expectThat(control.changes()).isEqualTo(emptyList())
+        }
+    }
+
+    @Test
+    fun `a call whose caller has closed its connection is not carried out`() {
+        ControlInstance(data).use { control ->
+            expectThat(control.post("a", "finish").statusCode()).isEqualTo(200)
+            repeat(20) { control.sendAndClose("a", "start") }
+            control.awaitLines("call-dropped", 20)
+            expectThat(control.changes()).isEqualTo(emptyList())
+            expectThat(control.post("a", "start").statusCode()).isEqualTo(200)
+        }
+    }
+
+    private class ControlInstance(data: Path) : AutoCloseable {
+        private val listenPort = freePort()
+        private val controlPort = freePort()
+        private val http = HttpClient.newHttpClient()
+        private val lines = ByteArrayOutputStream()
+        private val process = AgentlessControlProcess(
+            AgentlessControlSettings(
+                "control",
+                Address("127.0.0.1", listenPort),
+                Address("127.0.0.1", controlPort),
+                null,
+                data.toString(),
+                listOf("127.0.0.1:$listenPort"),
+                bootstrap = true,
+                toleratedFailures = 0,
+                regions = persistentMapOf("a" to "r", "b" to "r"),
+            ),
+            ControlDialect(
+                { _, path, _ -> path.split('/').let { ControlPlaneCall.Evacuate(it[1], evacuated = it[2] == "start") } },
+                { Err(DocumentError("not decoded in this test")) },
+                EngineDialect({ error("no engine gets an order") }, "/state") { Err("no engine is asked") },
+            ),
+            DecisionLog(PrintStream(lines), System::currentTimeMillis),
+        ).also { it.start() }
+
+        /** Sends a call until an instance that leads has answered it. */
+        fun post(dataCentre: String, verb: String): HttpResponse<String> {
+            val endNs = System.nanoTime() + LIMIT_NS
+            while (true) {
+                val uri = URI("http://127.0.0.1:$controlPort/$dataCentre/$verb")
+                val request = HttpRequest.newBuilder(uri).POST(HttpRequest.BodyPublishers.noBody()).build()
+                val response = http.send(request, HttpResponse.BodyHandlers.ofString())
+                if (response.statusCode() != 503 || System.nanoTime() > endNs) return response
+                Thread.sleep(POLL_MS)
+            }
+        }
+
+        fun sendAndClose(dataCentre: String, verb: String) = Socket("127.0.0.1", controlPort).use {
+            val call = "POST /$dataCentre/$verb HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+            it.getOutputStream().write(call.encodeToByteArray())
+        }
+
+        private fun lines(event: String) = lines.toString().lines().filter { "\"event\":\"$event\"" in it }
+
+        /** The changes in the log, each as data centre and change. */
+        fun changes(): List<String> = lines("evacuation").map { line ->
+            listOf("data_centre", "change").joinToString(" ") { line.substringAfter("\"$it\":\"").substringBefore('"') }
+        }
+
+        fun awaitLines(event: String, count: Int) {
+            val endNs = System.nanoTime() + LIMIT_NS
+            while (lines(event).size < count) {
+                check(System.nanoTime() < endNs) { "${lines(event).size} of $count lines '$event' were written in time" }
+                Thread.sleep(POLL_MS)
+            }
+        }
+
+        override fun close() = process.close()
+    }
+
+    private companion object {
+        const val LIMIT_NS = 10_000_000_000L
+        const val POLL_MS = 20L
+    }
+}
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/directory/DirectoryExchangeTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/directory/DirectoryExchangeTest.kt
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString
 import io.grpc.stub.StreamObserver
 import kotlinx.collections.immutable.persistentListOf
+import org.bramleyspur.control.evacuation.Evacuations
 import org.bramleyspur.control.state.StoredDocument
 import org.bramleyspur.core.backend.Announcement
 import org.bramleyspur.core.backend.BackendDirectory
@@ -17,6 +18,7 @@
 import org.bramleyspur.protocol.DirectoryEvent
 import org.bramleyspur.protocol.DirectoryRequest
 import org.bramleyspur.protocol.DirectoryServiceGrpc
+import org.bramleyspur.traffic.evacuation.EvacuationView
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
@@ -119,6 +121,28 @@
             }
         }
 
+    /** Guards against an entry that sends to an evacuated data centre since it missed a change, or takes back one. */
+    @TestFactory
+    fun `a change of the evacuations reaches an entry, also over a new connection`() =
+        listOf(true, false).flatMap { leads -> listOf(true, false).map { leads to it } }.map { (leads, resets) ->
+            DynamicTest.dynamicTest("${if (leads) "leader" else "follower"}, ${if (resets) "reset" else "kept"}") {
+                DirectoryExchange(leads).use { exchange ->
+                    exchange.start(announcement(1, BackendState.READY))
+                    exchange.await { it?.sequence == 1L }
+                    exchange.commit(Evacuations().start("a", index = 5, nowMs = 1))
+                    if (resets) exchange.reset()
+                    exchange.awaitEvacuations(5)
+                    expectThat(exchange.evacuations().dataCentres.toSet()).isEqualTo(setOf("a"))
+                    expectThat(exchange.evacuations().confirmed).isEqualTo(leads)
+                    exchange.commit(Evacuations())
+                    if (resets) exchange.reset()
+                    exchange.renew(announcement(2, BackendState.LEAVING))
+                    exchange.await { it?.state == BackendState.LEAVING }
+                    expectThat(exchange.evacuations().revision).isEqualTo(5)
+                }
+            }
+        }
+
     private fun announcement(sequence: Long, state: BackendState) = Announcement(
         id = "e",
         startedAtMs = 1,
@@ -155,12 +179,14 @@
     private var known = BackendDirectory()
     private val directoryServer = DirectoryServer(
         loops.controlTimers,
-        DirectorySource({ known }, { emptyList() }, { document }, { leads }, { emptyList() }),
+        DirectorySource({ known }, { emptyList() }, { document }, { evacuations }, { leads }, { emptyList() }),
     ) {}
     private val server = buildServer(address, loops.controlGroup, listOf(Calls().bindService()))
     private var received = BackendDirectory()
     private var receivedVersion = 0L
     private var documentCount = 0
+    private var evacuations = Evacuations()
+    private var receivedEvacuations = EvacuationView()
     private val receivedVersions = ArrayList<Long>()
     private val relay = ResettableRelay { address.port }
     private val client = DirectoryClient(
@@ -185,6 +211,8 @@
             receivedVersions += event.document.version
             receivedVersion = event.document.version
         }
+        val told = event.evacuations
+        receivedEvacuations = receivedEvacuations.onEvent(told.revision, told.dataCentresList, event.confirmed)
         event.announcementsList.forEach { message ->
             received = received.withAnnouncement(message.toModel(NOW_MS).component1()!!, 0)
         }
@@ -227,6 +255,26 @@
         }.get()
     }
 
+    /** Puts [next] in force at the control instance. */
+    fun commit(next: Evacuations) {
+        loops.control.submit {
+            evacuations = next
+            directoryServer.onEvacuations()
+        }.get()
+    }
+
+    /** The evacuations that the watcher knows. */
+    fun evacuations(): EvacuationView = loops.traffic.submit<EvacuationView> { receivedEvacuations }.get()
+
+    /** Waits until the watcher knows [revision] of the evacuations. */
+    fun awaitEvacuations(revision: Long) {
+        val deadline = System.nanoTime() + WAIT_NANOS
+        while (evacuations().revision < revision) {
+            check(System.nanoTime() < deadline) { "revision $revision was not received in time" }
+            Thread.sleep(POLL_MS)
+        }
+    }
+
     /** Versions of the documents that the watcher has received, in order. */
     fun versions(): List<Long> = loops.traffic.submit<List<Long>> { receivedVersions.toList() }.get()
 
