Bound the requests to cold servers, and keep requests in their regions

Nothing read how long a server stays cold, so two cold heads got 55 and 58 requests in a second where 47 were allowed; and regions that routes and accounts name were ignored.

Announcements, the document and the settings carry the bounds. Each entry uses an equal share of a server's bound, and treats every server of such a service as cold while it is out of touch. Held requests wait shortly or are refused with the time at which the share returns. The regions of route and account both bind, and a configuration with an unknown region is refused.

--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/Announcement.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/Announcement.kt
@@ -29,6 +29,7 @@
  * @property fabricDomain fabric domain; empty for backend servers that are not engines
  * @property stagedModels models whose weights are stored on its host
  * @property groupMembership membership in a group; null when the engine is in none
+ * @property coldRemainingMs time in milliseconds for which it stays cold after the announcement; 0 when it is not cold
  */
 data class Announcement(
     val id: String,
@@ -42,6 +43,7 @@
     val fabricDomain: String,
     val stagedModels: ImmutableList<String>,
     val groupMembership: GroupMembership?,
+    val coldRemainingMs: Long = 0,
 ) {
     /**
      * Whether this announcement replaces [other] of the same backend server. Within one life the end is final:
@@ -90,7 +92,7 @@
         group?.rank,
         group?.state?.name,
         group?.model,
-    )
+    ) + listOfNotNull(coldRemainingMs.takeIf { it > 0 })
     val checksum = CRC32()
     checksum.update(fields.joinToString(FIELD_SEPARATOR).encodeToByteArray())
     return checksum.value.toInt()
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/AnnouncementValidation.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/AnnouncementValidation.kt
@@ -22,6 +22,7 @@
     GROUP_EPOCH,
     GROUP_RANK,
     GROUP_MODEL,
+    COLD_REMAINING,
 }
 
 /** Why an announcement is refused; [reason] follows the field's name, and includes the remedy. */
@@ -33,6 +34,9 @@
     val RANK: LongRange = 0L..9_999L
     val EPOCH: LongRange = 0L..Long.MAX_VALUE
 
+    /** Far longer than any engine takes to warm up. */
+    val COLD_REMAINING_MS: LongRange = 0L..3_600_000L
+
     /** Largest number that every JSON implementation reads exactly. */
     val SEQUENCE: LongRange = 0L..(1L shl 53)
     const val MAX_NAME_CHARS = 128
@@ -74,6 +78,7 @@
 
 private fun Announcement.numberError(): AnnouncementError? =
     rangeError(AnnouncementField.SLOTS, slots.toLong(), AnnouncementBounds.SLOTS)
+        ?: rangeError(AnnouncementField.COLD_REMAINING, coldRemainingMs, AnnouncementBounds.COLD_REMAINING_MS)
         ?: groupMembership?.let {
             rangeError(AnnouncementField.GROUP_EPOCH, it.id.epoch, AnnouncementBounds.EPOCH)
                 ?: rangeError(AnnouncementField.GROUP_RANK, it.rank.toLong(), AnnouncementBounds.RANK)
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/Document.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/Document.kt
@@ -7,6 +7,7 @@
 import com.github.michaelbull.result.Result
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.ImmutableSet
 
 /** Kind of a route; it determines whether a request with an unknown outcome may be retried. */
 enum class RouteKind {
@@ -34,6 +35,7 @@
  * @property isPublic whether requests need no API key
  * @property resumable whether a stream may continue on another backend server after an event id
  * @property targetEventIntervalMs expected maximum time in milliseconds between events; null when none is declared
+ * @property allowedRegions regions whose backend servers may receive the requests; null for any
  */
 data class DocumentRoute(
     val name: String,
@@ -48,6 +50,7 @@
     val isPublic: Boolean,
     val resumable: Boolean,
     val targetEventIntervalMs: Long?,
+    val allowedRegions: ImmutableSet<String>? = null,
 ) {
     /** Whether a request of this route may run more than once. */
     val idempotent: Boolean get() = kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAMING && resumable)
@@ -108,16 +111,31 @@
  * @property maxConnections maximum number of connections that a backend server accepts from all callers together
  * @property costs cost model of the engines; null for services that are not model engines
  * @property models models of the engines, in the order of the document
+ * @property coldStartMs time in milliseconds for which a backend server is cold after its start
+ * @property coldRequestsPerSecond requests per second that a cold backend server tolerates from all entries together; 0
+ * for no bound
  */
 data class DocumentService(
     val name: String,
     val maxConnections: Int,
     val costs: EngineCosts?,
     val models: ImmutableList<ModelSpec>,
+    val coldStartMs: Long = 0,
+    val coldRequestsPerSecond: Double = 0.0,
 )
 
-/** A client account, its keys and its priority (0 is the most urgent; null takes the route's). */
-data class DocumentAccount(val name: String, val keys: ImmutableList<String>, val priority: Int?)
+/**
+ * A client account and its keys.
+ *
+ * @property priority 0 is the most urgent; null takes the route's
+ * @property allowedRegions regions whose backend servers may receive its requests; null for any
+ */
+data class DocumentAccount(
+    val name: String,
+    val keys: ImmutableList<String>,
+    val priority: Int?,
+    val allowedRegions: ImmutableSet<String>? = null,
+)
 
 /** Limits on the size of client requests and the time to send them. */
 data class ClientLimits(
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/DocumentValidation.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/DocumentValidation.kt
@@ -1,14 +1,28 @@
 package org.bramleyspur.core.document
 
-/** Validates the document; returns null when it is valid. */
-fun Document.validate(): DocumentError? {
+/**
+ * Validates the document; returns null when it is valid. Regions that it names must be among [knownRegions], unless none
+ * are known.
+ */
+fun Document.validate(knownRegions: Set<String> = emptySet()): DocumentError? {
     val error = routes.firstNotNullOfOrNull { routeError(it) }
         ?: firstDuplicate(routes.map { it.host.lowercase() to it.pathPrefix })
             ?.let { "two routes share host '${it.first}' and prefix '${it.second}'; keep one of them" }
         ?: firstDuplicate(accounts.orEmpty().flatMap { it.keys })?.let { "two accounts share a key; give each its own" }
+        ?: regionError(knownRegions)
     return error?.let { DocumentError(it) }
 }
 
+private fun Document.regionError(knownRegions: Set<String>): String? {
+    if (knownRegions.isEmpty()) return null
+    val named = routes.map { "route '${it.name}'" to it.allowedRegions } +
+        accounts.orEmpty().map { "account '${it.name}'" to it.allowedRegions }
+    return named.firstNotNullOfOrNull { (owner, regions) ->
+        regions?.firstOrNull { it !in knownRegions }
+            ?.let { "$owner names the unknown region '$it'; give one of ${knownRegions.sorted().joinToString()}" }
+    }
+}
+
 private fun Document.routeError(route: DocumentRoute): String? {
     val unknown = route.targets.firstOrNull { it.service !in services }
     return when {
--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/wire/DirectoryWire.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/wire/DirectoryWire.kt
@@ -37,6 +37,7 @@
         .setDomain(fabricDomain)
         .addAllStagedModels(stagedModels)
         .setAgeMs(ageMs.toInt())
+        .setColdRemainingMs(coldRemainingMs.toInt())
     groupMembership?.let { message.setGroup(it.toMessage()) }
     return message.build()
 }
@@ -101,6 +102,7 @@
         fabricDomain = domain,
         stagedModels = stagedModelsList.toImmutableList(),
         groupMembership = membership,
+        coldRemainingMs = Integer.toUnsignedLong(coldRemainingMs),
     )
     return announcement.validate(nowMs)?.let { Err("${it.field.name} ${it.reason}") } ?: Ok(announcement)
 }
--- a/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/wire/DirectoryWireTest.kt
+++ b/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/wire/DirectoryWireTest.kt
@@ -64,6 +64,7 @@
             state = BackendState.GONE.name
             clearService()
         },
+        "cold for weeks" to changed { coldRemainingMs = -1 },
         "two ports" to changed { address = "10.0.0.1:80:81" },
     )
 
@@ -78,6 +79,7 @@
         "in no group" to sound.copy(groupMembership = null),
         "deregistered" to sound.copy(state = BackendState.GONE),
         "deregistered before it was known" to BackendDirectory().tombstone("a", 200)!!,
+        "cold" to sound.copy(coldRemainingMs = 2_999),
         "without a start time" to sound.copy(startedAtMs = 0),
     ).map { (name, announcement) ->
         DynamicTest.dynamicTest(name) { expectThat(decode(announcement.toMessage(0))).isEqualTo(announcement) }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/AdmittedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/AdmittedRequest.kt
@@ -8,6 +8,7 @@
 import org.bramleyspur.core.document.DocumentRoute
 import org.bramleyspur.core.document.DocumentService
 import org.bramleyspur.core.document.RouteKind
+import org.bramleyspur.traffic.homes.homesOf
 import org.bramleyspur.traffic.quarantine.sharedParts
 
 /** A caller's request with the route and service that the configuration gives it. */
@@ -25,6 +26,7 @@
     val streaming = route.kind == RouteKind.STREAMING
     val parts = if (streaming) sharedParts(caller.headers.get(headerNames.promptParts)) else emptyList()
     val lastEventId: Long? = caller.headers.get(headerNames.lastEventId)?.trim()?.toLongOrNull()
+    val homes = homesOf(route, account)
     val configAtStart = context.routes?.version
     private val deadlineMs = deadlineMs()
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
@@ -83,6 +83,7 @@
     /** Sends the request with [head]. */
     fun start(head: HttpRequest) {
         counters.onSent()
+        context.cold.onSent(request.service, load.id)
         choice.longestEventIntervalMs?.let { load.longestEventIntervalMs = it }
         // A reused connection may already be closed by the peer; a request that may run only once gets a new one.
         // So does a request without an id, since only the first response on a connection needs none.
@@ -117,6 +118,7 @@
         onResponseData()
         runningRequestsOf(headers.get(context.headers.load))?.let { load.onLoadReport(it, context.timers.nowMs()) }
         context.availability.onResponseHead(engine, status, headers)
+        if (status != STATUS_MISDIRECTED) context.cold.onResponseHead(engine, headers)
         val detail = "$status of ${load.id}"
         when (useOf(responseHeadOf(status, headers, context.headers), request.streaming, response.started)) {
             ResponseUse.REJECTION -> {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -7,6 +7,7 @@
 import org.bramleyspur.core.document.EngineCosts
 import org.bramleyspur.core.telemetry.DecisionLog
 import org.bramleyspur.core.time.TimerService
+import org.bramleyspur.traffic.cold.ColdDecision
 import org.bramleyspur.traffic.evacuation.EvacuationView
 import org.bramleyspur.traffic.forward.Candidate
 import org.bramleyspur.traffic.forward.RouteTable
@@ -20,6 +21,7 @@
 import org.bramleyspur.traffic.forward.longestEventIntervalMs
 import org.bramleyspur.traffic.forward.plainResponseMs
 import org.bramleyspur.traffic.forward.stepMs
+import org.bramleyspur.traffic.homes.Homes
 import org.bramleyspur.traffic.quarantine.EngineLife
 import java.util.random.RandomGenerator
 
@@ -56,9 +58,14 @@
  * The backend servers among which one is chosen.
  *
  * @property unresponsiveToo whether an engine may be chosen that was found unresponsive and has sent nothing since
+ * @property homes regions whose backend servers may be chosen
  * @property allows whether the backend server with this id may be chosen
  */
-internal class BackendFilter(val unresponsiveToo: Boolean = false, val allows: (id: String) -> Boolean)
+internal class BackendFilter(
+    val unresponsiveToo: Boolean = false,
+    val homes: Homes = Homes.ANY,
+    val allows: (id: String) -> Boolean,
+)
 
 /** State that the requests of an entry share. Confined to the traffic thread. */
 internal class ForwardContext(
@@ -71,6 +78,8 @@
     private val dataCentre: String,
     private val random: RandomGenerator,
     private val onUnresponsive: () -> Unit,
+    private val regions: Map<String, String> = emptyMap(),
+    coldSettings: ColdSettings? = null,
     private val newBudget: () -> WindowedRetryBudget,
 ) {
     /** The announced backend servers. */
@@ -86,6 +95,9 @@
     /** Which backend servers accept requests, according to their responses. */
     val availability = BackendAvailability(timers, headers, log, metrics)
 
+    /** Which backend servers are cold, and what may be sent to them. */
+    val cold = ColdServers(coldSettings, timers, headers.coldRemainingMs, { directory })
+
     /** Since when requests cannot be forwarded. */
     val outages = OutageTracker(timers)
     private var waitLimits = WaitLimits()
@@ -125,6 +137,27 @@
     private fun allows(announcement: Announcement): Boolean =
         (!awaitsEvacuations || evacuations.usable(outages.uptimeMs)) && evacuations.allows(announcement.dataCentre)
 
+    /** Whether a request of [service] may be sent to a backend server now. */
+    private fun BackendFilter.accepts(service: DocumentService, announcement: Announcement): Boolean =
+        allows(announcement.id) && homes.allows(regions[announcement.dataCentre]) && allows(announcement) &&
+            availability.accepts(announcement) && cold.held(service, announcement.id) == null
+
+    /** Whether [request] has regions of its own, and none of the backend servers that serve such requests is there. */
+    fun isOutsideHomes(request: AdmittedRequest): Boolean {
+        val servers = serversOf(request.service, request.model)
+        return servers.isNotEmpty() && servers.none { request.homes.allows(regions[it.dataCentre]) }
+    }
+
+    /**
+     * The cold backend server to which [request] may be sent first, and when; null if a backend server is not held
+     * back, or if none is in use.
+     */
+    fun firstHeld(request: AdmittedRequest): Pair<String, ColdDecision.Held>? {
+        val usable = serversOf(request.service, request.model)
+            .filter { request.homes.allows(regions[it.dataCentre]) && allows(it) && availability.accepts(it) }
+        return cold.firstHeld(request.service, usable.map { it.id })
+    }
+
     /** Whether all backend servers that could serve such a request are in evacuated data centres. */
     fun isEvacuated(service: DocumentService, model: String?): Boolean {
         val servers = serversOf(service, model)
@@ -145,7 +178,10 @@
     fun backoffMs(service: DocumentService, model: String?): Long? = availability.backoffMs(serversOf(service, model))
 
     /** Forgets what responses said about further requests, as far as it has expired. */
-    fun expireBackoff() = availability.expire(directory.backends.values.map { it.announcement })
+    fun expireBackoff() {
+        availability.expire(directory.backends.values.map { it.announcement })
+        cold.expire()
+    }
 
     /** The life of the backend server [id] that is announced now. */
     fun engineLife(id: String): EngineLife =
@@ -178,8 +214,7 @@
     ): BackendChoice? {
         val modelSpec = service.models.firstOrNull { it.name == model } ?: return null
         val candidates = directory.openGroupHeads(service.name, model, modelSpec.groupSize)
-            .filter { filter.allows(it.announcement.id) && allows(it.announcement) }
-            .filter { availability.accepts(it.announcement) }
+            .filter { filter.accepts(service, it.announcement) }
             .mapNotNull { head ->
                 val timeFactor = modelSpec.timeFactor * if (head.spansDomains) costs.crossDomainFactor else 1.0
                 loads.loadOf(head.announcement)?.let {
@@ -207,7 +242,7 @@
 
     private fun choosePlain(service: DocumentService, filter: BackendFilter): BackendChoice? {
         val candidates = directory.readyPlainBackends(service.name)
-            .filter { filter.allows(it.id) && allows(it) && availability.accepts(it) }
+            .filter { filter.accepts(service, it) }
             .mapNotNull { backend ->
                 loads.loadOf(backend)?.let { it to candidate(it, maxOf(1, backend.slots), 1.0, backend.dataCentre) }
             }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardHeaders.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardHeaders.kt
@@ -16,6 +16,7 @@
  * @property leaving `1` in a response when the backend server is about to stop
  * @property seal proof that a response comes from a backend server
  * @property urgency scheduling rank within the backend server; 0 is the most urgent
+ * @property coldRemainingMs milliseconds for which the backend server that responds stays cold
  */
 data class ForwardHeaders(
     val attemptId: String,
@@ -31,4 +32,5 @@
     val leaving: String,
     val seal: String,
     val urgency: String,
+    val coldRemainingMs: String,
 )
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
@@ -84,6 +84,16 @@
         .help("Data centres to which this entry sends nothing since they are evacuated.")
         .register(registry)
 
+    private val coldHeld = Counter.builder()
+        .name("bramleyspur_cold_held_requests_total")
+        .help("Requests held back from cold backend servers, by route, reason and whether they waited or were refused.")
+        .labelNames("route", "reason", "outcome")
+        .register(registry)
+
+    /** Records a request that waits or is refused since all backend servers are cold and take no more. */
+    fun onColdHeld(route: String, reason: String, waits: Boolean) =
+        coldHeld.labelValues(route, reason, if (waits) "waited" else "refused").inc()
+
     /** Records a request all of whose backend servers are in evacuated data centres. */
     fun onEvacuated(route: String) = evacuatedRefusals.labelValues(route).inc()
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -5,6 +5,7 @@
 package org.bramleyspur.daemon.forward
 
 import org.bramleyspur.core.time.TimerHandle
+import org.bramleyspur.traffic.cold.waitsForAllowance
 import org.bramleyspur.traffic.forward.AttemptEnd
 import org.bramleyspur.traffic.forward.NextStep
 import org.bramleyspur.traffic.forward.OUTAGE_POLL_INTERVAL_MS
@@ -83,11 +84,12 @@
     private fun choose(filter: BackendFilter): BackendChoice? =
         context.choose(request.service, request.model, request.tokens, filter)
 
-    private fun chooseUntried(): BackendChoice? = choose(BackendFilter { it !in triedBackends })
+    private fun chooseUntried(): BackendChoice? =
+        choose(BackendFilter(homes = request.homes) { it !in triedBackends })
 
     /** Chooses a backend server whose attempt was superseded; this also ends that it can be asked again. */
     private fun takeSuperseded(): BackendChoice? {
-        val choice = choose(BackendFilter(unresponsiveToo = true) { it in supersededBackends })
+        val choice = choose(BackendFilter(unresponsiveToo = true, request.homes) { it in supersededBackends })
         if (choice == null) supersededBackends.clear() else supersededBackends -= choice.load.id
         return choice
     }
@@ -96,6 +98,7 @@
         if (isKeptFromEngines()) return
         val choice = if (toSuperseded) takeSuperseded() else chooseUntried()
         when {
+            choice == null && isHeld(countsAgainstBudget, toSuperseded) -> Unit
             choice == null && waits() -> awaitBackend { send(countsAgainstBudget, toSuperseded) }
             choice == null ->
                 onNotSendable(
@@ -109,8 +112,26 @@
         }
     }
 
+    /** Handles a request that is kept from cold backend servers only: it waits shortly or is refused. */
+    private fun isHeld(countsAgainstBudget: Boolean, toSuperseded: Boolean): Boolean {
+        val (backend, held) = context.firstHeld(request) ?: return false
+        val waitMs = maxOf(1, held.untilMs - context.timers.nowMs())
+        val waits = waitsForAllowance(request.elapsedMs() + waitMs, request.remainingMs(), route.targetLatencyMs)
+        context.metrics.onColdHeld(route.name, held.reason.name, waits)
+        log.onColdHeld(backend, held.reason, waitMs, waits)
+        if (waits) {
+            context.timers.after(waitMs) {
+                if (!done) guarded(faultHandler) { send(countsAgainstBudget, toSuperseded) }
+            }
+        } else {
+            onNotSendable(AttemptEnd.BackingOff(waitMs), "all backend servers are cold: ${held.reason.text}")
+        }
+        return true
+    }
+
     private fun noServerText(): String {
         val target = request.model ?: request.service.name
+        if (context.isOutsideHomes(request)) return "no backend server of $target is in a region of the request"
         if (!context.isEvacuated(request.service, request.model)) return "no backend server takes $target"
         context.metrics.onEvacuated(route.name)
         return "all backend servers of $target are in evacuated data centres"
@@ -118,7 +139,7 @@
 
     /** Whether the request, of which nothing was sent, waits for the end of an outage. */
     private fun waits(): Boolean = sends == 0 && unsentAttempts == 0 &&
-        !context.isEvacuated(request.service, request.model) &&
+        !context.isEvacuated(request.service, request.model) && !context.isOutsideHomes(request) &&
         context.backoffMs(request.service, request.model) == null &&
         waitsForOutage(
             request.elapsedMs(),
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestLog.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestLog.kt
@@ -1,5 +1,6 @@
 package org.bramleyspur.daemon.forward
 
+import org.bramleyspur.traffic.cold.ColdReason
 import org.bramleyspur.traffic.forward.AttemptEnd
 import org.bramleyspur.traffic.forward.NextStep
 
@@ -28,6 +29,18 @@
         "remaining_ms" to request.remainingMs(),
     )
 
+    /** The request is kept from the cold backend server [backend], and waits if [waits]. */
+    fun onColdHeld(backend: String, reason: ColdReason, waitMs: Long, waits: Boolean) = context.log.write(
+        "cold-held",
+        "request" to request.id,
+        "route" to request.route.name,
+        "backend" to backend,
+        "reason" to reason.name,
+        "wait_ms" to waitMs,
+        "waits" to waits,
+        "remaining_ms" to request.remainingMs(),
+    )
+
     /** [attempt] delivered something new, and the [cancelled] ones end. */
     fun onTakeOver(attempt: Attempt, cancelled: List<Attempt>, lastEventId: Long?) = context.log.write(
         "attempt-took-over",
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -20,6 +20,7 @@
 import org.bramleyspur.daemon.directory.toMessage
 import org.bramleyspur.daemon.directory.toModel
 import org.bramleyspur.daemon.forward.BackendLoads
+import org.bramleyspur.daemon.forward.ColdSettings
 import org.bramleyspur.daemon.forward.ForwardContext
 import org.bramleyspur.daemon.forward.ForwardHeaders
 import org.bramleyspur.daemon.forward.ForwardMetrics
@@ -52,6 +53,7 @@
  * @property pressureAdmission whether requests that compete for room are admitted by what can still be in time
  * @property sharedLoad whether entries tell each other, through control, what they have sent to each backend server
  * @property demandTargets whether control is told what is asked of each model
+ * @property cold how requests to cold backend servers are bounded; null when they are not
  */
 data class AgentlessEntrySettings(
     val instance: String,
@@ -70,6 +72,7 @@
     val pressureAdmission: Boolean = false,
     val sharedLoad: Boolean = false,
     val demandTargets: Boolean = false,
+    val cold: ColdSettings? = null,
 )
 
 /** Header names and document format that an adapter supplies to an entry. */
@@ -99,6 +102,8 @@
         settings.dataCentre,
         random,
         onUnresponsive = { onUnresponsive() },
+        settings.regions,
+        settings.cold,
     ) {
         WindowedRetryBudget(settings.retryBudgetRatio, settings.retryBudgetSlack, settings.retryBudgetWindowMs) {
             entryCount
@@ -136,6 +141,7 @@
         platform.start(settings.readyAddress, loops.trafficGroup)
         settings.metricsAddress?.let { platform.start(it, loops.trafficGroup) }
         loops.traffic.submit {
+            context.cold.start()
             directoryClient.start()
             timers.every(EXPIRY_INTERVAL_MS) { expireBackends() }
             timers.every(STALL_CHECK_INTERVAL_MS) { reportStalled() }
@@ -202,6 +208,7 @@
     private fun onEvent(address: String, event: DirectoryEvent) {
         val now = timers.nowMs()
         entryCount = maxOf(event.entries, 1)
+        context.cold.onControlEvent(entryCount)
         applyEvacuations(event, address)
         event.announcementsList.forEach { recordAnnouncement(it, address, now) }
         val renewals = context.directory.renewAll(event.renewalsList, now)
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
@@ -49,6 +49,7 @@
         leaving = "X-Leaving",
         seal = SEAL_HEADER,
         urgency = "X-Urgency",
+        coldRemainingMs = "X-Cold",
     )
     private val logBytes = ByteArrayOutputStream()
     private val log = DecisionLog(PrintStream(logBytes), { onLogLine().let { 0L } })
