Choose engines by the work of all entries

Cause: an entry knows its own prompts only, so that under load it predicts first events too early, and entries with the same view send to the same engine. Change: entries report their work to the leader, which tells each the sum of the others' with its regular events; the choice is random by predicted room while that is at most 1 s old. Off without sharedLoad.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/ControlDirectory.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/ControlDirectory.kt
@@ -21,6 +21,8 @@
 import org.bramleyspur.protocol.DirectoryEvent
 import org.bramleyspur.protocol.DirectoryRequest
 import org.bramleyspur.protocol.PromptPartReport
+import org.bramleyspur.traffic.load.ServerLoad
+import org.bramleyspur.traffic.load.WorkReports
 import org.bramleyspur.traffic.quarantine.PartObservation
 import org.bramleyspur.traffic.quarantine.PartQuarantine
 
@@ -33,6 +35,7 @@
  * @property members `host:port` of the members of the control log
  * @property onEntryReport receives the reports of entries
  * @property onBackendChanged called after an announcement that changes more than a sequence number
+ * @property sharedLoad whether entries are told what the others have sent to each backend server
  */
 internal class ControlDirectoryContext(
     val document: () -> StoredDocument?,
@@ -41,6 +44,7 @@
     val members: () -> List<String>,
     val onEntryReport: (DirectoryRequest) -> Unit,
     val onBackendChanged: () -> Unit,
+    val sharedLoad: Boolean = false,
 )
 
 /**
@@ -58,6 +62,7 @@
 ) {
     private var directory = BackendDirectory()
     private var promptParts = PartQuarantine()
+    private var workReports = WorkReports()
     private val server = DirectoryServer(
         timers,
         DirectorySource(
@@ -67,6 +72,7 @@
             evacuations = context.evacuations,
             confirmed = context.confirmed,
             members = context.members,
+            othersWork = ::othersWork,
         ),
         ::onDirectoryRequest,
     )
@@ -133,8 +139,20 @@
         return report.build()
     }
 
+    private fun othersWork(entry: String): Map<String, ServerLoad> {
+        if (!context.sharedLoad) return emptyMap()
+        val now = timers.nowMs()
+        workReports = workReports.asLeader(context.confirmed(), now).expire(now)
+        return workReports.othersOf(entry, now)
+    }
+
     private fun onDirectoryRequest(request: DirectoryRequest) {
         val now = timers.nowMs()
+        if (context.sharedLoad && request.entry) {
+            workReports = workReports
+                .asLeader(context.confirmed(), now)
+                .with(request.instance, request.workList.toLoads(), now)
+        }
         request.announcementsList.forEach { recordReceived(it, now) }
         recordPromptParts(request.promptPartsList)
         if (request.entry) context.onEntryReport(request)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryClient.kt
@@ -19,6 +19,7 @@
  *
  * @property self `host:port` of a control instance that watches the others; null for an entry
  * @property report builds a message to the control instances; the first one on a stream carries everything known
+ * @property forLeader adds to a report what only the leader is told
  */
 class DirectoryClient(
     private val group: EventLoopGroup,
@@ -26,6 +27,7 @@
     seeds: List<String>,
     private val self: String?,
     private val report: (first: Boolean) -> DirectoryRequest,
+    private val forLeader: (DirectoryRequest) -> DirectoryRequest = { it },
     private val onEvent: (address: String, DirectoryEvent) -> Unit,
 ) {
     private val watches = LinkedHashMap<String, Watch>()
@@ -76,10 +78,14 @@
         var lastReceivedMs = timers.nowMs()
             private set
         private var openedAtMs = 0L
+
+        /** Whether the last event came from an instance that leads. */
+        private var leads = false
         private var channel: ManagedChannel? = null
         private var requestStream: StreamObserver<DirectoryRequest>? = null
 
-        fun sendReport(request: DirectoryRequest) {
+        fun sendReport(common: DirectoryRequest) {
+            val request = if (leads) forLeader(common) else common
             val now = timers.nowMs()
             if (channel != null && now - maxOf(lastReceivedMs, openedAtMs) > UNRESPONSIVE_LIMIT_MS) {
                 logger.info { "no event from control instance $address for ${now - lastReceivedMs} ms; reconnecting" }
@@ -106,6 +112,7 @@
         }
 
         fun close() {
+            leads = false
             channel?.shutdownNow()
             channel = null
             requestStream = null
@@ -115,6 +122,7 @@
             override fun onNext(event: DirectoryEvent) {
                 if (channel !== ownChannel) return
                 lastReceivedMs = timers.nowMs()
+                leads = event.confirmed
                 onEvent(address, event)
                 updateWatches(event.membersList)
             }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
@@ -23,6 +23,7 @@
 import org.bramleyspur.protocol.DirectoryEvent
 import org.bramleyspur.protocol.DirectoryRequest
 import org.bramleyspur.protocol.EvacuationState
+import org.bramleyspur.traffic.load.ServerLoad
 import org.bramleyspur.traffic.quarantine.PartObservation
 
 private val logger = KotlinLogging.logger {}
@@ -35,6 +36,7 @@
  * @property evacuations the evacuations in force
  * @property confirmed whether this instance leads with a valid lease
  * @property members `host:port` of the members of the control log
+ * @property othersWork work of all entries but the named one by backend server; empty if it is not to be sent
  */
 class DirectorySource(
     val backends: () -> BackendDirectory,
@@ -43,6 +45,7 @@
     val evacuations: () -> Evacuations,
     val confirmed: () -> Boolean,
     val members: () -> List<String>,
+    val othersWork: (entry: String) -> Map<String, ServerLoad> = { emptyMap() },
 )
 
 /** Serves the watchers of one control instance; all functions and callbacks run on the control thread. */
@@ -71,10 +74,15 @@
         val event = newEvent().build()
         val entryEvent = event.toBuilder().addAllRenewals(renewalsOf(renewedForEntries)).build()
         renewedForEntries.clear()
-        watchers.toList().forEach { it.send(if (it.isEntry) entryEvent else event) }
+        watchers.toList().forEach { it.send(if (it.isEntry) entryEvent.withWork(it.instance) else event) }
         sendDocument()
     }
 
+    private fun DirectoryEvent.withWork(entry: String): DirectoryEvent {
+        val work = source.othersWork(entry)
+        return if (work.isEmpty()) this else toBuilder().addAllWork(work.toMessages()).build()
+    }
+
     private fun sendRenewals() {
         if (renewed.isEmpty()) return
         val event = newEvent().addAllRenewals(renewalsOf(renewed)).build()
@@ -152,6 +160,8 @@
         StreamObserver<DirectoryRequest> {
         var isEntry = false
             private set
+        var instance = ""
+            private set
         val openedAtMs = timers.nowMs()
         private var lastReceivedMs = openedAtMs
 
@@ -185,6 +195,7 @@
         override fun onNext(request: DirectoryRequest) {
             lastReceivedMs = timers.nowMs()
             isEntry = request.entry
+            instance = request.instance
             documentVersion = maxOf(documentVersion, request.documentVersion)
             if (isEntry && source.confirmed()) sendDocument()
             if (request.missingBackendsCount > 0) sendMissing(request.missingBackendsList)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendLoads.kt
@@ -9,6 +9,7 @@
 import org.bramleyspur.daemon.http.HttpClient
 import org.bramleyspur.traffic.forward.Attribution
 import org.bramleyspur.traffic.forward.attributionOf
+import org.bramleyspur.traffic.load.ServerLoad
 import kotlin.math.exp
 
 /**
@@ -59,6 +60,9 @@
     private var inFlightAtReport = 0
     private var reportedAtMs = 0L
 
+    /** This entry's work at the backend server. */
+    val work: ServerLoad get() = ServerLoad(inFlight, pendingPrefillTokens, contextTokens)
+
     /** Records a load report: [running] requests of all entries in the batch and the queue of the backend server. */
     fun onLoadReport(running: Int, nowMs: Long) {
         reportedRunning = running
@@ -197,6 +201,10 @@
         first = first,
     )
 
+    /** Work of this entry at engines by id, without those at which it has none. */
+    fun engineWork(): Map<String, ServerLoad> =
+        loads.values.filter { it.inFlight > 0 && it.contextTokens > 0 }.associate { it.id to it.work }
+
     /** Ids of the backend servers that sent response data within the last [withinMs]. */
     fun responding(withinMs: Long): List<String> {
         val now = timers.nowMs()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -20,6 +20,9 @@
 import org.bramleyspur.traffic.forward.longestEventIntervalMs
 import org.bramleyspur.traffic.forward.plainResponseMs
 import org.bramleyspur.traffic.forward.stepMs
+import org.bramleyspur.traffic.load.RequestSize
+import org.bramleyspur.traffic.load.chooseByRoom
+import org.bramleyspur.traffic.load.unseenRequests
 import org.bramleyspur.traffic.quarantine.EngineLife
 import java.util.random.RandomGenerator
 
@@ -83,6 +86,9 @@
     var evacuations = EvacuationView()
     var awaitsEvacuations = false
 
+    /** What other entries have sent to the engines; null if entries do not share it. */
+    var sharedLoad: SharedLoad? = null
+
     /** Which backend servers accept requests, according to their responses. */
     val availability = BackendAvailability(timers, headers, log, metrics)
 
@@ -189,12 +195,12 @@
             .filter { (load, candidate) ->
                 filter.unresponsiveToo || !candidate.suspect || load.lastResponseMs > load.lastUnresponsiveMs
             }
-        val (load, candidate) =
-            chooseFrom(candidates) { generationCost(it, tokens.prompt, tokens.output, costs) + it.firstEventExcessMs }
-                ?: return null
-        val eventIntervalMs = costs.stepsPerPass * stepMs(candidate, costs) * candidate.timeFactor / load.slowdown
+        val (load, own) = chooseFrom(candidates, model, tokens, costs) ?: return null
+        val candidate = withOthers(load, own)
+        // Silent streams are noticed by what this entry's own requests explain.
+        val eventIntervalMs = costs.stepsPerPass * stepMs(own, costs) * own.timeFactor / load.slowdown
         val prefillMs = candidate.timeFactor * tokens.prompt / costs.prefillTokensPerMs
-        val longestEventIntervalMs = longestEventIntervalMs(candidate, tokens.prompt, costs) / load.slowdown
+        val longestEventIntervalMs = longestEventIntervalMs(own, tokens.prompt, costs) / load.slowdown
         return BackendChoice(
             load,
             firstEventMs(candidate, tokens.prompt, costs),
@@ -223,6 +229,33 @@
         return candidates.firstOrNull { it.second === chosen }
     }
 
+    /** Chooses an engine: by the work of all entries if that is known, else by what this entry knows by itself. */
+    private fun chooseFrom(
+        candidates: List<Pair<BackendLoad, Candidate>>,
+        model: String,
+        tokens: TokenCounts,
+        costs: EngineCosts,
+    ): Pair<BackendLoad, Candidate>? {
+        val cost = { it: Candidate -> generationCost(it, tokens.prompt, tokens.output, costs) + it.firstEventExcessMs }
+        val ageMs = sharedLoad?.dataAgeMs() ?: return chooseFrom(candidates, cost)
+        val shared = candidates.map { (load, own) -> withOthers(load, own) }
+        sharedLoad?.onCandidates(model, shared)
+        val size = RequestSize(tokens.prompt, tokens.output)
+        val unseen = unseenRequests(shared, size, costs, ageMs)
+        val chosen = chooseByRoom(shared, randomFraction(), size, unseen, cost)
+        return candidates.getOrNull(shared.indexOfFirst { it === chosen })
+    }
+
+    /** [own] with the work of the other entries, as far as it is known. */
+    private fun withOthers(load: BackendLoad, own: Candidate): Candidate {
+        val others = sharedLoad?.othersAt(load.id) ?: return own
+        return own.copy(
+            running = maxOf(own.running, load.inFlight + others.inFlight),
+            pendingPrefillTokens = own.pendingPrefillTokens + others.pendingPrefillTokens,
+            contextTokens = own.contextTokens + others.contextTokens,
+        )
+    }
+
     private fun candidate(load: BackendLoad, slots: Int, timeFactor: Double, backendDataCentre: String): Candidate {
         val now = timers.nowMs()
         return Candidate(
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
@@ -84,6 +84,22 @@
         .help("Data centres to which this entry sends nothing since they are evacuated.")
         .register(registry)
 
+    private val sharedLoadAge = Gauge.builder()
+        .name("bramleyspur_shared_load_age_seconds")
+        .help("Age of what the leader told of the work of other entries; -1 before the first time.")
+        .register(registry)
+    private val loadSpread = Gauge.builder()
+        .name("bramleyspur_load_spread")
+        .help("Most requests at an engine over the mean, as this entry sees the work of all entries, by model.")
+        .labelNames("model")
+        .register(registry)
+
+    /** Records the age in milliseconds of what is known of other entries' work; null if nothing is. */
+    fun onSharedLoadAge(ageMs: Long?) = sharedLoadAge.set(ageMs?.let { it / MS_PER_SECOND } ?: -1.0)
+
+    /** Records the largest number of requests at an engine of [model] over the mean number. */
+    fun onLoadSpread(model: String, spread: Double) = loadSpread.labelValues(model).set(spread)
+
     /** Records a request all of whose backend servers are in evacuated data centres. */
     fun onEvacuated(route: String) = evacuatedRefusals.labelValues(route).inc()
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -124,6 +124,7 @@
             members = member::memberAddresses,
             onEntryReport = { groupDriver.onEntryReport(it) },
             onBackendChanged = { planning.request() },
+            sharedLoad = settings.sharedLoad,
         ),
     )
     private val groupDriver = GroupDriver(
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -17,7 +17,9 @@
 import org.bramleyspur.core.wire.toMessages
 import org.bramleyspur.core.wire.toModel
 import org.bramleyspur.daemon.directory.DirectoryClient
+import org.bramleyspur.daemon.directory.toLoads
 import org.bramleyspur.daemon.directory.toMessage
+import org.bramleyspur.daemon.directory.toMessages as toWorkMessages
 import org.bramleyspur.daemon.directory.toModel
 import org.bramleyspur.daemon.forward.BackendLoads
 import org.bramleyspur.daemon.forward.ForwardContext
@@ -25,6 +27,7 @@
 import org.bramleyspur.daemon.forward.ForwardMetrics
 import org.bramleyspur.daemon.forward.FrontServer
 import org.bramleyspur.daemon.forward.PromptPartGuard
+import org.bramleyspur.daemon.forward.SharedLoad
 import org.bramleyspur.daemon.platform.PlatformServer
 import org.bramleyspur.daemon.platform.Readiness
 import org.bramleyspur.protocol.BackendAnnouncement
@@ -89,12 +92,13 @@
     private val random = RandomGenerator.getDefault()
     private val pendingObservations = ArrayList<PartObservation>()
     private val promptParts = PromptPartGuard(timers, log, delayFactor = 1 + random.nextDouble(), ::publish)
+    private val metrics = ForwardMetrics(registry)
     private val context = ForwardContext(
         timers,
         dialect.headers,
         loads,
         log,
-        ForwardMetrics(registry),
+        metrics,
         promptParts,
         settings.dataCentre,
         random,
@@ -106,12 +110,19 @@
     }
     init {
         context.awaitsEvacuations = settings.evacuations
+        if (settings.sharedLoad) context.sharedLoad = SharedLoad(timers, log, metrics)
     }
 
     private val front = FrontServer(loops.trafficGroup, context)
     private val platform = PlatformServer(::readiness, registry, settings.readyPath)
     private val directoryClient =
-        DirectoryClient(loops.trafficGroup, timers, settings.seeds, null, ::report, ::onEvent)
+        DirectoryClient(loops.trafficGroup, timers, settings.seeds, null, ::report, ::withWork, ::onEvent)
+
+    /** Only the leader sums up the work of the entries. */
+    private fun withWork(report: DirectoryRequest): DirectoryRequest {
+        if (context.sharedLoad == null) return report
+        return report.toBuilder().addAllWork(loads.engineWork().toWorkMessages()).build()
+    }
 
     /** Reports an unresponsive backend server to the control instances at once. */
     private fun onUnresponsive() = directoryClient.sendReports()
@@ -203,6 +214,7 @@
         val now = timers.nowMs()
         entryCount = maxOf(event.entries, 1)
         applyEvacuations(event, address)
+        if (event.confirmed) context.sharedLoad?.onLeaderEvent(event.workList.toLoads())
         event.announcementsList.forEach { recordAnnouncement(it, address, now) }
         val renewals = context.directory.renewAll(event.renewalsList, now)
         context.directory = renewals.directory
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/RoomChoice.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/RoomChoice.kt
@@ -48,6 +48,12 @@
     return usable.getOrElse(index) { usable.last() }
 }
 
+/** Returns the largest number of requests at one of [candidates] over the mean number; null if they have none. */
+fun spreadOf(candidates: List<Candidate>): Double? {
+    val sum = candidates.sumOf { it.running }
+    return if (sum == 0) null else candidates.maxOf { it.running } * candidates.size.toDouble() / sum
+}
+
 private fun Candidate.withRequest(size: RequestSize) = copy(
     running = running + 1,
     pendingPrefillTokens = pendingPrefillTokens + size.promptTokens,
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/SharedView.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/SharedView.kt
@@ -20,6 +20,9 @@
     /** Age of the view in milliseconds; null if there is none. */
     fun ageMs(nowMs: Long): Long? = toldAtMs?.let { nowMs - it }
 
+    /** Mean age in milliseconds of the work in the view, which entries had reported before; null if it is not usable. */
+    fun dataAgeMs(nowMs: Long): Double? = ageMs(nowMs)?.takeIf { isUsable(nowMs) }?.let { it + MEAN_REPORT_AGE_MS }
+
     /** Whether the view is recent enough to choose by; without one, an entry chooses by what it knows itself. */
     fun isUsable(nowMs: Long): Boolean = toldAtMs != null && nowMs - toldAtMs <= VIEW_VALIDITY_MS
 
@@ -30,5 +33,8 @@
     private companion object {
         /** Requests start and end within about a second, so an older view misleads. */
         const val VIEW_VALIDITY_MS = 1_000L
+
+        /** Half of the interval between the reports of an entry. */
+        const val MEAN_REPORT_AGE_MS = 125.0
     }
 }
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/ForwardModel.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/ForwardModel.kt
@@ -129,7 +129,7 @@
         if (nowMs - request.arrivedMs >= scenario.deadlineMs) return result.onLate(request)
         val candidates = rules.view(entry, nowMs).filter { it.id !in tried }.takeIf { tried.size < MAX_ATTEMPTS }
         val kind = request.kind
-        val chosen = rules.choice(candidates.orEmpty(), choiceRandom) {
+        val chosen = rules.choice(entry, request, candidates.orEmpty(), nowMs, choiceRandom) {
             generationCost(it, kind.promptTokens.toLong(), kind.outputTokens.toLong(), scenario.costs)
         }
         when (val admission = admissions[entry.index](entry, request, chosen, nowMs)) {
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/ForwardModelTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/ForwardModelTest.kt
@@ -42,15 +42,26 @@
     meanResponseTokens = 85.0,
 )
 
-/** Two classes on eight engines and sixteen entries, at [ratePerS] arrivals. */
-internal fun scenario(ratePerS: Double) = Scenario(
-    "steady",
+/** Two classes on eight engines and sixteen entries, at [ratePerS] arrivals; "small0" is the account of a hot key. */
+internal fun scenario(
+    ratePerS: Double,
+    name: String = "steady",
+    entryShares: List<Double> = List(16) { 1.0 },
+    headFactors: List<Double> = List(8) { 1.0 },
+    bursts: List<Burst> = emptyList(),
+    controlSilent: List<ClosedFloatingPointRange<Double>> = emptyList(),
+) = Scenario(
+    name,
     MODEL_COSTS,
     listOf(
-        RequestClass("urgent", 0.7, targetMs = 300, priority = 0, promptTokens = 900, outputTokens = 70),
-        RequestClass("long", 0.3, targetMs = 500, priority = 1, promptTokens = 2_400, outputTokens = 120),
+        RequestClass("urgent", 0.7, targetMs = 300, priority = 0, promptTokens = 900, outputTokens = 70, ACCOUNTS),
+        RequestClass("long", 0.3, targetMs = 500, priority = 1, promptTokens = 2_400, outputTokens = 120, ACCOUNTS),
     ),
-    entryShares = List(16) { 1.0 },
-    headFactors = List(8) { 1.0 },
-    ratePerS = ratePerS,
+    entryShares,
+    headFactors,
+    ratePerS,
+    bursts = bursts,
+    controlSilent = controlSilent,
 )
+
+private val ACCOUNTS = mapOf("large" to 4.0) + (0 until 8).associate { "small$it" to 0.75 }
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/PresentRules.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/PresentRules.kt
@@ -29,7 +29,7 @@
     suspect = false,
 )
 
-internal val earliest: ChoiceRule = { candidates, random, cost ->
+internal val earliest: ChoiceRule = { _, _, candidates, _, random, cost ->
     chooseBackend(candidates, random.nextDouble(), cost)
 }
 
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/Scenario.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/Scenario.kt
@@ -78,8 +78,15 @@
 /** The candidates as an entry sees them at a time in milliseconds. */
 internal typealias ViewRule = (ModelEntry, nowMs: Double) -> List<Candidate>
 
-/** Chooses among candidates by a uniform random source and the predicted cost in milliseconds. */
-internal typealias ChoiceRule = (List<Candidate>, RandomGenerator, cost: (Candidate) -> Double) -> Candidate?
+/** Chooses among candidates by a random source and the predicted cost in milliseconds. */
+internal typealias ChoiceRule = (
+    ModelEntry,
+    ModelRequest,
+    List<Candidate>,
+    nowMs: Double,
+    RandomGenerator,
+    cost: (Candidate) -> Double,
+) -> Candidate?
 
 /** Decides on a request at an entry; the candidate is null if every backend server was tried. */
 internal typealias AdmissionRule = (ModelEntry, ModelRequest, Candidate?, nowMs: Double) -> Admission
