--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -191,7 +191,11 @@
     }
 
     override fun onStateChanged(before: ControlState, after: ControlState) {
-        if (after.evacuations.revision != before.evacuations.revision) onEvacuations(before.evacuations, after.evacuations)
+        if (after.evacuations.revision !=
+            before.evacuations.revision
+        ) {
+            onEvacuations(before.evacuations, after.evacuations)
+        }
         val document = after.document ?: return
         if (document.version != before.document?.version) {
             log.write("document-in-force", "version" to document.version, "before" to (before.document?.version ?: 0L))
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/controlplane/EvacuationCallTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/controlplane/EvacuationCallTest.kt
@@ -88,7 +88,9 @@
                 regions = persistentMapOf("a" to "r", "b" to "r"),
             ),
             ControlDialect(
-                { _, path, _ -> path.split('/').let { ControlPlaneCall.Evacuate(it[1], evacuated = it[2] == "start") } },
+                { _, path, _ ->
+                    path.split('/').let { ControlPlaneCall.Evacuate(it[1], evacuated = it[2] == "start") }
+                },
                 { Err(DocumentError("not decoded in this test")) },
                 EngineDialect({ error("no engine gets an order") }, "/state") { Err("no engine is asked") },
             ),
@@ -122,7 +124,9 @@
         fun awaitLines(event: String, count: Int) {
             val endNs = System.nanoTime() + LIMIT_NS
             while (lines(event).size < count) {
-                check(System.nanoTime() < endNs) { "${lines(event).size} of $count lines '$event' were written in time" }
+                check(System.nanoTime() < endNs) {
+                    "${lines(event).size} of $count lines '$event' were written in time"
+                }
                 Thread.sleep(POLL_MS)
             }
         }
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/WorkReports.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/WorkReports.kt
@@ -41,7 +41,9 @@
 
     private fun withReports(reports: PersistentMap<String, Report>): WorkReports {
         val total = HashMap<String, ServerLoad>()
-        reports.values.forEach { report -> report.work.forEach { (id, load) -> total.merge(id, load, ServerLoad::plus) } }
+        reports.values.forEach { report ->
+            report.work.forEach { (id, load) -> total.merge(id, load, ServerLoad::plus) }
+        }
         return WorkReports(leadingSinceMs, reports, total.toPersistentMap())
     }
 
