--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/evacuation/Evacuations.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/evacuation/Evacuations.kt
@@ -18,6 +18,19 @@
 /** A data centre whose [evacuation] has begun, or has ended if not [begun]. */
 data class EvacuationChange(val dataCentre: String, val evacuation: Evacuation, val begun: Boolean)
 
+/**
+ * How far an evacuation has reached.
+ *
+ * @property confirmedBy number of entries that know it
+ * @property missing entries that do not
+ */
+data class EvacuationProgress(
+    val dataCentre: String,
+    val evacuation: Evacuation,
+    val confirmedBy: Int,
+    val missing: List<String>,
+)
+
 /**
  * The evacuated data centres, by name.
  *
@@ -38,6 +51,13 @@
     fun finish(dataCentre: String, index: Long): Evacuations =
         if (dataCentre in byDataCentre) Evacuations(index, byDataCentre.remove(dataCentre)) else this
 
+    /** The evacuations, with the entries that know them; [entries] has the revision that each entry has reported. */
+    fun progress(entries: Map<String, Long>): List<EvacuationProgress> =
+        byDataCentre.entries.sortedBy { it.key }.map { (name, evacuation) ->
+            val (confirmed, missing) = entries.entries.partition { it.value >= evacuation.revision }
+            EvacuationProgress(name, evacuation, confirmed.size, missing.map { it.key }.sorted())
+        }
+
     /** The evacuations that have begun or ended since [before]. */
     fun changesSince(before: Evacuations): List<EvacuationChange> {
         val ended = before.byDataCentre.filter { (name, evacuation) -> byDataCentre[name] != evacuation }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/ConfigurationDraft.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/ConfigurationDraft.kt
@@ -12,6 +12,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.toPersistentSet
+import org.bramleyspur.control.evacuation.Evacuations
 import org.bramleyspur.core.model.Account
 import org.bramleyspur.core.model.Configuration
 import org.bramleyspur.core.model.InstanceName
@@ -26,15 +27,25 @@
 import org.bramleyspur.language.DrainInstance
 import org.bramleyspur.language.DropAccount
 import org.bramleyspur.language.DropService
+import org.bramleyspur.language.EvacuateDataCentre as EvacuateInLanguage
+import org.bramleyspur.language.ReturnDataCentre
 import org.bramleyspur.language.ReturnInstance
 import org.bramleyspur.language.RollBack
 import org.bramleyspur.language.RollOut
 import org.bramleyspur.language.ServiceProperties
 
-/** A configuration that is being modified. Errors are messages for the operator. */
+/**
+ * A configuration that is being modified, with the evacuations beside it. Errors are messages for the operator.
+ *
+ * @property index log index of the statements
+ * @property submittedAtMs wall-clock milliseconds of the leader
+ */
 internal data class ConfigurationDraft(
     val configuration: Configuration,
     val previousVersions: PersistentMap<String, String>,
+    val evacuations: Evacuations = Evacuations(),
+    private val index: Long = 0,
+    private val submittedAtMs: Long = 0,
 ) {
     private val services get() = configuration.services
     private val accounts get() = configuration.accounts
@@ -50,6 +61,8 @@
         is DropAccount -> account(command.name).map { withAccounts(accounts.remove(command.name)) }
         is DrainInstance -> drain(InstanceName(command.instance))
         is ReturnInstance -> returnInstance(InstanceName(command.instance))
+        is EvacuateInLanguage -> evacuate(command.dataCentre)
+        is ReturnDataCentre -> returnDataCentre(command.dataCentre)
         is RollOut -> rollOut(command)
         is RollBack -> rollBack(command)
     }
@@ -99,6 +112,16 @@
         Err("the instance $instance is not drained")
     }
 
+    private fun evacuate(dataCentre: String): Result<ConfigurationDraft, String> {
+        if (dataCentre in evacuations.byDataCentre) return Err("the data centre $dataCentre is already evacuated")
+        return Ok(copy(evacuations = evacuations.start(dataCentre, index, submittedAtMs)))
+    }
+
+    private fun returnDataCentre(dataCentre: String): Result<ConfigurationDraft, String> {
+        if (dataCentre !in evacuations.byDataCentre) return Err("the data centre $dataCentre is not evacuated")
+        return Ok(copy(evacuations = evacuations.finish(dataCentre, index)))
+    }
+
     private fun rollOut(command: RollOut): Result<ConfigurationDraft, String> {
         val service = services[command.service] ?: return Err(unknownService(command.service))
         return when {
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/ConfigurationQuery.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/ConfigurationQuery.kt
@@ -90,7 +90,7 @@
     Subject.ACCOUNTS -> accounts()
     Subject.CHANGES -> changes()
     Subject.CONFIGURATION -> statements()
-    Subject.REPLICAS, Subject.INSTANCES, Subject.CONTROL -> QueryResult.NotInState
+    Subject.REPLICAS, Subject.INSTANCES, Subject.CONTROL, Subject.EVACUATIONS -> QueryResult.NotInState
 }
 
 private fun ControlState.services(name: String?): QueryResult {
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/Submission.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/Submission.kt
@@ -41,12 +41,13 @@
     return Applied(this, refusal("the command id $id was used for another command; choose a new one"))
 }
 
-private fun ControlState.decide(index: Long, command: Submit): Applied = draftOf(command).fold(
+private fun ControlState.decide(index: Long, command: Submit): Applied = draftOf(index, command).fold(
     success = { draft ->
         val revision = Revision(index)
         val next = copy(
             configuration = draft.configuration.copy(revision = revision),
             previousVersions = draft.previousVersions,
+            evacuations = draft.evacuations,
         )
         next.recorded(command, SubmitResult(true, revision, "accepted as revision $revision"))
     },
@@ -58,7 +59,7 @@
 /** Replaces unpaired surrogates left by truncation, since snapshots cannot represent them. */
 private fun String.wellFormed(): String = encodeToByteArray().decodeToString()
 
-private fun ControlState.draftOf(command: Submit): Result<ConfigurationDraft, String> {
+private fun ControlState.draftOf(index: Long, command: Submit): Result<ConfigurationDraft, String> {
     val current = configuration.revision
     if (command.expectedRevision != Revision.NONE && command.expectedRevision != current) {
         return Err(
@@ -69,7 +70,11 @@
     return parse(command.statements)
         .mapError { "line ${it.line}, column ${it.column}: ${it.message}" }
         .andThen { commandsOf(it) }
-        .andThen { applyAll(it) }
+        .andThen {
+            val draft =
+                ConfigurationDraft(configuration, previousVersions, evacuations, index, command.submittedAtMs)
+            applyAll(it, draft)
+        }
 }
 
 private fun commandsOf(statements: List<Statement>): Result<List<Command>, String> {
@@ -83,8 +88,8 @@
     }
 }
 
-private fun ControlState.applyAll(commands: List<Command>): Result<ConfigurationDraft, String> {
-    val initial: Result<ConfigurationDraft, String> = Ok(ConfigurationDraft(configuration, previousVersions))
+private fun applyAll(commands: List<Command>, draft: ConfigurationDraft): Result<ConfigurationDraft, String> {
+    val initial: Result<ConfigurationDraft, String> = Ok(draft)
     return commands
         .foldIndexed(initial) { position, draft, command ->
             draft.andThen { d -> d.apply(command).mapError { "statement ${position + 1}: $it" } }
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/state/SubmissionTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/state/SubmissionTest.kt
@@ -51,6 +51,24 @@
         }
     }
 
+    @Test
+    fun `evacuations are changed by statements as by calls, and kept in snapshots`() {
+        val machine = Machine.ready()
+        val revision = machine.accepted("evacuate data centre dc1; evacuate data centre dc2").revision
+        machine.accepted("return data centre dc2")
+        machine.restart()
+        val evacuations = machine.state.evacuations
+        expectThat(evacuations.byDataCentre.mapValues { it.value.revision }).isEqualTo(mapOf("dc1" to revision.value))
+        expectThat(machine.submit("evacuate data centre dc1").accepted).isFalse()
+        expectThat(machine.submit("return data centre dc2").accepted).isFalse()
+        machine.apply(EvacuateDataCentre("dc1", evacuated = true, submittedAtMs = 0))
+        expectThat(machine.state.evacuations).isEqualTo(evacuations)
+        val progress = evacuations.progress(mapOf("e1" to revision.value, "e2" to 0L, "e3" to revision.value + 5))
+        expectThat(progress.map { it.confirmedBy to it.missing }).isEqualTo(listOf(2 to listOf("e2")))
+        machine.apply(EvacuateDataCentre("dc1", evacuated = false, submittedAtMs = 0))
+        expectThat(machine.state.evacuations.byDataCentre).isEqualTo(emptyMap())
+    }
+
     @Test
     fun `a resend gets the first result, also a refusal that would now be accepted`() {
         val machine = Machine.ready()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
@@ -103,8 +103,8 @@
         }
 
         /**
-         * Handles [call] unless its caller has closed the connection, as before a late copy of a call arrives. The end
-         * of the connection follows the call and is read with the next bytes, which the flow control holds back.
+         * Handles [call] unless its caller has closed the connection: a late copy of a call is followed by the end of its
+         * connection. That is read with the next bytes, which the flow control holds back.
          */
         private fun handleUnlessEnded(
             context: ChannelHandlerContext,
@@ -119,7 +119,12 @@
                     onDropped(call)
                 }
             }
-            context.executor().schedule(handleIfOpen, END_READ_MS, TimeUnit.MILLISECONDS)
+            // A timer set by a timer runs in a later pass of the event loop, which reads first.
+            context.executor().schedule(
+                { context.executor().schedule(handleIfOpen, END_READ_MS, TimeUnit.MILLISECONDS) },
+                END_READ_MS,
+                TimeUnit.MILLISECONDS,
+            )
         }
 
         @Deprecated("Deprecated in Netty's handler interface, which still calls it.")
@@ -150,7 +155,7 @@
     private companion object {
         const val IDLE_TIMEOUT_MS = 30_000L
 
-        /** Time in which the event loop reads what has arrived on the connection. */
-        const val END_READ_MS = 2L
+        /** Shortest delay of a timer. */
+        const val END_READ_MS = 1L
     }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/ControlDirectory.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/ControlDirectory.kt
@@ -95,6 +95,9 @@
     /** Sends a document that has been committed. */
     fun onDocument() = server.onDocument()
 
+    /** The revision of the evacuations that each entry has reported, by instance. */
+    val evacuationRevisions: Map<String, Long> get() = server.evacuationRevisions
+
     /** Sends a change of the evacuations. */
     fun onEvacuations() = server.onEvacuations()
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/DirectoryServer.kt
@@ -57,10 +57,16 @@
     private val renewed = LinkedHashSet<String>()
     private val renewedForEntries = LinkedHashSet<String>()
     private var committedAtMs = timers.nowMs()
+    private var lastEvacuations = Evacuations().let { it to it.toMessage() }
 
     /** Number of entries that watch this control instance. */
     val entries: Int get() = watchers.count { it.isEntry }
 
+    /** The revision of the evacuations that each entry has reported, by instance. */
+    val evacuationRevisions: Map<String, Long>
+        get() = watchers.filter { it.isEntry }.groupBy { it.instance }
+            .mapValues { (_, watches) -> watches.maxOf { it.evacuationRevision } }
+
     /** Starts the periodic events by which watchers detect a dead connection. */
     fun start() {
         timers.every(EVENT_INTERVAL_MS) { sendRegularEvents() }
@@ -140,18 +146,28 @@
 
     private fun newEvent(): DirectoryEvent.Builder = DirectoryEvent
         .newBuilder()
-        .setEvacuations(source.evacuations().toMessage())
+        .setEvacuations(evacuationMessage())
         .setConfirmed(source.confirmed())
         .setDocumentVersion(source.document()?.version ?: 0)
         .addAllMembers(source.members())
         .setEntries(entries)
 
+    private fun evacuationMessage(): EvacuationState {
+        val evacuations = source.evacuations()
+        if (evacuations !== lastEvacuations.first) lastEvacuations = evacuations to evacuations.toMessage()
+        return lastEvacuations.second
+    }
+
     private fun broadcast(event: DirectoryEvent) = watchers.toList().forEach { it.send(event) }
 
     private inner class Watcher(private val events: ServerCallStreamObserver<DirectoryEvent>) :
         StreamObserver<DirectoryRequest> {
         var isEntry = false
             private set
+        var instance = ""
+            private set
+        var evacuationRevision = 0L
+            private set
         val openedAtMs = timers.nowMs()
         private var lastReceivedMs = openedAtMs
 
@@ -185,6 +201,8 @@
         override fun onNext(request: DirectoryRequest) {
             lastReceivedMs = timers.nowMs()
             isEntry = request.entry
+            instance = request.instance
+            evacuationRevision = request.evacuationRevision
             documentVersion = maxOf(documentVersion, request.documentVersion)
             if (isEntry && source.confirmed()) sendDocument()
             if (request.missingBackendsCount > 0) sendMissing(request.missingBackendsList)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/operator/OperatorService.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/operator/OperatorService.kt
@@ -15,6 +15,7 @@
 import org.bramleyspur.daemon.member.cast
 import org.bramleyspur.language.MemberCommand
 import org.bramleyspur.language.Query
+import org.bramleyspur.language.Statement
 import org.bramleyspur.language.SyntaxError
 import org.bramleyspur.language.parse
 import org.bramleyspur.log.consensus.ProposeError
@@ -29,17 +30,23 @@
 /**
  * Serves operators' calls on the control thread.
  *
+ * @property refusalOf why a statement is refused that this deployment cannot carry out; null if it can
  * @property liveQuery executes queries about sessions, replicas or members; null when the subject does not exist
  */
 class OperatorService(
     private val node: ControlNode,
     private val wallClockMs: () -> Long,
+    private val refusalOf: (Statement) -> String?,
     private val liveQuery: (Query) -> LiveTable?,
 ) {
     /** Executes the commands of [request]: a single member command, or commands that change the configuration. */
     fun submit(request: SubmitRequest, reply: StreamObserver<SubmitReply>) {
         if (node.leadingTerm() == null) return reply.finish(notLeader())
-        val memberCommand = parse(request.statements).getOrElse { emptyList() }.singleOrNull() as? MemberCommand
+        val statements = parse(request.statements).getOrElse { emptyList() }
+        statements.firstNotNullOfOrNull(refusalOf)?.let {
+            return reply.finish(SubmitResult(false, node.state.configuration.revision, it).toReply())
+        }
+        val memberCommand = statements.singleOrNull() as? MemberCommand
         if (memberCommand == null) submitConfiguration(request, reply) else changeMembers(memberCommand, request, reply)
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -156,7 +156,7 @@
         listOf(
             PeerService(member::receive).bindService(),
             DirectoryCalls(directory, log) { member.node }.bindService(),
-            AgentlessOperatorCalls { member.node }.bindService(),
+            AgentlessOperatorCalls(settings.regions.keys, { directory.evacuationRevisions }) { member.node }.bindService(),
         ),
     )
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/ControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/ControlProcess.kt
@@ -16,6 +16,8 @@
 import org.bramleyspur.daemon.platform.PlatformServer
 import org.bramleyspur.daemon.platform.Readiness
 import org.bramleyspur.daemon.session.ClaimService
+import org.bramleyspur.language.EvacuateDataCentre
+import org.bramleyspur.language.Statement
 import org.bramleyspur.daemon.session.LiveQueries
 import org.bramleyspur.daemon.session.PlacementDriver
 import org.bramleyspur.daemon.session.PlacementMetrics
@@ -79,7 +81,7 @@
     )
     private val liveQueries = LiveQueries(node, sessionService, placement, loops.controlTimers)
     private val claimService = ClaimService(node, System::currentTimeMillis)
-    private val operatorService = OperatorService(node, System::currentTimeMillis, liveQueries::execute)
+    private val operatorService = OperatorService(node, System::currentTimeMillis, ::refusalOf, liveQueries::execute)
     private val server = buildServer(
         settings[CommonSettings.LISTEN],
         loops.controlGroup,
@@ -170,6 +172,10 @@
     }
 }
 
+/** Agents and entries of this deployment know no evacuations. */
+private fun refusalOf(statement: Statement): String? =
+    if (statement is EvacuateDataCentre) "a deployment with agents evacuates no data centre; drain its instances" else null
+
 private fun policyOf(settings: Settings): RepairPolicy {
     val preset = if (settings[ControlSettings.POLICY] == "ragusa") RepairPolicy.ragusa else RepairPolicy.kerherve
     return preset.copy(maxLoads = settings[ControlSettings.WEIGHT_LOADS].toInt())
--- a/bramleyspur-language/src/main/kotlin/org/bramleyspur/language/Format.kt
+++ b/bramleyspur-language/src/main/kotlin/org/bramleyspur/language/Format.kt
@@ -22,6 +22,8 @@
     is DropAccount -> joinParts("drop account", nameLiteral(name))
     is DrainInstance -> joinParts("drain instance", nameLiteral(instance))
     is ReturnInstance -> joinParts("return instance", nameLiteral(instance))
+    is EvacuateDataCentre -> joinParts("evacuate data centre", nameLiteral(dataCentre))
+    is ReturnDataCentre -> joinParts("return data centre", nameLiteral(dataCentre))
     is RollOut -> joinParts("roll out", nameLiteral(service), "to", stringLiteral(version))
     is RollBack -> joinParts("roll back", nameLiteral(service))
 }
--- a/bramleyspur-language/src/main/kotlin/org/bramleyspur/language/Statement.kt
+++ b/bramleyspur-language/src/main/kotlin/org/bramleyspur/language/Statement.kt
@@ -65,6 +65,12 @@
 /** Puts a drained instance back into use. */
 data class ReturnInstance(val instance: String) : Command
 
+/** Begins the evacuation of a data centre: its backend servers get no more requests. */
+data class EvacuateDataCentre(val dataCentre: String) : Command
+
+/** Ends the evacuation of a data centre. */
+data class ReturnDataCentre(val dataCentre: String) : Command
+
 /** Starts to move a service to another version, replica by replica. */
 data class RollOut(val service: String, val version: String) : Command
 
@@ -89,6 +95,7 @@
     ACCOUNTS,
     CHANGES,
     CONTROL,
+    EVACUATIONS,
 
     /** Statements that recreate the configuration. */
     CONFIGURATION,
--- a/bramleyspur-language/src/main/kotlin/org/bramleyspur/language/StatementGrammar.kt
+++ b/bramleyspur-language/src/main/kotlin/org/bramleyspur/language/StatementGrammar.kt
@@ -45,6 +45,12 @@
     private val instanceCommand: Parser<Statement> =
         withName("drain", "instance") { DrainInstance(it) } or withName("return", "instance") { ReturnInstance(it) }
 
+    private val dataCentre: Parser<String> = -values.keywords("data", "centre") and name
+
+    private val dataCentreCommand: Parser<Statement> =
+        (-values.keyword("evacuate") and dataCentre map { EvacuateDataCentre(it) }) or
+            (-values.keyword("return") and dataCentre map { ReturnDataCentre(it) })
+
     private val rollOut: Parser<Statement> =
         -(values.keywords("roll", "out") or values.keyword("rollout")) and name and -values.keyword("to") and name map
             { (service, version) -> RollOut(service, version) }
@@ -75,10 +81,12 @@
             showAll("changes", Subject.CHANGES) or
             showChange or
             showAll("control", Subject.CONTROL) or
+            showAll("evacuations", Subject.EVACUATIONS) or
             showAll("configuration", Subject.CONFIGURATION)
 
     private val statement: Parser<Statement> =
-        create or alter or drop or instanceCommand or rollOut or rollBack or memberCommand or show or why
+        create or alter or drop or instanceCommand or dataCentreCommand or rollOut or rollBack or memberCommand or
+            show or why
 
     /** Statements separated by semicolons; empty statements are left out. */
     val statements: Parser<List<Statement>> =
--- a/bramleyspur-language/src/test/kotlin/org/bramleyspur/language/ParseTest.kt
+++ b/bramleyspur-language/src/test/kotlin/org/bramleyspur/language/ParseTest.kt
@@ -96,6 +96,8 @@
         fun operations() = listOf(
             "drain instance i1" to DrainInstance("i1"),
             "return instance i1" to ReturnInstance("i1"),
+            "evacuate data centre pl-north-a" to EvacuateDataCentre("pl-north-a"),
+            "return data centre 'data'" to ReturnDataCentre("data"),
             "admit control 'c4' at '10.0.0.4:7100'" to AdmitControl("c4", "10.0.0.4:7100"),
             "ADMIT control c4 at '[::1]:7100' in place of c1" to AdmitControl("c4", "[::1]:7100", "c1"),
             "admit control at at 'a:1' in place of of" to AdmitControl("at", "a:1", "of"),
@@ -113,6 +115,7 @@
             "show changes" to Show(Subject.CHANGES),
             "show change 42" to ShowChange(42),
             "show control" to Show(Subject.CONTROL),
+            "show evacuations" to Show(Subject.EVACUATIONS),
             "show configuration" to Show(Subject.CONFIGURATION),
             "why recipes" to Why("recipes"),
         )
