--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineParts.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineParts.kt
@@ -35,8 +35,7 @@
 }
 
 /** The targets of the domains of [part]. */
-internal fun DomainTargets.ofPart(part: EnginePart): DomainTargets =
-    filterKeys { isOfPart(it, part) }
+internal fun DomainTargets.ofPart(part: EnginePart): DomainTargets = filterKeys { isOfPart(it, part) }
 
 /** Whether [domain], as [domainOf] names it, belongs to [part]. */
 internal fun isOfPart(domain: String, part: EnginePart): Boolean =
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
@@ -204,7 +204,9 @@
 
     /** Members of groups of the model, in each domain, that serve, form or warm up. */
     fun assignedByDomain(service: String, model: String): Map<String, List<EngineIncarnation>> =
-        assignedMemo.of(state.groups, service, model) { member -> announcement(member.id)?.let { domainOf(it) }.orEmpty() }
+        assignedMemo.of(state.groups, service, model) { member ->
+            announcement(member.id)?.let { domainOf(it) }.orEmpty()
+        }
 
     /** Whether a member may still be in the group, according to its announcements and orders. */
     fun mayBeIn(incarnation: EngineIncarnation, group: PlannedGroup): Boolean {
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/ConfigurationDraft.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/ConfigurationDraft.kt
@@ -27,12 +27,12 @@
 import org.bramleyspur.language.DrainInstance
 import org.bramleyspur.language.DropAccount
 import org.bramleyspur.language.DropService
-import org.bramleyspur.language.EvacuateDataCentre as EvacuateInLanguage
 import org.bramleyspur.language.ReturnDataCentre
 import org.bramleyspur.language.ReturnInstance
 import org.bramleyspur.language.RollBack
 import org.bramleyspur.language.RollOut
 import org.bramleyspur.language.ServiceProperties
+import org.bramleyspur.language.EvacuateDataCentre as EvacuateInLanguage
 
 /**
  * A configuration that is being modified, with the evacuations beside it. Errors are messages for the operator.
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServer.kt
@@ -103,8 +103,8 @@
         }
 
         /**
-         * Handles [call] unless its caller has closed the connection: a late copy of a call is followed by the end of its
-         * connection. That is read with the next bytes, which the flow control holds back.
+         * Handles [call] unless its caller has closed the connection: a late copy of a call is followed by the end of
+         * its connection. That is read with the next bytes, which the flow control holds back.
          */
         private fun handleUnlessEnded(
             context: ChannelHandlerContext,
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/ControlDirectory.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/directory/ControlDirectory.kt
@@ -1,7 +1,7 @@
 /*
- * The directory of backend servers of a control instance, and what entries have observed about prompt parts: merged from
- * announcements that arrive here and from the events and reports of the other processes, and passed on to them. Confined
- * to the control thread.
+ * The directory of backend servers of a control instance, and what entries have observed about prompt parts: merged
+ * from announcements that arrive here and from the events and reports of the other processes, and passed on to them.
+ * Confined to the control thread.
  */
 package org.bramleyspur.daemon.directory
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -156,10 +156,13 @@
         listOf(
             PeerService(member::receive).bindService(),
             DirectoryCalls(directory, log) { member.node }.bindService(),
-            AgentlessOperatorCalls(settings.regions.keys, { directory.evacuationRevisions }) { member.node }.bindService(),
+            operatorCalls().bindService(),
         ),
     )
 
+    private fun operatorCalls() =
+        AgentlessOperatorCalls(settings.regions.keys, { directory.evacuationRevisions }) { member.node }
+
     @Volatile
     private var stopping = false
 
@@ -190,7 +193,11 @@
     }
 
     override fun onStateChanged(before: ControlState, after: ControlState) {
-        if (after.evacuations.revision != before.evacuations.revision) onEvacuations(before.evacuations, after.evacuations)
+        if (after.evacuations.revision !=
+            before.evacuations.revision
+        ) {
+            onEvacuations(before.evacuations, after.evacuations)
+        }
         val document = after.document ?: return
         if (document.version != before.document?.version) {
             log.write("document-in-force", "version" to document.version, "before" to (before.document?.version ?: 0L))
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/ControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/ControlProcess.kt
@@ -16,13 +16,13 @@
 import org.bramleyspur.daemon.platform.PlatformServer
 import org.bramleyspur.daemon.platform.Readiness
 import org.bramleyspur.daemon.session.ClaimService
-import org.bramleyspur.language.EvacuateDataCentre
-import org.bramleyspur.language.Statement
 import org.bramleyspur.daemon.session.LiveQueries
 import org.bramleyspur.daemon.session.PlacementDriver
 import org.bramleyspur.daemon.session.PlacementMetrics
 import org.bramleyspur.daemon.session.SessionService
 import org.bramleyspur.language.AdmitControl
+import org.bramleyspur.language.EvacuateDataCentre
+import org.bramleyspur.language.Statement
 import org.bramleyspur.language.toText
 import org.bramleyspur.log.storage.DiskFileSystem
 import org.bramleyspur.log.storage.FirstStart
@@ -173,8 +173,10 @@
 }
 
 /** Agents and entries of this deployment know no evacuations. */
-private fun refusalOf(statement: Statement): String? =
-    if (statement is EvacuateDataCentre) "a deployment with agents evacuates no data centre; drain its instances" else null
+private fun refusalOf(statement: Statement): String? {
+    if (statement !is EvacuateDataCentre) return null
+    return "a deployment with agents evacuates no data centre; drain its instances"
+}
 
 private fun policyOf(settings: Settings): RepairPolicy {
     val preset = if (settings[ControlSettings.POLICY] == "ragusa") RepairPolicy.ragusa else RepairPolicy.kerherve
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/evacuation/EvacuationView.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/evacuation/EvacuationView.kt
@@ -1,6 +1,6 @@
 /*
- * What an entry knows of the evacuated data centres. Control instances may be behind each other, so the highest revision
- * counts, whichever of them told it.
+ * What an entry knows of the evacuated data centres. Control instances may be behind each other, so the highest
+ * revision counts, whichever of them told it.
  */
 package org.bramleyspur.traffic.evacuation
 
@@ -28,8 +28,8 @@
         }
 
     /**
-     * Whether requests may be sent [uptimeMs] after the entry's start. A follower that has just started may not know the
-     * last changes, so the leader is awaited; without one, the newest view is used after [LEADER_WAIT_MS].
+     * Whether requests may be sent [uptimeMs] after the entry's start. A follower that has just started may not know
+     * the last changes, so the leader is awaited; without one, the newest view is used after [LEADER_WAIT_MS].
      */
     fun usable(uptimeMs: Long): Boolean = confirmed || uptimeMs >= LEADER_WAIT_MS
 
