--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -157,10 +157,13 @@
         listOf(
             PeerService(member::receive).bindService(),
             DirectoryCalls(directory, log) { member.node }.bindService(),
-            AgentlessOperatorCalls { member.node }.bindService(),
+            operatorCalls().bindService(),
         ),
     )
 
+    private fun operatorCalls() =
+        AgentlessOperatorCalls(settings.regions.keys, { directory.evacuationRevisions }) { member.node }
+
     @Volatile
     private var stopping = false
 
