--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -149,13 +149,13 @@
     }
 
     /**
-     * The cold backend server to which [request] may be sent first, and when; null if a backend server is not held
+     * The cold backend server other than [tried] to which [request] may be sent first, and when; null if one is not held
      * back, or if none is in use.
      */
-    fun firstHeld(request: AdmittedRequest): Pair<String, ColdDecision.Held>? {
+    fun firstHeld(request: AdmittedRequest, tried: Set<String>): Pair<String, ColdDecision.Held>? {
         val usable = serversOf(request.service, request.model)
             .filter { request.homes.allows(regions[it.dataCentre]) && allows(it) && availability.accepts(it) }
-        return cold.firstHeld(request.service, usable.map { it.id })
+        return cold.firstHeld(request.service, usable.map { it.id }.filter { it !in tried })
     }
 
     /** Whether all backend servers that could serve such a request are in evacuated data centres. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -98,7 +98,7 @@
         if (isKeptFromEngines()) return
         val choice = if (toSuperseded) takeSuperseded() else chooseUntried()
         when {
-            choice == null && isHeld(countsAgainstBudget, toSuperseded) -> Unit
+            choice == null && !toSuperseded && isHeld(countsAgainstBudget) -> Unit
             choice == null && waits() -> awaitBackend { send(countsAgainstBudget, toSuperseded) }
             choice == null ->
                 onNotSendable(
@@ -113,15 +113,15 @@
     }
 
     /** Handles a request that is kept from cold backend servers only: it waits shortly or is refused. */
-    private fun isHeld(countsAgainstBudget: Boolean, toSuperseded: Boolean): Boolean {
-        val (backend, held) = context.firstHeld(request) ?: return false
+    private fun isHeld(countsAgainstBudget: Boolean): Boolean {
+        val (backend, held) = context.firstHeld(request, triedBackends) ?: return false
         val waitMs = maxOf(1, held.untilMs - context.timers.nowMs())
         val waits = waitsForAllowance(request.elapsedMs() + waitMs, request.remainingMs(), route.targetLatencyMs)
         context.metrics.onColdHeld(route.name, held.reason.name, waits)
         log.onColdHeld(backend, held.reason, waitMs, waits)
         if (waits) {
             context.timers.after(waitMs) {
-                if (!done) guarded(faultHandler) { send(countsAgainstBudget, toSuperseded) }
+                if (!done) guarded(faultHandler) { send(countsAgainstBudget) }
             }
         } else {
             onNotSendable(AttemptEnd.BackingOff(waitMs), "all backend servers are cold: ${held.reason.text}")
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/cold/ColdAdmission.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/cold/ColdAdmission.kt
@@ -61,6 +61,7 @@
 ) {
     /** The state after the entry was seen to run at [nowMs]; to be called before anything else happens. */
     fun onActive(nowMs: Long): ColdAdmission {
+        if (nowMs == contact.activeMs) return this
         val next = contact.onActive(nowMs)
         if (!contact.isPause(nowMs)) return copy(contact = next)
         // What was decided before the pause may leave only now.
