--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
@@ -20,6 +20,7 @@
 import org.bramleyspur.daemon.caller.RawClient
 import org.bramleyspur.daemon.caller.RawResponse
 import org.bramleyspur.daemon.process.EventLoops
+import org.bramleyspur.traffic.cold.ColdBounds
 import org.bramleyspur.traffic.forward.RouteTable
 import org.bramleyspur.traffic.forward.WindowedRetryBudget
 import org.junit.jupiter.api.AfterEach
@@ -70,6 +71,8 @@
         "dc",
         RandomGenerator { random.nextLong() },
         onUnresponsive = {},
+        regions = mapOf("dc" to "r1", "other" to "r2"),
+        coldSettings = ColdSettings(ColdBounds(factor = 1.0, slack = 0.0), announcementIntervalMs = 1_000),
     ) { WindowedRetryBudget(0.2, 10_000.0, 10_000) { 1 } }
     internal val front = FrontServer(loops.trafficGroup, context)
     internal val port = front.start(Address("127.0.0.1", 0))
