--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/directory/DirectoryExchangeTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/directory/DirectoryExchangeTest.kt
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString
 import io.grpc.stub.StreamObserver
 import kotlinx.collections.immutable.persistentListOf
+import org.bramleyspur.control.evacuation.Evacuations
 import org.bramleyspur.control.state.StoredDocument
 import org.bramleyspur.core.backend.Announcement
 import org.bramleyspur.core.backend.BackendDirectory
@@ -155,7 +156,7 @@
     private var known = BackendDirectory()
     private val directoryServer = DirectoryServer(
         loops.controlTimers,
-        DirectorySource({ known }, { emptyList() }, { document }, { leads }, { emptyList() }),
+        DirectorySource({ known }, { emptyList() }, { document }, { Evacuations() }, { leads }, { emptyList() }),
     ) {}
     private val server = buildServer(address, loops.controlGroup, listOf(Calls().bindService()))
     private var received = BackendDirectory()
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/directory/SlowWatcherTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/directory/SlowWatcherTest.kt
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString
 import io.grpc.stub.ServerCallStreamObserver
+import org.bramleyspur.control.evacuation.Evacuations
 import org.bramleyspur.control.state.StoredDocument
 import org.bramleyspur.core.backend.BackendDirectory
 import org.bramleyspur.core.time.TimerHandle
@@ -32,7 +33,7 @@
             val timers = ManualTimers()
             val server = DirectoryServer(
                 timers,
-                DirectorySource({ BackendDirectory() }, { emptyList() }, { document }, { true }, { emptyList() }),
+                DirectorySource({ BackendDirectory() }, { emptyList() }, { document }, { Evacuations() }, { true }, { emptyList() }),
             ) {}
             server.start()
             val events = FakeStream()
