Move the choice of backend servers out of the forwarded request

Cause: the class that forwards a request also chose backend servers, waited for them and worded refusals. Change: BackendSelection holds what was tried and decides whether the request waits or is refused; no change of behaviour.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -7,13 +7,11 @@
 import org.bramleyspur.core.time.TimerHandle
 import org.bramleyspur.traffic.forward.AttemptEnd
 import org.bramleyspur.traffic.forward.NextStep
-import org.bramleyspur.traffic.forward.OUTAGE_POLL_INTERVAL_MS
 import org.bramleyspur.traffic.forward.OtherAttempts
 import org.bramleyspur.traffic.forward.RequestProgress
 import org.bramleyspur.traffic.forward.RunningAttempts
 import org.bramleyspur.traffic.forward.maySendBesideSilent
 import org.bramleyspur.traffic.forward.nextStep
-import org.bramleyspur.traffic.forward.waitsForOutage
 import org.bramleyspur.traffic.quarantine.PartVerdict
 
 /** An admitted request that is being forwarded. Confined to the traffic thread. */
@@ -28,8 +26,7 @@
     private val budget = context.budget(request.service.name)
     private val response = DeliveredResponse(context, request, callerResponse)
     private val log = RequestLog(context, request)
-    private val triedBackends = LinkedHashSet<String>()
-    private val supersededBackends = LinkedHashSet<String>()
+    private val selection = BackendSelection(context, request, log, responseStarted = { response.started })
     private var deadlineTimer: TimerHandle? = null
     private var running = RunningAttempts<Attempt>()
     private var sends = 0
@@ -38,8 +35,6 @@
     private var mayHaveRun = false
     private var done = false
 
-    /** Whether it has waited for a backend server. */
-    private var waiting = false
     private var predictedMs: Double? = null
     private var deliveringBackend: String? = null
 
@@ -80,61 +75,18 @@
     /** Pauses reading from the backend servers while the caller's connection accepts no more data. */
     fun onCallerWritable(writable: Boolean) = running.attempts.forEach { it.pauseReading(!writable) }
 
-    private fun choose(filter: BackendFilter): BackendChoice? =
-        context.choose(request.service, request.model, request.tokens, filter)
-
-    private fun chooseUntried(): BackendChoice? = choose(BackendFilter { it !in triedBackends })
-
-    /** Chooses a backend server whose attempt was superseded; this also ends that it can be asked again. */
-    private fun takeSuperseded(): BackendChoice? {
-        val choice = choose(BackendFilter(unresponsiveToo = true) { it in supersededBackends })
-        if (choice == null) supersededBackends.clear() else supersededBackends -= choice.load.id
-        return choice
-    }
-
     private fun send(countsAgainstBudget: Boolean, toSuperseded: Boolean = false) {
         if (isKeptFromEngines()) return
-        val choice = if (toSuperseded) takeSuperseded() else chooseUntried()
+        val choice = if (toSuperseded) selection.takeSuperseded() else selection.chooseUntried()
         when {
-            choice == null && waits() -> awaitBackend { send(countsAgainstBudget, toSuperseded) }
-            choice == null ->
-                onNotSendable(
-                    context.backoffMs(request.service, request.model)?.let { AttemptEnd.BackingOff(it) }
-                        ?: AttemptEnd.NoCandidate,
-                    noServerText(),
-                )
-            !isSoonEnough(choice) ->
-                onNotSendable(AttemptEnd.NoCandidate, "expected ${choice.expectedMs.toLong()} ms to the first event")
+            choice == null && selection.waits(nothingSent = sends == 0 && unsentAttempts == 0) ->
+                selection.awaitBackend { if (!done) guarded(faultHandler) { send(countsAgainstBudget, toSuperseded) } }
+            choice == null -> onNotSendable(selection.endWithoutServer(), selection.noServerText())
+            !selection.isSoonEnough(choice) -> onNotSendable(AttemptEnd.NoCandidate, selection.tooLateText(choice))
             else -> start(choice, countsAgainstBudget)
         }
     }
 
-    private fun noServerText(): String {
-        val target = request.model ?: request.service.name
-        if (!context.isEvacuated(request.service, request.model)) return "no backend server takes $target"
-        context.metrics.onEvacuated(route.name)
-        return "all backend servers of $target are in evacuated data centres"
-    }
-
-    /** Whether the request, of which nothing was sent, waits for the end of an outage. */
-    private fun waits(): Boolean = sends == 0 && unsentAttempts == 0 &&
-        !context.isEvacuated(request.service, request.model) &&
-        context.backoffMs(request.service, request.model) == null &&
-        waitsForOutage(
-            request.elapsedMs(),
-            request.remainingMs(),
-            context.outages.outageMs(request.service, request.model),
-        )
-
-    private fun awaitBackend(sendAgain: () -> Unit) {
-        if (!waiting) {
-            waiting = true
-            context.metrics.onWait(route.name, "backend")
-            log.onWait(request.model ?: request.service.name)
-        }
-        context.timers.after(OUTAGE_POLL_INTERVAL_MS) { if (!done) guarded(faultHandler) { sendAgain() } }
-    }
-
     private fun start(choice: BackendChoice, countsAgainstBudget: Boolean) {
         // Built before the attempt counts as sent, since it may throw.
         val head = request.head(choice.load.id, response.lastEventId)
@@ -142,7 +94,7 @@
             budget.onRetry(context.timers.nowMs())
             context.metrics.onRetry(request.service.name)
         }
-        val repeated = !triedBackends.add(choice.load.id)
+        val repeated = !selection.onSent(choice)
         if (!repeated) sentAttempts++
         predictedMs = choice.expectedMs
         sends++
@@ -158,7 +110,7 @@
             context.metrics.onPartBlocked(route.name, sentBefore = true)
             onNotSendable(
                 AttemptEnd.PartBlocked(null),
-                "a part of its prompt may have crashed ${triedBackends.lastOrNull()}",
+                "a part of its prompt may have crashed ${selection.lastTried}",
             )
             return true
         }
@@ -168,16 +120,6 @@
         return true
     }
 
-    private fun isSoonEnough(choice: BackendChoice): Boolean =
-        choice.expectedMs <= request.remainingMs() && choice.waitMs <= maxWaitMs()
-
-    /**
-     * Longest acceptable queueing time on a backend server, in milliseconds. Callers give up on a stream that does not
-     * begin; one that has begun may wait until its deadline. The limit does not depend on the length of the prompt.
-     */
-    private fun maxWaitMs(): Double =
-        if (request.streaming && !response.started) context.maxWaitMs(request) else Double.MAX_VALUE
-
     override fun onData(attempt: Attempt) {
         running = running.withData(attempt)
     }
@@ -186,22 +128,20 @@
         running = running.withSilent(attempt)
         if (!maySendBesideSilent(progress(without = null), budgetAllows())) return
         if (!context.promptParts.allowsRetry(request.parts)) return
-        val choice = chooseUntried()?.takeIf { isSound(it) && isSoonEnough(it) } ?: return
+        val choice = selection.chooseUntried()?.takeIf { selection.isSound(it) && selection.isSoonEnough(it) } ?: return
         running.attempts.forEach { it.markUnresponsive() }
         context.metrics.onAttemptBeside(request.service.name)
         log.onBeside(running.attempts, silentMs, choice.load.id, response.lastEventId, sends + 1)
         start(choice, countsAgainstBudget = true)
     }
 
-    private fun isSound(choice: BackendChoice) = context.timers.nowMs() >= choice.load.suspectUntilMs
-
     override fun takeOver(attempt: Attempt) {
         deliveringBackend = attempt.backendId
         if (running.attempts.size <= 1) return
         val superseded = running.attempts.filter { it != attempt }
         running = running.withTakeOver(attempt)
         superseded.forEach { it.cancel() }
-        supersededBackends += superseded.map { it.backendId }
+        selection.onSuperseded(superseded.map { it.backendId })
         context.metrics.onTakeOver(request.service.name)
         log.onTakeOver(attempt, superseded, response.lastEventId)
     }
@@ -220,7 +160,7 @@
         maxAttempts = route.maxAttempts,
         sentAttempts = sentAttempts,
         unsentAttempts = unsentAttempts,
-        supersededServers = supersededBackends.size,
+        supersededServers = selection.supersededServers,
         mayHaveRun = mayHaveRun,
         responseStarted = response.started,
         remainingMs = request.remainingMs(),
@@ -239,7 +179,7 @@
 
     /** Handles that a further attempt cannot be sent. */
     private fun onNotSendable(end: AttemptEnd, detail: String) =
-        apply(nextStep(progress(without = null), end, budgetAllows()), end, detail, triedBackends.lastOrNull())
+        apply(nextStep(progress(without = null), end, budgetAllows()), end, detail, selection.lastTried)
 
     private fun apply(step: NextStep, end: AttemptEnd, detail: String, backend: String?) {
         if (end is AttemptEnd.NoAnswer || end is AttemptEnd.BrokenOff || end is AttemptEnd.Failed) mayHaveRun = true
@@ -291,7 +231,7 @@
         running.attempts.forEach { it.cancel() }
         running = RunningAttempts()
         context.metrics.onRequestEnd(route.name, outcome)
-        val backend = deliveringBackend ?: triedBackends.lastOrNull()
+        val backend = deliveringBackend ?: selection.lastTried
         log.onEnd(outcome, backend, sends, response.firstByteMs, predictedMs, detail)
         onDone()
     }
