Admit requests that compete for room by what can still be in time

Cause: entries sent a stream whose first event was predicted up to 1.5 times its target late, from predictions that do not see the queues which other entries' requests form; refused callers returned together after a constant 300 ms. Change: a pure package decides for each request whether it starts, waits or is refused with a time to return. A window on an entry's requests at a pool follows from late first events; less urgent routes, accounts above their max-min share and requests that are late already use a part of it; routes, accounts and sizes that are served much less often than the mean start beyond it. Waiting requests are bounded and offered newest first. After an outage a ramp counts on the other entries. In force only with pressureAdmission. The tests of the forward package named Forwarded*, Outage* and RepeatedRefusal pass.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendSelection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendSelection.kt
@@ -3,9 +3,11 @@
  */
 package org.bramleyspur.daemon.forward
 
+import org.bramleyspur.core.time.TimerHandle
 import org.bramleyspur.traffic.forward.AttemptEnd
 import org.bramleyspur.traffic.forward.OUTAGE_POLL_INTERVAL_MS
 import org.bramleyspur.traffic.forward.waitsForOutage
+import org.bramleyspur.traffic.pressure.PressureDecision
 
 /**
  * The choice of backend servers for the attempts of [request]. Confined to the traffic thread.
@@ -24,6 +26,15 @@
     /** Whether it has waited for a backend server. */
     private var waiting = false
 
+    /** Whether it was counted as a request that competes for room. */
+    private var asked = false
+
+    /** Whether it counts as a request at the pool. */
+    private var counted = false
+
+    /** Runs when the first event is late; null before the start and after the first event. */
+    private var overdue: TimerHandle? = null
+
     /** The backend server that was first asked last; null before the first attempt. */
     val lastTried: String? get() = triedBackends.lastOrNull()
 
@@ -67,6 +78,7 @@
 
     /** Whether the request waits for the end of an outage; [nothingSent] when no attempt of it was made. */
     fun waits(nothingSent: Boolean): Boolean = nothingSent &&
+        context.pressure?.hasRoom(request) != false &&
         !context.isEvacuated(request.service, request.model) &&
         context.backoffMs(request.service, request.model) == null &&
         waitsForOutage(
@@ -75,14 +87,84 @@
             context.outages.outageMs(request.service, request.model),
         )
 
+    /**
+     * Decides on a request that competes with others for the room of [choice]; null if it does not compete, since
+     * something of it was sent or it is no stream from its beginning.
+     */
+    fun decide(choice: BackendChoice?, nothingSent: Boolean): PressureDecision? {
+        val pressure = context.pressure ?: return null
+        if (!nothingSent || !request.streaming || request.lastEventId != null) return null
+        val pool = context.poolOf(request)
+        pressure.onChoice(pool, found = choice != null)
+        if (!asked) pressure.onAsked(pool, request, choice)
+        asked = true
+        choice ?: return null
+        val verdict = pressure.decide(pool, request, choice, serverCount())
+        val decision = verdict.decision
+        if (decision is PressureDecision.Refuse) log.onPressure(verdict)
+        if (decision is PressureDecision.Start) {
+            pressure.onStarted(pool, request, choice, serverCount())
+            counted = true
+            overdue = context.timers.after(request.route.targetLatencyMs) { onFirstEvent(late = true) }
+            if (decision.floor) {
+                context.metrics.onFloorStart(request.route.name)
+                log.onPressure(verdict)
+            }
+        }
+        return decision
+    }
+
+    /** Records the first event of the response, or that it did not come within the target if [late]. */
+    fun onFirstEvent(late: Boolean = false) {
+        overdue?.cancel() ?: return
+        overdue = null
+        context.pressure?.onFirstEvent(context.poolOf(request), request, late)
+    }
+
+    /** Records the end of the request. */
+    fun onEnd() {
+        leaveRoom()
+        overdue?.cancel()
+        overdue = null
+        if (counted) context.pressure?.onEnded(context.poolOf(request))
+        counted = false
+    }
+
+    private fun serverCount() = context.serverCount(request.service, request.model)
+
+    /** Runs [decideAgain] after [delayMs] or more, when the requests before this one were decided on. */
+    fun awaitRoom(delayMs: Long, decideAgain: () -> Unit) {
+        if (!waiting) context.metrics.onWait(request.route.name, "room")
+        waiting = true
+        context.pressure?.await(request, delayMs, decideAgain)
+    }
+
+    /** Records that the request starts or ends, and waits no more. */
+    fun leaveRoom() {
+        if (waiting) context.pressure?.leave(request)
+    }
+
+    /** Records that a backend server rejected the request. */
+    fun onRejected() {
+        context.pressure?.onRejected(context.poolOf(request))
+    }
+
+    /** Time in milliseconds after which the caller may return if no backend server named one. */
+    fun retryAfterMs(): Long = context.pressure?.retryAfterMs(context.poolOf(request), request) ?: RETRY_AFTER_MS
+
     /** Runs [sendAgain] when the request is to be tried again. */
     fun awaitBackend(sendAgain: () -> Unit) {
+        val pressure = context.pressure
         if (!waiting) {
             waiting = true
             context.metrics.onWait(request.route.name, "backend")
             log.onWait(request.model ?: request.service.name)
         }
-        context.timers.after(OUTAGE_POLL_INTERVAL_MS) { sendAgain() }
+        if (pressure != null) {
+            pressure.await(request, OUTAGE_POLL_INTERVAL_MS, sendAgain)
+        } else {
+            context.timers.after(OUTAGE_POLL_INTERVAL_MS) { sendAgain() }
+        }
     }
 
     /** How an attempt ends for which there is no backend server. */
@@ -99,4 +181,9 @@
 
     /** Tells the caller that the backend server of [choice] would answer too late. */
     fun tooLateText(choice: BackendChoice): String = "expected ${choice.expectedMs.toLong()} ms to the first event"
+
+    private companion object {
+        /** Forming a group again without a lost member takes about two seconds; other groups have room sooner. */
+        const val RETRY_AFTER_MS = 300L
+    }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -83,6 +83,9 @@
     var evacuations = EvacuationView()
     var awaitsEvacuations = false
 
+    /** Admission of requests that compete for room; null if each is decided on by itself. */
+    var pressure: PressureAdmission? = null
+
     /** Which backend servers accept requests, according to their responses. */
     val availability = BackendAvailability(timers, headers, log, metrics)
 
@@ -100,7 +103,7 @@
     fun maxWaitMs(request: AdmittedRequest): Double = waitLimits.limitMs(poolOf(request), targetsOf(request))
 
     /** A model that the service does not have names no pool of its own: callers may name any number of them. */
-    private fun poolOf(request: AdmittedRequest): ServerPool {
+    fun poolOf(request: AdmittedRequest): ServerPool {
         val model = request.model?.takeIf { name -> request.service.models.any { it.name == name } }
         return ServerPool(request.service.name, model)
     }
@@ -131,6 +134,13 @@
         return servers.isNotEmpty() && servers.none { evacuations.allows(it.dataCentre) }
     }
 
+    /** Number of backend servers that serve such a request, whether they accept one now or not. */
+    fun serverCount(service: DocumentService, model: String?): Int = serversOf(service, model).size
+
+    /** [baseMs], or a time about it so that callers who were refused together do not return together. */
+    fun retryAfterMs(baseMs: Long): Long =
+        if (pressure == null) baseMs else (baseMs * (MIN_RETURN_SHARE + randomFraction())).toLong()
+
     /** Announcements of the backend servers that serve such a request, whether they accept one now or not. */
     private fun serversOf(service: DocumentService, model: String?): List<Announcement> {
         if (service.costs == null || model == null) return directory.readyPlainBackends(service.name)
@@ -244,6 +254,7 @@
 
     private companion object {
         const val UNKNOWN_START_MS = 0L
+        const val MIN_RETURN_SHARE = 0.5
 
         /** Typical round trip between data centres of one region. */
         const val REMOTE_ROUND_TRIP_MS = 10.0
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardMetrics.kt
@@ -63,6 +63,24 @@
         .help("Requests that waited in a short outage, by route (empty before the first configuration) and reason.")
         .labelNames("route", "reason")
         .register(registry)
+    private val pressureRefusals = Counter.builder()
+        .name("bramleyspur_pressure_refusals_total")
+        .help("Requests refused by admission under pressure, by route and reason.")
+        .labelNames("route", "reason")
+        .register(registry)
+    private val floorStarts = Counter.builder()
+        .name("bramleyspur_pressure_floor_starts_total")
+        .help("Requests sent under pressure since their like were served much less often than others, by route.")
+        .labelNames("route")
+        .register(registry)
+    private val waitingRequests = Gauge.builder()
+        .name("bramleyspur_waiting_requests")
+        .help("Requests that wait at the entry for room or for a backend server.")
+        .register(registry)
+    private val waitingBytes = Gauge.builder()
+        .name("bramleyspur_waiting_bytes")
+        .help("Bytes of the bodies of the requests that wait at the entry.")
+        .register(registry)
     private val backoffs = Counter.builder()
         .name("bramleyspur_backend_backoffs_total")
         .help("Backend servers that asked for no more requests, by reason.")
@@ -103,6 +121,18 @@
     /** Records a request that waits for a backend server, or for the first configuration. */
     fun onWait(route: String, reason: String) = waits.labelValues(route, reason).inc()
 
+    /** Records a request that was refused by admission under pressure. */
+    fun onPressureRefusal(route: String, reason: String) = pressureRefusals.labelValues(route, reason).inc()
+
+    /** Records a request that was sent under pressure since its like were served much less often than others. */
+    fun onFloorStart(route: String) = floorStarts.labelValues(route).inc()
+
+    /** Records the number and the bytes of the requests that wait at the entry. */
+    fun onWaiting(count: Int, bytes: Long) {
+        waitingRequests.set(count.toDouble())
+        waitingBytes.set(bytes.toDouble())
+    }
+
     /** Records a backend server that asked for no more requests, for good or for a time. */
     fun onBackoff(reason: String) = backoffs.labelValues(reason).inc()
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -12,6 +12,7 @@
 import org.bramleyspur.traffic.forward.RunningAttempts
 import org.bramleyspur.traffic.forward.maySendBesideSilent
 import org.bramleyspur.traffic.forward.nextStep
+import org.bramleyspur.traffic.pressure.PressureDecision
 import org.bramleyspur.traffic.quarantine.PartVerdict
 
 /** An admitted request that is being forwarded. Confined to the traffic thread. */
@@ -78,9 +79,15 @@
     private fun send(countsAgainstBudget: Boolean, toSuperseded: Boolean = false) {
         if (isKeptFromEngines()) return
         val choice = if (toSuperseded) selection.takeSuperseded() else selection.chooseUntried()
+        val nothingSent = sends == 0 && unsentAttempts == 0
+        val sendAgain = { if (!done) guarded(faultHandler) { send(countsAgainstBudget, toSuperseded) } }
+        val decision = selection.decide(choice, nothingSent)
         when {
-            choice == null && selection.waits(nothingSent = sends == 0 && unsentAttempts == 0) ->
-                selection.awaitBackend { if (!done) guarded(faultHandler) { send(countsAgainstBudget, toSuperseded) } }
+            decision is PressureDecision.Wait -> selection.awaitRoom(decision.delayMs, sendAgain)
+            decision is PressureDecision.Refuse ->
+                onNotSendable(AttemptEnd.Pressed(decision.retryAfterMs), "requests compete: ${decision.reason}")
+            decision is PressureDecision.Start && choice != null -> start(choice, countsAgainstBudget)
+            choice == null && selection.waits(nothingSent) -> selection.awaitBackend(sendAgain)
             choice == null -> onNotSendable(selection.endWithoutServer(), selection.noServerText())
             !selection.isSoonEnough(choice) -> onNotSendable(AttemptEnd.NoCandidate, selection.tooLateText(choice))
             else -> start(choice, countsAgainstBudget)
@@ -88,6 +95,7 @@
     }
 
     private fun start(choice: BackendChoice, countsAgainstBudget: Boolean) {
+        selection.leaveRoom()
         // Built before the attempt counts as sent, since it may throw.
         val head = request.head(choice.load.id, response.lastEventId)
         if (countsAgainstBudget) {
@@ -137,6 +145,7 @@
 
     override fun takeOver(attempt: Attempt) {
         deliveringBackend = attempt.backendId
+        selection.onFirstEvent()
         if (running.attempts.size <= 1) return
         val superseded = running.attempts.filter { it != attempt }
         running = running.withTakeOver(attempt)
@@ -168,6 +177,7 @@
 
     override fun onEnded(attempt: Attempt, end: AttemptEnd, detail: String, step: NextStep?) {
         if (done) return
+        if (end is AttemptEnd.Rejected) selection.onRejected()
         if (end is AttemptEnd.NotSent) {
             sends--
             unsentAttempts++
@@ -199,9 +209,10 @@
             is AttemptEnd.Rejected -> end.retryAfterMs
             is AttemptEnd.PartBlocked -> end.retryAfterMs
             is AttemptEnd.BackingOff -> end.retryAfterMs
+            is AttemptEnd.Pressed -> end.retryAfterMs
             else -> null
         }
-        response.refuse(STATUS_NOT_RUN, "not run: $detail", knownRetryAfterMs ?: RETRY_AFTER_MS)
+        response.refuse(STATUS_NOT_RUN, "not run: $detail", knownRetryAfterMs ?: selection.retryAfterMs())
         end("not-run", detail)
     }
 
@@ -227,6 +238,7 @@
 
     private fun end(outcome: String, detail: String) {
         done = true
+        selection.onEnd()
         deadlineTimer?.cancel()
         running.attempts.forEach { it.cancel() }
         running = RunningAttempts()
@@ -241,8 +253,5 @@
         const val STATUS_OUTCOME_UNKNOWN = 502
         const val STATUS_NOT_RUN = 503
         const val STATUS_TIMEOUT = 504
-
-        /** Forming a group again without a lost member takes about two seconds; other groups have room sooner. */
-        const val RETRY_AFTER_MS = 300L
     }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -114,7 +114,7 @@
     /** Ends a response after a fault before the request was forwarded, or while its end was recorded. */
     private fun endFaulty(faulty: ConnectionResponse, cause: Throwable) {
         if (faulty.begun && !faulty.ended) return closeUnanswered(cause)
-        if (!faulty.ended) faulty.refuse(STATUS_UNAVAILABLE, NOT_RUN, RETRY_AFTER_MS)
+        if (!faulty.ended) faulty.refuse(STATUS_UNAVAILABLE, NOT_RUN, retryAfterMs(STATUS_UNAVAILABLE))
         onResponded()
     }
 
@@ -261,7 +261,7 @@
             "config" to context.routes?.version,
             "detail" to text,
         )
-        response.refuse(status.code(), text, if (status.code() == STATUS_UNAVAILABLE) RETRY_AFTER_MS else null)
+        response.refuse(status.code(), text, retryAfterMs(status.code()))
         onResponded()
     }
 
@@ -275,10 +275,13 @@
         )
         reader.reset()
         keepAlive = false
-        newResponse().refuse(status.code(), text, if (status.code() == STATUS_UNAVAILABLE) RETRY_AFTER_MS else null)
+        newResponse().refuse(status.code(), text, retryAfterMs(status.code()))
         onResponded()
     }
 
+    private fun retryAfterMs(status: Int): Long? =
+        if (status == STATUS_UNAVAILABLE) context.retryAfterMs(RETRY_AFTER_MS) else null
+
     private fun onResponded() {
         currentRequest = null
         lastResponse = response
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestLog.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestLog.kt
@@ -2,6 +2,8 @@
 
 import org.bramleyspur.traffic.forward.AttemptEnd
 import org.bramleyspur.traffic.forward.NextStep
+import org.bramleyspur.traffic.pressure.PressureDecision
+import java.util.Locale
 
 /** Lines of the decision log about one request. */
 internal class RequestLog(private val context: ForwardContext, private val request: AdmittedRequest) {
@@ -28,6 +30,22 @@
         "remaining_ms" to request.remainingMs(),
     )
 
+    /** Admission under pressure refused the request, or sent it only because its like had been served too seldom. */
+    fun onPressure(verdict: PressureVerdict) = context.log.write(
+        "request-pressed",
+        "request" to request.id,
+        "route" to request.route.name,
+        "account" to request.account?.name,
+        "decision" to ((verdict.decision as? PressureDecision.Refuse)?.reason?.name ?: "FLOOR"),
+        "predicted_ms" to verdict.prediction?.expectedMs?.toLong(),
+        "server_wait_ms" to verdict.prediction?.waitMs?.toLong(),
+        "target_ms" to verdict.request.targetMs,
+        "waited_ms" to verdict.request.waitedMs,
+        "pressure" to "%.2f".format(Locale.ROOT, verdict.level),
+        "limit" to verdict.limit.takeIf { it.isFinite() }?.toLong(),
+        "retry_after_ms" to (verdict.decision as? PressureDecision.Refuse)?.retryAfterMs,
+    )
+
     /** [attempt] delivered something new, and the [cancelled] ones end. */
     fun onTakeOver(attempt: Attempt, cancelled: List<Attempt>, lastEventId: Long?) = context.log.write(
         "attempt-took-over",
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -24,6 +24,7 @@
 import org.bramleyspur.daemon.forward.ForwardHeaders
 import org.bramleyspur.daemon.forward.ForwardMetrics
 import org.bramleyspur.daemon.forward.FrontServer
+import org.bramleyspur.daemon.forward.PressureAdmission
 import org.bramleyspur.daemon.forward.PromptPartGuard
 import org.bramleyspur.daemon.platform.PlatformServer
 import org.bramleyspur.daemon.platform.Readiness
@@ -106,6 +107,9 @@
     }
     init {
         context.awaitsEvacuations = settings.evacuations
+        if (settings.pressureAdmission) {
+            context.pressure = PressureAdmission(timers, context.metrics, { maxOf(1, entryCount) }, random::nextDouble)
+        }
     }
 
     private val front = FrontServer(loops.trafficGroup, context)
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/AttemptRules.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/AttemptRules.kt
@@ -30,6 +30,9 @@
 
     /** Every backend server that could take the request asked for none until [retryAfterMs] have passed. */
     data class BackingOff(val retryAfterMs: Long) : AttemptEnd
+
+    /** Requests compete for the room of the backend servers; there should be some for it in [retryAfterMs]. */
+    data class Pressed(val retryAfterMs: Long) : AttemptEnd
 }
 
 /**
@@ -115,7 +118,7 @@
         is AttemptEnd.Rejected -> mayAskAnother
         AttemptEnd.NoAnswer, AttemptEnd.BrokenOff -> mayAskAnother && mayRunAgain
         AttemptEnd.Failed -> mayAskAnother && mayRunAgain && !progress.responseStarted
-        is AttemptEnd.PartBlocked, AttemptEnd.NoCandidate, is AttemptEnd.BackingOff -> false
+        is AttemptEnd.PartBlocked, AttemptEnd.NoCandidate, is AttemptEnd.BackingOff, is AttemptEnd.Pressed -> false
     }
 }
 
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/ForwardModel.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/ForwardModel.kt
@@ -55,6 +55,7 @@
         ModelEntry(it, scenario.entryShares.size, scenario, engines)
     }
     private val admissions = entries.map { rules.admission(it.index) }
+    private val observers = entries.map { rules.observer(it.index) }
     private val reports = HashMap<Int, Pair<Double, Map<String, ModelWork>>>()
     private val result = Results()
 
@@ -154,13 +155,17 @@
         val load = entry.loads.first { it.engine.id == chosen.id }
         val prompt = request.kind.promptTokens.toLong()
         var pending = prompt
+        val sentAtMs = nowMs
         load.own += ModelWork(1, prompt, prompt)
         fun onPrefilled() {
             load.own += ModelWork(0, -pending, 0)
             pending = 0
         }
+        val observer = observers[entry.index]
         var ended = false
         fun onEnd() {
+            if (ended) return
+            observer.onEnded(request)
             onPrefilled()
             load.own += ModelWork(-1, 0, -prompt)
             ended = true
@@ -169,6 +174,7 @@
             request.kind.promptTokens,
             request.kind.outputTokens,
             onFirst = { atMs ->
+                if (atMs - sentAtMs <= request.kind.targetMs) observer.onFirstEvent(request, late = false, atMs)
                 onPrefilled()
                 val (running, waiting) = load.engine.report(atMs)
                 load.running = running
@@ -186,6 +192,9 @@
                 offer(entry, request, tried + chosen.id)
             }
         }
+        at(sentAtMs + request.kind.targetMs) {
+            if (!ended && pending > 0) observer.onFirstEvent(request, late = true, nowMs)
+        }
         at(request.arrivedMs + scenario.deadlineMs) {
             if (ended) return@at
             work.cancelled = true
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/Scenario.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/Scenario.kt
@@ -89,5 +89,15 @@
     val name: String,
     val view: ViewRule,
     val choice: ChoiceRule,
+    val observer: (entry: Int) -> StreamObserver = { StreamObserver() },
     val admission: (entry: Int) -> AdmissionRule,
 )
+
+/** What an entry learns of the requests that it has sent. */
+internal open class StreamObserver {
+    /** The first event of [request] came, or was due by its target and is [late]. */
+    open fun onFirstEvent(request: ModelRequest, late: Boolean, nowMs: Double) = Unit
+
+    /** [request] ended. */
+    open fun onEnded(request: ModelRequest) = Unit
+}
