--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -96,6 +96,9 @@
     var evacuations = EvacuationView()
     var awaitsEvacuations = false
 
+    /** Admission of requests that compete for room; null if each is decided on by itself. */
+    var pressure: PressureAdmission? = null
+
     /** What other entries have sent to the engines; null if entries do not share it. */
     var sharedLoad: SharedLoad? = null
 
@@ -119,7 +122,7 @@
     fun maxWaitMs(request: AdmittedRequest): Double = waitLimits.limitMs(poolOf(request), targetsOf(request))
 
     /** A model that the service does not have names no pool of its own: callers may name any number of them. */
-    private fun poolOf(request: AdmittedRequest): ServerPool {
+    fun poolOf(request: AdmittedRequest): ServerPool {
         val model = request.model?.takeIf { name -> request.service.models.any { it.name == name } }
         return ServerPool(request.service.name, model)
     }
@@ -180,6 +183,13 @@
         return others < groupSize
     }
 
+    /** Number of backend servers that serve such a request, whether they accept one now or not. */
+    fun serverCount(service: DocumentService, model: String?): Int = serversOf(service, model).size
+
+    /** [baseMs], or a time about it so that callers who were refused together do not return together. */
+    fun retryAfterMs(baseMs: Long): Long =
+        if (pressure == null) baseMs else (baseMs * (MIN_RETURN_SHARE + randomFraction())).toLong()
+
     /** Announcements of the backend servers that serve such a request, whether they accept one now or not. */
     private fun serversOf(service: DocumentService, model: String?): List<Announcement> {
         if (service.costs == null || model == null) return directory.readyPlainBackends(service.name)
@@ -323,6 +333,7 @@
 
     private companion object {
         const val UNKNOWN_START_MS = 0L
+        const val MIN_RETURN_SHARE = 0.5
 
         /** Typical round trip between data centres of one region. */
         const val REMOTE_ROUND_TRIP_MS = 10.0
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -26,6 +26,7 @@
 import org.bramleyspur.daemon.forward.ForwardHeaders
 import org.bramleyspur.daemon.forward.ForwardMetrics
 import org.bramleyspur.daemon.forward.FrontServer
+import org.bramleyspur.daemon.forward.PressureAdmission
 import org.bramleyspur.daemon.forward.PromptPartGuard
 import org.bramleyspur.daemon.forward.SharedLoad
 import org.bramleyspur.daemon.platform.PlatformServer
@@ -115,6 +116,9 @@
     }
     init {
         context.awaitsEvacuations = settings.evacuations
+        if (settings.pressureAdmission) {
+            context.pressure = PressureAdmission(timers, metrics, { maxOf(1, entryCount) }, random::nextDouble)
+        }
         if (settings.sharedLoad) context.sharedLoad = SharedLoad(timers, log, metrics)
     }
 
