--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/pressure/PoolPressure.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/pressure/PoolPressure.kt
@@ -72,11 +72,10 @@
     }
 
     /** With a request that was sent. */
-    fun onStarted(request: PressureRequest, nowMs: Long): PoolPressure =
-        copy(
-            started = (subjectsOf(request) + Subject.All).fold(started) { all, subject -> all.plus(subject, nowMs) },
-            inFlight = inFlight + 1,
-        )
+    fun onStarted(request: PressureRequest, nowMs: Long): PoolPressure = copy(
+        started = (subjectsOf(request) + Subject.All).fold(started) { all, subject -> all.plus(subject, nowMs) },
+        inFlight = inFlight + 1,
+    )
 
     /** With the end of a request that was sent. */
     fun onEnded(): PoolPressure = copy(inFlight = inFlight - 1)
