--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/SharedView.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/SharedView.kt
@@ -5,11 +5,7 @@
  */
 package org.bramleyspur.traffic.load
 
-/**
- * The work of the other entries by backend server.
- *
- * @property toldAtMs when the leader told it; null before the first time
- */
+/** The work of the other entries by backend server, and when the leader told it. */
 class SharedView private constructor(private val others: Map<String, ServerLoad>, private val toldAtMs: Long?) {
     constructor() : this(emptyMap(), null)
 
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/WorkReports.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/WorkReports.kt
@@ -7,42 +7,38 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.toPersistentMap
 
-/**
- * The last report of each entry.
- *
- * @property leadingSinceMs since when this instance leads; null if it does not
- */
+/** The last report of each entry, and since when this instance leads. */
 class WorkReports private constructor(
     private val leadingSinceMs: Long?,
     private val reports: PersistentMap<String, Report>,
-    private val total: PersistentMap<String, ServerLoad>,
 ) {
-    constructor() : this(null, persistentMapOf(), persistentMapOf())
+    constructor() : this(null, persistentMapOf())
 
     private class Report(val receivedAtMs: Long, val work: Map<String, ServerLoad>)
 
+    /** Summed up once for the events to all entries, not for each report. */
+    private val total: Map<String, ServerLoad> by lazy(LazyThreadSafetyMode.NONE) {
+        val sums = HashMap<String, ServerLoad>()
+        reports.values.forEach { report -> report.work.forEach { (id, load) -> sums.merge(id, load, ServerLoad::plus) } }
+        sums
+    }
+
     /** With the knowledge whether this instance leads at [nowMs]; what was reported before a change is dropped. */
     fun asLeader(leads: Boolean, nowMs: Long): WorkReports = when {
         leads == (leadingSinceMs != null) -> this
-        else -> WorkReports(nowMs.takeIf { leads }, persistentMapOf(), persistentMapOf())
+        else -> WorkReports(nowMs.takeIf { leads }, persistentMapOf())
     }
 
     /** With the report of [entry], which replaces its last one; [work] is by backend server. */
     fun with(entry: String, work: Map<String, ServerLoad>, nowMs: Long): WorkReports =
-        if (leadingSinceMs == null) this else withReports(reports.put(entry, Report(nowMs, work)))
+        if (leadingSinceMs == null) this else WorkReports(leadingSinceMs, reports.put(entry, Report(nowMs, work)))
 
     /** Without the reports of entries that have sent none for [REPORT_VALIDITY_MS]: they are dead or out of reach. */
     fun expire(nowMs: Long): WorkReports {
         val expired = reports.filterValues { nowMs - it.receivedAtMs > REPORT_VALIDITY_MS }.keys
-        return if (expired.isEmpty()) this else withReports(expired.fold(reports) { left, entry -> left.remove(entry) })
-    }
-
-    private fun withReports(reports: PersistentMap<String, Report>): WorkReports {
-        val total = HashMap<String, ServerLoad>()
-        reports.values.forEach { report -> report.work.forEach { (id, load) -> total.merge(id, load, ServerLoad::plus) } }
-        return WorkReports(leadingSinceMs, reports, total.toPersistentMap())
+        if (expired.isEmpty()) return this
+        return WorkReports(leadingSinceMs, expired.fold(reports) { left, entry -> left.remove(entry) })
     }
 
     /** The work of all entries but [entry] by backend server, for servers with work; empty if it is not known. */
