Send no request that an engine's free memory for tokens cannot hold

Cause: requests were counted against the slots of an engine, not against its memory; an engine whose requests exceed it puts some back or ends.

Change: a candidate without room for prompt and output is left out; a request that no engine could ever hold is refused at once. Besides, a start in the future, which a stepped clock shows, no longer makes every server cold.

Result: BackendChoiceTest has the table.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendSelection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendSelection.kt
@@ -79,7 +79,7 @@
     /** Whether the request waits for the end of an outage; [nothingSent] when no attempt of it was made. */
     fun waits(nothingSent: Boolean): Boolean = nothingSent &&
         context.pressure?.hasRoom(request) != false &&
-        !isEvacuated() && !context.isOutsideHomes(request) &&
+        !isEvacuated() && !context.isOutsideHomes(request) && !context.exceedsMemory(request) &&
         context.backoffMs(request.service, request.model) == null &&
         waitsForOutage(
             request.elapsedMs(),
@@ -182,6 +182,7 @@
         val target = request.model ?: request.service.name
         return when {
             context.isOutsideHomes(request) -> "no backend server of $target is in a region of the request"
+            context.exceedsMemory(request) -> "it has more tokens than an engine of $target can hold"
             isEvacuated() -> "all backend servers of $target are in evacuated data centres"
             else -> "no backend server takes $target"
         }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -18,6 +18,7 @@
 import org.bramleyspur.traffic.forward.WindowedRetryBudget
 import org.bramleyspur.traffic.forward.chooseBackend
 import org.bramleyspur.traffic.forward.firstEventMs
+import org.bramleyspur.traffic.forward.fitsMemory
 import org.bramleyspur.traffic.forward.generationCost
 import org.bramleyspur.traffic.forward.longestEventIntervalMs
 import org.bramleyspur.traffic.forward.plainResponseMs
@@ -190,6 +191,12 @@
     fun retryAfterMs(baseMs: Long): Long =
         if (pressure == null) baseMs else (baseMs * (MIN_RETURN_SHARE + randomFraction())).toLong()
 
+    /** Whether [request] is larger than the memory of any engine of its service. */
+    fun exceedsMemory(request: AdmittedRequest): Boolean {
+        val memory = request.service.costs?.kvCacheTokens ?: 0
+        return memory > 0 && request.tokens.prompt + request.tokens.output > memory
+    }
+
     /** Announcements of the backend servers that serve such a request, whether they accept one now or not. */
     private fun serversOf(service: DocumentService, model: String?): List<Announcement> {
         if (service.costs == null || model == null) return directory.readyPlainBackends(service.name)
@@ -251,6 +258,7 @@
             .filter { (load, candidate) ->
                 filter.unresponsiveToo || !candidate.suspect || load.lastResponseMs > load.lastUnresponsiveMs
             }
+            .filter { (load, own) -> fitsMemory(withOthers(load, own), tokens.prompt + tokens.output, costs) }
         val (load, own) = chooseFrom(candidates, model, tokens, costs) ?: return null
         val candidate = withOthers(load, own)
         // Silent streams are noticed by what this entry's own requests explain.
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/cold/ColdAdmission.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/cold/ColdAdmission.kt
@@ -103,12 +103,16 @@
     /** Why [server] counts as cold; null if it does not. */
     fun coldReason(server: ServerView, bounds: ServiceColdBounds, nowMs: Long): ColdReason? = when {
         nowMs < server.coldUntilMs -> ColdReason.ANNOUNCED
-        bounds.coldStartMs > 0 && (server.ageMs == null || server.ageMs < bounds.coldStartMs) -> ColdReason.NEW_LIFE
+        bounds.coldStartMs > 0 && isNewLife(server, bounds) -> ColdReason.NEW_LIFE
         !contact.isInTouch(nowMs) -> ColdReason.OUT_OF_TOUCH
         isUnheard(server, bounds, nowMs) -> ColdReason.UNHEARD
         else -> null
     }
 
+    /** A start in the future tells of a clock that was stepped; the server's own word counts then. */
+    private fun isNewLife(server: ServerView, bounds: ServiceColdBounds): Boolean =
+        server.ageMs == null || server.ageMs in 0 until bounds.coldStartMs
+
     private fun isUnheard(server: ServerView, bounds: ServiceColdBounds, nowMs: Long): Boolean =
         nowMs - server.receivedMs > MISSED_ANNOUNCEMENTS * bounds.announcementIntervalMs + RENEWAL_DELAY_MS ||
             contact.mayBeQueued(server.receivedMs)
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/BackendChoice.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/BackendChoice.kt
@@ -41,6 +41,13 @@
     return candidate.timeFactor * (costs.stepsPerPass * stepMs(candidate, costs) + prefillMs)
 }
 
+/**
+ * Whether a request of [tokens], prompt and output, fits into the free part of the engine's memory for tokens. An engine
+ * whose requests exceed its memory puts the newest ones back, or ends.
+ */
+fun fitsMemory(candidate: Candidate, tokens: Long, costs: EngineCosts): Boolean =
+    costs.kvCacheTokens <= 0 || candidate.contextTokens + tokens <= costs.kvCacheTokens
+
 /** Returns the predicted response time in milliseconds of a plain service whose calls take [workMs]. */
 fun plainResponseMs(candidate: Candidate, workMs: Double): Double = candidate.roundTripMs + workMs * (
     1 + maxOf(
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/BackendChoiceTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/BackendChoiceTest.kt
@@ -34,6 +34,19 @@
         "not suspect" to listOf(idle.copy(running = 33), idle.copy(id = "b", suspect = true)),
     )
 
+    /** Guards against an engine whose requests exceed its memory. */
+    @TestFactory
+    fun `a request that the free memory cannot hold`() = listOf(
+        Triple(0L, 1_000_000L, true),
+        Triple(0L, 1_000_001L, false),
+        Triple(999_000L, 1_000L, true),
+        Triple(999_001L, 1_000L, false),
+    ).map { (context, tokens, fits) ->
+        DynamicTest.dynamicTest("$tokens tokens beside $context") {
+            expectThat(fitsMemory(idle.copy(contextTokens = context), tokens, costs)).isEqualTo(fits)
+        }
+    }
+
     @TestFactory
     fun `better candidate`() = cases.map { (name, candidates) ->
         DynamicTest.dynamicTest(name) {
