Measure the demand for each model and weigh moves of groups by it

Cause: targets of groups follow the configured shares of the work, whatever is asked of each model.

Change: a meter of cumulative counts by entry, the work that they make by the published costs, a decision that changes the shares in use once the gain over the time that the difference has lasted exceeds the cost of reforming, and moves of one group at a time whose members load the other weights while they serve. Nothing feeds them yet.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -32,6 +32,7 @@
         while (missing > 0 && formWithinDomain(service, model, wanted)) missing--
         if (input.trafficStarted) adjustCrossDomainGroups(service, model, totals.getValue(model.name))
     }
+    moveGroups(service, wanted)
     formFromSurplus(service, wanted)
     stageWeights(service, wanted)
     warmSpares(service)
@@ -199,7 +200,7 @@
     .sortedWith(compareBy({ if (stagedModel(service, it) == model.name) 0 else 1 }, { joinTimeMs(it, model) }))
 
 /** Number of groups of the model within the domain; a group across domains takes the place of none of them. */
-private fun Planning.groupCountIn(service: DocumentService, model: ModelSpec, domain: String): Int =
+internal fun Planning.groupCountIn(service: DocumentService, model: ModelSpec, domain: String): Int =
     activeGroups(service, model).count { group ->
         !spansDomains(group) && group.members.any { announcement(it.id)?.fabricDomain == domain }
     }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -19,7 +19,7 @@
     planning.adoptGroups()
     planning.advanceGroups()
     input.document.services.values.filter { it.costs != null && it.models.isNotEmpty() }.forEach {
-        planning.formGroups(it)
+        planning.formGroups(it.withDemand(input.demand[it.name]))
     }
     return PlanStep(planning.state, planning.orders, planning.probes)
 }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PhaseReason.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PhaseReason.kt
@@ -41,6 +41,9 @@
     /** A group within one domain takes the place of the group. */
     REPLACED,
 
+    /** The measured demand moves the engines to another model. */
+    DEMAND_MOVED,
+
     /** The configuration does not name the model any more. */
     MODEL_REMOVED,
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -137,6 +137,7 @@
  * @property engines all backend servers that have announced themselves
  * @property trafficStarted whether a request has been served; until then loads are fast and not rate-limited
  * @property lagMs how late the leader has recently been in reading messages
+ * @property demand what the measured demand asks of the targets, by service; none for the configured shares
  */
 data class PlannerInput(
     val nowMs: Long,
@@ -146,6 +147,7 @@
     val evidence: Map<String, EngineEvidence>,
     val trafficStarted: Boolean,
     val lagMs: Long = 0,
+    val demand: Map<String, DemandTargets> = emptyMap(),
 )
 
 /** A probe of the state of the engine [incarnation] at [address]. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
@@ -104,11 +104,11 @@
 }
 
 /** Whether the host has recently refused to stage, as it does while it loads other weights. */
-private fun Planning.hasRecentlyRefusedStage(incarnation: EngineIncarnation): Boolean =
+internal fun Planning.hasRecentlyRefusedStage(incarnation: EngineIncarnation): Boolean =
     state.stageRefusedMs[incarnation]?.let { input.nowMs - it < STAGE_RETRY_MS } == true
 
 /** Reserves a load from the weight store; false if the rate would exceed the service's declared limit. */
-private fun Planning.reserveLoad(service: DocumentService): Boolean {
+internal fun Planning.reserveLoad(service: DocumentService): Boolean {
     if (!input.trafficStarted) return true
     val perSecond = service.costs?.loadsPerSecond ?: return true
     val limit = perSecond * LOAD_WINDOW_MS / MS_PER_SECOND * LOAD_RATE_MARGIN
