Let the targets of groups follow the measured demand

Cause: groups stayed where the configured shares put them when callers asked for another model.

Change: entries count requests, refusals and tokens by model and report them with their start time; every control instance measures them; the leader weighs moves each half second, logs a change as `demand` and counts it. Members of a group that gives way load the other weights while they serve, after spares were found too few.

Before the fix of this commit the shares changed but no group moved, since spares had taken the place of the wanted group.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/demand/DemandMeter.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/demand/DemandMeter.kt
@@ -93,7 +93,7 @@
     private fun isPlausible(increase: DemandCounts, elapsedMs: Long): Boolean =
         minOf(increase.requests, increase.refused, increase.promptTokens, increase.outputTokens) >= 0 &&
             increase.requests <= elapsedMs * MAX_REQUESTS_PER_MS &&
-            maxOf(increase.promptTokens, increase.outputTokens) <= increase.requests * MAX_TOKENS
+            maxOf(increase.promptTokens, increase.outputTokens) <= increase.requests * DemandCounts.MAX_REQUEST_TOKENS
 
     fun work(service: String, nowMs: Long, workOf: (String, DemandRate) -> Double): Map<String, Double> =
         smoothed.filterKeys { it.service == service }
@@ -121,7 +121,7 @@
         val NONE = DemandCounts()
 
         /** Averages over the seconds in which single long prompts or a short burst change the rates. */
-        const val SMOOTHING_MS = 5_000.0
+        const val SMOOTHING_MS = 3_000.0
 
         /** Reports between the regular ones wait for the next, since a rate over so short a time says little. */
         const val MIN_INTERVAL_MS = 200L
@@ -132,8 +132,5 @@
 
         /** Far above what one process can read. */
         const val MAX_REQUESTS_PER_MS = 50L
-
-        /** Far above the tokens of one request; entries limit them to the key-value cache of a group. */
-        const val MAX_TOKENS = 1L shl 24
     }
 }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/demand/DemandShares.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/demand/DemandShares.kt
@@ -98,13 +98,13 @@
         if (before == null || before.models != models) return ShareStep(initial())
         val elapsedMs = (input.nowMs - before.decidedAtMs).coerceIn(0, MAX_INTERVAL_MS)
         val idle = before.copy(decidedAtMs = input.nowMs, gainSinceMs = null, gained = 0.0, gainingModels = emptySet())
-        val move = before.move
-        // A further change is weighed when the last one has shown its effect.
-        if (move != null && input.nowMs < move.untilMs) return ShareStep(idle)
-        val current = targets(before.shares)
+        val used = targets(before.shares)
+        // A further change is weighed when the groups of the last one have formed.
+        if (before.move != null && isUnderWay(before.move, used)) return ShareStep(idle)
+        // Spares may serve as further groups; a lost group will be formed again.
+        val current = used.mapValues { (model, groups) -> maxOf(groups, input.groups[model] ?: 0) }
         val (shares, wanted) = nextTargets(before.shares, current) ?: return ShareStep(idle)
         val gain = excessWork(current) - excessWork(wanted)
-        if (gain <= 0) return ShareStep(idle)
         val gaining = models.map { it.name }.filter { wanted.getValue(it) > current.getValue(it) }.toSet()
         val continues = before.gainSinceMs != null && before.gainingModels == gaining
         val next = idle.copy(
@@ -126,14 +126,17 @@
         return ShareState(models, shares, decidedAtMs = input.nowMs)
     }
 
-    /** The first targets that differ from [current] on the way from the shares in use to the measured ones. */
+    private fun isUnderWay(move: GroupMove, wanted: GroupCounts): Boolean =
+        input.nowMs < move.untilMs && move.to.any { (input.groups[it] ?: 0) < wanted.getValue(it) }
+
+    /** The first targets on the way from the shares in use to the measured ones that are better than [current]. */
     private fun nextTargets(used: Map<String, Double>, current: GroupCounts): Pair<Map<String, Double>, GroupCounts>? =
         (1..STEPS).asSequence()
             .map { step ->
                 used.mapValues { (model, share) -> share + (measured.getValue(model) - share) * step / STEPS }
             }
             .map { it to targets(it) }
-            .firstOrNull { (_, counts) -> counts != current && counts.values.none { it == 0 } }
+            .firstOrNull { (_, counts) -> counts.values.none { it == 0 } && excessWork(counts) < excessWork(current) }
 
     /** Engines that the work of the models lacks if they have [groups]. */
     private fun excessWork(groups: GroupCounts): Double {
@@ -164,13 +167,20 @@
         untilMs = input.nowMs,
     )
 
-    /** Engine milliseconds in which the engines that change their model serve no requests. */
+    /**
+     * Engine milliseconds in which the engines that change their model serve no requests, and a part of those in which
+     * spares load weights.
+     */
     private fun reformCost(move: GroupMove, current: GroupCounts, wanted: GroupCounts): Double {
         val joinMs = models.filter { it.name in move.to }.maxOfOrNull { it.stagedLoadMs } ?: 0L
-        return models.filter { it.name in move.from }.sumOf {
+        val closing = models.filter { it.name in move.from }.sumOf {
             val engines = (current.getValue(it.name) - wanted.getValue(it.name)) * it.groupSize
             engines * (responseMs(it, input.costs) + joinMs + FORMING_MS)
         }
+        val loading = models.filter { it.name in move.to }.sumOf {
+            (wanted.getValue(it.name) - current.getValue(it.name)) * it.groupSize * it.loadMs * SPARE_NEED
+        }
+        return closing + loading
     }
 
     /** Time in milliseconds until the engines have the weights for the new groups. */
@@ -194,6 +204,9 @@
         const val TARGET_USE = 0.8
         const val MIN_HELD_MS = 4_000L
 
+        /** Part of the time in which a spare replaces a member that is lost. */
+        const val SPARE_NEED = 0.1
+
         /** Orders, announcements and the first requests of a new group. */
         const val FORMING_MS = 1_000L
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/demand/EntryDemand.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/demand/EntryDemand.kt
@@ -25,6 +25,11 @@
         promptTokens - other.promptTokens,
         outputTokens - other.outputTokens,
     )
+
+    companion object {
+        /** Largest number of prompt or output tokens that is counted for a request. */
+        const val MAX_REQUEST_TOKENS = 1L shl 24
+    }
 }
 
 /**
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -32,9 +32,9 @@
         while (missing > 0 && formWithinDomain(service, model, wanted)) missing--
         if (input.trafficStarted) adjustCrossDomainGroups(service, model, totals.getValue(model.name))
     }
-    moveGroups(service, wanted)
     formFromSurplus(service, wanted)
     stageWeights(service, wanted)
+    moveGroups(service, wanted)
     warmSpares(service)
 }
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupMoves.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupMoves.kt
@@ -70,7 +70,7 @@
     val active = service.models.associateWith { activeGroups(service, it) }
     if (active.getValue(model).size >= wanted.values.sumOf { it[model.name] ?: 0 }) return null
     return wanted.keys
-        .filter { groupCountIn(service, model, it) < wanted.groups(it, model) }
+        .filter { groupCountIn(service, model, it) < wanted.groups(it, model) && !sparesSuffice(service, model, it) }
         .mapNotNull { domain ->
             val donors = service.models.filter { it.name in move.from }.flatMap { donor ->
                 val inDomain = active.getValue(donor).filter { domainOf(it) == domain }
@@ -83,6 +83,12 @@
         .maxByOrNull { donors -> donors.sumOf { loaded(it, model) } }
 }
 
+/** Whether free engines form the group, or may still be ordered to load its weights. */
+private fun Planning.sparesSuffice(service: DocumentService, model: ModelSpec, domain: String): Boolean =
+    !isShortageLasting(service, model, domain) ||
+        freeEngines(service.name).count { it.fabricDomain == domain && stagedModel(service, it) == model.name } >=
+        model.groupSize
+
 /** As many of [donors] as a group of [model] needs; null if they are too few. */
 private fun enough(donors: List<PlannedGroup>, model: ModelSpec): List<PlannedGroup>? {
     var engines = 0
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightReplacement.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightReplacement.kt
@@ -60,7 +60,7 @@
  * Whether the shortage has outlasted the time in which the members of a lost group are free, or in which a new leader
  * receives the announcements of all engines.
  */
-private fun Planning.isShortageLasting(service: DocumentService, model: ModelSpec, domain: String): Boolean {
+internal fun Planning.isShortageLasting(service: DocumentService, model: ModelSpec, domain: String): Boolean {
     val sinceMs = state.shortageSinceMs[ModelInDomain(service.name, model.name, domain)] ?: return false
     return input.nowMs - sinceMs >= SHORTAGE_CONFIRMATION_MS
 }
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
@@ -149,6 +149,10 @@
     private var nextPlanMs = 0L
     private val unread = ArrayList<() -> Unit>()
 
+    /** What the measured demand asks of the planner. */
+    var demand: (term: Long, planner: PlannerState, nowMs: Long) -> Map<String, DemandTargets> =
+        { _, _, _ -> emptyMap() }
+
     /** Whether a request has been served; until then loads take a tenth of their time. */
     var trafficStarted = true
 
@@ -393,8 +397,10 @@
         val leads = nowMs >= leaseLapsedUntilMs
         current = current.beginPlan(term.takeIf { leads })
         if (!leads) return
-        val input = PlannerInput(nowMs, term, document, directory.backends, evidence, trafficStarted, leaderDelayMs)
         val before = state
+        val targets = demand(term, before, nowMs)
+        val known = directory.backends
+        val input = PlannerInput(nowMs, term, document, known, evidence, trafficStarted, leaderDelayMs, targets)
         val startNanos = System.nanoTime()
         val step = planGroups(state, input)
         planNanos += System.nanoTime() - startNanos
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -86,6 +86,9 @@
     /** Which backend servers accept requests, according to their responses. */
     val availability = BackendAvailability(timers, headers, log, metrics)
 
+    /** Counts what is asked of each model; null if control does not ask for it. */
+    var demand: DemandCounters? = null
+
     /** Since when requests cannot be forwarded. */
     val outages = OutageTracker(timers)
     private var waitLimits = WaitLimits()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -46,6 +46,7 @@
     /** Sets the deadline and starts the first attempt. */
     fun start() {
         budget.onRequest(context.timers.nowMs())
+        context.demand?.onRequest(request.service, request.model, request.tokens)
         if (request.streaming) context.onStreamRequest(request)
         deadlineTimer = context.timers.after(maxOf(0, request.remainingMs())) { guarded(faultHandler) { onDeadline() } }
         send(countsAgainstBudget = false)
@@ -261,6 +262,7 @@
             is AttemptEnd.BackingOff -> end.retryAfterMs
             else -> null
         }
+        context.demand?.onRefused(request.service, request.model)
         response.refuse(STATUS_NOT_RUN, "not run: $detail", knownRetryAfterMs ?: RETRY_AFTER_MS)
         end("not-run", detail)
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -45,6 +45,7 @@
  *
  * @property lagMs how late that thread has recently been, in milliseconds
  * @property replan requests another planning run
+ * @property demand measures the demand that targets follow; null if they follow the configured shares
  */
 internal class GroupDriver(
     private val timers: TimerService,
@@ -53,6 +54,7 @@
     private val log: DecisionLog,
     private val lagMs: () -> Long,
     private val replan: () -> Unit,
+    private val demand: DemandDriver? = null,
 ) {
     private var current = TermState()
     private val term get() = current.term
@@ -68,6 +70,7 @@
 
     /** Records which engines an entry found responding or unresponsive. */
     fun onEntryReport(report: DirectoryRequest) {
+        demand?.onEntryReport(report)
         val now = timers.nowMs()
         if (report.answeringBackendsCount > 0) trafficStarted = true
         report.answeringBackendsList.forEach { id ->
@@ -99,14 +102,16 @@
         if (previousTerm != leadingTerm && engines.values.any { it.announcement.groupMembership != null }) {
             trafficStarted = true
         }
+        val decoded = documentOf(document) ?: return
         val input = PlannerInput(
             timers.nowMs(),
             leadingTerm,
-            documentOf(document) ?: return,
+            decoded,
             engines,
             evidence,
             trafficStarted,
             lagMs(),
+            demand?.targets(leadingTerm, decoded, state).orEmpty(),
         )
         val before = state
         val step = planGroups(state, input)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -27,6 +27,8 @@
 import org.bramleyspur.daemon.member.LogMemberSettings
 import org.bramleyspur.daemon.member.PeerService
 import org.bramleyspur.daemon.operator.AgentlessOperatorCalls
+import org.bramleyspur.daemon.orders.DemandDriver
+import org.bramleyspur.daemon.orders.DemandMetrics
 import org.bramleyspur.daemon.orders.EngineCalls
 import org.bramleyspur.daemon.orders.EngineDialect
 import org.bramleyspur.daemon.orders.GroupDriver
@@ -135,6 +137,7 @@
         log,
         { lag.recentMs() },
         { planning.request() },
+        if (settings.demandTargets) DemandDriver(timers, log, DemandMetrics(registry)) else null,
     )
     private val calls = ControlPlaneCalls(
         settings.listenAddress.toString(),
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -20,6 +20,7 @@
 import org.bramleyspur.daemon.directory.toMessage
 import org.bramleyspur.daemon.directory.toModel
 import org.bramleyspur.daemon.forward.BackendLoads
+import org.bramleyspur.daemon.forward.DemandCounters
 import org.bramleyspur.daemon.forward.ForwardContext
 import org.bramleyspur.daemon.forward.ForwardHeaders
 import org.bramleyspur.daemon.forward.ForwardMetrics
@@ -106,6 +107,7 @@
     }
     init {
         context.awaitsEvacuations = settings.evacuations
+        if (settings.demandTargets) context.demand = DemandCounters()
     }
 
     private val front = FrontServer(loops.trafficGroup, context)
@@ -122,6 +124,7 @@
     }
 
     private val startedAtMs = timers.nowMs()
+    private val startedAtUnixMs = System.currentTimeMillis()
     private var leaderConfirmed = false
     private var lastStallCheckMs = startedAtMs
 
@@ -177,6 +180,9 @@
             report.addAllPromptParts(pendingObservations.map { it.toMessage() })
             pendingObservations.clear()
         }
+        context.demand?.let {
+            report.setStartedAtMs(startedAtUnixMs).addAllDemand(it.toMessages(context.routes?.document))
+        }
         return report
             .setInstance(settings.instance)
             .setDocumentVersion(context.routes?.version ?: 0)
