--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -42,6 +42,7 @@
     }
     formFromSurplus(service, wanted)
     stageWeights(service, wanted)
+    moveGroups(service, wanted)
     warmSpares(service)
 }
 
@@ -209,7 +210,7 @@
     .sortedWith(compareBy({ if (stagedModel(service, it) == model.name) 0 else 1 }, { joinTimeMs(it, model) }))
 
 /** Number of groups of the model within the domain; a group across domains takes the place of none of them. */
-private fun Planning.groupCountIn(service: DocumentService, model: ModelSpec, domain: String): Int =
+internal fun Planning.groupCountIn(service: DocumentService, model: ModelSpec, domain: String): Int =
     activeGroups(service, model).count { group ->
         !spansDomains(group) && group.members.any { member -> announcement(member.id)?.let { domainOf(it) } == domain }
     }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -138,6 +138,7 @@
  * @property trafficStarted whether a request has been served; until then loads are fast and not rate-limited
  * @property lagMs how late the leader has recently been in reading messages
  * @property evacuated data centres whose engines get no requests
+ * @property demand what the measured demand asks of the targets, by service; none for the configured shares
  */
 data class PlannerInput(
     val nowMs: Long,
@@ -148,6 +149,7 @@
     val trafficStarted: Boolean,
     val lagMs: Long = 0,
     val evacuated: Set<String> = emptySet(),
+    val demand: Map<String, DemandTargets> = emptyMap(),
 )
 
 /** A probe of the state of the engine [incarnation] at [address]. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -109,6 +109,9 @@
     /** Which backend servers are cold, and what may be sent to them. */
     val cold = ColdServers(coldSettings, timers, headers.coldRemainingMs, { directory })
 
+    /** Counts what is asked of each model; null if control does not ask for it. */
+    var demand: DemandCounters? = null
+
     /** Since when requests cannot be forwarded. */
     val outages = OutageTracker(timers)
     private var waitLimits = WaitLimits()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -43,6 +43,7 @@
     /** Sets the deadline and starts the first attempt. */
     fun start() {
         budget.onRequest(context.timers.nowMs())
+        context.demand?.onRequest(request.service, request.model, request.tokens)
         if (request.streaming) context.onStreamRequest(request)
         deadlineTimer = context.timers.after(maxOf(0, request.remainingMs())) { guarded(faultHandler) { onDeadline() } }
         send(countsAgainstBudget = false)
@@ -239,6 +240,7 @@
             is AttemptEnd.Pressed -> end.retryAfterMs
             else -> null
         }
+        context.demand?.onRefused(request.service, request.model)
         response.refuse(STATUS_NOT_RUN, "not run: $detail", knownRetryAfterMs ?: selection.retryAfterMs())
         end("not-run", detail)
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -22,6 +22,7 @@
 import org.bramleyspur.daemon.directory.toModel
 import org.bramleyspur.daemon.forward.BackendLoads
 import org.bramleyspur.daemon.forward.ColdSettings
+import org.bramleyspur.daemon.forward.DemandCounters
 import org.bramleyspur.daemon.forward.ForwardContext
 import org.bramleyspur.daemon.forward.ForwardHeaders
 import org.bramleyspur.daemon.forward.ForwardMetrics
@@ -120,6 +121,7 @@
             context.pressure = PressureAdmission(timers, metrics, { maxOf(1, entryCount) }, random::nextDouble)
         }
         if (settings.sharedLoad) context.sharedLoad = SharedLoad(timers, log, metrics)
+        if (settings.demandTargets) context.demand = DemandCounters()
     }
 
     private val front = FrontServer(loops.trafficGroup, context)
@@ -142,6 +144,7 @@
     }
 
     private val startedAtMs = timers.nowMs()
+    private val startedAtUnixMs = System.currentTimeMillis()
     private var leaderConfirmed = false
     private var lastStallCheckMs = startedAtMs
 
@@ -198,6 +201,9 @@
             report.addAllPromptParts(pendingObservations.map { it.toMessage() })
             pendingObservations.clear()
         }
+        context.demand?.let {
+            report.setStartedAtMs(startedAtUnixMs).addAllDemand(it.toMessages(context.routes?.document))
+        }
         return report
             .setInstance(settings.instance)
             .setDocumentVersion(context.routes?.version ?: 0)
