--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/PressureAdmission.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/PressureAdmission.kt
@@ -47,6 +47,12 @@
     private var room = WaitingRoom<AdmittedRequest>()
     private var timer: TimerHandle? = null
 
+    /** Number of requests that wait at the entry. */
+    val waiting: Int get() = room.count
+
+    /** Number of requests at backend servers. */
+    val inFlight: Int get() = pools.values.sumOf { it.inFlight }
+
     /** Records whether there was a backend server for a request to [pool]; the first one after an outage starts a ramp. */
     fun onChoice(pool: ServerPool, found: Boolean) {
         if (!found) {
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/pressure/PoolPressure.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/pressure/PoolPressure.kt
@@ -19,7 +19,8 @@
     private val level: Double,
     private val levelAtMs: Long,
     private val window: StreamWindow,
-    private val inFlight: Int,
+    /** Number of requests of this entry at the pool. */
+    val inFlight: Int,
 ) {
     constructor() : this(
         persistentMapOf(),
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/pressure/StreamWindow.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/pressure/StreamWindow.kt
@@ -29,9 +29,11 @@
     private companion object {
         /** Averages over about seven first events, so that one slow server among many does not cut the window. */
         const val AVERAGE_WEIGHT = 0.15
-        const val TOLERATED_LATE_SHARE = 0.2
+
+        /** Slow servers and lost packets make some first events late without any queue. */
+        const val TOLERATED_LATE_SHARE = 0.3
         const val CUT_FACTOR = 0.8
-        const val GROWTH = 0.25
+        const val GROWTH = 0.5
         const val USED_SHARE = 0.7
 
         /** An entry whose window is small still sees whether there is room again. */
