Keep the demand of a route by the priority of its accounts

Cause: accounts may have a priority of their own, and the last request's counted for the whole route. Change: demand is kept by route and priority; formatting.

--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/PressureAdmissionTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/PressureAdmissionTest.kt
@@ -32,7 +32,7 @@
     }
 
     @Test
-    fun `callers for whom there is no backend server return at different times, within a third of what they have left`() {
+    fun `callers without a backend server return at different times, in a third of what they have left`() {
         usePressure()
         apply(document, emptyList())
         val responses = List(5) { CompletableFuture.supplyAsync { post("/stream/1", remainingMs = 300)!! } }
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/pressure/PoolPressure.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/pressure/PoolPressure.kt
@@ -12,7 +12,7 @@
 
 /** What an entry knows of the competition for one pool. Immutable. */
 class PoolPressure private constructor(
-    private val routes: PersistentMap<String, RouteDemand>,
+    private val routes: PersistentMap<RouteKey, RouteDemand>,
     private val asked: DecayingCounts<Subject>,
     private val started: DecayingCounts<Subject>,
     private val refused: DecayingCounts<Unit>,
@@ -33,6 +33,9 @@
         0,
     )
 
+    /** Accounts may have priorities of their own on the same route. */
+    private data class RouteKey(val name: String, val priority: Int)
+
     private data class RouteDemand(val targetMs: Long, val priority: Int, val promptMs: Double, val atMs: Long)
 
     /** What requests have in common that must not starve. */
@@ -60,12 +63,13 @@
 
     /** With a request that was received; [prediction] is null if no backend server takes it. */
     fun onAsked(request: PressureRequest, prediction: Prediction?, nowMs: Long): PoolPressure {
-        val before = routes[request.route]
+        val key = RouteKey(request.route, request.priority)
+        val before = routes[key]
         val promptMs = prediction?.promptMs ?: before?.promptMs ?: 0.0
         val average = before?.let { it.promptMs + (promptMs - it.promptMs) * AVERAGE_WEIGHT } ?: promptMs
         val demand = RouteDemand(request.targetMs, request.priority, average, nowMs)
         val counted = (subjectsOf(request) + Subject.All).fold(asked) { all, subject -> all.plus(subject, nowMs) }
-        val next = copy(routes = routes.put(request.route, demand), asked = counted)
+        val next = copy(routes = routes.put(key, demand), asked = counted)
         val limitMs = prediction?.let { next.limitMs(request.copy(waitedMs = 0), it, nowMs) } ?: return next
         val sample = (prediction.waitMs / limitMs).coerceAtMost(MAX_LEVEL)
         val current = level(nowMs)
@@ -73,11 +77,10 @@
     }
 
     /** With a request that was sent. */
-    fun onStarted(request: PressureRequest, nowMs: Long): PoolPressure =
-        copy(
-            started = (subjectsOf(request) + Subject.All).fold(started) { all, subject -> all.plus(subject, nowMs) },
-            inFlight = inFlight + 1,
-        )
+    fun onStarted(request: PressureRequest, nowMs: Long): PoolPressure = copy(
+        started = (subjectsOf(request) + Subject.All).fold(started) { all, subject -> all.plus(subject, nowMs) },
+        inFlight = inFlight + 1,
+    )
 
     /** With the end of a request that was sent. */
     fun onEnded(): PoolPressure = copy(inFlight = inFlight - 1)
@@ -202,7 +205,7 @@
     }
 
     private fun copy(
-        routes: PersistentMap<String, RouteDemand> = this.routes,
+        routes: PersistentMap<RouteKey, RouteDemand> = this.routes,
         asked: DecayingCounts<Subject> = this.asked,
         started: DecayingCounts<Subject> = this.started,
         refused: DecayingCounts<Unit> = this.refused,
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/pressure/WaitingRoom.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/pressure/WaitingRoom.kt
@@ -17,8 +17,7 @@
     val count: Int get() = waiting.size
 
     /** Whether a request with a body of [bytes] that is not in the room may wait. */
-    fun hasRoom(key: K, bytes: Int): Boolean =
-        key in waiting || (count < MAX_COUNT && this.bytes + bytes <= MAX_BYTES)
+    fun hasRoom(key: K, bytes: Int): Boolean = key in waiting || (count < MAX_COUNT && this.bytes + bytes <= MAX_BYTES)
 
     /** With a request that waits. */
     fun with(key: K, priority: Int, receivedAtMs: Long, bytes: Int): WaitingRoom<K> {
