--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -19,7 +19,6 @@
 import org.bramleyspur.daemon.directory.DirectoryClient
 import org.bramleyspur.daemon.directory.toLoads
 import org.bramleyspur.daemon.directory.toMessage
-import org.bramleyspur.daemon.directory.toMessages as toWorkMessages
 import org.bramleyspur.daemon.directory.toModel
 import org.bramleyspur.daemon.forward.BackendLoads
 import org.bramleyspur.daemon.forward.ForwardContext
@@ -37,6 +36,7 @@
 import org.bramleyspur.traffic.forward.WindowedRetryBudget
 import org.bramleyspur.traffic.quarantine.PartObservation
 import java.util.random.RandomGenerator
+import org.bramleyspur.daemon.directory.toMessages as toWorkMessages
 
 /**
  * Settings of an [AgentlessEntryProcess].
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/directory/SharedLoadExchangeTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/directory/SharedLoadExchangeTest.kt
@@ -42,10 +42,11 @@
         ControlDirectoryContext({ null }, { Evacuations() }, { leads }, { emptyList() }, {}, {}, sharedLoad),
     ).also { it.start() }
 
-    private fun StreamObserver<DirectoryRequest>.report(instance: String, vararg work: Pair<String, ServerLoad>) = onNext(
-        DirectoryRequest.newBuilder().setInstance(instance).setEntry(instance.startsWith("n"))
-            .addAllWork(mapOf(*work).toMessages()).build(),
-    )
+    private fun StreamObserver<DirectoryRequest>.report(instance: String, vararg work: Pair<String, ServerLoad>) =
+        onNext(
+            DirectoryRequest.newBuilder().setInstance(instance).setEntry(instance.startsWith("n"))
+                .addAllWork(mapOf(*work).toMessages()).build(),
+        )
 
     /** Work that the watchers n1, n2 and c2 are told; they report at first, and after two seconds. */
     private fun told(sharedLoad: Boolean): List<Map<String, ServerLoad>> {
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/directory/SlowWatcherTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/directory/SlowWatcherTest.kt
@@ -33,7 +33,9 @@
             val timers = ManualTimers()
             val server = DirectoryServer(
                 timers,
-                DirectorySource({ BackendDirectory() }, { emptyList() }, { document }, { Evacuations() }, { true }, { emptyList() }),
+                DirectorySource({
+                    BackendDirectory()
+                }, { emptyList() }, { document }, { Evacuations() }, { true }, { emptyList() }),
             ) {}
             server.start()
             val events = FakeStream()
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/SharedLoadTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/SharedLoadTest.kt
@@ -58,7 +58,9 @@
             }.get()
             Thread.sleep(case.waitMs)
             val chosen = loops.traffic.submit<Set<String?>> {
-                List(50) { context.choose(service, "m", TokenCounts(500, 80), BackendFilter { true })?.load?.id }.toSet()
+                List(50) {
+                    context.choose(service, "m", TokenCounts(500, 80), BackendFilter { true })?.load?.id
+                }.toSet()
             }.get()
             expectThat(chosen).isEqualTo(case.chosen)
         }
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/WorkReports.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/WorkReports.kt
@@ -20,7 +20,9 @@
     /** Summed up once for the events to all entries, not for each report. */
     private val total: Map<String, ServerLoad> by lazy(LazyThreadSafetyMode.NONE) {
         val sums = HashMap<String, ServerLoad>()
-        reports.values.forEach { report -> report.work.forEach { (id, load) -> sums.merge(id, load, ServerLoad::plus) } }
+        reports.values.forEach { report ->
+            report.work.forEach { (id, load) -> sums.merge(id, load, ServerLoad::plus) }
+        }
         sums
     }
 
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/Results.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/Results.kt
@@ -47,8 +47,7 @@
 
     fun onLate(request: ModelRequest) = count(request) { late++ }
 
-    fun onRefused(request: ModelRequest) =
-        count(request) { if (request.tries == 0) refusedOnce++ else refusedAgain++ }
+    fun onRefused(request: ModelRequest) = count(request) { if (request.tries == 0) refusedOnce++ else refusedAgain++ }
 
     fun onRejected() {
         rejected++
