--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/RoomChoice.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/RoomChoice.kt
@@ -1,7 +1,7 @@
 /*
  * Chooses a backend server at random, weighted by predicted room. Entries that choose by the same view between two
  * events would all choose the server that looks best. Each server therefore gets the share of the requests that would
- * raise all servers to the same predicted time, if the requests of one view were poured on the servers that are below it.
+ * raise all servers to the same predicted time, if the requests of one view went to the servers below it.
  */
 package org.bramleyspur.traffic.load
 
@@ -10,9 +10,6 @@
 import org.bramleyspur.traffic.forward.chooseBackend
 import org.bramleyspur.traffic.forward.stepMs
 
-/** A request as the choice weighs it, in tokens. */
-class RequestSize(val promptTokens: Long, val outputTokens: Long)
-
 /**
  * Returns the number of requests that all entries start at [candidates] within [ageMs], by Little's law: requests in
  * flight over the predicted time of a response.
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/SharedView.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/SharedView.kt
@@ -16,7 +16,7 @@
     /** Age of the view in milliseconds; null if there is none. */
     fun ageMs(nowMs: Long): Long? = toldAtMs?.let { nowMs - it }
 
-    /** Mean age in milliseconds of the work in the view, which entries had reported before; null if it is not usable. */
+    /** Mean age in milliseconds of the work in the view, with that of the reports; null if it is not usable. */
     fun dataAgeMs(nowMs: Long): Double? = ageMs(nowMs)?.takeIf { isUsable(nowMs) }?.let { it + MEAN_REPORT_AGE_MS }
 
     /** Whether the view is recent enough to choose by; without one, an entry chooses by what it knows itself. */
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/WorkReports.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/WorkReports.kt
@@ -1,6 +1,6 @@
 /*
  * What control knows of the work that entries have sent to backend servers. Only the leader collects it. A new leader
- * starts without reports and tells none of its sums until every entry has had the time to report to it: a sum over a part
+ * starts without reports and tells none of its sums until every entry has had the time to report to it: a sum over some
  * of the entries would make busy servers look idle.
  */
 package org.bramleyspur.traffic.load
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/ForwardModel.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/ForwardModel.kt
@@ -1,6 +1,6 @@
 /*
- * Plays a load pattern: entries that choose among the same engines, each with its own view of their load. Entries report
- * their work to control each 250 ms, and control tells each entry the sum of the others' each 300 ms.
+ * Plays a load pattern: entries that choose among the same engines, each with its own view of their load. Entries
+ * report their work to control each 250 ms, and control tells each entry the sum of the others' each 300 ms.
  */
 package org.bramleyspur.traffic.model.forward
 
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/ModelEngine.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/ModelEngine.kt
@@ -1,5 +1,5 @@
 /*
- * A backend server of the load model: a batch that works in passes with the published step costs, and a queue before it.
+ * A backend server of the load model: a batch that works in passes of the published costs, and a queue before it.
  */
 package org.bramleyspur.traffic.model.forward
 
@@ -18,8 +18,8 @@
 }
 
 /**
- * An engine whose times are multiplied by [timeFactor] and whose queue holds [queueLimit] requests. Its load reports are
- * [reportLagMs] old; [schedule] runs a function at a time in milliseconds.
+ * An engine whose times are multiplied by [timeFactor] and whose queue holds [queueLimit] requests. Its load reports
+ * are [reportLagMs] old; [schedule] runs a function at a time in milliseconds.
  */
 internal class ModelEngine(
     val id: String,
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/Results.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/Results.kt
@@ -1,6 +1,6 @@
 package org.bramleyspur.traffic.model.forward
 
-/** Counts of tries: [asked] are first ones, [returned] the others; [refusedAgain] are refusals of callers who had been refused before. */
+/** Counts of tries: [asked] are first ones, [returned] the others, and [refusedAgain] are refusals of the latter. */
 internal class Counts {
     var asked = 0
     var returned = 0
