--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
@@ -400,7 +400,7 @@
         val before = state
         val targets = demand(term, before, nowMs)
         val known = directory.backends
-        val input = PlannerInput(nowMs, term, document, known, evidence, trafficStarted, leaderDelayMs, targets)
+        val input = PlannerInput(nowMs, term, document, known, evidence, trafficStarted, leaderDelayMs, demand = targets)
         val startNanos = System.nanoTime()
         val step = planGroups(state, input)
         planNanos += System.nanoTime() - startNanos
