--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ColdServers.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ColdServers.kt
@@ -34,6 +34,7 @@
 ) {
     private var state = ColdAdmission(ControlContact(timers.nowMs()))
     private val coldUntilMs = HashMap<EngineLife, Long>()
+    private val firstSeenMs = HashMap<EngineLife, Long>()
 
     /** Starts to watch for pauses of this process. */
     fun start() {
@@ -77,6 +78,7 @@
         val nowMs = activeNowMs()
         state = state.expire(nowMs)
         coldUntilMs.values.removeIf { it <= nowMs }
+        firstSeenMs.keys.removeIf { directory().backends[it.id]?.announcement?.startedAtMs != it.startedAtMs }
     }
 
     private fun activeNowMs(): Long = timers.nowMs().also { state = state.onActive(it) }
@@ -95,7 +97,7 @@
     private fun viewOf(id: String): ServerView? {
         val known = directory().backends[id] ?: return null
         val announcement = known.announcement
-        val startedAtMs = announcement.startedAtMs
+        val life = EngineLife(id, announcement.startedAtMs)
         val announcedUntilMs = if (announcement.coldRemainingMs > 0) {
             known.receivedAtMs + announcement.coldRemainingMs
         } else {
@@ -103,12 +105,18 @@
         }
         return ServerView(
             id,
-            maxOf(announcedUntilMs, coldUntilMs[EngineLife(id, startedAtMs)] ?: 0),
+            maxOf(announcedUntilMs, coldUntilMs[life] ?: 0),
             known.receivedAtMs,
-            if (startedAtMs > 0) wallClockMs() - startedAtMs else null,
+            if (life.startedAtMs > 0) ageMs(life) else null,
         )
     }
 
+    /** Least time since the start of [life]; a clock that is set back does not make it shorter. */
+    private fun ageMs(life: EngineLife): Long {
+        val nowMs = timers.nowMs()
+        return maxOf(wallClockMs() - life.startedAtMs, nowMs - firstSeenMs.getOrPut(life) { nowMs })
+    }
+
     private companion object {
         /** A fraction of the shortest pause that matters. */
         const val ACTIVITY_INTERVAL_MS = 50L
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ColdServerTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ColdServerTest.kt
@@ -89,6 +89,26 @@
         expectThat(servers.held(service, "b0")?.reason).isEqualTo(ColdReason.ANNOUNCED)
     }
 
+    /** Guards against a server that counts as just started for as long as a clock is set back. */
+    @Test
+    fun `a server that has been known for long is not new`() {
+        val timers = ManualTimers()
+        val started = announcement(0, "127.0.0.1:80").copy(startedAtMs = 90_000)
+        var directory = BackendDirectory().withAnnouncement(started, 0)
+        val settings = ColdSettings(ColdBounds(factor = 1.0, slack = 0.0), announcementIntervalMs = 1_000)
+        val servers = ColdServers(settings, timers, "X-Cold", { directory }) { 50_000 }
+        val service = DocumentService("s", 100, null, persistentListOf(), 3_000, coldRequestsPerSecond = 4.0)
+        servers.start()
+        val held = (1..4).map {
+            directory = BackendDirectory().withAnnouncement(started, timers.nowMs())
+            servers.onControlEvent(1)
+            servers.onSent(service, "b0")
+            servers.onSent(service, "b0")
+            servers.held(service, "b0")?.reason.also { timers.advance(1_000) }
+        }
+        expectThat(held).isEqualTo(List(3) { ColdReason.NEW_LIFE } + null)
+    }
+
     private companion object {
         /** Less than a window, by less than a quarter of the expected latency. */
         const val NEARLY_RETURNED_MS = 1_150L
