--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/PressureAdmission.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/PressureAdmission.kt
@@ -53,7 +53,7 @@
     /** Number of requests at backend servers. */
     val inFlight: Int get() = pools.values.sumOf { it.inFlight }
 
-    /** Records whether there was a backend server for a request to [pool]; the first one after an outage starts a ramp. */
+    /** Records whether there was a backend server for a request to [pool]; after an outage this starts a ramp. */
     fun onChoice(pool: ServerPool, found: Boolean) {
         if (!found) {
             available -= pool
