--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -236,7 +236,9 @@
         tokens: TokenCounts,
         costs: EngineCosts,
     ): Pair<BackendLoad, Candidate>? {
-        val cost = { it: Candidate -> generationCost(it, tokens.prompt, tokens.output, costs) + it.firstEventExcessMs }
+        val cost = { candidate: Candidate ->
+            generationCost(candidate, tokens.prompt, tokens.output, costs) + candidate.firstEventExcessMs
+        }
         val ageMs = sharedLoad?.dataAgeMs() ?: return chooseFrom(candidates, cost)
         val shared = candidates.map { (load, own) -> withOthers(load, own) }
         sharedLoad?.onCandidates(model, shared)
