Refuse at once a request whose own regions are evacuated

Cause: with regions and evacuations merged, a request all of whose regions are evacuated waited for servers that it may not use, and admission counted the servers of evacuated data centres as room.

Change: the check of evacuated servers takes the request's regions; the number of servers leaves evacuated ones out.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendSelection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendSelection.kt
@@ -188,7 +188,7 @@
         }
     }
 
-    private fun isEvacuated(): Boolean = context.isEvacuated(request.service, request.model)
+    private fun isEvacuated(): Boolean = context.isEvacuated(request)
 
     /** The cold backend server to which the request may be sent first, and when; null if none holds it back. */
     fun firstHeld() = context.firstHeld(request, triedBackends)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -170,22 +170,24 @@
     }
 
     /**
-     * Whether all backend servers that could serve such a request are in evacuated data centres. Engines of the others
-     * that are enough for a group form one soon, so a request may wait for them.
+     * Whether all backend servers that could serve [request] are in evacuated data centres. Engines of the others that
+     * are enough for a group form one soon, so a request may wait for them.
      */
-    fun isEvacuated(service: DocumentService, model: String?): Boolean {
+    fun isEvacuated(request: AdmittedRequest): Boolean {
         if (evacuations.dataCentres.isEmpty()) return false
-        val servers = serversOf(service, model)
+        val service = request.service
+        val servers = serversOf(service, request.model).filter { request.homes.allows(regions[it.dataCentre]) }
         if (servers.isEmpty() || servers.any { evacuations.allows(it.dataCentre) }) return false
-        val groupSize = service.models.firstOrNull { it.name == model }?.groupSize ?: return true
-        val others = directory.backends.values.map { it.announcement }.count {
-            it.service == service.name && it.state == BackendState.READY && evacuations.allows(it.dataCentre)
-        }
+        val groupSize = service.models.firstOrNull { it.name == request.model }?.groupSize ?: return true
+        val others = directory.backends.values.map { it.announcement }
+            .filter { it.service == service.name && it.state == BackendState.READY }
+            .count { evacuations.allows(it.dataCentre) && request.homes.allows(regions[it.dataCentre]) }
         return others < groupSize
     }
 
-    /** Number of backend servers that serve such a request, whether they accept one now or not. */
-    fun serverCount(service: DocumentService, model: String?): Int = serversOf(service, model).size
+    /** Number of backend servers in use that serve such a request, whether they accept one now or not. */
+    fun serverCount(service: DocumentService, model: String?): Int =
+        serversOf(service, model).count { evacuations.allows(it.dataCentre) }
 
     /** [baseMs], or a time about it so that callers who were refused together do not return together. */
     fun retryAfterMs(baseMs: Long): Long =
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/EvacuatedRequestTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/EvacuatedRequestTest.kt
@@ -1,6 +1,15 @@
 package org.bramleyspur.daemon.forward
 
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toImmutableSet
+import kotlinx.collections.immutable.toPersistentList
+import org.bramleyspur.core.backend.GroupId
+import org.bramleyspur.core.backend.GroupMembership
+import org.bramleyspur.core.backend.GroupState
+import org.bramleyspur.core.document.DocumentService
+import org.bramleyspur.core.document.EngineCosts
+import org.bramleyspur.core.document.ModelSpec
 import org.bramleyspur.traffic.evacuation.EvacuationView
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
@@ -69,6 +78,44 @@
         expectThat(counted("bramleyspur_evacuation_refusals", "/again/")).isEqualTo(1.0)
     }
 
+    @Test
+    fun `a request whose regions are evacuated is refused at once although others serve`() {
+        val regional = document.copy(
+            routes = document.routes.map { it.copy(allowedRegions = persistentSetOf("r1")) }.toPersistentList(),
+        )
+        startServices(regional, mapOf("s" to List(2) { ScriptedBackend(served) }))
+        evacuate("dc")
+        val startNs = System.nanoTime()
+        expectThat(post("/again/")?.body).isNotNull().contains("evacuated")
+        expectThat((System.nanoTime() - startNs) / NS_PER_MS).isLessThan(FIRST_POLLS_MS)
+        expectThat(backends.sumOf { it.requests.size }).isEqualTo(0)
+    }
+
+    @TestFactory
+    fun `no head of a group in an evacuated data centre is chosen`() = listOf(
+        emptyList<String>() to setOf("b0", "b1"),
+        listOf("dc") to setOf("b1"),
+        listOf("other") to setOf("b0"),
+        listOf("dc", "other") to setOf(null),
+    ).map { (evacuated, expected) ->
+        DynamicTest.dynamicTest("evacuated: $evacuated") {
+            val heads = listOf("127.0.0.1:1", "127.0.0.1:2").mapIndexed { index, address ->
+                val group = GroupMembership(GroupId("g$index", 1), 0, GroupState.OPEN, "m")
+                announcement(index, address).copy(groupMembership = group)
+            }
+            apply(document, heads)
+            evacuate(*evacuated.toTypedArray())
+            val engines = DocumentService("s", 100, COSTS, persistentListOf(ModelSpec("m", 1, 1.0, 1.0, 1_000, 100)))
+            val chosen = loops.traffic.submit<Set<String?>> {
+                heads.map { head ->
+                    val filter = BackendFilter { id -> expected.size == 1 || id == head.id }
+                    context.choose(engines, "m", TokenCounts(500, 80), filter)?.load?.id
+                }.toSet()
+            }.get()
+            expectThat(chosen).isEqualTo(expected)
+        }
+    }
+
     @Test
     fun `a server that backs off is named to the caller although an evacuated one accepts requests`() {
         val busy = Script(
@@ -94,6 +141,7 @@
     }
 
     private companion object {
+        val COSTS = EngineCosts(8, 1_000_000, 3, 6.0, 0.3, 0.01, 40.0, 2_048, 3.0, 6, 2.5, 80.0)
         const val NS_PER_MS = 1_000_000L
         const val LIMIT_MS = 2_000L
         const val LONG_RETRY_AFTER_S = 30.0
