--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/DocumentValidation.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/DocumentValidation.kt
@@ -1,8 +1,8 @@
 package org.bramleyspur.core.document
 
 /**
- * Validates the document; returns null when it is valid. Regions that it names must be among [knownRegions], unless none
- * are known.
+ * Validates the document; returns null when it is valid. Regions that it names must be among [knownRegions], unless
+ * none are known.
  */
 fun Document.validate(knownRegions: Set<String> = emptySet()): DocumentError? {
     val error = routes.firstNotNullOfOrNull { routeError(it) }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -149,8 +149,8 @@
     }
 
     /**
-     * The cold backend server other than [tried] to which [request] may be sent first, and when; null if one is not held
-     * back, or if none is in use.
+     * The cold backend server other than [tried] to which [request] may be sent first, and when; null if one is not
+     * held back, or if none is in use.
      */
     fun firstHeld(request: AdmittedRequest, tried: Set<String>): Pair<String, ColdDecision.Held>? {
         val usable = serversOf(request.service, request.model)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -84,8 +84,7 @@
     private fun choose(filter: BackendFilter): BackendChoice? =
         context.choose(request.service, request.model, request.tokens, filter)
 
-    private fun chooseUntried(): BackendChoice? =
-        choose(BackendFilter(homes = request.homes) { it !in triedBackends })
+    private fun chooseUntried(): BackendChoice? = choose(BackendFilter(homes = request.homes) { it !in triedBackends })
 
     /** Chooses a backend server whose attempt was superseded; this also ends that it can be asked again. */
     private fun takeSuperseded(): BackendChoice? {
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ColdServerTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ColdServerTest.kt
@@ -28,7 +28,9 @@
     /** Announces backend servers that are cold for a minute; this entry, the only one, is new and may send each one. */
     private fun startCold(perSecond: Double, vararg scripts: Script) {
         backends += scripts.map { ScriptedBackend(it) }
-        val cold = backends.mapIndexed { index, it -> announcement(index, it.address).copy(coldRemainingMs = 60_000) }
+        val cold = backends.mapIndexed { index, backend ->
+            announcement(index, backend.address).copy(coldRemainingMs = 60_000)
+        }
         apply(document.bounded(perSecond), cold)
         loops.traffic.submit {
             context.directory = cold.fold(BackendDirectory()) { all, next ->
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/RegionTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/RegionTest.kt
@@ -10,7 +10,13 @@
 
 /** Guards against a request that leaves the regions of its route or of its account. */
 class RegionTest : ForwardTest() {
-    private class Case(val name: String, val route: String?, val account: String?, val requests: List<Int>, val status: Int)
+    private class Case(
+        val name: String,
+        val route: String?,
+        val account: String?,
+        val requests: List<Int>,
+        val status: Int,
+    )
 
     @TestFactory
     fun `a request stays in its regions`() = listOf(
@@ -25,7 +31,9 @@
             val servers = List(2) { ScriptedBackend(Script(okResponse("x"))) }
             val restricted = document.copy(
                 routes = document.routes.map { it.copy(allowedRegions = regions(case.route)) }.toPersistentList(),
-                accounts = document.accounts?.map { it.copy(allowedRegions = regions(case.account)) }?.toPersistentList(),
+                accounts = document.accounts
+                    ?.map { it.copy(allowedRegions = regions(case.account)) }
+                    ?.toPersistentList(),
             )
             startServices(restricted, mapOf("s" to servers))
             val startNs = System.nanoTime()
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/cold/ColdInterleavingTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/cold/ColdInterleavingTest.kt
@@ -48,7 +48,8 @@
             repeat(case.coldFromStep + STEPS) {
                 val next = HashSet<Node>()
                 for (node in nodes.asSequence().flatMap { successors(it) }) {
-                    if (next.add(node)) expectThat(node.world.departuresMs.takeIf { node.world.isBroken }).isEqualTo(null)
+                    val isNew = next.add(node)
+                    if (isNew) expectThat(node.world.departuresMs.takeIf { node.world.isBroken }).isEqualTo(null)
                 }
                 nodes = next
             }
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/cold/ColdWorld.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/cold/ColdWorld.kt
@@ -86,7 +86,7 @@
         return copy(admission = state, pendingMs = pendingMs + left)
     }
 
-    /** Whether the server got more than its limit in a second that began after every entry could know that it is cold. */
+    /** Whether the server got more than its limit in a second that began when every entry could know it is cold. */
     val isBroken: Boolean get() {
         val checked = departuresMs.filter { it >= coldFromMs + DETECTION_MS }
         return checked.any { first -> checked.count { it >= first && it < first + SECOND_MS } > bounds.limit }
