--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/DocumentValidation.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/DocumentValidation.kt
@@ -1,13 +1,8 @@
 package org.bramleyspur.core.document
 
 /**
-<<<<<<< HEAD
  * Validates the document; returns null when it is valid. Regions that it names must be among [knownRegions], if any are
  * known.
-=======
- * Validates the document; returns null when it is valid. Regions that it names must be among [knownRegions], unless
- * none are known.
->>>>>>> cold
  */
 fun Document.validate(knownRegions: Set<String> = emptySet()): DocumentError? {
     val error = routes.firstNotNullOfOrNull { routeError(it) }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -88,21 +88,6 @@
     /** Pauses reading from the backend servers while the caller's connection accepts no more data. */
     fun onCallerWritable(writable: Boolean) = running.attempts.forEach { it.pauseReading(!writable) }
 
-<<<<<<< HEAD
-=======
-    private fun choose(filter: BackendFilter): BackendChoice? =
-        context.choose(request.service, request.model, request.tokens, filter)
-
-    private fun chooseUntried(): BackendChoice? = choose(BackendFilter(homes = request.homes) { it !in triedBackends })
-
-    /** Chooses a backend server whose attempt was superseded; this also ends that it can be asked again. */
-    private fun takeSuperseded(): BackendChoice? {
-        val choice = choose(BackendFilter(unresponsiveToo = true, request.homes) { it in supersededBackends })
-        if (choice == null) supersededBackends.clear() else supersededBackends -= choice.load.id
-        return choice
-    }
-
->>>>>>> cold
     private fun send(countsAgainstBudget: Boolean, toSuperseded: Boolean = false) {
         if (isKeptFromEngines()) return
         val choice = if (toSuperseded) selection.takeSuperseded() else selection.chooseUntried()
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/RegionTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/RegionTest.kt
@@ -31,15 +31,9 @@
             val servers = List(2) { ScriptedBackend(Script(okResponse("x"))) }
             val restricted = document.copy(
                 routes = document.routes.map { it.copy(allowedRegions = regions(case.route)) }.toPersistentList(),
-<<<<<<< HEAD
-                accounts = document.accounts?.map {
-                    it.copy(allowedRegions = regions(case.account))
-                }?.toPersistentList(),
-=======
                 accounts = document.accounts
                     ?.map { it.copy(allowedRegions = regions(case.account)) }
                     ?.toPersistentList(),
->>>>>>> cold
             )
             startServices(restricted, mapOf("s" to servers))
             val startNs = System.nanoTime()
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/cold/ColdAdmissionTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/cold/ColdAdmissionTest.kt
@@ -30,16 +30,7 @@
         Case("two announcements missed", ColdReason.UNHEARD, warm.copy(receivedMs = 7_600), entry()),
         Case("no news of control", ColdReason.OUT_OF_TOUCH, warm, entry(lastEventMs = 8_900)),
         Case("just woken", ColdReason.OUT_OF_TOUCH, warm, entry(pauseMs = 8_000L..9_900)),
-<<<<<<< HEAD
-        Case(
-            "announced in the pause",
-            ColdReason.UNHEARD,
-            warm.copy(receivedMs = 8_800),
-            entry(pauseMs = 8_000L..8_700),
-        ),
-=======
         Case("read after the pause", ColdReason.UNHEARD, warm.copy(receivedMs = 8_800), entry(pauseMs = 8_000L..8_700)),
->>>>>>> cold
         Case("announced after the pause", null, warm, entry(pauseMs = 8_000L..8_700)),
     ).map { case ->
         DynamicTest.dynamicTest(case.name) {
