--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServerTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServerTest.kt
@@ -47,8 +47,8 @@
         val group = NioEventLoopGroup(1)
         val address = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
         val server =
-            ControlPlaneServer({ _, _, _ -> call }, { failures += it.message }, { dropped += it }) { it, respond ->
-                handled += it
+            ControlPlaneServer({ _, _, _ -> call }, { failures += it.message }, { dropped += it }) { next, respond ->
+                handled += next
                 respond(ControlPlaneResponse.Accepted)
             }
         server.use {
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/evacuation/EvacuationInterleavingTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/evacuation/EvacuationInterleavingTest.kt
@@ -28,15 +28,10 @@
         val seen = hashSetOf(model.start)
         var frontier = listOf(model.start to emptyList<String>())
         while (frontier.isNotEmpty()) {
-            val next = ArrayList<Pair<EvacuationWorld, List<String>>>()
-            for ((world, path) in frontier) {
-                for (step in model.steps(world)) {
-                    val steps = path + step.name
-                    if (step.broken != null) return "${step.broken} after $steps" to seen.size
-                    if (seen.add(step.world)) next += step.world to steps
-                }
-            }
-            frontier = next
+            val reached = frontier.flatMap { (world, path) -> model.steps(world).map { it to path + it.name } }
+            val found = reached.firstOrNull { (step, _) -> step.broken != null }
+            if (found != null) return "${found.first.broken} after ${found.second}" to seen.size
+            frontier = reached.filter { (step, _) -> seen.add(step.world) }.map { (step, steps) -> step.world to steps }
         }
         return null to seen.size
     }
