Read the state of admission on its own thread in its test

Cause: the test read the number of waiting requests from another thread just after the log line that precedes the change, and failed once with 0 for 1.

--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/PressureAdmissionTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/PressureAdmissionTest.kt
@@ -20,6 +20,9 @@
 
     private fun usePressure() = loops.traffic.submit { context.pressure = pressure }.get().let { }
 
+    /** Reads the state on its own thread, after the event that is running there. */
+    private fun onTraffic(read: PressureAdmission.() -> Int): Int = loops.traffic.submit<Int> { pressure.read() }.get()
+
     private fun events() = streamResponse("id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", complete = true)
 
     @Test
@@ -28,7 +31,7 @@
         startBackends(List(5) { Script(events()) })
         repeat(5) { expectThat(post("/stream/1")!!.status).isEqualTo(200) }
         expectThat(counted("bramleyspur_pressure_refusals", "/stream/")).isEqualTo(0.0)
-        expectThat(pressure.inFlight).isEqualTo(0)
+        expectThat(onTraffic { inFlight }).isEqualTo(0)
     }
 
     @Test
@@ -49,11 +52,11 @@
         apply(document, emptyList())
         val response = CompletableFuture.supplyAsync { post("/stream/1") }
         expectThat(logLine("request-waits")).isNotNull()
-        expectThat(pressure.waiting).isEqualTo(1)
+        expectThat(onTraffic { waiting }).isEqualTo(1)
         startBackends(listOf(Script(events())))
         expectThat(response.join()!!.body).contains("data: b")
         expectThat(backends.single().requests).hasSize(1)
-        expectThat(pressure.waiting).isEqualTo(0)
+        expectThat(onTraffic { waiting }).isEqualTo(0)
     }
 
     @Test
@@ -62,6 +65,6 @@
         apply(document, emptyList())
         sendWithoutReading("/stream/1").use { expectThat(logLine("request-waits")).isNotNull() }
         expectThat(logLine("caller-left")).isNotNull()
-        expectThat(pressure.waiting).isEqualTo(0)
+        expectThat(onTraffic { waiting }).isEqualTo(0)
     }
 }
