--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/demand/DemandShares.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/demand/DemandShares.kt
@@ -156,7 +156,8 @@
             if (heldMs < MIN_HELD_MS || earned <= cost) {
                 ShareStep(state)
             } else {
-                val next = ShareState(models, shares, move.copy(untilMs = input.nowMs + loadMs + SETTLING_MS), input.nowMs)
+                val next =
+                    ShareState(models, shares, move.copy(untilMs = input.nowMs + loadMs + SETTLING_MS), input.nowMs)
                 ShareStep(next, ShareChange(measured, earned, cost, heldMs))
             }
         }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupMoves.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupMoves.kt
@@ -1,6 +1,6 @@
 /*
- * Moves of groups from one model to another that the measured demand asks for. The members load the weights of the other
- * model while their group still serves; then it closes, and its engines form a group of the other model.
+ * Moves of groups from one model to another that the measured demand asks for. The members load the weights of the
+ * other model while their group still serves; then it closes, and its engines form a group of the other model.
  */
 package org.bramleyspur.control.group
 
@@ -38,7 +38,9 @@
     val step = service.models.filter { it.name in move.to }
         .firstNotNullOfOrNull { model -> donorsFor(service, model, move, wanted)?.let { model to it } } ?: return
     val (model, donors) = step
-    val lacking = donors.flatMap { it.members }.filter { announcementOf(it)?.stagedModels?.contains(model.name) != true }
+    val lacking = donors.flatMap {
+        it.members
+    }.filter { announcementOf(it)?.stagedModels?.contains(model.name) != true }
     if (lacking.isEmpty()) {
         donors.forEach { closeForMove(it) }
     } else {
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/demand/DemandMovesTest.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/demand/DemandMovesTest.kt
@@ -20,7 +20,11 @@
  */
 class DemandMovesTest {
     /** Engines that the requests for each model keep busy, by the time since the start in milliseconds. */
-    private class Pattern(val name: String, val closedGroups: IntRange, val busyEngines: (ms: Long) -> Map<String, Double>)
+    private class Pattern(
+        val name: String,
+        val closedGroups: IntRange,
+        val busyEngines: (ms: Long) -> Map<String, Double>,
+    )
 
     private fun busy(large: Double, small: Double) = mapOf("large" to large, "small" to small)
 
@@ -32,7 +36,15 @@
         Pattern("demand moves to the small model", 1..2) { if (it < 20_000) configured else turned },
         Pattern("demand moves and returns much later", 1..4) { if (it in 20_000..120_000) turned else configured },
         Pattern("a burst of six seconds", 0..0) { if (it in 20_000..26_000) busy(8.0, 16.0) else configured },
-        Pattern("bursts of four seconds in turn", 0..0) { if (it / 4_000 % 2 == 0L) busy(4.0, 12.0) else busy(12.0, 2.0) },
+        Pattern("bursts of four seconds in turn", 0..0) {
+            if (it / 4_000 % 2 ==
+                0L
+            ) {
+                busy(4.0, 12.0)
+            } else {
+                busy(12.0, 2.0)
+            }
+        },
         Pattern("little demand, all for one model", 0..0) { busy(0.0, 2.0) },
     )
 
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/DemandDriverTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/DemandDriverTest.kt
@@ -29,7 +29,8 @@
     private val timers = ManualTimers()
     private val logBytes = ByteArrayOutputStream()
     private val registry = PrometheusRegistry()
-    private val driver = DemandDriver(timers, DecisionLog(PrintStream(logBytes), timers::nowMs), DemandMetrics(registry))
+    private val driver =
+        DemandDriver(timers, DecisionLog(PrintStream(logBytes), timers::nowMs), DemandMetrics(registry))
     private val models = persistentListOf(
         ModelSpec("a", 2, 0.5, 1.0, 16_000, 1_600),
         ModelSpec("b", 2, 0.5, 1.0, 16_000, 1_600),
