--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupMoves.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupMoves.kt
@@ -1,6 +1,6 @@
 /*
- * Moves of groups from one model to another that the measured demand asks for. The members load the weights of the other
- * model while their group still serves; then it closes, and its engines form a group of the other model.
+ * Moves of groups from one model to another that the measured demand asks for. The members load the weights of the
+ * other model while their group still serves; then it closes, and its engines form a group of the other model.
  */
 package org.bramleyspur.control.group
 
