Split the sending of a request by whether others compete with it

Change: a request that competes with others and one that does not are sent by functions of their own; lines are shortened.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -94,12 +94,23 @@
         val nothingSent = sends == 0 && unsentAttempts == 0
         val sendAgain = { if (!done) guarded(faultHandler) { send(countsAgainstBudget, toSuperseded) } }
         if (choice == null && !toSuperseded && isHeld(sendAgain)) return
-        val decision = selection.decide(choice, nothingSent)
-        when {
-            decision is PressureDecision.Wait -> selection.awaitRoom(decision.delayMs, sendAgain)
-            decision is PressureDecision.Refuse ->
+        when (val decision = selection.decide(choice, nothingSent)) {
+            null -> sendWithoutCompeting(choice, nothingSent, countsAgainstBudget, sendAgain)
+            is PressureDecision.Wait -> selection.awaitRoom(decision.delayMs, sendAgain)
+            is PressureDecision.Refuse ->
                 onNotSendable(AttemptEnd.Pressed(decision.retryAfterMs), "requests compete: ${decision.reason}")
-            decision is PressureDecision.Start && choice != null -> start(choice, countsAgainstBudget)
+            is PressureDecision.Start -> choice?.let { start(it, countsAgainstBudget) }
+        }
+    }
+
+    /** Sends a request on which its competitors have no effect. */
+    private fun sendWithoutCompeting(
+        choice: BackendChoice?,
+        nothingSent: Boolean,
+        countsAgainstBudget: Boolean,
+        sendAgain: () -> Unit,
+    ) {
+        when {
             choice == null && selection.waits(nothingSent) -> selection.awaitBackend(sendAgain)
             choice == null -> onNotSendable(selection.endWithoutServer(), selection.noServerText())
             !selection.isSoonEnough(choice) -> onNotSendable(AttemptEnd.NoCandidate, selection.tooLateText(choice))
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/LogMember.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/member/LogMember.kt
@@ -159,7 +159,7 @@
         node?.close()
     }
 
-    /** Waits for the end of the log's storage and closes the connections to other members; not on the control thread. */
+    /** Waits for the end of the storage and closes the connections to other members; not on the control thread. */
     fun close() {
         storageThread.shutdown()
         storageThread.awaitTermination(STORAGE_CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/BackendChoice.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/BackendChoice.kt
@@ -42,7 +42,7 @@
 }
 
 /**
- * Whether a request of [tokens], prompt and output, fits into the free part of the engine's memory for tokens. An engine
+ * Whether a request of [tokens], prompt and output, fits into the free part of the engine's memory. An engine
  * whose requests exceed its memory puts the newest ones back, or ends.
  */
 fun fitsMemory(candidate: Candidate, tokens: Long, costs: EngineCosts): Boolean =
