--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/HeldBytes.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/HeldBytes.kt
@@ -1,8 +1,8 @@
 /*
  * Bounds the bytes that a process holds for its callers: bodies of requests, and parts of responses that callers have
- * not taken. The limit of each caller falls as the free part of the bound falls (dynamic thresholds of shared buffers), so
- * that any number of callers that stop reading stays within the bound, while a few may be slow without any effect on
- * their backend servers.
+ * not taken. The limit of each caller falls as the free part of the bound falls (dynamic thresholds of shared
+ * buffers), so that any number of callers that stop reading stays within the bound, while a few may be slow without
+ * any effect on their backend servers.
  */
 package org.bramleyspur.traffic.forward
 
