Name the wait for the leader once

Cause: an entry's wait for the leader's document and for its word on evacuations was one rule with two constants of 2,500 ms.

Change: the document's wait refers to that of the evacuations.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -35,6 +35,7 @@
 import org.bramleyspur.protocol.BackendAnnouncement
 import org.bramleyspur.protocol.DirectoryEvent
 import org.bramleyspur.protocol.DirectoryRequest
+import org.bramleyspur.traffic.evacuation.EvacuationView
 import org.bramleyspur.traffic.forward.RouteTable
 import org.bramleyspur.traffic.forward.WindowedRetryBudget
 import org.bramleyspur.traffic.quarantine.PartObservation
@@ -334,6 +335,6 @@
         const val UNRESPONSIVE_WINDOW_MS = 600L
 
         /** An election takes about a second; after this time, the followers' document is the newest available. */
-        const val LEADER_WAIT_MS = 2_500L
+        const val LEADER_WAIT_MS = EvacuationView.LEADER_WAIT_MS
     }
 }
