Do not count a rejected request as a fast first token

Cause: an engine's rejection of an invalid request was forwarded as the head of a response, which the router took for a first token. A server that rejects at once looked faster than any that generates, and got all further requests.

Change: a rejection ends the attempt and the probation of its route, and gives no sample of its speed.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/RequestRunner.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/RequestRunner.kt
@@ -251,7 +251,10 @@
                     feed(AttemptToken(number, event.piece.position, event.piece.token))
                 }
                 ExecuteEvent.KindCase.BEGUN -> feed(AttemptBegun(number))
-                ExecuteEvent.KindCase.HEAD -> forwardHead(event.head)
+                ExecuteEvent.KindCase.HEAD -> {
+                    feedback.onResponseStart()
+                    forwardHead(event.head)
+                }
                 ExecuteEvent.KindCase.BODY -> forwardBody(event.body.data, event.body.last)
                 else -> onLast(event)
             }
@@ -277,7 +280,6 @@
         }
 
         private fun forwardHead(head: Head) {
-            feedback.onResponseStart()
             forwardedHead = head
             feed(AttemptHead(number, head.status))
         }
@@ -291,6 +293,7 @@
 
         /** Forwards an engine's rejection of an invalid request. */
         private fun reject(status: Int, message: String) {
+            feedback.onRejected()
             val error = rejectionOf(status, message)
             forwardHead(error.toHead())
             forwardBody(ByteString.copyFromUtf8(error.toJson()), true)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/RouteFeedback.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/request/RouteFeedback.kt
@@ -41,6 +41,9 @@
     /** The attempt completed. */
     fun onEnded() = finish { router.ended(it, timers.nowMs()) }
 
+    /** The engine rejected the request as invalid. */
+    fun onRejected() = finish { router.rejected(it) }
+
     /** The agent refused the attempt. */
     fun onRefused(reason: RefusalReason, retryAfterMs: Long) = finish {
         if (reason == RefusalReason.CANCELLED) {
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/routing/Router.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/routing/Router.kt
@@ -80,6 +80,9 @@
         finish(attempt) { it }
     }
 
+    /** Records that the engine rejected the request as invalid: it works, but how fast it generates stays unknown. */
+    fun rejected(attempt: RoutedAttempt) = finish(attempt) { it.copy(failures = 0) }
+
     /** Records that an attempt was cancelled or abandoned without a fault of its route. */
     fun abandoned(attempt: RoutedAttempt) = finish(attempt) { it }
 
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/routing/RouterTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/routing/RouterTest.kt
@@ -107,6 +107,26 @@
         expectThat(router.chosenPercent(a, 30_001)).isEqualTo(0)
     }
 
+    /** Guards against a backend server that rejects requests at once and looks fast, so that it gets all of them. */
+    @Test
+    fun `a rejected request does not make its route look fast`() {
+        val router = router(a, b)
+        router.sent(a, request, 0)?.let { router.rejected(it) }
+        expectThat(router.chosenPercent(a, 10)).isLessThan(100)
+        expectThat(router.chosenPercent(b, 10)).isGreaterThan(0)
+        expectThat(router.inFlight(a.incarnation)).isEqualTo(0)
+    }
+
+    /** Guards against a route that stays on probation while it answers each probe with a rejection. */
+    @Test
+    fun `a rejected request ends the probation of its route`() {
+        val router = router(a)
+        router.sent(a, request, 0)?.let { router.failed(it, 0) }
+        router.sent(a, request, 1_000)?.let { router.rejected(it) }
+        router.sent(a, request, 1_001)
+        expectThat(router.choose(request, 1_002)).isEqualTo(a)
+    }
+
     /** Guards against one account's full queue keeping other accounts away. */
     @Test
     fun `avoids a full queue for the refused account only`() {
