--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/DeliveredResponse.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/DeliveredResponse.kt
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
+import org.bramleyspur.traffic.forward.EventPauses
 import org.bramleyspur.traffic.forward.StreamEvent
 
 /** The part of a response that the caller has received, whichever attempts it came from. */
@@ -28,6 +29,11 @@
     var firstByteMs: Long? = null
         private set
 
+    private var pauses = EventPauses()
+
+    /** Longest time in milliseconds between two events that were forwarded; null before the second one. */
+    val longestPauseMs: Long? get() = pauses.longestMs
+
     val writable: Boolean get() = response.writable
 
     /** Forwards the head, unless that of an earlier attempt was forwarded. */
@@ -43,6 +49,7 @@
     fun write(event: StreamEvent) {
         response.write(Unpooled.wrappedBuffer(event.bytes))
         event.id?.let { lastEventId = it }
+        pauses = pauses.onEvent(context.timers.nowMs())
     }
 
     fun write(data: ByteBuf) = response.write(data)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -284,7 +284,7 @@
         running = RunningAttempts()
         context.metrics.onRequestEnd(route.name, outcome)
         val backend = deliveringBackend ?: selection.lastTried
-        log.onEnd(outcome, backend, sends, response.firstByteMs, predictedMs, detail)
+        log.onEnd(outcome, backend, sends, response, predictedMs, detail)
         onDone()
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestLog.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestLog.kt
@@ -85,21 +85,28 @@
             "next" to step::class.simpleName,
         )
 
-    /** The request ended. */
-    fun onEnd(outcome: String, backend: String?, sends: Int, firstMs: Long?, predictedMs: Double?, detail: String) =
-        context.log.write(
-            "request",
-            "request" to request.id,
-            "route" to request.route.name,
-            "account" to request.account?.name,
-            "outcome" to outcome,
-            "backend" to backend,
-            "sends" to sends,
-            "first_ms" to firstMs,
-            "predicted_ms" to predictedMs?.toLong(),
-            "ms" to request.elapsedMs(),
-            "config_at_start" to request.configAtStart,
-            "config" to context.routes?.version,
-            "detail" to detail,
-        )
+    /** The request ended; [response] is what its caller has received. */
+    fun onEnd(
+        outcome: String,
+        backend: String?,
+        sends: Int,
+        response: DeliveredResponse,
+        predictedMs: Double?,
+        detail: String,
+    ) = context.log.write(
+        "request",
+        "request" to request.id,
+        "route" to request.route.name,
+        "account" to request.account?.name,
+        "outcome" to outcome,
+        "backend" to backend,
+        "sends" to sends,
+        "first_ms" to response.firstByteMs,
+        "predicted_ms" to predictedMs?.toLong(),
+        "longest_pause_ms" to response.longestPauseMs,
+        "ms" to request.elapsedMs(),
+        "config_at_start" to request.configAtStart,
+        "config" to context.routes?.version,
+        "detail" to detail,
+    )
 }
