Decide the end of a stalled caller's response by a pure rule

Cause: the decision sat in FrontConnection, where no table of cases could reach it. Change: CallerStall, beside HeldBytes, holds since when a caller's connection takes nothing and decides when that ends the response; FrontConnection feeds it. No change of behaviour. CallerStallTest (8 cases) and Front*, StalledCallerTest and StalledStreamTest (39 cases) pass.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ReferenceCountUtil
+import org.bramleyspur.traffic.forward.CallerStall
 import org.bramleyspur.traffic.forward.OUTAGE_POLL_INTERVAL_MS
 import org.bramleyspur.traffic.forward.isTakenDuringStop
 import org.bramleyspur.traffic.forward.waitsForOutage
@@ -63,8 +64,7 @@
     /** Bytes of responses that the caller's connection has not taken. */
     val unsentBytes: Long get() = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0L
 
-    /** Since when the caller's connection takes no more data; null while it does. */
-    private var unwritableSinceMs: Long? = null
+    private var stall = CallerStall()
 
     private val responding: Boolean get() = response != null
 
@@ -85,7 +85,7 @@
     }
 
     override fun channelWritabilityChanged(handler: ChannelHandlerContext) {
-        unwritableSinceMs = if (channel.isWritable) null else context.timers.nowMs()
+        stall = stall.onWritable(channel.isWritable, context.timers.nowMs())
         currentRequest?.onCallerWritable(channel.isWritable)
     }
 
@@ -140,15 +140,9 @@
         channel.config().writeBufferWaterMark = WriteBufferWaterMark(bytes / 2, bytes)
     }
 
-    /**
-     * Breaks off a response whose caller takes nothing. Its backend server is not read meanwhile, and would cut it off
-     * by itself; it has room for other requests before that.
-     */
     private fun endIfStalled() {
-        val stalledMs = unwritableSinceMs?.let { context.timers.nowMs() - it } ?: return
-        val request = currentRequest ?: return
-        if (stalledMs <= STALLED_CALLER_LIMIT_MS) return
-        request.endForStalledCaller(stalledMs, unsentBytes)
+        val stalledMs = stall.endsResponseAfterMs(context.timers.nowMs()) ?: return
+        currentRequest?.endForStalledCaller(stalledMs, unsentBytes)
     }
 
     /** Ends the connection when it has been idle, or an incomplete request has been arriving, for too long. */
@@ -345,8 +339,6 @@
     private companion object {
         const val MAX_PENDING_MESSAGES = 64
 
-        /** Shorter than the time after which engines cut off a response that is not read. */
-        const val STALLED_CALLER_LIMIT_MS = 3_000L
         const val STATUS_UNAVAILABLE = 503
 
         /** Time limit of a request that names none. */
