Replace slow members of groups by spares

Cause: a group runs at the pace of its slowest member. Entries avoid its head, but control did not know that a member is slow, and took slow engines into new groups as readily as sound ones.

Change: where the settings call for it (replacesSlowMembers; the platform's adapter sets it with the contract pressure), the leader keeps the pace of the reports that it asks for anyway, closes a group whose slow members spares of the domain would replace with a gain, and chooses slow engines last.

Ruled out: the slowdown that entries observe, since it names no member and rises with load as well.

Result: EnginePaceTest and SlowMembersTest have the tables; without the order by pace a slow engine is a member of the next group (contrast in the test).

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineOrder.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/EngineOrder.kt
@@ -26,8 +26,9 @@
  *
  * @property startedOrders number of orders that it has started since its own start
  * @property group group that it is in; null for none
+ * @property pace factor by which its work takes longer than usual
  */
-data class EngineReport(val startedOrders: Long, val group: GroupId?)
+data class EngineReport(val startedOrders: Long, val group: GroupId?, val pace: Double = 1.0)
 
 /**
  * An order to the engine [engineId] at [address] (`host:port`).
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -43,6 +43,7 @@
     formFromSurplus(service, wanted)
     stageWeights(service, wanted)
     moveGroups(service, wanted)
+    replaceSlowMembers(service)
     warmSpares(service)
 }
 
@@ -198,7 +199,7 @@
 }
 
 /** Free engines that can join a group of the model without loading weights, the fastest first. */
-private fun Planning.fastJoiningEngines(service: DocumentService, model: ModelSpec): List<Announcement> =
+internal fun Planning.fastJoiningEngines(service: DocumentService, model: ModelSpec): List<Announcement> =
     fastJoiningAmong(service, freeEngines(service.name), model)
 
 /** Engines that load weights of another model come last: by joining they would lose what they load. */
@@ -207,7 +208,13 @@
     free: List<Announcement>,
     model: ModelSpec,
 ): List<Announcement> = free.filter { joinTimeMs(it, model) < model.loadMs }
-    .sortedWith(compareBy({ if (stagedModel(service, it) == model.name) 0 else 1 }, { joinTimeMs(it, model) }))
+    .sortedWith(
+        compareBy(
+            { if (stagedModel(service, it) == model.name) 0 else 1 },
+            { slowFactor(it) },
+            { joinTimeMs(it, model) },
+        ),
+    )
 
 /** Number of groups of the model within the domain; a group across domains takes the place of none of them. */
 internal fun Planning.groupCountIn(service: DocumentService, model: ModelSpec, domain: String): Int =
@@ -216,7 +223,7 @@
     }
 
 /** Time until the engine is ready in a group of the model. */
-private fun Planning.joinTimeMs(engine: Announcement, model: ModelSpec): Long = when {
+internal fun Planning.joinTimeMs(engine: Announcement, model: ModelSpec): Long = when {
     state.lastModel[engine.incarnation] == model.name -> REJOIN_MS
     model.name in engine.stagedModels -> model.stagedLoadMs
     else -> model.loadMs
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupMoves.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupMoves.kt
@@ -55,7 +55,7 @@
 }
 
 /** Whether a group of the service forms, closes or is released; the next move waits for its result. */
-private fun Planning.isReforming(service: DocumentService): Boolean = state.groups.values.any {
+internal fun Planning.isReforming(service: DocumentService): Boolean = state.groups.values.any {
     it.service == service.name && it.phase != GroupPhase.SERVING && it.phase != GroupPhase.WARMING
 }
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PhaseReason.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PhaseReason.kt
@@ -44,6 +44,9 @@
     /** The measured demand moves the engines to another model. */
     DEMAND_MOVED,
 
+    /** The member slows the group down, and spares make it faster. */
+    MEMBER_SLOW,
+
     /** The configuration does not name the model any more. */
     MODEL_REMOVED,
 
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerResults.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerResults.kt
@@ -23,8 +23,12 @@
         is ProbeResult.Answered -> record.responded(nowMs)
         ProbeResult.Refused, ProbeResult.Unanswered -> record.failed(sentMs, result == ProbeResult.Refused, nowMs)
     }
-    val responded = state.copy(probes = state.probes.put(incarnation, updated))
-    val report = (result as? ProbeResult.Answered)?.report ?: return responded
+    val report = (result as? ProbeResult.Answered)?.report
+        ?: return state.copy(probes = state.probes.put(incarnation, updated))
+    val responded = state.copy(
+        probes = state.probes.put(incarnation, updated),
+        paces = state.paces.put(incarnation, paceAfter(state.paces[incarnation], report.pace, nowMs)),
+    )
     // A report can be some hundred milliseconds old, so it may not include orders sent shortly before the probe.
     val orderedSince = (state.lastOrderMs[incarnation] ?: 0L) >= sentMs - REPORT_LAG_MS
     if (orderedSince) return responded
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -72,6 +72,7 @@
  * @property endedGroups groups whose head is known to have left, with the proof; their members are free
  * @property partialSinceMs when each group some of whose members have not announced themselves was first seen
  * @property probes probes of engines whose announcement is overdue or whose group is stalled
+ * @property paces how slow engines are, by their reports
  * @property targets the last computed targets of each service; they change only with the engines or the models
  */
 data class PlannerState(
@@ -91,6 +92,7 @@
     val leftMembers: PersistentMap<GroupId, PersistentSet<EngineIncarnation>> = persistentMapOf(),
     val endedGroups: PersistentMap<GroupId, FreeReason> = persistentMapOf(),
     val partialSinceMs: PersistentMap<GroupId, Long> = persistentMapOf(),
+    val paces: PersistentMap<EngineIncarnation, EnginePace> = persistentMapOf(),
     val targets: PersistentMap<String, ServiceTargets> = persistentMapOf(),
 )
 
@@ -139,6 +141,7 @@
  * @property lagMs how late the leader has recently been in reading messages
  * @property evacuated data centres whose engines get no requests
  * @property demand what the measured demand asks of the targets, by service; none for the configured shares
+ * @property replacesSlowMembers whether spares replace members that slow their group down
  */
 data class PlannerInput(
     val nowMs: Long,
@@ -150,6 +153,7 @@
     val lagMs: Long = 0,
     val evacuated: Set<String> = emptySet(),
     val demand: Map<String, DemandTargets> = emptyMap(),
+    val replacesSlowMembers: Boolean = false,
 )
 
 /** A probe of the state of the engine [incarnation] at [address]. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
@@ -119,6 +119,7 @@
             lastOrderMs = state.lastOrderMs.withoutEnded(),
             stageRefusedMs = state.stageRefusedMs.withoutEnded(),
             probes = state.probes.withoutEnded(),
+            paces = state.paces.withoutEnded(),
             firstSeenMs = state.firstSeenMs.withoutUnknown(),
             sentMs = state.sentMs.withoutOldOrders(),
             loadStartsMs = state.loadStartsMs.filter { it >= windowStartMs }.toPersistentList(),
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -9,6 +9,7 @@
 import org.bramleyspur.control.group.EngineIncarnation
 import org.bramleyspur.control.group.EngineOrder
 import org.bramleyspur.control.group.EngineProbe
+import org.bramleyspur.control.group.GroupPhase
 import org.bramleyspur.control.group.OrderResult
 import org.bramleyspur.control.group.PhaseCause
 import org.bramleyspur.control.group.PlannedGroup
@@ -46,6 +47,7 @@
  * @property lagMs how late that thread has recently been, in milliseconds
  * @property replan requests another planning run
  * @property demand measures the demand that targets follow; null if they follow the configured shares
+ * @property slowMembers counts slow members that are replaced; null if none is
  */
 internal class GroupDriver(
     private val timers: TimerService,
@@ -55,6 +57,7 @@
     private val lagMs: () -> Long,
     private val replan: () -> Unit,
     private val demand: DemandDriver? = null,
+    private val slowMembers: SlowMemberMetrics? = null,
 ) {
     private var current = TermState()
     private val term get() = current.term
@@ -119,6 +122,7 @@
             lagMs(),
             evacuated,
             demand?.targets(leadingTerm, decoded, state).orEmpty(),
+            replacesSlowMembers = slowMembers != null,
         )
         val before = state
         val step = planGroups(state, input)
@@ -147,10 +151,19 @@
             val before = state
             state = onProbeResult(state, probe.incarnation, result, announcedGroup, sentAtMs, timers.nowMs())
             logRecoveries(before)
+            logPace(before, probe.incarnation)
             replan()
         }
     }
 
+    /** Logs that a report found the engine slow, or sound again. */
+    private fun logPace(before: PlannerState, engine: EngineIncarnation) {
+        val pace = state.paces[engine]?.takeIf { slowMembers != null } ?: return
+        val slow = pace.slowSinceMs != null
+        if (slow == (before.paces[engine]?.slowSinceMs != null)) return
+        log.write("engine-pace", "engine" to engine.id, "pace" to pace.factor, "slow" to slow)
+    }
+
     private fun documentOf(stored: StoredDocument): Document? {
         decodedDocument?.takeIf { it.first === stored }?.let { return it.second }
         val document = decodeDocument(stored.content.toByteArray()).getOrElse {
@@ -164,6 +177,9 @@
     private fun logGroups(before: PlannerState, engines: Map<String, KnownBackend>) {
         for ((id, group) in state.groups) {
             if (before.groups[id]?.phase == group.phase) continue
+            if (group.phase == GroupPhase.CLOSING && group.reason.cause == PhaseCause.MEMBER_SLOW) {
+                slowMembers?.replacements?.labelValues(group.service)?.inc()
+            }
             log.write(
                 "group",
                 "name" to id.name,
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessControlProcess.kt
@@ -35,6 +35,7 @@
 import org.bramleyspur.daemon.orders.EngineDialect
 import org.bramleyspur.daemon.orders.GroupDriver
 import org.bramleyspur.daemon.orders.OrderSender
+import org.bramleyspur.daemon.orders.SlowMemberMetrics
 import org.bramleyspur.daemon.platform.PlatformServer
 import org.bramleyspur.daemon.platform.Readiness
 import org.bramleyspur.log.storage.DiskFileSystem
@@ -54,6 +55,7 @@
  * @property regions region of each data centre of the deployment; empty if they are not known
  * @property sharedLoad whether entries are told what the others have sent to each backend server
  * @property demandTargets whether the numbers of groups follow the measured demand for each model
+ * @property replacesSlowMembers whether spares replace members that slow their group down
  */
 data class AgentlessControlSettings(
     val instance: String,
@@ -67,6 +69,7 @@
     val regions: ImmutableMap<String, String> = persistentMapOf(),
     val sharedLoad: Boolean = false,
     val demandTargets: Boolean = false,
+    val replacesSlowMembers: Boolean = false,
 ) {
     /** Number of voters of the log: a majority remains after [toleratedFailures] failures. */
     val voterCount: Int get() = (2 * toleratedFailures + 1).coerceIn(1, MAX_VOTERS)
@@ -145,6 +148,7 @@
         { lag.recentMs() },
         { planning.request() },
         if (settings.demandTargets) DemandDriver(timers, log, DemandMetrics(registry)) else null,
+        if (settings.replacesSlowMembers) SlowMemberMetrics(registry) else null,
     )
     private val calls = ControlPlaneCalls(
         settings.listenAddress.toString(),
