--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/DocumentValidation.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/document/DocumentValidation.kt
@@ -1,23 +1,28 @@
 package org.bramleyspur.core.document
 
+/** Validates the document; returns the first of its [errors], or null when it is valid. */
+fun Document.validate(knownRegions: Set<String> = emptySet()): DocumentError? = errors(knownRegions).firstOrNull()
+
 /**
- * Validates the document; returns null when it is valid. Regions that it names must be among [knownRegions], if any are
- * known.
+ * All errors of the document, at most one for each route or account. Regions that it names must be among
+ * [knownRegions], if any are known.
  */
-fun Document.validate(knownRegions: Set<String> = emptySet()): DocumentError? {
-    val error = routes.firstNotNullOfOrNull { routeError(it) }
-        ?: firstDuplicate(routes.map { it.host.lowercase() to it.pathPrefix })
-            ?.let { "two routes share host '${it.first}' and prefix '${it.second}'; keep one of them" }
-        ?: firstDuplicate(accounts.orEmpty().flatMap { it.keys })?.let { "two accounts share a key; give each its own" }
-        ?: regionError(knownRegions)
-    return error?.let { DocumentError(it) }
-}
+fun Document.errors(knownRegions: Set<String> = emptySet()): Sequence<DocumentError> = sequence {
+    yieldAll(routes.mapNotNull { routeError(it) })
+    duplicates(routes.map { it.host.lowercase() to it.pathPrefix }).forEach {
+        yield("two routes share host '${it.first}' and prefix '${it.second}'; keep one of them")
+    }
+    if (duplicates(accounts.orEmpty().flatMap { it.keys }).isNotEmpty()) {
+        yield("two accounts share a key; give each its own")
+    }
+    yieldAll(regionErrors(knownRegions))
+}.map { DocumentError(it) }
 
-private fun Document.regionError(knownRegions: Set<String>): String? {
-    if (knownRegions.isEmpty()) return null
+private fun Document.regionErrors(knownRegions: Set<String>): List<String> {
+    if (knownRegions.isEmpty()) return emptyList()
     val named = routes.map { "route '${it.name}'" to it.allowedRegions } +
         accounts.orEmpty().map { "account '${it.name}'" to it.allowedRegions }
-    return named.firstNotNullOfOrNull { (owner, regions) ->
+    return named.mapNotNull { (owner, regions) ->
         regions?.firstOrNull { it !in knownRegions }
             ?.let { "$owner names the unknown region '$it'; give one of ${knownRegions.sorted().joinToString()}" }
     }
@@ -38,7 +43,8 @@
     }
 }
 
-private fun <T> firstDuplicate(items: List<T>): T? {
+/** The items that occur more than once, each of them once. */
+private fun <T> duplicates(items: List<T>): Set<T> {
     val seen = HashSet<T>()
-    return items.firstOrNull { !seen.add(it) }
+    return items.filterNot { seen.add(it) }.toSet()
 }
