--- a/bramleyspur-cli/src/main/kotlin/org/bramleyspur/cli/Main.kt
+++ b/bramleyspur-cli/src/main/kotlin/org/bramleyspur/cli/Main.kt
@@ -2,6 +2,8 @@
 
 import io.netty.util.internal.logging.InternalLoggerFactory
 import io.netty.util.internal.logging.JdkLoggerFactory
+import org.bramleyspur.core.document.DocumentForm
+import java.util.ServiceLoader
 import java.util.logging.Level
 import java.util.logging.Logger
 import kotlin.system.exitProcess
@@ -12,5 +14,6 @@
     InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE)
     Logger.getLogger("").level = Level.SEVERE
     val console = Console(System.out, System.err) { System.`in`.bufferedReader().readText() }
-    exitProcess(run(args.toList(), System.getenv(), console).code)
+    val form = ServiceLoader.load(DocumentForm::class.java).firstOrNull()
+    exitProcess(run(args.toList(), System.getenv(), console, form).code)
 }
--- a/bramleyspur-cli/src/main/kotlin/org/bramleyspur/cli/Options.kt
+++ b/bramleyspur-cli/src/main/kotlin/org/bramleyspur/cli/Options.kt
@@ -8,6 +8,7 @@
 import kotlinx.cli.default
 import kotlinx.cli.optional
 import kotlinx.cli.vararg
+import org.bramleyspur.traffic.check.DeploymentFacts
 
 /** Environment variable for the default value of `--control`. */
 internal const val CONTROL_VARIABLE = "BRAMLEYSPUR_CONTROL"
@@ -30,6 +31,9 @@
 
     /** Prints the same statements as [DIFF] and submits them. */
     APPLY,
+
+    /** Prints what is wrong with a configuration, without sending it. */
+    CHECK,
 }
 
 /**
@@ -38,6 +42,7 @@
  * @property file file of statements, `-` for standard input, null if not given
  * @property statementArguments statements given as arguments
  * @property expectedRevision revision that must be current for a command to be accepted, 0 for any
+ * @property check options of [Action.CHECK]
  */
 internal data class Options(
     val action: Action,
@@ -48,6 +53,7 @@
     val expectedRevision: Long,
     val commandId: String?,
     val timeoutMs: Int,
+    val check: CheckOptions = CheckOptions(),
 )
 
 /** Why the program ends after reading the command line. */
@@ -98,11 +104,27 @@
         "timeout-ms",
         description = "Milliseconds until a call times out; default: $DEFAULT_TIMEOUT_MS",
     )
+    val against by parser.option(
+        ArgType.String,
+        description = "For check: compare with this file, in-force, or the version in force by its number",
+    )
+    val strict by parser.option(
+        ArgType.Boolean,
+        description = "For check: exit with 1 also for entries that never match and for contradictions",
+    ).default(false)
+    val regions by parser.option(
+        ArgType.String,
+        description = "For check of a document: regions of the deployment, R1,R2",
+    )
+    val servers by parser.option(
+        ArgType.String,
+        description = "For check of a document: number of backend servers of services, SERVICE=NUMBER,SERVICE=NUMBER",
+    )
     val statementArguments by parser
         .argument(
             ArgType.String,
             "statements",
-            description = "Statements separated by ';', or diff or apply with a file; default: standard input",
+            description = "Statements separated by ';', or diff, apply or check with a file; default: standard input",
         ).vararg()
         .optional()
 
@@ -125,31 +147,55 @@
 
     fun toOptions(addresses: String?): Options {
         rejectUnknownFlags()
-        val action = when (statementArguments.firstOrNull()) {
-            "diff" -> Action.DIFF
-            "apply" -> Action.APPLY
-            else -> Action.SEND
-        }
+        val action = actionOf(statementArguments.firstOrNull())
         val operands = if (action == Action.SEND) statementArguments else statementArguments.drop(1)
         val path = if (action == Action.SEND) file else file ?: operands.singleOrNull()
-        require(action == Action.SEND || operands.size <= 1) { "diff and apply take one file of statements" }
+        require(action == Action.SEND || operands.size <= 1) { "diff, apply and check take one file" }
         require(file == null || operands.isEmpty()) {
             "both --file and statements as arguments are given; leave one out"
         }
+        val check = checkOptions(action)
+        val offline = action == Action.CHECK && check.against !is Against.InForce
         return Options(
             action = action,
             statementArguments = if (action == Action.SEND) operands else emptyList(),
             file = path,
-            control = parseControlAddresses(addresses),
+            control = if (offline) emptyList() else parseControlAddresses(addresses),
             output = output,
             expectedRevision = number("--expect-revision", expectRevision, 0, Long.MAX_VALUE),
             commandId = commandId?.also {
                 require(it.isNotBlank()) { "--command-id is empty; leave it out for a new one" }
             },
             timeoutMs = number("--timeout-ms", timeoutMs, DEFAULT_TIMEOUT_MS.toLong(), Int.MAX_VALUE.toLong()).toInt(),
+            check = check,
         )
     }
 
+    private fun actionOf(word: String?): Action = when (word) {
+        "diff" -> Action.DIFF
+        "apply" -> Action.APPLY
+        "check" -> Action.CHECK
+        else -> Action.SEND
+    }
+
+    private fun checkOptions(action: Action): CheckOptions {
+        val facts = DeploymentFacts(
+            regions = regions?.split(',').orEmpty().map { it.trim() }.filter { it.isNotEmpty() }.toSet(),
+            servers = servers?.split(',').orEmpty().associate { parseServers(it.trim()) },
+        )
+        val check = CheckOptions(against?.let { parseAgainst(it) }, strict, facts)
+        require(action == Action.CHECK || check == CheckOptions()) {
+            "--against, --strict, --regions and --servers are for check; leave them out"
+        }
+        return check
+    }
+
+    private fun parseServers(text: String): Pair<String, Int> {
+        val count = text.substringAfterLast('=', "").toIntOrNull()
+        require(count != null && count >= 0) { "\"$text\" in --servers is no number of servers; give SERVICE=NUMBER" }
+        return text.substringBeforeLast('=') to count
+    }
+
     private fun number(name: String, text: String?, default: Long, largest: Long): Long {
         if (text == null) return default
         val value = text.toLongOrNull()
--- a/bramleyspur-cli/src/main/kotlin/org/bramleyspur/cli/Output.kt
+++ b/bramleyspur-cli/src/main/kotlin/org/bramleyspur/cli/Output.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
+import org.bramleyspur.core.check.Finding
 import org.bramleyspur.protocol.QueryReply
 import org.bramleyspur.protocol.SubmitReply
 import java.io.PrintStream
@@ -56,6 +57,25 @@
         }
     }
 
+    /** Writes what `check` has found. */
+    fun writeFindings(findings: List<Finding>) = when (format) {
+        OutputFormat.TABLE -> when {
+            findings.isEmpty() -> console.out.println("-- nothing found")
+            else -> tableLines(listOf("kind", "finding"), findings.map { listOf(kindOf(it), it.message) })
+                .forEach { console.out.println(it) }
+        }
+        OutputFormat.JSON -> writeJson("checked") {
+            putJsonArray("findings") {
+                findings.forEach {
+                    addJsonObject {
+                        put("kind", kindOf(it))
+                        put("message", it.message)
+                    }
+                }
+            }
+        }
+    }
+
     /** Writes why there is no reply to show; [outcome] is a fixed word that programs can match. */
     fun writeFailure(outcome: String, message: String, commandId: String? = null) = when (format) {
         OutputFormat.TABLE -> console.err.println("$outcome: $message")
@@ -74,6 +94,14 @@
     }
 }
 
+/** The fixed word of a kind of finding, which programs can match. */
+private fun kindOf(finding: Finding): String = when (finding) {
+    is Finding.Refused -> "refused"
+    is Finding.NeverMatches -> "never-matches"
+    is Finding.Contradiction -> "contradiction"
+    is Finding.Difference -> "difference"
+}
+
 private fun JsonObjectBuilder.putSubmitReply(reply: SubmitReply, commandId: String) {
     put("revision", JsonPrimitive(reply.revision))
     put("message", JsonPrimitive(reply.message))
--- a/bramleyspur-cli/src/main/kotlin/org/bramleyspur/cli/Program.kt
+++ b/bramleyspur-cli/src/main/kotlin/org/bramleyspur/cli/Program.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.mapError
+import org.bramleyspur.core.document.DocumentForm
 import org.bramleyspur.language.Command
 import org.bramleyspur.language.MemberCommand
 import org.bramleyspur.language.Query
@@ -22,29 +23,43 @@
 import java.io.IOException
 import java.util.UUID
 
-/** Runs the program with the command line [args]. */
-internal fun run(args: List<String>, environment: Map<String, String>, console: Console): ExitCode =
-    parseOptions(args, environment).fold(
-        success = { options ->
-            ControlClient(options.control, options.timeoutMs).use { Program(options, it, console).run() }
-        },
-        failure = { earlyExit ->
-            when (earlyExit) {
-                is EarlyExit.Help -> ExitCode.DONE.also { console.out.println(earlyExit.text) }
-                is EarlyExit.InvalidUsage -> ExitCode.USAGE.also { console.err.println(earlyExit.error.message) }
-            }
-        },
-    )
+/** Runs the program with the command line [args]; [form] is the form of documents, null if none is known. */
+internal fun run(
+    args: List<String>,
+    environment: Map<String, String>,
+    console: Console,
+    form: DocumentForm? = null,
+): ExitCode = parseOptions(args, environment).fold(
+    success = { options ->
+        ControlClient(options.control, options.timeoutMs).use { Program(options, it, console, form).run() }
+    },
+    failure = { earlyExit ->
+        when (earlyExit) {
+            is EarlyExit.Help -> ExitCode.DONE.also { console.out.println(earlyExit.text) }
+            is EarlyExit.InvalidUsage -> ExitCode.USAGE.also { console.err.println(earlyExit.error.message) }
+        }
+    },
+)
 
 /** One run of the program. */
-private class Program(private val options: Options, private val client: ControlClient, private val console: Console) {
+private class Program(
+    private val options: Options,
+    private val client: ControlClient,
+    private val console: Console,
+    private val form: DocumentForm?,
+) {
     private val output = Output(options.output, console)
     private val commandId = options.commandId ?: UUID.randomUUID().toString()
 
-    fun run(): ExitCode = readText().andThen { parseStatements(it, options.file) }.andThen { execute(it) }.fold(
-        success = { it },
-        failure = { ExitCode.USAGE.also { _ -> output.writeFailure("usage", it.message) } },
-    )
+    fun run(): ExitCode = if (options.action == Action.CHECK) check() else runStatements()
+
+    private fun runStatements(): ExitCode = readText()
+        .andThen { parseStatements(it, options.file) }
+        .andThen { execute(it) }
+        .fold(
+            success = { it },
+            failure = { ExitCode.USAGE.also { _ -> output.writeFailure("usage", it.message) } },
+        )
 
     private fun readText(): Result<String, UsageError> = try {
         when {
@@ -56,9 +71,43 @@
         Err(UsageError("the file ${options.file} cannot be read: ${e.message}"))
     }
 
-    private fun execute(statements: List<Statement>): Result<ExitCode, UsageError> = when (options.action) {
-        Action.SEND -> send(statements)
-        Action.DIFF, Action.APPLY -> Declaration.of(statements).andThen { diffOrApply(it) }
+    private fun execute(statements: List<Statement>): Result<ExitCode, UsageError> =
+        if (options.action == Action.SEND) send(statements) else Declaration.of(statements).andThen { diffOrApply(it) }
+
+    private fun check(): ExitCode {
+        val content = when (val file = options.file) {
+            null, "-" -> Ok(console.input().encodeToByteArray())
+            else -> readConfiguration(file)
+        }
+        return content.andThen { Check(options.check, form, ::readDocument, ::readStatements).findings(it) }.fold(
+            success = { findings ->
+                output.writeFindings(findings)
+                exitCodeOf(findings, options.check.strict)
+            },
+            failure = {
+                when (it) {
+                    is CheckFailure.InvalidInput ->
+                        ExitCode.USAGE.also { _ -> output.writeFailure("usage", it.message) }
+                    is CheckFailure.Unavailable -> reportUnavailable(it.message)
+                }
+            },
+        )
+    }
+
+    private fun readDocument(path: String): Result<ByteArray, CheckFailure> =
+        readDocumentInForce(options.control, path, options.timeoutMs).mapError { CheckFailure.Unavailable(it) }
+
+    private fun readStatements(): Result<InForce, CheckFailure> {
+        val request = QueryRequest.newBuilder().setStatement(Show(Subject.CONFIGURATION).toText()).build()
+        return when (val result = client.query(request)) {
+            is CallResult.Replied -> when (result.reply.outcome) {
+                QueryReply.Outcome.ANSWERED ->
+                    Ok(InForce(result.reply.revision, statementsOf(result.reply).encodeToByteArray()))
+                else -> Err(CheckFailure.InvalidInput(result.reply.message))
+            }
+            is CallResult.Unavailable -> Err(CheckFailure.Unavailable(result.reason))
+            is CallResult.OutcomeUnknown -> Err(CheckFailure.Unavailable(result.reason))
+        }
     }
 
     private fun send(statements: List<Statement>): Result<ExitCode, UsageError> {
@@ -96,8 +145,7 @@
 
     private fun diffOrApply(declared: Declaration): Result<ExitCode, UsageError> =
         sendQuery(Show(Subject.CONFIGURATION)) { reply ->
-            val text = reply.rowsList.joinToString(";\n") { it.cellsList.joinToString("") }
-            parseStatements(text, "show configuration")
+            parseStatements(statementsOf(reply), "show configuration")
                 .andThen { Declaration.of(it) }
                 .andThen { Ok(printAndApply(difference(it, declared), reply.revision)) }
         }
@@ -168,6 +216,11 @@
     }
 }
 
-private fun parseStatements(text: String, source: String?): Result<List<Statement>, UsageError> = parse(text).mapError {
-    UsageError("${source?.let { name -> "$name, " }.orEmpty()}line ${it.line}, column ${it.column}: ${it.message}")
-}
+/** The statements of a reply to `show configuration`. */
+private fun statementsOf(reply: QueryReply): String =
+    reply.rowsList.joinToString(";\n") { it.cellsList.joinToString("") }
+
+internal fun parseStatements(text: String, source: String?): Result<List<Statement>, UsageError> =
+    parse(text).mapError {
+        UsageError("${source?.let { name -> "$name, " }.orEmpty()}line ${it.line}, column ${it.column}: ${it.message}")
+    }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/Submission.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/state/Submission.kt
@@ -8,7 +8,10 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapError
+import kotlinx.collections.immutable.persistentMapOf
+import org.bramleyspur.core.model.Configuration
 import org.bramleyspur.core.model.Revision
 import org.bramleyspur.language.Command
 import org.bramleyspur.language.MemberCommand
@@ -67,16 +70,19 @@
                 "look at the changes since and submit with the current revision",
         )
     }
-    return parse(command.statements)
-        .mapError { "line ${it.line}, column ${it.column}: ${it.message}" }
-        .andThen { commandsOf(it) }
-        .andThen {
-            val draft =
-                ConfigurationDraft(configuration, previousVersions, evacuations, index, command.submittedAtMs)
-            applyAll(it, draft)
-        }
+    val draft = ConfigurationDraft(configuration, previousVersions, evacuations, index, command.submittedAtMs)
+    return commandsIn(command.statements).andThen { applyAll(it, draft) }
 }
 
+/** The configuration that [statements] create in an empty deployment, or why the system refuses them. */
+fun configurationOf(statements: String): Result<Configuration, String> = commandsIn(statements)
+    .andThen { applyAll(it, ConfigurationDraft(Configuration(), persistentMapOf())) }
+    .map { it.configuration }
+
+private fun commandsIn(statements: String): Result<List<Command>, String> = parse(statements)
+    .mapError { "line ${it.line}, column ${it.column}: ${it.message}" }
+    .andThen { commandsOf(it) }
+
 private fun commandsOf(statements: List<Statement>): Result<List<Command>, String> {
     val query = statements.filterIsInstance<Query>().firstOrNull()
     val member = statements.filterIsInstance<MemberCommand>().firstOrNull()
