Word differences as a change of the entry

Cause: "attempts changes" and "1 keys are added" are no sentences.

Result: DocumentCheckTest (25 cases) passes.

--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/check/DocumentDifference.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/check/DocumentDifference.kt
@@ -45,7 +45,7 @@
     after.keys.filter { it in before }.sorted().flatMap { name ->
         properties(before.getValue(name)).zip(properties(after.getValue(name)))
             .filter { (old, new) -> old != new }
-            .map { (old, new) -> "$kind '$name': ${old.first} changes from ${old.second} to ${new.second}" }
+            .map { (old, new) -> "$kind '$name' changes ${old.first} from ${old.second} to ${new.second}" }
     }
 
 private fun Document.changedKeys(inForce: Document): List<String> {
@@ -53,7 +53,7 @@
     return accounts.orEmpty().mapNotNull { account ->
         val old = before[account.name]?.keys?.toSet() ?: return@mapNotNull null
         val new = account.keys.toSet()
-        "account '${account.name}': ${(new - old).size} keys are added and ${(old - new).size} removed"
+        "account '${account.name}' changes keys: ${(new - old).size} added, ${(old - new).size} removed"
             .takeIf { old != new }
     }
 }
