--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/SharedRules.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/SharedRules.kt
@@ -10,17 +10,17 @@
 import org.bramleyspur.traffic.load.SharedView
 import org.bramleyspur.traffic.load.chooseByRoom
 import org.bramleyspur.traffic.load.drained
+import org.bramleyspur.traffic.load.meanSize
 import org.bramleyspur.traffic.load.unseenRequests
 
 private fun viewOf(entry: ModelEntry): SharedView = if (entry.othersAtMs.isInfinite()) {
     SharedView()
 } else {
-    val work = entry.others.mapValues { (_, work) ->
-        ServerLoad(work.inFlight, work.pendingTokens, work.contextTokens)
-    }
-    SharedView().onEvent(work, entry.othersAtMs.toLong())
+    SharedView().onEvent(entry.others.mapValues { (_, work) -> work.toServerLoad() }, entry.othersAtMs.toLong())
 }
 
+private fun ModelWork.toServerLoad() = ServerLoad(inFlight, pendingTokens, contextTokens)
+
 internal fun sharedView(entry: ModelEntry, nowMs: Double): List<Candidate> {
     val view = viewOf(entry)
     return entry.loads.zip(ownView(entry, nowMs)) { load, own ->
@@ -38,13 +38,11 @@
     if (ageMs == null) {
         earliest(entry, request, candidates, nowMs, random, cost)
     } else {
-        val size = RequestSize(request.kind.promptTokens.toLong(), request.kind.outputTokens.toLong())
         val costs = entry.scenario.costs
-        val work = entry.loads.associate { it.engine.id to it.own }
-        val drained = candidates.map { candidate ->
-            val own = work.getValue(candidate.id)
-            candidate.drained(ServerLoad(own.inFlight, own.pendingTokens, own.contextTokens), size, costs, ageMs)
-        }
+        val own = entry.loads.associate { it.engine.id to it.own.toServerLoad() }
+        val size = meanSize(own.values + entry.others.values.map { it.toServerLoad() }, costs)
+            ?: RequestSize(request.kind.promptTokens.toLong(), request.kind.outputTokens.toLong())
+        val drained = candidates.map { it.drained(own.getValue(it.id), size, costs, ageMs) }
         val unseen = unseenRequests(candidates, size, costs, ageMs)
         chooseByRoom(drained, random.nextDouble(), size, unseen, cost)?.expected
     }
