--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -25,10 +25,8 @@
 import org.bramleyspur.traffic.forward.stepMs
 import org.bramleyspur.traffic.homes.Homes
 import org.bramleyspur.traffic.load.RequestSize
-import org.bramleyspur.traffic.load.ServerLoad
 import org.bramleyspur.traffic.load.chooseByRoom
 import org.bramleyspur.traffic.load.drained
-import org.bramleyspur.traffic.load.meanSize
 import org.bramleyspur.traffic.load.unseenRequests
 import org.bramleyspur.traffic.quarantine.EngineLife
 import java.util.random.RandomGenerator
@@ -317,9 +315,7 @@
             ?: return chooseFrom(candidates, cost)?.let { (load, own) -> ChosenEngine(load, own, own) }
         val shared = candidates.map { (load, own) -> withOthers(load, own) }
         sharedLoad?.onCandidates(model, shared)
-        // What other requests take does not depend on the size of this one.
-        val work = candidates.map { (load, _) -> load.work + (sharedLoad?.othersAt(load.id) ?: ServerLoad()) }
-        val size = meanSize(work, costs) ?: RequestSize(tokens.prompt, tokens.output)
+        val size = RequestSize(tokens.prompt, tokens.output)
         val unseen = unseenRequests(shared, size, costs, ageMs)
         val drained = candidates.zip(shared) { (load, _), all -> all.drained(load.work, size, costs, ageMs) }
         val choice = chooseByRoom(drained, randomFraction(), size, unseen, cost) ?: return null
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/load/RoomChoiceTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/load/RoomChoiceTest.kt
@@ -86,14 +86,6 @@
         expectThat(chooseByRoom(emptyList(), 0.5, size, 1.0, ::cost)).isNull()
     }
 
-    /** Guards against short requests that take all others for short ones, and so expect thousands of them. */
-    @Test
-    fun `what others take follows from the requests at the servers`() {
-        val size = meanSize(listOf(ServerLoad(inFlight = 3, contextTokens = 900), ServerLoad()), costs)
-        expectThat(size?.promptTokens to size?.outputTokens).isEqualTo(300L to 20L)
-        expectThat(meanSize(listOf(ServerLoad()), costs)).isNull()
-    }
-
     @Test
     fun `spread is the largest number of requests over the mean`() {
         val candidates = listOf(candidate("a", 0).copy(running = 3), candidate("b", 0).copy(running = 1))
