--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -26,7 +26,6 @@
 import org.bramleyspur.traffic.homes.Homes
 import org.bramleyspur.traffic.load.RequestSize
 import org.bramleyspur.traffic.load.chooseByRoom
-import org.bramleyspur.traffic.load.drained
 import org.bramleyspur.traffic.load.unseenRequests
 import org.bramleyspur.traffic.quarantine.EngineLife
 import java.util.random.RandomGenerator
@@ -265,7 +264,8 @@
                 filter.unresponsiveToo || !candidate.suspect || load.lastResponseMs > load.lastUnresponsiveMs
             }
             .filter { (load, own) -> fitsMemory(withOthers(load, own), tokens.prompt + tokens.output, costs) }
-        val (load, own, candidate) = chooseFrom(candidates, model, tokens, costs) ?: return null
+        val (load, own) = chooseFrom(candidates, model, tokens, costs) ?: return null
+        val candidate = withOthers(load, own)
         // Silent streams are noticed by what this entry's own requests explain.
         val eventIntervalMs = costs.stepsPerPass * stepMs(own, costs) * own.timeFactor / load.slowdown
         val prefillMs = candidate.timeFactor * tokens.prompt / costs.prefillTokensPerMs
@@ -298,29 +298,23 @@
         return candidates.firstOrNull { it.second === chosen }
     }
 
-    /** A chosen engine as this entry sees it, and as it is expected with the work of all entries. */
-    private data class ChosenEngine(val load: BackendLoad, val own: Candidate, val expected: Candidate)
-
     /** Chooses an engine: by the work of all entries if that is known, else by what this entry knows by itself. */
     private fun chooseFrom(
         candidates: List<Pair<BackendLoad, Candidate>>,
         model: String,
         tokens: TokenCounts,
         costs: EngineCosts,
-    ): ChosenEngine? {
+    ): Pair<BackendLoad, Candidate>? {
         val cost = { candidate: Candidate ->
             generationCost(candidate, tokens.prompt, tokens.output, costs) + candidate.firstEventExcessMs
         }
-        val ageMs = sharedLoad?.dataAgeMs()
-            ?: return chooseFrom(candidates, cost)?.let { (load, own) -> ChosenEngine(load, own, own) }
+        val ageMs = sharedLoad?.dataAgeMs() ?: return chooseFrom(candidates, cost)
         val shared = candidates.map { (load, own) -> withOthers(load, own) }
         sharedLoad?.onCandidates(model, shared)
         val size = RequestSize(tokens.prompt, tokens.output)
         val unseen = unseenRequests(shared, size, costs, ageMs)
-        val drained = candidates.zip(shared) { (load, _), all -> all.drained(load.work, size, costs, ageMs) }
-        val choice = chooseByRoom(drained, randomFraction(), size, unseen, cost) ?: return null
-        val (load, own) = candidates[drained.indexOfFirst { it === choice.candidate }]
-        return ChosenEngine(load, own, choice.expected)
+        val chosen = chooseByRoom(shared, randomFraction(), size, unseen, cost)
+        return candidates.getOrNull(shared.indexOfFirst { it === chosen })
     }
 
     /** [own] with the work of the other entries, as far as it is known. */
