--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -20,7 +20,9 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ReferenceCountUtil
 import org.bramleyspur.traffic.forward.CallerStall
+import org.bramleyspur.traffic.forward.OUTAGE_POLL_INTERVAL_MS
 import org.bramleyspur.traffic.forward.isTakenDuringStop
+import org.bramleyspur.traffic.forward.waitsForOutage
 import java.io.IOException
 
 /** Server side of a caller's connection. Confined to the traffic thread. */
@@ -32,7 +34,7 @@
     /** Observes bytes before the HTTP codec, so that the time limit also covers an incomplete request head. */
     val byteObserver = object : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            if (pending.discarding) return ReferenceCountUtil.release(message).let { }
+            if (discardingInput) return ReferenceCountUtil.release(message).let { }
             reader.onBytes((message as? ByteBuf)?.readableBytes() ?: 0, awaited = !responding)
             context.fireChannelRead(message)
             if (reader.headTooLong) guarded(::onFault) { onHeadTooLong() }
@@ -41,8 +43,8 @@
 
     private val faults = FaultLog(context)
     private val reader = RequestReader({ server.limits }, context.timers::nowMs, server::takesBody)
-    private val pending = PendingInput(channel)
-    private val configurationWait = ConfigurationWait(context)
+    private val pendingMessages = ArrayDeque<HttpObject>()
+    private var discardingInput = false
     private var currentRequest: ForwardedRequest? = null
     private var currentId: String? = null
 
@@ -50,6 +52,8 @@
     private var response: ConnectionResponse? = null
     private var lastResponse: ConnectionResponse? = null
 
+    /** The response to the last request that waited for the configuration. */
+    private var waitingFor: ConnectionResponse? = null
     private var keepAlive = true
     private var idleSinceMs = context.timers.nowMs()
     private var idleTimeoutMs = server.limits.idleTimeoutMs
@@ -66,7 +70,7 @@
 
     /** Whether a request is being read or a response is being sent. */
     val busy: Boolean
-        get() = responding || reader.headRead || !pending.isEmpty || lastResponse?.sent == false
+        get() = responding || reader.headRead || pendingMessages.isNotEmpty() || lastResponse?.sent == false
 
     override fun channelActive(handler: ChannelHandlerContext) {
         server.onOpen(this)
@@ -74,7 +78,7 @@
 
     override fun channelInactive(handler: ChannelHandlerContext) {
         server.onClosed(this)
-        pending.discard()
+        discardInput()
         val running = currentRequest
         currentRequest = null
         running?.onCallerDisconnected()
@@ -169,9 +173,15 @@
 
     private fun receive(message: Any) {
         if (message !is HttpObject) return ReferenceCountUtil.release(message).let { }
-        if (pending.discarding) return ReferenceCountUtil.release(message).let { }
+        if (discardingInput) return ReferenceCountUtil.release(message).let { }
         reader.onDecoded()
-        if (responding || !pending.isEmpty) pending.add(message) else process(message)
+        if (responding || pendingMessages.isNotEmpty()) {
+            pendingMessages.addLast(message)
+            // Bounds the memory for a caller that pipelines requests without reading the responses.
+            if (pendingMessages.size > MAX_PENDING_MESSAGES) channel.config().isAutoRead = false
+        } else {
+            process(message)
+        }
     }
 
     private fun process(message: HttpObject) {
@@ -221,8 +231,8 @@
 
     private fun admitOrWait(callerRequest: CallerRequest, newResponse: ConnectionResponse) {
         when (val admission = admit(context.routes, callerRequest, context::randomFraction)) {
-            is Admission.Rejected -> if (configurationWait.holds(callerRequest)) {
-                configurationWait.hold(currentId, newResponse) { resume(callerRequest, newResponse) }
+            is Admission.Rejected -> if (waitsForConfiguration(callerRequest)) {
+                awaitConfiguration(callerRequest, newResponse)
             } else {
                 rejectRequest(admission.status, admission.text, newResponse)
             }
@@ -240,10 +250,25 @@
         }
     }
 
-    private fun resume(request: CallerRequest, newResponse: ConnectionResponse) {
-        // The response has begun if the process has ended the request meanwhile.
-        val waiting = response === newResponse && !newResponse.begun && channel.isActive
-        if (waiting) guarded(::onFault) { admitOrWait(request, newResponse) }
+    /** Whether the request waits for the first configuration, which an entry receives soon after its start. */
+    private fun waitsForConfiguration(request: CallerRequest): Boolean {
+        if (context.routes != null) return false
+        val waitedMs = context.timers.nowMs() - request.receivedAtMs
+        val limitMs = request.headers.get(context.headers.remainingMs)?.trim()?.toLongOrNull() ?: DEFAULT_LIMIT_MS
+        return waitsForOutage(waitedMs, limitMs - waitedMs, context.outages.uptimeMs)
+    }
+
+    private fun awaitConfiguration(request: CallerRequest, newResponse: ConnectionResponse) {
+        if (waitingFor !== newResponse) {
+            waitingFor = newResponse
+            context.metrics.onWait(route = "", "configuration")
+            context.log.write("request-waits", "request" to currentId, "for" to "configuration")
+        }
+        context.timers.after(OUTAGE_POLL_INTERVAL_MS) {
+            // The response has begun if the process has ended the request meanwhile.
+            val waiting = response === newResponse && !newResponse.begun && channel.isActive
+            if (waiting) guarded(::onFault) { admitOrWait(request, newResponse) }
+        }
     }
 
     private fun newResponse() = ConnectionResponse(channel, keepAlive, {
@@ -288,7 +313,7 @@
         lastResponse = response
         response = null
         // The caller was told that the connection closes, so it has to send what follows on another one.
-        if (lastResponse?.keepAlive == false) pending.discard()
+        if (lastResponse?.keepAlive == false) discardInput()
         idleSinceMs = context.timers.nowMs()
         idleTimeoutMs = server.limits.idleTimeoutMs
         // Scheduled as a separate task, since this request may have ended while it was being started.
@@ -296,7 +321,8 @@
     }
 
     private fun processPending() {
-        pending.drain(ready = { !responding }, ::process)
+        while (!responding && pendingMessages.isNotEmpty()) process(pendingMessages.removeFirst())
+        if (pendingMessages.size <= MAX_PENDING_MESSAGES && channel.isActive) channel.config().isAutoRead = true
         closeIfStopping()
     }
 
@@ -304,8 +330,19 @@
         if (server.closesIdle && !busy) channel.close()
     }
 
+    private fun discardInput() {
+        discardingInput = true
+        pendingMessages.forEach { ReferenceCountUtil.release(it) }
+        pendingMessages.clear()
+    }
+
     private companion object {
+        const val MAX_PENDING_MESSAGES = 64
+
         const val STATUS_UNAVAILABLE = 503
+
+        /** Time limit of a request that names none. */
+        const val DEFAULT_LIMIT_MS = 1_000L
         const val NOT_RUN = "not run: internal error"
         const val STOPPING = "not run: this entry stops before the request could end; send it to another one"
 
