Let the late response of a cancelled call await the cancel

Change: the backend answers only after the call was cancelled and the next call has its response. The checks are the same.

--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/HttpClientTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/HttpClientTest.kt
@@ -115,8 +115,9 @@
     /** Guards against a call that timed out and whose late response the next call takes for its own. */
     @Test
     fun `a cancelled call never returns its connection`() {
+        val answersLate = CountDownLatch(1)
         val server = FakeBackend {
-            if (path == "/1") Thread.sleep(PAUSE_MS)
+            if (path == "/1") answersLate.await(WAIT_SECONDS, TimeUnit.SECONDS)
             write(response(path))
         }
         HttpClient(Address("127.0.0.1", server.port), loops.trafficGroup).use { client ->
@@ -126,6 +127,7 @@
             Thread.sleep(PAUSE_MS / 2)
             loops.traffic.submit { call.cancel() }.get()
             expectThat(client.getAndWait("/2")).isEqualTo("/2")
+            answersLate.countDown()
             Thread.sleep(2 * PAUSE_MS)
             expectThat(client.getAndWait("/3")).isEqualTo("/3")
             expectThat(late.isDone).isEqualTo(false)
