Hold the clock in tests of shares that return with time

A share of a cold server returns 1.3 s after its request was sent, and the first requests of a new process on a slow machine take longer than that together, so the third was rightly served. A pause of 1.4 s after each request shows the same result. The expectations stay as they are; the clock of the entry stands still while the requests are sent, so that they fall into one window whatever they take, and the test passes with the pauses too.

--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ColdServerTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ColdServerTest.kt
@@ -44,6 +44,7 @@
     @Test
     fun `a request beyond the shares is refused with the time at which they return`() {
         startCold(20.0, ok, ok)
+        timers.hold()
         val responses = List(3) { post("/again/") }
         expectThat(responses.map { it?.status }).isEqualTo(listOf(200, 200, 503))
         expectThat(backends.map { it.requests.size }).isEqualTo(listOf(1, 1))
@@ -64,6 +65,7 @@
     @Test
     fun `a repeat counts like a first send`() {
         startCold(20.0, refusing, ok)
+        timers.hold()
         expectThat(List(2) { post("/again/")?.status }).isEqualTo(listOf(200, 503))
         expectThat(backends[1].requests.size).isEqualTo(1)
     }
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ForwardTest.kt
@@ -61,8 +61,9 @@
     internal val registry = PrometheusRegistry()
 
     internal var random: RandomGenerator = Random(1)
+    internal val timers = HoldableTimers(loops.trafficTimers)
     internal val context = ForwardContext(
-        loops.trafficTimers,
+        timers,
         headerNames,
         BackendLoads(loops.trafficGroup, loops.trafficTimers, headerNames),
         log,
