--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/HoldableTimers.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/HoldableTimers.kt
@@ -3,8 +3,8 @@
 import org.bramleyspur.core.time.TimerService
 
 /**
- * Timers of a thread whose clock a test can stop, so that what it does next happens at one moment however long it takes.
- * Timers go on running.
+ * Timers of a thread whose clock a test can stop, so that what follows happens at one moment however long it takes.
+ * The timers go on running.
  */
 internal class HoldableTimers(private val timers: TimerService) : TimerService by timers {
     @Volatile
