Bring the shared view of load up to now before choosing by it

Cause: the sum of the other entries' work is 0.2 to 0.55 s old when it is used. An engine that looks full gets nothing while it is idle, and the others are overrun in turns.

Change: prompts are read and requests end at the published rates over the age of the view; as many requests of mean size have come as have ended. The choice fills engines up with these from what is left of their work, where an engine that had nothing to read has as much more room, and the prediction for the chosen engine includes its share. An overdue view is extrapolated no further than a regular one.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -25,8 +25,11 @@
 import org.bramleyspur.traffic.forward.stepMs
 import org.bramleyspur.traffic.homes.Homes
 import org.bramleyspur.traffic.load.RequestSize
+import org.bramleyspur.traffic.load.ServerLoad
+import org.bramleyspur.traffic.load.SharedServer
+import org.bramleyspur.traffic.load.UnseenTime
 import org.bramleyspur.traffic.load.chooseByRoom
-import org.bramleyspur.traffic.load.unseenRequests
+import org.bramleyspur.traffic.load.meanSize
 import org.bramleyspur.traffic.quarantine.EngineLife
 import java.util.random.RandomGenerator
 
@@ -264,8 +267,7 @@
                 filter.unresponsiveToo || !candidate.suspect || load.lastResponseMs > load.lastUnresponsiveMs
             }
             .filter { (load, own) -> fitsMemory(withOthers(load, own), tokens.prompt + tokens.output, costs) }
-        val (load, own) = chooseFrom(candidates, model, tokens, costs) ?: return null
-        val candidate = withOthers(load, own)
+        val (load, own, candidate) = chooseFrom(candidates, model, tokens, costs) ?: return null
         // Silent streams are noticed by what this entry's own requests explain.
         val eventIntervalMs = costs.stepsPerPass * stepMs(own, costs) * own.timeFactor / load.slowdown
         val prefillMs = candidate.timeFactor * tokens.prompt / costs.prefillTokensPerMs
@@ -298,23 +300,29 @@
         return candidates.firstOrNull { it.second === chosen }
     }
 
+    /** A chosen engine as this entry sees it, and as it is expected with the work of all entries. */
+    private data class ChosenEngine(val load: BackendLoad, val own: Candidate, val expected: Candidate)
+
     /** Chooses an engine: by the work of all entries if that is known, else by what this entry knows by itself. */
     private fun chooseFrom(
         candidates: List<Pair<BackendLoad, Candidate>>,
         model: String,
         tokens: TokenCounts,
         costs: EngineCosts,
-    ): Pair<BackendLoad, Candidate>? {
+    ): ChosenEngine? {
         val cost = { candidate: Candidate ->
             generationCost(candidate, tokens.prompt, tokens.output, costs) + candidate.firstEventExcessMs
         }
-        val ageMs = sharedLoad?.dataAgeMs() ?: return chooseFrom(candidates, cost)
-        val shared = candidates.map { (load, own) -> withOthers(load, own) }
-        sharedLoad?.onCandidates(model, shared)
-        val size = RequestSize(tokens.prompt, tokens.output)
-        val unseen = unseenRequests(shared, size, costs, ageMs)
-        val chosen = chooseByRoom(shared, randomFraction(), size, unseen, cost)
-        return candidates.getOrNull(shared.indexOfFirst { it === chosen })
+        val ageMs = sharedLoad?.dataAgeMs()
+            ?: return chooseFrom(candidates, cost)?.let { (load, own) -> ChosenEngine(load, own, own) }
+        val shared = candidates.map { (load, own) -> SharedServer(withOthers(load, own), load.work) }
+        sharedLoad?.onCandidates(model, shared.map { it.reported })
+        // What other requests take does not depend on the size of this one.
+        val work = candidates.map { (load, _) -> load.work + (sharedLoad?.othersAt(load.id) ?: ServerLoad()) }
+        val size = meanSize(work, costs) ?: RequestSize(tokens.prompt, tokens.output)
+        val choice = chooseByRoom(shared, randomFraction(), UnseenTime(ageMs, size, costs), cost) ?: return null
+        val (load, own) = candidates[shared.indexOf(choice.server)]
+        return ChosenEngine(load, own, choice.expected)
     }
 
     /** [own] with the work of the other entries, as far as it is known. */
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/RoomChoice.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/RoomChoice.kt
@@ -5,44 +5,46 @@
  */
 package org.bramleyspur.traffic.load
 
-import org.bramleyspur.core.document.EngineCosts
 import org.bramleyspur.traffic.forward.Candidate
 import org.bramleyspur.traffic.forward.chooseBackend
-import org.bramleyspur.traffic.forward.stepMs
 
 /**
- * Returns the number of requests that all entries start at [candidates] within [ageMs], by Little's law: requests in
- * flight over the predicted time of a response.
+ * A choice by room.
+ *
+ * @property server the chosen one
+ * @property expected the chosen one as it is expected now, with its share of the requests that no report tells yet
  */
-fun unseenRequests(candidates: List<Candidate>, size: RequestSize, costs: EngineCosts, ageMs: Double): Double =
-    candidates.sumOf {
-        val stepMs = it.timeFactor * stepMs(it, costs)
-        val prefillMs = it.timeFactor * (it.pendingPrefillTokens + size.promptTokens) / costs.prefillTokensPerMs
-        minOf(it.running, it.slots) * ageMs / (prefillMs + size.outputTokens * stepMs + 1)
-    }
+class RoomChoice(val server: SharedServer, val expected: Candidate)
 
 /**
- * Returns one of [candidates] by [fraction] (uniform in 0 until 1), a suspect one only when there is no other, weighted
- * by how far its [predictedMs] is below the level that [unseen] further requests of [size] would raise all of them to.
+ * Returns one of [servers] by [fraction] (uniform in 0 until 1), a suspect one only when there is no other, weighted by
+ * how far its [predictedMs] is below the level to which the requests that came in [unseen] raise all of them. A server
+ * that had nothing to read in a part of that time has as much more room.
  */
 fun chooseByRoom(
-    candidates: List<Candidate>,
+    servers: List<SharedServer>,
     fraction: Double,
-    size: RequestSize,
-    unseen: Double,
+    unseen: UnseenTime,
     predictedMs: (Candidate) -> Double,
-): Candidate? {
-    val usable = candidates.filter { !it.suspect }.ifEmpty { candidates }
-    if (usable.size <= 1) return usable.firstOrNull()
-    val predicted = usable.map { predictedMs(it) }
-    val addedMs = usable.indices.sumOf { predictedMs(usable[it].withRequest(size)) - predicted[it] } / usable.size
-    val level = levelMs(predicted, unseen * addedMs)
+): RoomChoice? {
+    val usable = servers.filter { !it.reported.suspect }.ifEmpty { servers }
+    if (usable.isEmpty()) return null
+    val arrivals = unseen.arrivals(usable)
+    val predicted = usable.map { filledMs(it, 0.0, unseen, predictedMs) }
+    val addedMs =
+        usable.indices.sumOf { filledMs(usable[it], 1.0, unseen, predictedMs) - predicted[it] } / usable.size
+    val level = levelMs(predicted, arrivals * addedMs)
     val room = predicted.map { maxOf(0.0, level - it) }
     val sum = room.sum()
-    if (sum < MIN_ROOM_MS) return chooseBackend(usable, fraction, predictedMs)
+    if (sum < MIN_ROOM_MS) {
+        val now = usable.map { unseen.now(it, 0.0) }
+        val best = chooseBackend(now, fraction, predictedMs)
+        return RoomChoice(usable[now.indexOfFirst { it === best }], best ?: return null)
+    }
     var left = fraction * sum
-    val index = room.indexOfFirst { share -> (left < share).also { left -= share } }
-    return usable.getOrElse(index) { usable.last() }
+    val index =
+        room.indexOfFirst { share -> (left < share).also { left -= share } }.takeIf { it >= 0 } ?: usable.lastIndex
+    return RoomChoice(usable[index], unseen.now(usable[index], arrivals * room[index] / sum))
 }
 
 /** Returns the largest number of requests at one of [candidates] over the mean number; null if they have none. */
@@ -51,11 +53,13 @@
     return if (sum == 0) null else candidates.maxOf { it.running } * candidates.size.toDouble() / sum
 }
 
-private fun Candidate.withRequest(size: RequestSize) = copy(
-    running = running + 1,
-    pendingPrefillTokens = pendingPrefillTokens + size.promptTokens,
-    contextTokens = contextTokens + size.promptTokens,
-)
+/** Predicted time of a request at [server], less the time for which it had nothing to read, after [arrivals]. */
+private fun filledMs(
+    server: SharedServer,
+    arrivals: Double,
+    unseen: UnseenTime,
+    predictedMs: (Candidate) -> Double,
+): Double = predictedMs(unseen.now(server, arrivals)) - unseen.idleMs(server, arrivals)
 
 /** The level up to which [addedMs] fill the servers that are below it. */
 private fun levelMs(predicted: List<Double>, addedMs: Double): Double {
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/SharedView.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/load/SharedView.kt
@@ -16,8 +16,12 @@
     /** Age of the view in milliseconds; null if there is none. */
     fun ageMs(nowMs: Long): Long? = toldAtMs?.let { nowMs - it }
 
-    /** Mean age in milliseconds of the work in the view, with that of the reports; null if it is not usable. */
-    fun dataAgeMs(nowMs: Long): Double? = ageMs(nowMs)?.takeIf { isUsable(nowMs) }?.let { it + MEAN_REPORT_AGE_MS }
+    /**
+     * Mean age in milliseconds of the work in the view, with that of the reports; null if it is not usable. An overdue
+     * view counts no older than a regular one: what is extrapolated for longer says little of any server.
+     */
+    fun dataAgeMs(nowMs: Long): Double? = ageMs(nowMs)?.takeIf { isUsable(nowMs) }
+        ?.let { minOf(it, EVENT_INTERVAL_MS) + MEAN_REPORT_AGE_MS }
 
     /** Whether the view is recent enough to choose by; without one, an entry chooses by what it knows itself. */
     fun isUsable(nowMs: Long): Boolean = toldAtMs != null && nowMs - toldAtMs <= VIEW_VALIDITY_MS
@@ -30,6 +34,9 @@
         /** Requests start and end within about a second, so an older view misleads. */
         const val VIEW_VALIDITY_MS = 1_000L
 
+        /** Interval between the events of the leader. */
+        const val EVENT_INTERVAL_MS = 300L
+
         /** Half of the interval between the reports of an entry. */
         const val MEAN_REPORT_AGE_MS = 125.0
     }
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/load/SharedLoadTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/load/SharedLoadTest.kt
@@ -56,6 +56,8 @@
         expectThat(view.othersAt("e1", 2_000)).isEqualTo(work)
         expectThat(view.othersAt("e2", 2_000)).isEqualTo(ServerLoad())
         expectThat(view.othersAt("e1", 2_001)).isNull()
+        expectThat(view.dataAgeMs(1_200)).isEqualTo(325.0)
+        expectThat(view.dataAgeMs(2_000)).isEqualTo(425.0)
         expectThat(view.dataAgeMs(2_001)).isNull()
         expectThat(view.isUsable(2_000)).isTrue()
         expectThat(view.isUsable(2_001)).isFalse()
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/SharedRules.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/model/forward/SharedRules.kt
@@ -7,19 +7,20 @@
 import org.bramleyspur.traffic.forward.Candidate
 import org.bramleyspur.traffic.load.RequestSize
 import org.bramleyspur.traffic.load.ServerLoad
+import org.bramleyspur.traffic.load.SharedServer
 import org.bramleyspur.traffic.load.SharedView
+import org.bramleyspur.traffic.load.UnseenTime
 import org.bramleyspur.traffic.load.chooseByRoom
-import org.bramleyspur.traffic.load.unseenRequests
+import org.bramleyspur.traffic.load.meanSize
 
 private fun viewOf(entry: ModelEntry): SharedView = if (entry.othersAtMs.isInfinite()) {
     SharedView()
 } else {
-    val work = entry.others.mapValues { (_, work) ->
-        ServerLoad(work.inFlight, work.pendingTokens, work.contextTokens)
-    }
-    SharedView().onEvent(work, entry.othersAtMs.toLong())
+    SharedView().onEvent(entry.others.mapValues { (_, work) -> work.toServerLoad() }, entry.othersAtMs.toLong())
 }
 
+private fun ModelWork.toServerLoad() = ServerLoad(inFlight, pendingTokens, contextTokens)
+
 /** Whether the view of [entry] counts the work of the other entries. */
 internal fun knowsOthers(entry: ModelEntry, nowMs: Double) = viewOf(entry).dataAgeMs(nowMs.toLong()) != null
 
@@ -40,9 +41,12 @@
     if (ageMs == null) {
         earliest(entry, request, candidates, nowMs, random, cost)
     } else {
-        val size = RequestSize(request.kind.promptTokens.toLong(), request.kind.outputTokens.toLong())
-        val unseen = unseenRequests(candidates, size, entry.scenario.costs, ageMs)
-        chooseByRoom(candidates, random.nextDouble(), size, unseen, cost)
+        val costs = entry.scenario.costs
+        val own = entry.loads.associate { it.engine.id to it.own.toServerLoad() }
+        val size = meanSize(own.values + entry.others.values.map { it.toServerLoad() }, costs)
+            ?: RequestSize(request.kind.promptTokens.toLong(), request.kind.outputTokens.toLong())
+        val servers = candidates.map { SharedServer(it, own.getValue(it.id)) }
+        chooseByRoom(servers, random.nextDouble(), UnseenTime(ageMs, size, costs), cost)?.expected
     }
 }
 
