--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/DemandDriverTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/DemandDriverTest.kt
@@ -6,11 +6,6 @@
 import org.bramleyspur.control.group.DomainEngines
 import org.bramleyspur.control.group.PlannerState
 import org.bramleyspur.control.group.ServiceTargets
-import org.bramleyspur.core.document.ClientLimits
-import org.bramleyspur.core.document.Document
-import org.bramleyspur.core.document.DocumentService
-import org.bramleyspur.core.document.EngineCosts
-import org.bramleyspur.core.document.ModelSpec
 import org.bramleyspur.core.telemetry.DecisionLog
 import org.bramleyspur.core.time.ManualTimers
 import org.bramleyspur.protocol.DirectoryRequest
@@ -31,24 +26,8 @@
     private val registry = PrometheusRegistry()
     private val driver =
         DemandDriver(timers, DecisionLog(PrintStream(logBytes), timers::nowMs), DemandMetrics(registry))
-    private val models = persistentListOf(
-        ModelSpec("a", 2, 0.5, 1.0, 16_000, 1_600),
-        ModelSpec("b", 2, 0.5, 1.0, 16_000, 1_600),
-    )
-    private val document = Document(
-        version = 1,
-        routes = persistentListOf(),
-        services = persistentMapOf(
-            "s" to DocumentService(
-                "s",
-                392,
-                EngineCosts(34, 1_000_000, 3, 6.0, 0.34, 0.007, 46.0, 2_048, 3.0, 6, 2.5, 85.0),
-                models,
-            ),
-        ),
-        accounts = null,
-        limits = ClientLimits(),
-    )
+    private val models = persistentListOf(modelSpec("a", 2, share = 0.5), modelSpec("b", 2, share = 0.5))
+    private val document = engineDocument(*models.toTypedArray())
     private val planner = PlannerState(
         targets = persistentMapOf("s" to ServiceTargets(mapOf("d" to DomainEngines(17)), models, emptyMap())),
     )
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/GroupDriverTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/GroupDriverTest.kt
@@ -2,22 +2,13 @@
 
 import com.github.michaelbull.result.Ok
 import com.google.protobuf.ByteString
-import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.persistentMapOf
 import org.bramleyspur.control.group.EngineCommand
 import org.bramleyspur.control.group.EngineOrder
 import org.bramleyspur.control.group.EngineReport
 import org.bramleyspur.control.group.OrderResult
 import org.bramleyspur.control.group.ProbeResult
 import org.bramleyspur.control.state.StoredDocument
-import org.bramleyspur.core.backend.Announcement
-import org.bramleyspur.core.backend.BackendState
 import org.bramleyspur.core.backend.KnownBackend
-import org.bramleyspur.core.document.ClientLimits
-import org.bramleyspur.core.document.Document
-import org.bramleyspur.core.document.DocumentService
-import org.bramleyspur.core.document.EngineCosts
-import org.bramleyspur.core.document.ModelSpec
 import org.bramleyspur.core.telemetry.DecisionLog
 import org.bramleyspur.core.time.ManualTimers
 import org.junit.jupiter.api.DynamicTest
@@ -83,37 +74,10 @@
     /** Engines whose host holds weights from 2 s on; one more of them announces itself every second. */
     private fun engines(nowMs: Long): Map<String, KnownBackend> =
         (1..minOf(MAX_ENGINES, 1 + (nowMs / 1_000).toInt())).associate { number ->
-            "e$number" to KnownBackend(announcement(number), nowMs)
+            "e$number" to KnownBackend(engineAnnouncement(number), nowMs)
         }
 
-    private fun announcement(number: Int) = Announcement(
-        id = "e$number",
-        startedAtMs = 1,
-        sequence = 1,
-        service = "s",
-        address = "10.0.0.1:$number",
-        dataCentre = "a",
-        slots = 34,
-        state = BackendState.READY,
-        fabricDomain = "d",
-        stagedModels = persistentListOf("m"),
-        groupMembership = null,
-    )
-
-    private val document = Document(
-        version = 1,
-        routes = persistentListOf(),
-        services = persistentMapOf(
-            "s" to DocumentService(
-                "s",
-                392,
-                EngineCosts(34, 1_000_000, 3, 6.0, 0.34, 0.007, 46.0, 2_048, 3.0, 6, 2.5, 85.0),
-                persistentListOf(ModelSpec("m", 4, 1.0, 1.0, 16_000, 1_600)),
-            ),
-        ),
-        accounts = null,
-        limits = ClientLimits(),
-    )
+    private val document = engineDocument(modelSpec("m", 4))
 
     private companion object {
         const val PLAN_INTERVAL_MS = 100L
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/SlowMemberLogTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/SlowMemberLogTest.kt
@@ -3,8 +3,6 @@
 import com.github.michaelbull.result.Ok
 import com.google.protobuf.ByteString
 import io.prometheus.metrics.model.registry.PrometheusRegistry
-import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.persistentMapOf
 import org.bramleyspur.control.group.EngineCommand
 import org.bramleyspur.control.group.EngineOrder
 import org.bramleyspur.control.group.EngineReport
@@ -12,16 +10,10 @@
 import org.bramleyspur.control.group.ProbeResult
 import org.bramleyspur.control.state.StoredDocument
 import org.bramleyspur.core.backend.Announcement
-import org.bramleyspur.core.backend.BackendState
 import org.bramleyspur.core.backend.GroupId
 import org.bramleyspur.core.backend.GroupMembership
 import org.bramleyspur.core.backend.GroupState
 import org.bramleyspur.core.backend.KnownBackend
-import org.bramleyspur.core.document.ClientLimits
-import org.bramleyspur.core.document.Document
-import org.bramleyspur.core.document.DocumentService
-import org.bramleyspur.core.document.EngineCosts
-import org.bramleyspur.core.document.ModelSpec
 import org.bramleyspur.core.telemetry.DecisionLog
 import org.bramleyspur.core.time.ManualTimers
 import org.bramleyspur.protocol.DirectoryRequest
@@ -81,35 +73,10 @@
     private fun announcement(number: Int): Announcement {
         val group = GroupId("g${number / 2}", 1)
         val open = GroupMembership(group, number % 2, GroupState.OPEN, "m").takeIf { number < SPARE }
-        return Announcement(
-            id = "e$number",
-            startedAtMs = 1,
-            sequence = 1,
-            service = "s",
-            address = "10.0.0.1:${number + 1}",
-            dataCentre = "a",
-            slots = 34,
-            state = BackendState.READY,
-            fabricDomain = "d",
-            stagedModels = persistentListOf("m"),
-            groupMembership = memberships.getOrDefault("e$number", open),
-        )
+        return engineAnnouncement(number, memberships.getOrDefault("e$number", open))
     }
 
-    private val document = Document(
-        version = 1,
-        routes = persistentListOf(),
-        services = persistentMapOf(
-            "s" to DocumentService(
-                "s",
-                392,
-                EngineCosts(34, 1_000_000, 3, 6.0, 0.34, 0.007, 46.0, 2_048, 3.0, 6, 2.5, 85.0),
-                persistentListOf(ModelSpec("m", 2, 1.0, 1.0, 16_000, 1_600)),
-            ),
-        ),
-        accounts = null,
-        limits = ClientLimits(),
-    )
+    private val document = engineDocument(modelSpec("m", 2))
 
     private fun lines(event: String) = logBytes.toString().lines().filter { it.contains("\"event\":\"$event\"") }
 
