Bound the parts of which an event of a stream may consist

EndlessResponseTest, "a stream with an event without end is broken off at once", case 1, was red at load averages of 16 to 22: 1.95 s where 1 s is allowed, and 504 for 502.

Cause: the server sends its event in chunks of one byte, and the entry broke it off after 1 MiB, so the traffic thread handled a million chunks one by one. Only the bytes of an event were bounded, and not the work for them, so a faulty server held up the other requests of the entry for that time too.

An event is also too large when it arrives in more than 16,384 parts. The expectations of the test stay as they are.

--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/EventSplitter.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/EventSplitter.kt
@@ -16,11 +16,12 @@
     private var size = 0
     private var lineStart = 0
     private var eventStart = 0
+    private var eventParts = 0
 
     /** Number of bytes of the incomplete event. */
     val pendingBytes: Int get() = size - eventStart
 
-    /** Whether an event has exceeded [MAX_EVENT_BYTES]; further input is ignored. */
+    /** Whether an event has exceeded [MAX_EVENT_BYTES] or [MAX_EVENT_PARTS]; further input is ignored. */
     var overflowed = false
         private set
 
@@ -42,7 +43,9 @@
             position++
         }
         compact()
-        overflowed = pendingBytes > MAX_EVENT_BYTES
+        if (events.isNotEmpty()) eventParts = 0
+        if (pendingBytes > 0) eventParts++
+        overflowed = pendingBytes > MAX_EVENT_BYTES || eventParts > MAX_EVENT_PARTS
         return events
     }
 
@@ -72,6 +75,12 @@
     companion object {
         /** Far above the few hundred bytes of an event of a generation. */
         const val MAX_EVENT_BYTES = 1024 * 1024
+
+        /**
+         * Bounds the work for one event: in parts of one byte, an event of [MAX_EVENT_BYTES] occupies the traffic
+         * thread for more than a second on a busy machine.
+         */
+        const val MAX_EVENT_PARTS = 16 * 1024
         private const val INITIAL_BYTES = 1024
         private const val NEWLINE = '\n'.code.toByte()
         private const val CARRIAGE_RETURN = '\r'.code.toByte()
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/EventSplitterTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/EventSplitterTest.kt
@@ -9,6 +9,7 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 
 /** Guards against a partial event, and against a lost or duplicate event wherever the bytes are split. */
@@ -55,4 +56,23 @@
         splitter.feed(ByteArray(EventSplitter.MAX_EVENT_BYTES + 1) { 'x'.code.toByte() })
         expectThat(splitter.overflowed).isTrue()
     }
+
+    /** Guards against a server that costs a million steps before its event reaches the limit in bytes. */
+    @Test
+    fun `an event in more parts than the limit overflows`() {
+        val splitter = EventSplitter()
+        val part = byteArrayOf('x'.code.toByte())
+        repeat(EventSplitter.MAX_EVENT_PARTS) { splitter.feed(part) }
+        expectThat(splitter.overflowed).isFalse()
+        splitter.feed(part)
+        expectThat(splitter.overflowed).isTrue()
+    }
+
+    @Test
+    fun `parts of events that end do not add up`() {
+        val splitter = EventSplitter()
+        val parts = "id: 1\n\n".encodeToByteArray().map { byteArrayOf(it) }
+        repeat(2 * EventSplitter.MAX_EVENT_PARTS / parts.size) { parts.forEach { splitter.feed(it) } }
+        expectThat(splitter.overflowed).isFalse()
+    }
 }
