Let a planned stop await the rest of a head that is being read

Cause: a planned stop closes idle connections after 250 ms, and a connection counted as idle until the head of its request was complete, so a caller whose head arrived in two parts lost the request without an answer. CallerServer, the listener of entries with agents, has counted such connections as busy before.

A connection is busy from the first byte of a request. The time limit for heads still ends it. FrontStopTest, "a request whose head is being read is answered", fails without the change.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -70,7 +70,7 @@
 
     /** Whether a request is being read or a response is being sent. */
     val busy: Boolean
-        get() = responding || reader.headRead || pendingMessages.isNotEmpty() || lastResponse?.sent == false
+        get() = responding || reader.started || pendingMessages.isNotEmpty() || lastResponse?.sent == false
 
     override fun channelActive(handler: ChannelHandlerContext) {
         server.onOpen(this)
@@ -250,7 +250,7 @@
         }
     }
 
-    /** Whether the request waits for the first configuration, which an entry receives soon after its start. */
+    /** Whether the request waits for the configuration, which an entry receives soon after its start. */
     private fun waitsForConfiguration(request: CallerRequest): Boolean {
         if (context.routes != null) return false
         val waitedMs = context.timers.nowMs() - request.receivedAtMs
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestReader.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestReader.kt
@@ -42,9 +42,6 @@
     /** Bytes of the body that is being read. */
     val bodyBytes: Int get() = body.size()
 
-    /** Whether the head of a request was read and its body was not. */
-    val headRead: Boolean get() = head != null
-
     /** Whether a part of a request was read. */
     val started: Boolean get() = startedAtMs != null
 
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/FrontStopTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/FrontStopTest.kt
@@ -1,5 +1,6 @@
 package org.bramleyspur.daemon.forward
 
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelOutboundHandlerAdapter
@@ -16,6 +17,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
+import strikt.assertions.startsWith
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 
@@ -107,6 +109,21 @@
             expectThat(server.runningRequests).isEqualTo(0)
         }
 
+    /** Guards against a request that is cut off because the end of its head has not arrived. */
+    @Test
+    fun `a request whose head is being read is answered`() = onSlowNetwork { server, channel, network ->
+        val request = request().replace("/once/", "/nowhere/")
+        channel.writeInbound(bytes(request.take(30)))
+        server.closeIdle()
+        expectThat(channel.isOpen).isTrue()
+        expectThat(server.drained).isFalse()
+        channel.writeInbound(bytes(request.drop(30)))
+        network.release()
+        channel.runPendingTasks()
+        expectThat(channel.readOutbound<ByteBuf>()?.toString(Charsets.UTF_8).orEmpty()).startsWith("HTTP/1.1 404 ")
+        expectThat(server.drained).isTrue()
+    }
+
     private class LateCase(val name: String, val remainingMs: Long, val status: Int, val sentToBackend: Int)
 
     private val lateCases = listOf(
