Read what has arrived before a planned stop closes connections

FrontStopTest, "a request of a connection that was just accepted is answered", was red at load averages of 18 to 28.

Cause: the delays of 20 ms before the listener closes and of 250 ms before idle connections close began together. After one pass that takes longer than both, their timers run together: connections that were accepted in this pass are closed before their requests have been read, and so are open ones whose requests arrived during the pass. Callers saw a closed connection instead of an answer.

The time for idle connections begins when the listener closes, and they are closed one pass later, in which the thread reads what has arrived.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontServer.kt
@@ -135,8 +135,16 @@
     fun closeListener() {
         closesListener = true
         // Closing at once would reset the connections that the thread has not accepted yet.
-        context.timers.after(LISTENER_CLOSE_DELAY_MS) { listener?.close() }
-        context.timers.after(IDLE_CLOSE_DELAY_MS) { closeIdle() }
+        context.timers.after(LISTENER_CLOSE_DELAY_MS) {
+            listener?.close()
+            // The delay begins when the last connections were accepted, however late the thread is.
+            context.timers.after(IDLE_CLOSE_DELAY_MS) { closeIdleAfterReading() }
+        }
+    }
+
+    /** Closes idle connections after one more pass, which reads what arrived while the thread was busy. */
+    private fun closeIdleAfterReading() {
+        context.timers.after(NEXT_PASS_DELAY_MS) { closeIdle() }
     }
 
     /** Closes the open connections as soon as no request is in progress on them. */
@@ -163,6 +171,9 @@
         /** Longer than the round trip to a caller. */
         const val IDLE_CLOSE_DELAY_MS = 250L
 
+        /** A timer that is set by another one runs after the thread has read what has arrived. */
+        const val NEXT_PASS_DELAY_MS = 1L
+
         /** The limits follow at least each time that this part of the bound was written. */
         const val CHECKS_PER_BOUND = 64
 
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/FrontStopTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/FrontStopTest.kt
@@ -124,6 +124,50 @@
         expectThat(server.drained).isTrue()
     }
 
+    /** Guards against a late thread that closes connections as idle before it has read their requests. */
+    @Test
+    fun `requests that a late thread has accepted but not read are answered`() {
+        startBackends(listOf(Script(okResponse("hello"))))
+        val server = FrontServer(loops.trafficGroup, context)
+        val port = server.start(Address("127.0.0.1", 0))
+        val blocked = CountDownLatch(1)
+        loops.traffic.submit {
+            blocked.await()
+            server.beginStop(STOP_MS)
+            server.closeListener()
+        }
+        val late = loops.traffic.submit { Thread.sleep(LATE_MS) }
+        val clients = List(LATE_CONNECTIONS) { RawClient(port).apply { send(request()) } }
+        blocked.countDown()
+        late.get()
+        expectThat(clients.map { client -> runCatching { client.read()?.status }.getOrNull() }).all { isEqualTo(200) }
+        clients.forEach { it.close() }
+    }
+
+    /** Guards against requests that arrive while the thread handles others and are cut off before it reads them. */
+    @Test
+    fun `a request that arrives while the thread handles another one is answered`() {
+        startBackends(listOf(Script(okResponse("hello"))))
+        val server = FrontServer(loops.trafficGroup, context)
+        val port = server.start(Address("127.0.0.1", 0))
+        val (first, second) = List(2) { RawClient(port) }
+        loops.traffic.submit {
+            server.beginStop(STOP_MS)
+            server.closeListener()
+        }.get()
+        val handled = CountDownLatch(1)
+        onLogLine = { handled.await() }
+        first.send(request().replace("/once/", "/nowhere/"))
+        Thread.sleep(PASS_ON_MS / 2)
+        second.send(request())
+        Thread.sleep(LATE_MS)
+        onLogLine = {}
+        handled.countDown()
+        val statuses = listOf(first, second).map { client -> runCatching { client.read()?.status }.getOrNull() }
+        expectThat(statuses).isEqualTo(listOf(404, 200))
+        listOf(first, second).forEach { it.close() }
+    }
+
     private class LateCase(val name: String, val remainingMs: Long, val status: Int, val sentToBackend: Int)
 
     private val lateCases = listOf(
@@ -188,6 +232,10 @@
         const val STOP_MS = 10_000L
         const val LATE_STOP_MS = 2_000L
         const val CONNECTIONS = 40
+        const val LATE_CONNECTIONS = 4
+
+        /** Longer than all delays of a planned stop. */
+        const val LATE_MS = 500L
 
         /** Many times what a request takes to a backend server on loopback. */
         const val PASS_ON_MS = 200L
