Hold the time limits while FrontStopTest sends its requests

FrontStopTest, "a request of a connection that was just accepted is answered", was red in 4 of 22 runs at load averages of 18 to 28, with 504 after the 2 s that its requests have.

Cause: the test. A trial of one case in a JVM that only interprets, on one processor with three busy processes, gave a result in seven of eight runs: all 40 requests reached the backend server and were answered there, the last answer 1.47 to 1.73 s after the begin of the case, and the caller had read the last one after 1.79 to 2.13 s. No connection was lost and none waited for anything but the processor, so the limit of 2 s was measured against the speed of the machine. The same holds for the 250 ms after which idle connections are closed while the test still sends.

The clock stands still, and the time limits and the idle time pass only when all requests have been sent; then connections without a request are closed, before the answers are read. Every request must be answered with 200 as before, now without any time limit that could end it. The case for the listener keeps its real delay.

--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/FrontStopTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/FrontStopTest.kt
@@ -212,6 +212,8 @@
             startBackends(listOf(Script(okResponse("hello"))))
             val server = FrontServer(loops.trafficGroup, context)
             val port = server.start(Address("127.0.0.1", 0))
+            // The time limits of the requests and the idle time pass only when the requests have been sent.
+            timers.hold(fromMs = IDLE_MS)
             val blocked = CountDownLatch(1)
             // While the thread is busy, the connections wait to be accepted.
             val closed = loops.traffic.submit {
@@ -223,6 +225,7 @@
             blocked.countDown()
             closed.get()
             clients.forEach { if (case.rest.isNotEmpty()) it.send(case.rest) }
+            loops.traffic.schedule({ timers.advance(IDLE_MS) }, LISTENER_CLOSED_MS, TimeUnit.MILLISECONDS).get()
             expectThat(clients.map { it.read()?.status }).all { isEqualTo(200) }
             clients.forEach { it.close() }
         }
@@ -232,6 +235,12 @@
         const val STOP_MS = 10_000L
         const val LATE_STOP_MS = 2_000L
         const val CONNECTIONS = 40
+
+        /** The time after which a planned stop closes idle connections. */
+        const val IDLE_MS = 250L
+
+        /** Longer than a planned stop keeps the listener open. */
+        const val LISTENER_CLOSED_MS = 50L
         const val LATE_CONNECTIONS = 4
 
         /** Longer than all delays of a planned stop. */
