Read what has arrived before an entry with agents closes callers

CallerServer has the order of delays that FrontServer had: after one pass of the thread that is longer than the 250 ms after which idle connections close, connections that were just accepted are closed before their requests have been read.

The time for idle connections begins when the listener closes, and they are closed one pass later.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerServer.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/caller/CallerServer.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.SocketChannel
@@ -66,8 +67,16 @@
     fun closeListener() {
         closing = true
         val loop = listener?.eventLoop() ?: return
-        loop.schedule({ listener?.close() }, LISTENER_CLOSE_DELAY_MS, TimeUnit.MILLISECONDS)
-        loop.schedule({ closeIdle() }, IDLE_CLOSE_DELAY_MS, TimeUnit.MILLISECONDS)
+        loop.schedule({
+            listener?.close()
+            // The delay begins when the last connections were accepted, however late the thread is.
+            loop.schedule({ closeIdleAfterReading(loop) }, IDLE_CLOSE_DELAY_MS, TimeUnit.MILLISECONDS)
+        }, LISTENER_CLOSE_DELAY_MS, TimeUnit.MILLISECONDS)
+    }
+
+    /** Closes idle connections after one more pass, which reads what arrived while the thread was busy. */
+    private fun closeIdleAfterReading(loop: EventLoop) {
+        loop.schedule({ closeIdle() }, NEXT_PASS_DELAY_MS, TimeUnit.MILLISECONDS)
     }
 
     private fun closeIdle() {
@@ -106,6 +115,9 @@
 
         /** Longer than the round trip to a caller, whose request may not have been read yet. */
         const val IDLE_CLOSE_DELAY_MS = 250L
+
+        /** A timer that is set by another one runs after the thread has read what has arrived. */
+        const val NEXT_PASS_DELAY_MS = 1L
         const val MAX_INITIAL_LINE_BYTES = 8 * 1024
         const val MAX_HEADER_BYTES = 16 * 1024
     }
