Admit no requests by a document that the leader has not confirmed

The first document that a new entry receives may be a follower's and outdated, so the entry is not ready until the leader has confirmed it, or for 2.5 s. Only its readiness waited: FrontConnection admitted requests by that document at once, so a caller that reaches the entry directly could use a key, or a route, that had been withdrawn.

Requests wait for the confirmation as they wait for the first document.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -93,6 +93,12 @@
     /** Routes of the current configuration document; null before the first one. */
     var routes: RouteTable? = null
 
+    /** Whether the document may be outdated, since the entry has just started and awaits the leader's word on it. */
+    var awaitsConfiguration = false
+
+    /** Routes by which requests are admitted; null while none are known, or while they may be outdated. */
+    val admissionRoutes: RouteTable? get() = routes?.takeIf { !awaitsConfiguration }
+
     /** The evacuated data centres, and whether requests await the leader's word on them after a start. */
     var evacuations = EvacuationView()
     var awaitsEvacuations = false
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -230,7 +230,7 @@
     }
 
     private fun admitOrWait(callerRequest: CallerRequest, newResponse: ConnectionResponse) {
-        when (val admission = admit(context.routes, callerRequest, context::randomFraction)) {
+        when (val admission = admit(context.admissionRoutes, callerRequest, context::randomFraction)) {
             is Admission.Rejected -> if (waitsForConfiguration(callerRequest)) {
                 awaitConfiguration(callerRequest, newResponse)
             } else {
@@ -252,7 +252,7 @@
 
     /** Whether the request waits for the configuration, which an entry receives soon after its start. */
     private fun waitsForConfiguration(request: CallerRequest): Boolean {
-        if (context.routes != null) return false
+        if (context.admissionRoutes != null) return false
         val waitedMs = context.timers.nowMs() - request.receivedAtMs
         val limitMs = request.headers.get(context.headers.remainingMs)?.trim()?.toLongOrNull() ?: DEFAULT_LIMIT_MS
         return waitsForOutage(waitedMs, limitMs - waitedMs, context.outages.uptimeMs)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -117,6 +117,7 @@
         }
     }
     init {
+        context.awaitsConfiguration = true
         context.awaitsEvacuations = settings.evacuations
         if (settings.pressureAdmission) {
             context.pressure = PressureAdmission(timers, metrics, { maxOf(1, entryCount) }, random::nextDouble) {
@@ -225,6 +226,7 @@
         if (configurationUsable || context.routes == null) return
         if (leaderConfirmed || timers.nowMs() - startedAtMs > LEADER_WAIT_MS) {
             configurationUsable = true
+            context.awaitsConfiguration = false
             log.write("ready", "config" to context.routes?.version, "confirmed" to leaderConfirmed)
         }
     }
