Send a member what it has lost with its disk

The leader never moved the next entry for a member below what the member had once acknowledged. Entries that it had forgotten went on counting as stored there.

The reply of a member that lacks the previous entry now moves both back.

--- a/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/Leadership.kt
+++ b/bramleyspur-log/src/main/kotlin/org/bramleyspur/log/consensus/Leadership.kt
@@ -141,12 +141,18 @@
 /**
  * Moves nextIndex back to where the peer's log may match; later entries are resent. A reply that does not move it
  * back further is left to the next round: probing at once for each duplicate reply would multiply messages.
+ *
+ * A peer that returned with an older disk lacks entries that it had acknowledged, so matchIndex moves back too. A late
+ * reply from before a match does the same, until the next reply.
  */
 private fun Transition.onMismatch(from: String, retryIndex: Long) {
     val progress = progress(from) ?: return
-    val retryNextIndex = retryIndex.coerceIn(progress.matchIndex + 1, state.log.lastIndex + 1)
+    val retryNextIndex = retryIndex.coerceIn(1, state.log.lastIndex + 1)
     if (progress.probing && retryNextIndex >= progress.nextIndex) return
-    updateProgress(from) { it.copy(nextIndex = retryNextIndex, probing = true) }
+    updateProgress(from) {
+        val matchIndex = minOf(it.matchIndex, retryNextIndex - 1)
+        it.copy(matchIndex = matchIndex, nextIndex = retryNextIndex, probing = true)
+    }
     sendProbe(from)
 }
 
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/Cluster.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/Cluster.kt
@@ -307,10 +307,13 @@
             schedule(nowMs + 100) { if (incarnation == targetIncarnation) crash(unsyncedWrites, restartMs = 100) }
         }
 
-        fun wipeDisk(restartMs: Int) {
+        fun wipeDisk(restartMs: Int) = replaceDisk(TestFileSystem(), restartMs)
+
+        /** Simulates a crash, and a restart with the data directory [replacement]. */
+        fun replaceDisk(replacement: TestFileSystem, restartMs: Int) {
             if (log == null) return
             crash(UnsyncedWrites.DROPPED, restartMs = null)
-            files = TestFileSystem()
+            files = replacement
             schedule(nowMs + restartMs) { if (log == null) start(FirstStart.Join) }
         }
 
--- a/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/TestFileSystem.kt
+++ b/bramleyspur-log/src/test/kotlin/org/bramleyspur/log/TestFileSystem.kt
@@ -122,6 +122,20 @@
         files.getValue(name).bytes = ByteArrayOutputStream().apply { writeBytes(bytes) }
     }
 
+    /** A data directory with the synced content of this one. */
+    fun copyOfSynced(): TestFileSystem {
+        val copy = TestFileSystem()
+        for ((name, content) in syncedFiles) {
+            val bytes = content.bytes.toByteArray().copyOf(content.syncedBytes)
+            copy.files[name] = FileContent().apply {
+                this.bytes.writeBytes(bytes)
+                syncedBytes = bytes.size
+            }
+        }
+        copy.syncedFiles = copy.files.toMap()
+        return copy
+    }
+
     /** Simulates a power failure: unsynced file names and bytes are treated according to [unsynced]. */
     fun crash(unsynced: UnsyncedWrites, random: Random) {
         locked = false
