--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/FrontConnection.kt
@@ -70,7 +70,7 @@
 
     /** Whether a request is being read or a response is being sent. */
     val busy: Boolean
-        get() = responding || reader.headRead || pendingMessages.isNotEmpty() || lastResponse?.sent == false
+        get() = responding || reader.started || pendingMessages.isNotEmpty() || lastResponse?.sent == false
 
     override fun channelActive(handler: ChannelHandlerContext) {
         server.onOpen(this)
@@ -230,7 +230,7 @@
     }
 
     private fun admitOrWait(callerRequest: CallerRequest, newResponse: ConnectionResponse) {
-        when (val admission = admit(context.routes, callerRequest, context::randomFraction)) {
+        when (val admission = admit(context.admissionRoutes, callerRequest, context::randomFraction)) {
             is Admission.Rejected -> if (waitsForConfiguration(callerRequest)) {
                 awaitConfiguration(callerRequest, newResponse)
             } else {
@@ -250,9 +250,9 @@
         }
     }
 
-    /** Whether the request waits for the first configuration, which an entry receives soon after its start. */
+    /** Whether the request waits for the configuration, which an entry receives soon after its start. */
     private fun waitsForConfiguration(request: CallerRequest): Boolean {
-        if (context.routes != null) return false
+        if (context.admissionRoutes != null) return false
         val waitedMs = context.timers.nowMs() - request.receivedAtMs
         val limitMs = request.headers.get(context.headers.remainingMs)?.trim()?.toLongOrNull() ?: DEFAULT_LIMIT_MS
         return waitsForOutage(waitedMs, limitMs - waitedMs, context.outages.uptimeMs)
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/FrontStopTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/FrontStopTest.kt
@@ -1,5 +1,6 @@
 package org.bramleyspur.daemon.forward
 
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelOutboundHandlerAdapter
@@ -16,6 +17,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
+import strikt.assertions.startsWith
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 
@@ -107,6 +109,65 @@
             expectThat(server.runningRequests).isEqualTo(0)
         }
 
+    /** Guards against a request that is cut off because the end of its head has not arrived. */
+    @Test
+    fun `a request whose head is being read is answered`() = onSlowNetwork { server, channel, network ->
+        val request = request().replace("/once/", "/nowhere/")
+        channel.writeInbound(bytes(request.take(30)))
+        server.closeIdle()
+        expectThat(channel.isOpen).isTrue()
+        expectThat(server.drained).isFalse()
+        channel.writeInbound(bytes(request.drop(30)))
+        network.release()
+        channel.runPendingTasks()
+        expectThat(channel.readOutbound<ByteBuf>()?.toString(Charsets.UTF_8).orEmpty()).startsWith("HTTP/1.1 404 ")
+        expectThat(server.drained).isTrue()
+    }
+
+    /** Guards against a late thread that closes connections as idle before it has read their requests. */
+    @Test
+    fun `requests that a late thread has accepted but not read are answered`() {
+        startBackends(listOf(Script(okResponse("hello"))))
+        val server = FrontServer(loops.trafficGroup, context)
+        val port = server.start(Address("127.0.0.1", 0))
+        val blocked = CountDownLatch(1)
+        loops.traffic.submit {
+            blocked.await()
+            server.beginStop(STOP_MS)
+            server.closeListener()
+        }
+        val late = loops.traffic.submit { Thread.sleep(LATE_MS) }
+        val clients = List(LATE_CONNECTIONS) { RawClient(port).apply { send(request()) } }
+        blocked.countDown()
+        late.get()
+        expectThat(clients.map { client -> runCatching { client.read()?.status }.getOrNull() }).all { isEqualTo(200) }
+        clients.forEach { it.close() }
+    }
+
+    /** Guards against requests that arrive while the thread handles others and are cut off before it reads them. */
+    @Test
+    fun `a request that arrives while the thread handles another one is answered`() {
+        startBackends(listOf(Script(okResponse("hello"))))
+        val server = FrontServer(loops.trafficGroup, context)
+        val port = server.start(Address("127.0.0.1", 0))
+        val (first, second) = List(2) { RawClient(port) }
+        loops.traffic.submit {
+            server.beginStop(STOP_MS)
+            server.closeListener()
+        }.get()
+        val handled = CountDownLatch(1)
+        onLogLine = { handled.await() }
+        first.send(request().replace("/once/", "/nowhere/"))
+        Thread.sleep(PASS_ON_MS / 2)
+        second.send(request())
+        Thread.sleep(LATE_MS)
+        onLogLine = {}
+        handled.countDown()
+        val statuses = listOf(first, second).map { client -> runCatching { client.read()?.status }.getOrNull() }
+        expectThat(statuses).isEqualTo(listOf(404, 200))
+        listOf(first, second).forEach { it.close() }
+    }
+
     private class LateCase(val name: String, val remainingMs: Long, val status: Int, val sentToBackend: Int)
 
     private val lateCases = listOf(
@@ -151,6 +212,8 @@
             startBackends(listOf(Script(okResponse("hello"))))
             val server = FrontServer(loops.trafficGroup, context)
             val port = server.start(Address("127.0.0.1", 0))
+            // The time limits of the requests and the idle time pass only when the requests have been sent.
+            timers.hold(fromMs = IDLE_MS)
             val blocked = CountDownLatch(1)
             // While the thread is busy, the connections wait to be accepted.
             val closed = loops.traffic.submit {
@@ -162,6 +225,7 @@
             blocked.countDown()
             closed.get()
             clients.forEach { if (case.rest.isNotEmpty()) it.send(case.rest) }
+            loops.traffic.schedule({ timers.advance(IDLE_MS) }, LISTENER_CLOSED_MS, TimeUnit.MILLISECONDS).get()
             expectThat(clients.map { it.read()?.status }).all { isEqualTo(200) }
             clients.forEach { it.close() }
         }
@@ -172,6 +236,16 @@
         const val LATE_STOP_MS = 2_000L
         const val CONNECTIONS = 40
 
+        /** The time after which a planned stop closes idle connections. */
+        const val IDLE_MS = 250L
+
+        /** Longer than a planned stop keeps the listener open. */
+        const val LISTENER_CLOSED_MS = 50L
+        const val LATE_CONNECTIONS = 4
+
+        /** Longer than all delays of a planned stop. */
+        const val LATE_MS = 500L
+
         /** Many times what a request takes to a backend server on loopback. */
         const val PASS_ON_MS = 200L
     }
