Hold the clock in the test of the time that a caller is told

BackendBackoffTest, "a caller is told when the only backend server takes requests again", expects the second of two requests to be told more than half of the time that the server named, so it had to arrive within 250 ms of the first. With a pause of 300 ms between them, the case of 0.5 s was red.

The clock of the entry stands still while the two requests are sent. The expectations stay as they are, and the test passes with the pause too.

--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/BackendBackoffTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/BackendBackoffTest.kt
@@ -57,6 +57,7 @@
     fun `a caller is told when the only backend server takes requests again`() = listOf("2", "0.5").map { named ->
         DynamicTest.dynamicTest("Retry-After $named") {
             startBackends(listOf(response("503 No", refused + "Retry-After: $named\r\n")))
+            timers.hold()
             val first = post("/again/")
             val second = post("/again/")
             expectThat(listOf(first?.status, second?.status)).isEqualTo(listOf(503, 503))
