Await the stray response that HttpClientTest sends on an idle connection

HttpClientTest, "an extra response closes its connection", case "while the connection is idle", gave the server 100 ms of 200 ms to send the extra response before the next call. With a pause of 300 ms in the server, the call took the extra response for its own, as it arrived while the call was running.

The server sends it when the client has its response, and the next call follows one pass of the thread after that.

--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/HttpClientTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/HttpClientTest.kt
@@ -79,12 +79,15 @@
     @TestFactory
     fun `an extra response closes its connection`() = cases.map { case ->
         DynamicTest.dynamicTest(case.name) {
+            val idle = CountDownLatch(1)
+            val sent = CountDownLatch(1)
             lateinit var server: FakeBackend
             server = FakeBackend {
                 if (path == "/1") {
                     write(case.first)
-                    Thread.sleep(PAUSE_MS)
-                    if (case.whileIdle.isNotEmpty()) write(case.whileIdle)
+                    idle.await(WAIT_SECONDS, TimeUnit.SECONDS)
+                    write(case.whileIdle)
+                    sent.countDown()
                 } else {
                     if (server.connections == 1) write(case.atNextCall)
                     write(response("2"))
@@ -92,7 +95,10 @@
             }
             HttpClient(Address("127.0.0.1", server.port), loops.trafficGroup).use { client ->
                 expectThat(client.getAndWait("/1")).isEqualTo("1")
-                if (case.whileIdle.isNotEmpty()) Thread.sleep(2 * PAUSE_MS)
+                idle.countDown()
+                sent.await(WAIT_SECONDS, TimeUnit.SECONDS)
+                // The thread reads what has arrived before it runs a timer that is due.
+                loops.traffic.schedule({}, 1, TimeUnit.MILLISECONDS).get()
                 expectThat(client.getAndWait("/2")).isEqualTo("2")
                 expectThat(server.connections).isEqualTo(2)
             }
