--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/pressure/ReturnRamp.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/pressure/ReturnRamp.kt
@@ -6,10 +6,16 @@
  *
  * @property sinceMs time at which the outage ended; null before the first one
  * @property workMs time in milliseconds that the prompts sent since then take on one backend server, as of [atMs]
+ * @property lengthMs how long after the outage the prompts count
  */
-data class ReturnRamp(val sinceMs: Long? = null, val workMs: Double = 0.0, val atMs: Long = 0) {
+data class ReturnRamp(
+    val sinceMs: Long? = null,
+    val workMs: Double = 0.0,
+    val atMs: Long = 0,
+    val lengthMs: Long = RAMP_MS,
+) {
     /** With the end of an outage at [nowMs]. */
-    fun onReturn(nowMs: Long): ReturnRamp = ReturnRamp(nowMs, 0.0, nowMs)
+    fun onReturn(nowMs: Long): ReturnRamp = ReturnRamp(nowMs, 0.0, nowMs, lengthMs)
 
     /** With a request sent whose prompt takes [promptMs], to one of [servers] that [entries] use. */
     fun onStarted(promptMs: Double, servers: Int, entries: Int, nowMs: Long): ReturnRamp =
@@ -22,7 +28,7 @@
     private fun leftMs(servers: Int, entries: Int, nowMs: Long): Double =
         maxOf(0.0, workMs - (nowMs - atMs).toDouble() * servers / maxOf(1, entries))
 
-    private fun isActive(nowMs: Long) = sinceMs != null && nowMs - sinceMs < RAMP_MS
+    private fun isActive(nowMs: Long) = sinceMs != null && nowMs - sinceMs < lengthMs
 
     private companion object {
         /** By then, responses have told each entry the load of most backend servers. */
