Pace the streams of an entry after an outage

With sharedLoad, an entry decides by the rule on streams to engines of which nothing was sent, and holds late ones in one room with a bound on count and bytes, which also replaces the polling for a backend server. A caller who leaves, the deadline and the stop of the entry end the wait. Other deployments and plain services are served as before.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendSelection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendSelection.kt
@@ -18,6 +18,7 @@
     private val context: ForwardContext,
     private val request: AdmittedRequest,
     private val log: RequestLog,
+    private val release: StreamRelease,
     private val responseStarted: () -> Boolean,
 ) {
     private val triedBackends = LinkedHashSet<String>()
@@ -80,7 +81,7 @@
 
     /** Whether the request waits for the end of an outage; [nothingSent] when no attempt of it was made. */
     fun waits(nothingSent: Boolean): Boolean = nothingSent &&
-        context.pressure?.hasRoom(request) != false &&
+        context.pressure?.hasRoom(request) != false && release.hasRoom() &&
         !isEvacuated() && !context.isOutsideHomes(request) && !context.exceedsMemory(request) &&
         context.backoffMs(request.service, request.model) == null &&
         waitsForOutage(
@@ -177,7 +178,7 @@
         }
         if (pressure != null) {
             pressure.await(request, OUTAGE_POLL_INTERVAL_MS, sendAgain)
-        } else {
+        } else if (!release.awaitsBackend(sendAgain)) {
             context.timers.after(OUTAGE_POLL_INTERVAL_MS) { sendAgain() }
         }
     }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardContext.kt
@@ -100,6 +100,9 @@
     /** Admission of requests that compete for room; null if each is decided on by itself. */
     var pressure: PressureAdmission? = null
 
+    /** Paces what is sent just after an outage; null if it is sent at once. */
+    var pacing: ReturnPacing? = null
+
     /** What other entries have sent to the engines; null if entries do not share it. */
     var sharedLoad: SharedLoad? = null
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -13,6 +13,7 @@
 import org.bramleyspur.traffic.forward.RunningAttempts
 import org.bramleyspur.traffic.forward.maySendBesideSilent
 import org.bramleyspur.traffic.forward.nextStep
+import org.bramleyspur.traffic.outage.ReleaseDecision
 import org.bramleyspur.traffic.pressure.PressureDecision
 import org.bramleyspur.traffic.quarantine.PartVerdict
 
@@ -28,7 +29,8 @@
     private val budget = context.budget(request.service.name)
     private val response = DeliveredResponse(context, request, callerResponse)
     private val log = RequestLog(context, request)
-    private val selection = BackendSelection(context, request, log, responseStarted = { response.started })
+    private val release = StreamRelease(context, request, log)
+    private val selection = BackendSelection(context, request, log, release, responseStarted = { response.started })
     private var deadlineTimer: TimerHandle? = null
     private var running = RunningAttempts<Attempt>()
     private var sends = 0
@@ -110,9 +112,13 @@
         countsAgainstBudget: Boolean,
         sendAgain: () -> Unit,
     ) {
+        val decision = if (nothingSent) release.decide(choice) else null
         when {
             choice == null && selection.waits(nothingSent) -> selection.awaitBackend(sendAgain)
             choice == null -> onNotSendable(selection.endWithoutServer(), selection.noServerText())
+            decision is ReleaseDecision.Hold -> release.hold(sendAgain)
+            decision is ReleaseDecision.Refuse ->
+                onNotSendable(AttemptEnd.Pressed(decision.retryAfterMs), "no room for it after an outage")
             !selection.isSoonEnough(choice) -> onNotSendable(AttemptEnd.NoCandidate, selection.tooLateText(choice))
             else -> start(choice, countsAgainstBudget)
         }
@@ -135,6 +141,7 @@
 
     private fun start(choice: BackendChoice, countsAgainstBudget: Boolean) {
         selection.leaveRoom()
+        release.onSent()
         // Built before the attempt counts as sent, since it may throw.
         val head = request.head(choice.load.id, response.lastEventId)
         if (countsAgainstBudget) {
@@ -279,6 +286,7 @@
     private fun end(outcome: String, detail: String) {
         done = true
         selection.onEnd()
+        release.onEnd()
         deadlineTimer?.cancel()
         running.attempts.forEach { it.cancel() }
         running = RunningAttempts()
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestLog.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestLog.kt
@@ -31,6 +31,27 @@
         "remaining_ms" to request.remainingMs(),
     )
 
+    /** The stream is held after an outage, with [held] others, while [servers] of its pool are known. */
+    fun onHeld(servers: Int, held: Int) = context.log.write(
+        "request-held",
+        "request" to request.id,
+        "route" to request.route.name,
+        "servers" to servers,
+        "held" to held,
+        "waited_ms" to request.elapsedMs(),
+        "remaining_ms" to request.remainingMs(),
+    )
+
+    /** The stream that was held after an outage is sent; [late] if its target has passed or will pass. */
+    fun onReleased(late: Boolean) = context.log.write(
+        "request-released",
+        "request" to request.id,
+        "route" to request.route.name,
+        "late" to late,
+        "waited_ms" to request.elapsedMs(),
+        "remaining_ms" to request.remainingMs(),
+    )
+
     /** The request is kept from the cold backend server [backend], and waits if [waits]. */
     fun onColdHeld(backend: String, reason: ColdReason, waitMs: Long, waits: Boolean) = context.log.write(
         "cold-held",
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -29,6 +29,7 @@
 import org.bramleyspur.daemon.forward.FrontServer
 import org.bramleyspur.daemon.forward.PressureAdmission
 import org.bramleyspur.daemon.forward.PromptPartGuard
+import org.bramleyspur.daemon.forward.ReturnPacing
 import org.bramleyspur.daemon.forward.SharedLoad
 import org.bramleyspur.daemon.platform.PlatformServer
 import org.bramleyspur.daemon.platform.Readiness
@@ -124,6 +125,10 @@
             }
         }
         if (settings.sharedLoad) context.sharedLoad = SharedLoad(timers, log, metrics)
+        // Admission under pressure paces the return by its own predictions.
+        if (settings.sharedLoad && !settings.pressureAdmission) {
+            context.pacing = ReturnPacing(timers, metrics, { maxOf(1, entryCount) }, random::nextDouble)
+        }
         if (settings.demandTargets) context.demand = DemandCounters()
     }
 
--- /dev/null
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ReturnPacingTest.kt
@@ -0,0 +1,54 @@
+package org.bramleyspur.daemon.forward
+
+import kotlinx.collections.immutable.persistentMapOf
+import org.bramleyspur.core.document.RouteKind
+import org.bramleyspur.daemon.caller.RawClient
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.map
+import java.util.concurrent.CompletableFuture
+
+/** Guards against late streams that go first after an outage, and against ones sent for a caller who has left. */
+class ReturnPacingTest : ForwardTest() {
+    /** With many entries, none has room for a late stream. */
+    @Volatile
+    private var entries = 1_000
+    private val pacing = ReturnPacing(timers, context.metrics, { entries }, { 0.0 })
+
+    @Test
+    fun `after an outage a late stream goes after one in time, and one whose caller has left is not sent`() {
+        val route = route("/stream/", RouteKind.STREAMING, 2).copy(targetLatencyMs = 150)
+        val engines = document(listOf(route)).copy(services = persistentMapOf("s" to engineService))
+        val backend = ScriptedBackend(Script(streamResponse("id: 1\ndata: a\n\n", complete = true)))
+        backends += backend
+        loops.traffic.submit { context.pacing = pacing }.get()
+        apply(engines, emptyList())
+        val late = CompletableFuture.supplyAsync { post("/stream/late", MODEL, remainingMs = 3_000)!! }
+        RawClient(port).use { client ->
+            client.send(
+                "POST /stream/left HTTP/1.1\r\nHost: h\r\n$ATTEMPT_ID_HEADER: left\r\nX-Left: 2000\r\n" +
+                    "Authorization: Bearer key\r\n${MODEL}Content-Length: 0\r\n\r\n",
+            )
+            expectThat(logLine("request-waits", "\"request\":\"7\"")).isNotNull()
+            expectThat(logLine("request-waits", "\"request\":\"left\"")).isNotNull()
+            Thread.sleep(LATE_MS)
+            apply(engines, listOf(engine(0, backend.address)))
+            expectThat(logLine("request-held", "left")).isNotNull()
+        }
+        expectThat(logLine("caller-left")).isNotNull()
+        expectThat(post("/stream/in-time", MODEL)!!.status).isEqualTo(200)
+        entries = 1
+        expectThat(late.join().status).isEqualTo(200)
+        expectThat(logLine("request-released", "\"late\":true")).isNotNull()
+        expectThat(backend.requests).map { it.substringBefore(" HTTP").substringAfterLast('/') }
+            .isEqualTo(listOf("in-time", "late"))
+        expectThat(loops.traffic.submit<Int> { pacing.heldCount }.get()).isEqualTo(0)
+    }
+
+    private companion object {
+        const val MODEL = "X-Model: m\r\nX-Tokens: 100,20\r\n"
+        const val LATE_MS = 200L
+    }
+}
