Begin a return from an outage only when no backend server was known

Cause: the pacing after an outage began whenever a stream found no backend server, also when the stream alone suited none, for its size, its homes or the servers it had tried.

Change: a return begins when a backend server of the pool is known after none was. ReturnPacingTest, "a stream that no backend server can take is no outage", failed before.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ReturnPacing.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ReturnPacing.kt
@@ -41,9 +41,9 @@
 
     private fun paceOf(pool: ServerPool) = paces[pool] ?: ReturnPace()
 
-    /** Records whether there was a backend server for a stream to [pool]. */
-    fun onChoice(pool: ServerPool, found: Boolean) {
-        if (!found) {
+    /** Records whether backend servers of [pool] are [known]. */
+    fun onServers(pool: ServerPool, known: Boolean) {
+        if (!known) {
             available -= pool
         } else if (available.add(pool)) {
             paces[pool] = paceOf(pool).onReturn(timers.nowMs())
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/StreamRelease.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/StreamRelease.kt
@@ -38,7 +38,8 @@
     /** Decides on the stream, of which nothing was sent, for [choice]; null if it is not paced. */
     fun decide(choice: BackendChoice?): ReleaseDecision? {
         pacing ?: return null
-        pacing.onChoice(pool, found = choice != null)
+        // A single stream may find none for a reason of its own, such as its homes.
+        pacing.onServers(pool, known = servers() > 0)
         choice ?: return null
         val times = StreamTimes(choice.expectedMs - choice.waitMs, choice.waitMs)
         predicted = times
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ReturnPacingTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ReturnPacingTest.kt
@@ -3,10 +3,15 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.bramleyspur.core.document.RouteKind
 import org.bramleyspur.daemon.caller.RawClient
+import org.bramleyspur.traffic.forward.ServerPool
+import org.bramleyspur.traffic.outage.PacedStream
+import org.bramleyspur.traffic.outage.ReleaseDecision
+import org.bramleyspur.traffic.outage.StreamTimes
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import strikt.assertions.map
 import java.util.concurrent.CompletableFuture
 
@@ -47,7 +52,31 @@
         expectThat(loops.traffic.submit<Int> { pacing.heldCount }.get()).isEqualTo(0)
     }
 
+    /** Guards against streams that are held as after an outage since one before them suited no backend server. */
+    @Test
+    fun `a stream that no backend server can take is no outage`() {
+        val engines = document(listOf(route("/stream/", RouteKind.STREAMING, 2)))
+            .copy(services = persistentMapOf("s" to engineService))
+        val backend = ScriptedBackend(Script(streamResponse("id: 1\ndata: a\n\n", complete = true)))
+        backends += backend
+        loops.traffic.submit { context.pacing = pacing }.get()
+        apply(engines, listOf(engine(0, backend.address)))
+        expectThat(post("/stream/first", MODEL)?.status).isEqualTo(200)
+        timers.hold()
+        timers.advance(RETURNED_MS)
+        expectThat(post("/stream/large", "X-Model: m\r\nX-Tokens: 2000000,20\r\n")?.status).isEqualTo(503)
+        expectThat(post("/stream/next", MODEL)?.status).isEqualTo(200)
+        val now = timers.nowMs()
+        val stream = PacedStream(now - 1_000, targetMs = 100, deadlineMs = now + 1_000)
+        val decision = loops.traffic.submit<ReleaseDecision?> {
+            pacing.decide(ServerPool("s", "m"), stream, StreamTimes(10.0, 0.0), servers = 1, slots = 8)
+        }
+        expectThat(decision.get()).isNull()
+    }
+
     private companion object {
+        /** Longer than a return from an outage lasts. */
+        const val RETURNED_MS = 10_000L
         const val MODEL = "X-Model: m\r\nX-Tokens: 100,20\r\n"
         const val LATE_MS = 200L
     }
