Keep an entry to one request until it has been told of the others for two seconds

Cause: after a kill of all processes, an entry that was told the number of entries once or twice, while control knew few of them, and then lost control took the equal share of that number when two seconds had passed. Several such entries sent a cold server more than its limit in a second.

Change: an entry gets at most one request in a window until it has been told for two seconds without a gap of more than a second; a longer gap before that begins the two seconds anew.

--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/cold/ColdAdmission.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/cold/ColdAdmission.kt
@@ -89,7 +89,7 @@
     /** Whether a request may be sent to [server] at [nowMs]. */
     fun decide(server: ServerView, bounds: ServiceColdBounds, nowMs: Long): ColdDecision {
         val reason = coldReason(server, bounds, nowMs) ?: return ColdDecision.Allowed
-        val equal = contact.share(minOf(bounds.limit, MAX_KEPT), nowMs)
+        val equal = contact.share(minOf(bounds.limit, MAX_KEPT))
         // A deployment of more entries than the limit would serve nothing while control cannot be reached.
         val share = if (reason.isKnown) equal else maxOf(1, equal)
         val sent = recent(server.id, nowMs)
--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/cold/ControlContact.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/cold/ControlContact.kt
@@ -12,7 +12,7 @@
  * The contact of an entry with control and its own pauses. All times are in milliseconds of the entry's clock.
  *
  * @property entryCounts when each number of entries was last told by a control instance
- * @property firstEventMs time of the first event; null before it
+ * @property firstEventMs time of the first event, or of the first one after a gap that ended a start; null before it
  * @property activeMs when the entry was last seen to run
  * @property wokeMs when it last ran again after a pause of more than [MAX_PAUSE_MS]; null for never
  */
@@ -33,13 +33,18 @@
     /** The contact after a control instance told at [nowMs] that it knows [entries]. */
     fun onEvent(entries: Int, nowMs: Long): ControlContact = copy(
         entryCounts = entryCounts.filterValues { nowMs - it <= ENTRY_MEMORY_MS }.toPersistentMap().put(entries, nowMs),
-        firstEventMs = firstEventMs ?: nowMs,
+        firstEventMs = if (isJoining && !isHeard(nowMs)) nowMs else firstEventMs,
         lastEventMs = nowMs,
     )
 
+    /** Whether the entry has not been told of the others for long enough to know their number, nor they of it. */
+    private val isJoining: Boolean
+        get() = firstEventMs == null || lastEventMs == null || lastEventMs - firstEventMs < JOINING_MS
+
+    private fun isHeard(nowMs: Long) = lastEventMs != null && nowMs - lastEventMs <= MAX_EVENT_AGE_MS
+
     /** Whether control's latest events say how the backend servers are at [nowMs]. */
-    fun isInTouch(nowMs: Long): Boolean =
-        lastEventMs != null && nowMs - lastEventMs <= MAX_EVENT_AGE_MS && !hasWokenLately(nowMs)
+    fun isInTouch(nowMs: Long): Boolean = isHeard(nowMs) && !hasWokenLately(nowMs)
 
     private fun hasWokenLately(nowMs: Long) = wokeMs != null && nowMs - wokeMs <= WAKING_MS
 
@@ -47,14 +52,14 @@
     fun mayBeQueued(receivedMs: Long): Boolean = wokeMs != null && receivedMs <= wokeMs + QUEUE_MS
 
     /**
-     * The part of [limit] that this entry may use at [nowMs]: an equal one, where some entries that are not told yet
-     * are counted in addition. The other entries may not have been told of one that is new, which gets at most one.
+     * The part of [limit] that this entry may use: an equal one, where some entries that are not told yet are counted
+     * in addition. The other entries may not have been told of one that is new, which gets at most one; so does one
+     * that has lost control soon after its start, when control knew few of those that had started with it.
      */
-    fun share(limit: Int, nowMs: Long): Int {
+    fun share(limit: Int): Int {
         val entries = entryCounts.keys.maxOrNull()?.coerceAtLeast(1) ?: return 0
         val equal = limit / (entries + (entries + ENTRIES_PER_UNKNOWN - 1) / ENTRIES_PER_UNKNOWN)
-        val joining = firstEventMs == null || nowMs - firstEventMs < JOINING_MS
-        return if (joining) minOf(1, equal) else equal
+        return if (isJoining) minOf(1, equal) else equal
     }
 
     companion object {
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/cold/ColdAdmissionTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/cold/ColdAdmissionTest.kt
@@ -49,6 +49,12 @@
         Triple("two of 12 for each of 5 and an unknown one", entry(), 2),
         Triple("the most entries of a minute", entry().onEvent(1, 10_000), 2),
         Triple("a new entry gets one", ColdAdmission(ControlContact(8_500)).onActive(8_700).onEvent(5, 8_700), 1),
+        Triple("cut off soon after its start", ColdAdmission(ControlContact(4_000)).onEvent(1, 4_000), 1),
+        Triple(
+            "told again after that",
+            ColdAdmission(ControlContact(4_000)).onEvent(1, 4_000).onEvent(1, 9_900),
+            1,
+        ),
         Triple("more entries than the limit", entry(entries = 13), 0),
         Triple("no word of the other entries", ColdAdmission(ControlContact(10_000)), 0),
     ).map { (name, entry, share) ->
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/cold/ColdWorld.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/cold/ColdWorld.kt
@@ -1,7 +1,7 @@
 package org.bramleyspur.traffic.cold
 
 /** What happens to an entry. */
-enum class EntryEvent { JOINS, FREEZES, WAKES, LOSES_TOUCH, REGAINS_TOUCH }
+enum class EntryEvent { JOINS, FREEZES, WAKES, LOSES_TOUCH, REGAINS_TOUCH, KILLED }
 
 /** Which of its pending requests an entry sends in a step, and whether they leave [LATE_MS] after it decided. */
 enum class Sending { NONE, AT_ONCE, LATE }
@@ -11,6 +11,7 @@
  *
  * @property view what it knows of the server
  * @property pendingMs decided requests that have not left, by the time at which they leave
+ * @property killedMs when the process was killed; null if it never was
  */
 data class WorldEntry(
     val admission: ColdAdmission?,
@@ -18,7 +19,19 @@
     val frozen: Boolean = false,
     val inTouch: Boolean = true,
     val pendingMs: List<Long> = emptyList(),
-)
+    val killedMs: Long? = null,
+) {
+    /** Whether control does not know the entry, or the entry does not know what control knows. */
+    val isDisturbed: Boolean get() = admission == null || frozen || !inTouch
+
+    /** Whether a process that was started again after its end may run at [nowMs]. */
+    fun canJoin(nowMs: Long): Boolean = admission == null && (killedMs == null || nowMs - killedMs >= RESTART_MS)
+
+    private companion object {
+        /** From the end of a process to its first request; the platform's processes take longer. */
+        const val RESTART_MS = 4 * ColdWorld.STEP_MS
+    }
+}
 
 /**
  * One server, which becomes cold at [coldFromMs], and its entries; [departuresMs] are the requests that left within the
@@ -35,8 +48,11 @@
     val toldEntries: Int,
     val departuresMs: List<Long> = emptyList(),
 ) {
-    /** The world a step later, after [events] and with [sendings], both by entry. */
-    fun step(events: Map<Int, EntryEvent>, sendings: List<Sending>): ColdWorld {
+    /**
+     * The world a step later, after [events] and with [sendings], both by entry. If [controlRestarts], control knows no
+     * entry before the next step.
+     */
+    fun step(events: Map<Int, EntryEvent>, sendings: List<Sending>, controlRestarts: Boolean = false): ColdWorld {
         val stepMs = nowMs + STEP_MS
         val next = entries.mapIndexed { index, entry -> entry.after(events[index], stepMs).told(stepMs) }
         val sent = next.mapIndexed { index, entry -> entry.send(sendings[index], stepMs) }
@@ -47,7 +63,7 @@
             entries = sent.map { entry ->
                 if (entry.frozen) entry else entry.copy(pendingMs = entry.pendingMs.filter { it >= stepMs + STEP_MS })
             },
-            toldEntries = sent.count { it.admission != null && it.inTouch && !it.frozen },
+            toldEntries = if (controlRestarts) 0 else sent.count { !it.isDisturbed },
             departuresMs = (departuresMs.filter { it > stepMs - SECOND_MS } + left).sorted(),
         )
     }
@@ -59,6 +75,7 @@
         EntryEvent.WAKES -> copy(frozen = false, pendingMs = pendingMs.map { maxOf(it, stepMs) })
         EntryEvent.LOSES_TOUCH -> copy(inTouch = false)
         EntryEvent.REGAINS_TOUCH -> copy(inTouch = true)
+        EntryEvent.KILLED -> WorldEntry(null, view.copy(coldUntilMs = 0, receivedMs = 0), killedMs = stepMs)
     }
 
     /** A new entry is counted when it is told for the first time; the others learn of it a step later. */
@@ -66,7 +83,7 @@
         if (frozen || admission == null) return this
         val active = admission.onActive(stepMs)
         if (!inTouch) return copy(admission = active)
-        val isNew = active.contact.share(Int.MAX_VALUE, stepMs) == 0
+        val isNew = active.contact.share(Int.MAX_VALUE) == 0
         val coldUntilMs = if (stepMs >= coldFromMs) Long.MAX_VALUE else 0
         return copy(
             admission = active.onEvent(maxOf(1, toldEntries + if (isNew) 1 else 0), stepMs),
