Read the log in tests when its lines have been written

The log is written on a thread of its own, so a line may appear after the call that it tells of has been answered. DemandDriverTest and SlowMemberLogTest read the log at once as well.

--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/controlplane/EvacuationCallTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/controlplane/EvacuationCallTest.kt
@@ -4,7 +4,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.bramleyspur.core.document.DocumentError
 import org.bramleyspur.core.settings.Address
-import org.bramleyspur.core.telemetry.DecisionLog
+import org.bramleyspur.daemon.LoggedLines
 import org.bramleyspur.daemon.freePort
 import org.bramleyspur.daemon.orders.EngineDialect
 import org.bramleyspur.daemon.process.AgentlessControlProcess
@@ -15,8 +15,6 @@
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
-import java.io.ByteArrayOutputStream
-import java.io.PrintStream
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -59,7 +57,7 @@
         private val listenPort = freePort()
         private val controlPort = freePort()
         private val http = HttpClient.newHttpClient()
-        private val lines = ByteArrayOutputStream()
+        private val lines = LoggedLines(System::currentTimeMillis)
         private val process = AgentlessControlProcess(
             AgentlessControlSettings(
                 "control",
@@ -79,7 +77,7 @@
                 { Err(DocumentError("not decoded in this test")) },
                 EngineDialect({ error("no engine gets an order") }, "/state") { Err("no engine is asked") },
             ),
-            DecisionLog(PrintStream(lines), System::currentTimeMillis),
+            lines.log,
         ).also { it.start() }
 
         /** Sends a call until an instance that leads has answered it. */
@@ -94,10 +92,8 @@
             }
         }
 
-        private fun lines(event: String) = lines.toString().lines().filter { "\"event\":\"$event\"" in it }
-
         /** The changes in the log, each as data centre and change. */
-        fun changes(): List<String> = lines("evacuation").map { line ->
+        fun changes(): List<String> = lines.of("evacuation").map { line ->
             listOf("data_centre", "change").joinToString(" ") { line.substringAfter("\"$it\":\"").substringBefore('"') }
         }
 
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/DemandDriverTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/DemandDriverTest.kt
@@ -6,8 +6,8 @@
 import org.bramleyspur.control.group.DomainEngines
 import org.bramleyspur.control.group.PlannerState
 import org.bramleyspur.control.group.ServiceTargets
-import org.bramleyspur.core.telemetry.DecisionLog
 import org.bramleyspur.core.time.ManualTimers
+import org.bramleyspur.daemon.LoggedLines
 import org.bramleyspur.protocol.DirectoryRequest
 import org.bramleyspur.protocol.ModelDemand
 import org.junit.jupiter.api.Test
@@ -16,16 +16,13 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isNull
-import java.io.ByteArrayOutputStream
-import java.io.PrintStream
 
 /** Guards against demand that is reported and changes nothing, and against a change that the log does not tell. */
 class DemandDriverTest {
     private val timers = ManualTimers()
-    private val logBytes = ByteArrayOutputStream()
+    private val lines = LoggedLines(timers::nowMs)
     private val registry = PrometheusRegistry()
-    private val driver =
-        DemandDriver(timers, DecisionLog(PrintStream(logBytes), timers::nowMs), DemandMetrics(registry))
+    private val driver = DemandDriver(timers, lines.log, DemandMetrics(registry))
     private val models = persistentListOf(modelSpec("a", 2, share = 0.5), modelSpec("b", 2, share = 0.5))
     private val document = engineDocument(*models.toTypedArray())
     private val planner = PlannerState(
@@ -54,7 +51,7 @@
         play(seconds = 60, requestsPerSecond = 80)
         val targets = driver.targets(1, document, planner).getValue("s")
         expectThat(targets.shares.getValue("a")).isGreaterThan(0.5)
-        val line = logBytes.toString().lines().first { "\"event\":\"demand\"" in it }
+        val line = lines.of("demand").first()
         expectThat(line).contains("\"to\":\"a\"").contains("\"measured\":\"a=0.9").contains("cost_engine_ms")
         expectThat(registry.scrape { it == "bramleyspur_demand_changes" }.size()).isEqualTo(1)
     }
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/SlowMemberLogTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/SlowMemberLogTest.kt
@@ -14,21 +14,19 @@
 import org.bramleyspur.core.backend.GroupMembership
 import org.bramleyspur.core.backend.GroupState
 import org.bramleyspur.core.backend.KnownBackend
-import org.bramleyspur.core.telemetry.DecisionLog
 import org.bramleyspur.core.time.ManualTimers
+import org.bramleyspur.daemon.LoggedLines
 import org.bramleyspur.protocol.DirectoryRequest
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
-import java.io.ByteArrayOutputStream
-import java.io.PrintStream
 
 /** Guards against a replacement that neither the log nor the metrics show, and against one without the setting. */
 class SlowMemberLogTest {
     private val timers = ManualTimers()
-    private val logBytes = ByteArrayOutputStream()
+    private val lines = LoggedLines(timers::nowMs)
 
     private val memberships = HashMap<String, GroupMembership?>()
 
@@ -54,8 +52,7 @@
             },
             closeAllExcept = {},
         )
-        val log = DecisionLog(PrintStream(logBytes), timers::nowMs)
-        return GroupDriver(timers, calls, { Ok(document) }, log, { 0 }, replan = {}, slowMembers = metrics)
+        return GroupDriver(timers, calls, { Ok(document) }, lines.log, { 0 }, replan = {}, slowMembers = metrics)
     }
 
     /** Announcements that are overdue, so that the leader asks for reports. */
@@ -78,22 +75,20 @@
 
     private val document = engineDocument(modelSpec("m", 2))
 
-    private fun lines(event: String) = logBytes.toString().lines().filter { it.contains("\"event\":\"$event\"") }
-
     @Test
     fun `a replacement is logged and counted`() {
         val metrics = SlowMemberMetrics(PrometheusRegistry())
         run(driver(metrics))
-        expectThat(lines("engine-pace").single()).contains("\"engine\":\"e1\"").contains("\"slow\":true")
-        expectThat(lines("group").single { it.contains("MEMBER_SLOW") }).contains("\"member\":\"e1\"")
+        expectThat(lines.of("engine-pace").single()).contains("\"engine\":\"e1\"").contains("\"slow\":true")
+        expectThat(lines.of("group").single { it.contains("MEMBER_SLOW") }).contains("\"member\":\"e1\"")
         expectThat(metrics.replacements.labelValues("s").get()).isEqualTo(1.0)
     }
 
     @Test
     fun `nothing is replaced without the setting`() {
         run(driver(null))
-        expectThat(lines("engine-pace")).isEmpty()
-        expectThat(lines("group").filter { it.contains("MEMBER_SLOW") }).isEmpty()
+        expectThat(lines.of("engine-pace")).isEmpty()
+        expectThat(lines.of("group").filter { it.contains("MEMBER_SLOW") }).isEmpty()
     }
 
     private companion object {
