Pace the return of a pool only after the start of the process

Cause: every time that a pool had a backend server again, its late streams were held or refused for three seconds. Pools of few groups lose all of them now and then, and late answers are what their callers then get; the process knows all servers that come back, so the reason for the pacing is absent.

Change: the pacing begins when the first backend server of a pool is known since the start. ReturnPacingTest, "servers that come back while the process runs", failed before.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ReturnPacing.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ReturnPacing.kt
@@ -30,8 +30,8 @@
 
     private val paces = HashMap<ServerPool, ReturnPace>()
 
-    /** The pools for which there was a backend server when it was last looked for. */
-    private val available = HashSet<ServerPool>()
+    /** The pools of which a backend server has been known since the start. */
+    private val returned = HashSet<ServerPool>()
     private val held = HashMap<AdmittedRequest, Held>()
     private var room = WaitingRoom<AdmittedRequest>()
     private var timer: TimerHandle? = null
@@ -41,13 +41,9 @@
 
     private fun paceOf(pool: ServerPool) = paces[pool] ?: ReturnPace()
 
-    /** Records whether backend servers of [pool] are [known]. */
+    /** Records whether backend servers of [pool] are [known]; it returns when the first one since the start is. */
     fun onServers(pool: ServerPool, known: Boolean) {
-        if (!known) {
-            available -= pool
-        } else if (available.add(pool)) {
-            paces[pool] = paceOf(pool).onReturn(timers.nowMs())
-        }
+        if (known && returned.add(pool)) paces[pool] = paceOf(pool).onReturn(timers.nowMs())
     }
 
     /** Decides on [stream] to [pool], of which [servers] are known; null if it is not paced. */
