Pace the return only where a deployment's contracts name pressure

Change: the pacing has a setting of its own, which the platform's adapter sets with the contract `pressure`, as it does for targets by demand.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/process/AgentlessEntryProcess.kt
@@ -59,6 +59,7 @@
  * @property regions region of each data centre of the deployment; empty if they are not known
  * @property pressureAdmission whether requests that compete for room are admitted by what can still be in time
  * @property sharedLoad whether entries tell each other, through control, what they have sent to each backend server
+ * @property pacesReturn whether streams that are late after an outage give way to those in time
  * @property demandTargets whether control is told what is asked of each model
  * @property cold how requests to cold backend servers are bounded; null when they are not
  */
@@ -78,6 +79,7 @@
     val regions: ImmutableMap<String, String> = persistentMapOf(),
     val pressureAdmission: Boolean = false,
     val sharedLoad: Boolean = false,
+    val pacesReturn: Boolean = false,
     val demandTargets: Boolean = false,
     val cold: ColdSettings? = null,
 )
@@ -127,7 +129,7 @@
         }
         if (settings.sharedLoad) context.sharedLoad = SharedLoad(timers, log, metrics)
         // Admission under pressure paces the return by its own predictions.
-        if (settings.sharedLoad && !settings.pressureAdmission) {
+        if (settings.pacesReturn && !settings.pressureAdmission) {
             context.pacing = ReturnPacing(timers, metrics, { maxOf(1, entryCount) }, random::nextDouble)
         }
         if (settings.demandTargets) context.demand = DemandCounters()
