--- a/review/harness-2/Bed.java
+++ b/review/harness-2/Bed.java
@@ -35,6 +35,8 @@
     final int frontPort;
     final int readyPort;
     final List<String> controls = new ArrayList<>();
+    /** Lines that are added to every settings file; the last line with a name counts. */
+    final List<String> extraSettings = new ArrayList<>();
     private final PrintStream record;
     private final long startedNs = System.nanoTime();
     private final Map<String, Process> processes = new LinkedHashMap<>();
@@ -121,6 +123,7 @@
             lines.add("listen.control=" + ip + ":" + controlPort);
             lines.add("dataDir=" + directory.resolve("data-" + name));
         }
+        lines.addAll(extraSettings);
         return String.join("\n", lines) + "\n";
     }
 
