--- a/review/7/SlowWhileCold.java
+++ b/review/7/SlowWhileCold.java
@@ -40,6 +40,9 @@
 
     /** Where and when each attempt of a client began to run. */
     static final Map<String, List<String>> runs = new ConcurrentHashMap<>();
+
+    /** When requests arrived, by engine. */
+    static final Map<String, List<Long>> arrivals = new ConcurrentHashMap<>();
     static final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2, SlowWhileCold::daemon);
     static Bed bed;
     static volatile long coldUntilMs = 0;
@@ -383,6 +386,7 @@
                                 + headers.get("x-bramleyspur-attempt-id") + "\r\n", "");
                             continue;
                         }
+                        arrivals.computeIfAbsent(id, it -> new CopyOnWriteArrayList<>()).add(bed.nowMs());
                         int prompt = Integer.parseInt(headers.get("x-bramleyspur-token-counts").split(",")[0]);
                         Stream stream = new Stream(this, headers, out, read(prompt));
                         streams.add(stream);
