--- a/review/6/CutAnswer.java
+++ b/review/6/CutAnswer.java
@@ -72,7 +72,7 @@
             killer.setDaemon(true);
             killer.start();
             OutputStream out = client.getOutputStream();
-            String head = "POST /work/2f HTTP/1.1\r\nHost: " + Bed.HOST + "\r\nX-Bramleyspur-Attempt-Id: 9c41d07be2a35f68\r\n"
+            String head = "POST /call/2f HTTP/1.1\r\nHost: " + Bed.HOST + "\r\nX-Bramleyspur-Attempt-Id: 9c41d07be2a35f68\r\n"
                 + "X-Bramleyspur-Deadline-Remaining-Ms: 8000\r\nAuthorization: Bearer " + Bed.KEY + "\r\n"
                 + "Content-Length: " + BODY_BYTES + "\r\n\r\n";
             out.write(head.getBytes(StandardCharsets.ISO_8859_1));
--- a/review/7/SlowWhileCold.java
+++ b/review/7/SlowWhileCold.java
@@ -138,7 +138,7 @@
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress("127.0.1.21", bed.frontPort), 1_000);
             socket.setSoTimeout(7_000);
-            String text = "POST /work/2f HTTP/1.1\r\nHost: " + Bed.HOST + "\r\nX-Bramleyspur-Attempt-Id: " + id
+            String text = "POST /call/2f HTTP/1.1\r\nHost: " + Bed.HOST + "\r\nX-Bramleyspur-Attempt-Id: " + id
                 + "\r\nX-Bramleyspur-Model: " + MODEL + "\r\nX-Bramleyspur-Token-Counts: " + PROMPT + ",80\r\n"
                 + "X-Bramleyspur-Prompt-Prefix: 5c1e07a2:40," + id + ":" + (PROMPT - 40) + "\r\n"
                 + "X-Bramleyspur-Deadline-Remaining-Ms: 5000\r\nAuthorization: Bearer " + Bed.KEY + "\r\nContent-Length: 4\r\n\r\nabcd";
@@ -154,7 +154,7 @@
 
     /** As of zllw-pomorze-grown, with one model of groups of two engines, and a route whose streams may not be resumed. */
     static String configuration() {
-        return "{\"version\":1,\"routes\":[{\"name\":\"r-1\",\"host\":\"" + Bed.HOST + "\",\"pathPrefix\":\"/work/\","
+        return "{\"version\":1,\"routes\":[{\"name\":\"r-1\",\"host\":\"" + Bed.HOST + "\",\"pathPrefix\":\"/call/\","
             + "\"routeType\":\"streaming\",\"timeoutMs\":5000,\"targetLatencyMs\":801,\"priority\":1,\"service\":\"poradnik\","
             + "\"maxAttempts\":2,\"public\":false,\"sticky\":true,\"resumable\":false,\"gapAimMs\":300}],"
             + "\"services\":[{\"name\":\"poradnik\",\"healthPath\":\"/health\",\"maxConnections\":572,\"protocol\":\"h1\",\"tls\":false,"
--- a/review/harness-2/Bed.java
+++ b/review/harness-2/Bed.java
@@ -312,7 +312,7 @@
 
     /** A configuration with one route to a plain service. */
     static String configuration(long version, String routeType, long timeoutMs, int maxAttempts) {
-        return "{\"version\":" + version + ",\"routes\":[{\"name\":\"r-1\",\"host\":\"" + HOST + "\",\"pathPrefix\":\"/work/\","
+        return "{\"version\":" + version + ",\"routes\":[{\"name\":\"r-1\",\"host\":\"" + HOST + "\",\"pathPrefix\":\"/call/\","
             + "\"routeType\":\"" + routeType + "\",\"timeoutMs\":" + timeoutMs + ",\"targetLatencyMs\":400,\"priority\":1,"
             + "\"service\":\"" + SERVICE + "\",\"maxAttempts\":" + maxAttempts + ",\"public\":false}],"
             + "\"services\":[{\"name\":\"" + SERVICE + "\",\"healthPath\":\"/health\",\"maxConnections\":100,"
