Take a response for an answer only if its status has three digits

Callers saw: an answer with the status 000 of an engine reached them as an answer, with its seal and body; so did 099, 20, 0200, +200, +20 and, on plain calls, 2000. A 0200 or +200 became a 200, and a stream was continued with it. With agents, plain calls were answered in the same way, and a streamed generation began with a 0200 or +200. Control took such a response for the result of an order.

Change: the decoder of all HTTP calls to backend servers takes a status line with another status code as malformed, as it does with one that is no number. The response then counts as none: a call that may run once ends as unknown, others are sent again within their rules, and an order is unanswered. All calls to backend servers share this decoder, so no rule on responses sees such a status. Every status from 100 to 999 is forwarded as before.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/ResponseDecoder.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/ResponseDecoder.kt
@@ -12,6 +12,20 @@
     /** Whether bytes were received that are not decoded yet; after a complete response, they belong to no request. */
     val hasUndecodedBytes: Boolean get() = actualReadableBytes() > 0
 
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        val status = initialLine[STATUS_INDEX]
+        // The superclass accepts any integer.
+        require(STATUS_CODE.matches(status)) { "invalid status code '$status'" }
+        return super.createMessage(initialLine)
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         requestMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+
+    private companion object {
+        /** Position of the status code in the status line, after the protocol version. */
+        const val STATUS_INDEX = 1
+
+        val STATUS_CODE = Regex("[1-9][0-9]{2}")
+    }
 }
