Take a response without a length for complete only after its peer's end

Callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: such a response ends with its connection, and Netty's decoder takes any closed channel for that end. A reset that a read finds comes as an exception first, which ended the call as broken; one that a write finds closes the channel without it. A channel that this process closes itself, because its event loop ends, looked the same.

Change: the client's channel records that a read has reached the end of the peer's data. If a channel closes without that, the call is disconnected before the decoder can see the closed channel. A response without a length now needs the positive sign of its end instead of the absence of one of several failures. A response that ends in order before the upload is read passes as before.

Ruled out: a flag set by failed writes alone, which leaves the end of the event loop; half-closed channels, which keep a connection that its peer has ended in the pool. A response whose peer resets the connection after its end cannot be told from a cut one if the write finds the reset first, and counts as cut.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/ConnectionHandler.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/ConnectionHandler.kt
@@ -41,6 +41,12 @@
             context.fireChannelRead(message)
             if (undecodedBytes > MAX_UNDECODED_BYTES) exchange?.onEndless()
         }
+
+        override fun channelInactive(context: ChannelHandlerContext) {
+            // The decoder takes any closed connection for the end of a response without a length.
+            if ((context.channel() as? ClientChannel)?.inputEnded != true) disconnect()
+            context.fireChannelInactive()
+        }
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
@@ -56,17 +62,18 @@
         exchange?.onWritable(context.channel().isWritable)
     }
 
-    override fun channelInactive(context: ChannelHandlerContext) {
-        exchange?.onDisconnected()
-        exchange = null
-    }
+    override fun channelInactive(context: ChannelHandlerContext) = disconnect()
 
     @Deprecated("Deprecated in Netty's handler interface, which still calls it.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         // A response without a length ends when the connection closes; a reset must not be taken for that end.
+        disconnect()
+        context.close()
+    }
+
+    private fun disconnect() {
         exchange?.onDisconnected()
         exchange = null
-        context.close()
     }
 
     private companion object {
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
@@ -54,7 +53,7 @@
     private val bootstrap =
         Bootstrap()
             .group(loop)
-            .channel(NioSocketChannel::class.java)
+            .channelFactory(::ClientChannel)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
             .handler(
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/PlainServiceTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/PlainServiceTest.kt
@@ -158,6 +158,24 @@
         }
     }
 
+    /** Guards against a response without a length that is cut by a reset while the request is still being sent. */
+    @Test
+    fun `a response that is reset during the upload is not forwarded as complete`() {
+        val backend = FakeBackend {
+            write("HTTP/1.1 200 OK\r\n\r\nabc")
+            Thread.sleep(300)
+            reset()
+        }
+        withBackends(backend) { testBed ->
+            RawClient(testBed.port).use { client ->
+                val writer = thread { runCatching { client.send(request("POST /p/x", "u".repeat(8_000_000))) } }
+                val response = runCatching { client.read() }.getOrNull()
+                expectThat(response?.status == 200 && response.complete).isFalse()
+                writer.join()
+            }
+        }
+    }
+
     @Test
     fun `a call with a refused connection has not begun and is retried on another backend server`() {
         val closedPort = ServerSocket(0).use { it.localPort }
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/HttpClientTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/HttpClientTest.kt
@@ -181,6 +181,22 @@
         }
     }
 
+    /** Guards against a response without a length that counts as complete since this process closes its connection. */
+    @Test
+    fun `a response without a length is not complete when the event loop ends`() {
+        val server = FakeBackend {
+            write("HTTP/1.1 200 OK\r\n\r\npart")
+            awaitDisconnect()
+        }
+        val client = HttpClient(Address("127.0.0.1", server.port), loops.trafficGroup)
+        val body = CompletableFuture<String?>()
+        loops.traffic.execute { client.get("/", body::complete) }
+        Thread.sleep(PAUSE_MS)
+        loops.close()
+        expectThat(body.get(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo(null)
+        server.close()
+    }
+
     private companion object {
         const val PAUSE_MS = 100L
         const val REQUEST_BYTES = 1_024
