Refuse a response whose head has a malformed field name

Callers saw: an answer of an engine in whose head the name of a field held a blank. The line was passed on with its name cut at the blank, or, if it began with the blank, as a part of the line before. A line such as "Content-Length x: 2" cut the body of a response without a length to two bytes, which looked complete. Agents passed on such answers too, and control took them for the results of orders. Names with a control character were rejected before, except for a tab, which counts as a blank.

Cause: for a response, Netty's decoder cuts a name at the first blank before the names are validated, and unfolds lines that begin with a blank. What the validation sees is a valid name.

Ruled out: a header factory, which gets the cut names; decoding as a request, which rejects the blank but also ends a response without a length at once.

--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/MalformedHeadTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/MalformedHeadTest.kt
@@ -88,4 +88,46 @@
             expectThat(response?.body).isEqualTo(if (bodiless) "" else "hello")
         }
     }
+
+    private class Field(val line: String, val name: String, val value: String)
+
+    private val soundFields = listOf(
+        Field("X-Note:a", "X-Note", "a"),
+        Field("X-Note: \t a \t", "X-Note", "a"),
+        Field("X-Note:", "X-Note", ""),
+        Field("X-Note: a b\tc: d", "X-Note", "a b\tc: d"),
+        Field("x!#$%&'*+-.^_`|~9: a", "x!#$%&'*+-.^_`|~9", "a"),
+    )
+
+    @TestFactory
+    fun `every valid field name is forwarded`() = soundFields.flatMap { field ->
+        listOf("" to "", "an interim response" to interim.replace("Link: a", field.line)).map { (name, before) ->
+            DynamicTest.dynamicTest("${field.line}, after '$name'") {
+                val response = okResponse("hello").replaceFirst("\r\n", "\r\n${field.line}\r\n")
+                startBackends(listOf(Script(before + response)))
+                // The second response comes on the kept connection.
+                repeat(2) {
+                    val received = post("/again/")
+                    expectThat(received?.status).isEqualTo(200)
+                    expectThat(received?.header(field.name)).isEqualTo(field.value)
+                    expectThat(received?.body).isEqualTo("hello")
+                }
+            }
+        }
+    }
+
+    private val trailers = listOf("", "X-Sum: a\r\n", "X-Sum:a\r\nX-Other: b c\r\n")
+
+    @TestFactory
+    fun `a chunked response is complete with any trailers`() = trailers.map { trailer ->
+        DynamicTest.dynamicTest("'${trailer.replace("\r\n", ";")}'") {
+            val whole = streamResponse(event, complete = false) + "0\r\n$trailer\r\n"
+            startBackends(listOf(Script(whole)))
+            listOf("/again/", "/stream/", "/once/").forEach { path ->
+                val response = post(path)
+                expectThat(response?.body).isEqualTo(event)
+                expectThat(response?.complete).isEqualTo(true)
+            }
+        }
+    }
 }
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/MalformedHead.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/MalformedHead.kt
@@ -1,5 +1,7 @@
 package org.bramleyspur.daemon.http
 
+import kotlinx.serialization.json.Json
+
 /** A response head that is not HTTP/1.1 in [statusLine] or in the line of [field]. */
 internal class MalformedHead(
     val name: String,
@@ -27,4 +29,32 @@
     "HTTP/1.1 ",
 )
 
-internal val MALFORMED_HEADS = malformedStatusLines.map { MalformedHead("status line '$it'", statusLine = it) }
+/** Lines whose field name has a blank or a control character, and others without a valid name. */
+private val malformedFields = listOf(
+    "X Note: a",
+    "X\tNote: a",
+    "X-Note : a",
+    "X-Note\t: a",
+    " X-Note: a",
+    "\tX-Note: a",
+    "Content-Length x: 2",
+    "Content-Length\t: 2",
+    "Transfer-Encoding x: chunked",
+    "X\u0000Note: a",
+    "X-Note\u0001: a",
+    "\u0002X-Note: a",
+    "X\u000bNote: a",
+    "X\u000cNote: a",
+    "X\rNote: a",
+    "X\u001bNote: a",
+    "X-Note\u007f: a",
+    "X-Note",
+    "X Note",
+    ": a",
+    "X(Note): a",
+    "X-N\u00f6te: a",
+)
+
+internal val MALFORMED_HEADS =
+    malformedStatusLines.map { MalformedHead("status line '$it'", statusLine = it) } +
+        malformedFields.map { MalformedHead("field ${Json.encodeToString(it)}", field = it) }
