Refuse a response whose status line names another version than HTTP/1

Callers saw: a response that begins with "HTTP/2.0 200 OK" or "http/1.1 200 OK" reached them as an answer. Found while the other status lines were checked; no report names it.

Cause: as with the status code, Netty's decoder accepts what it can parse; it converts the version to upper case and rejects another protocol, but no other version.

Change: the version must be HTTP/1 with a minor version of one digit, as written in RFC 9112. HTTP/1.0 and HTTP/1.2 are forwarded as before.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/ResponseDecoder.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/ResponseDecoder.kt
@@ -44,8 +44,10 @@
     }
 
     override fun createMessage(initialLine: Array<String>): HttpMessage {
+        val version = initialLine[VERSION_INDEX]
         val status = initialLine[STATUS_INDEX]
-        // The superclass accepts any integer.
+        // The superclass accepts other versions of HTTP, and any integer as the status code.
+        require(VERSION.matches(version)) { "unsupported version '$version'" }
         require(STATUS_CODE.matches(status)) { "invalid status code '$status'" }
         return super.createMessage(initialLine)
     }
@@ -54,9 +56,11 @@
         requestMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
 
     private companion object {
-        /** Position of the status code in the status line, after the protocol version. */
+        /** Positions in the status line. */
+        const val VERSION_INDEX = 0
         const val STATUS_INDEX = 1
 
+        val VERSION = Regex("HTTP/1\\.[0-9]")
         val STATUS_CODE = Regex("[1-9][0-9]{2}")
     }
 }
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/MalformedHeadTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/MalformedHeadTest.kt
@@ -75,6 +75,14 @@
         }
     }
 
+    @TestFactory
+    fun `every minor version is forwarded`() = listOf("HTTP/1.0", "HTTP/1.1", "HTTP/1.2").map { version ->
+        DynamicTest.dynamicTest(version) {
+            startBackends(listOf(Script(okResponse("hello").replace("HTTP/1.1", version))))
+            expectThat(post("/once/")?.body).isEqualTo("hello")
+        }
+    }
+
     private val statuses = listOf(200, 201, 204, 226, 299, 300, 304, 404, 408, 429, 451, 499, 500, 503, 599, 600, 999)
 
     @TestFactory
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/MalformedHead.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/MalformedHead.kt
@@ -27,6 +27,9 @@
     "HTTP/1.1 0x2 OK",
     "HTTP/1.1 OK",
     "HTTP/1.1 ",
+    "HTTP/2.0 200 OK",
+    "http/1.1 200 OK",
+    "RTSP/1.0 200 OK",
 )
 
 /** Lines whose field name has a blank or a control character, and others without a valid name. */
