Play resets of responses without a length with seeds

Cause: the table of ResetUploadTest resets at one moment only, and its upload fitted into the network buffers now and then, so that a read found the reset first and the case could not fail. Change: the engine's receive buffer is small and the upload longer; a seeded case draws the route, the upload, the pieces, the pauses and the kind of end.

--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/FakeBackend.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/FakeBackend.kt
@@ -8,15 +8,19 @@
 import java.io.IOException
 import java.io.OutputStream
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 
-/** Handles each request of each connection with [respond] until it closes the connection. */
-internal class FakeBackend(private val respond: FakeCall.() -> Unit) : AutoCloseable {
-    private val listener = ServerSocket(0, 64, InetAddress.getLoopbackAddress())
+/**
+ * Handles each request of each connection with [respond] until it closes the connection. The network buffers about
+ * [receiveBufferBytes] of a request that is not read, or as much as the system permits if it is 0.
+ */
+internal class FakeBackend(receiveBufferBytes: Int = 0, private val respond: FakeCall.() -> Unit) : AutoCloseable {
+    private val listener = ServerSocket()
     private val sockets = CopyOnWriteArrayList<Socket>()
 
     /** Heads of the received requests, in order. */
@@ -31,6 +35,8 @@
     val port: Int get() = listener.localPort
 
     init {
+        if (receiveBufferBytes > 0) listener.receiveBufferSize = receiveBufferBytes
+        listener.bind(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 64)
         thread(isDaemon = true, name = "fake-backend") { accept() }
     }
 
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/PlainServiceTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/PlainServiceTest.kt
@@ -135,7 +135,7 @@
             val respond: FakeCall.() -> Unit = {
                 if (isFirst.getAndSet(false)) fault.respond(this) else reply(200, "ok")
             }
-            withBackends(FakeBackend(respond), FakeBackend(respond)) { testBed ->
+            withBackends(FakeBackend(respond = respond), FakeBackend(respond = respond)) { testBed ->
                 expectThat(call(testBed, request("GET /p/x")).body).isEqualTo("ok")
             }
         }
@@ -161,7 +161,7 @@
     /** Guards against a response without a length that is cut by a reset while the request is still being sent. */
     @Test
     fun `a response that is reset during the upload is not forwarded as complete`() {
-        val backend = FakeBackend {
+        val backend = FakeBackend(receiveBufferBytes = 64 * 1024) {
             write("HTTP/1.1 200 OK\r\n\r\nabc")
             Thread.sleep(300)
             reset()
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ResetUploadTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ResetUploadTest.kt
@@ -8,6 +8,7 @@
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
+import kotlin.random.Random
 
 /**
  * Guards against a response without a length whose connection is reset while the request is still being sent, and that
@@ -21,7 +22,7 @@
 
     /** Starts a backend server for each of [responses] that answers before it has read the request's body. */
     private fun startEngines(vararg responses: FakeCall.() -> Unit, test: (List<FakeBackend>) -> Unit) {
-        val engines = responses.map { FakeBackend(it) }
+        val engines = responses.map { FakeBackend(RECEIVE_BUFFER_BYTES, it) }
         try {
             apply(
                 document.copy(limits = ClientLimits(maxBodyBytes = BODY_BYTES)),
@@ -113,9 +114,51 @@
         }
     }
 
+    /** An engine that reads a part of the upload and sends events in pieces, before it ends in order or by a reset. */
+    private inner class Play(seed: Long) {
+        private val random = Random(seed)
+        val path = listOf("/once/", "/again/", "/stream/").random(random)
+        val bodyBytes = random.nextInt(1, BODY_BYTES)
+        val resets = random.nextBoolean()
+        val events = List(random.nextInt(1, 6)) { "id: ${it + 1}\ndata: ${"d".repeat(random.nextInt(0, 4_000))}\n\n" }
+        private val readsFirst = random.nextInt(3) == 0
+        private val pieceBytes = random.nextInt(1, 8_000)
+        private val pausesMs = List(3) { random.nextLong(0, 8) }
+
+        fun respond(call: FakeCall) = with(call) {
+            if (readsFirst) readBody()
+            (head("") + events.joinToString("")).chunked(pieceBytes).forEachIndexed { index, piece ->
+                write(piece)
+                if (index < pausesMs.size) Thread.sleep(pausesMs[index])
+            }
+            if (resets) {
+                reset()
+            } else {
+                if (!readsFirst) readBody()
+                close()
+            }
+        }
+    }
+
+    @TestFactory
+    fun `a response is complete only if it ends in order`() = (1..seeds).map { seed ->
+        DynamicTest.dynamicTest("seed $seed") {
+            val play = Play(seed)
+            startEngines({ play.respond(this) }) {
+                val response = post(play.path, body = body.take(play.bodyBytes))
+                val complete = response?.status == 200 && response.complete
+                expectThat(complete).isEqualTo(!play.resets)
+                if (complete) expectThat(response?.body).isEqualTo(play.events.joinToString(""))
+            }
+        }
+    }
+
     private companion object {
-        /** Many times the socket buffers of both sides. */
-        const val BODY_BYTES = 4_000_000
+        val seeds: Long = System.getProperty("reset.upload.seeds", "20").toLong()
+
+        /** More than the network buffers. */
+        const val BODY_BYTES = 8_000_000
+        const val RECEIVE_BUFFER_BYTES = 64 * 1024
         const val PAUSE_MS = 200L
     }
 }
