Share the order and the probe of two tests

Cause: MalformedEngineResponseTest and EndlessEngineResponseTest sent them with the same lines. Both check the same results as before.

--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/EndlessEngineResponseTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/EndlessEngineResponseTest.kt
@@ -1,8 +1,6 @@
 package org.bramleyspur.daemon.orders
 
 import com.github.michaelbull.result.Err
-import org.bramleyspur.control.group.EngineCommand
-import org.bramleyspur.control.group.EngineOrder
 import org.bramleyspur.control.group.OrderResult
 import org.bramleyspur.control.group.ProbeResult
 import org.bramleyspur.daemon.caller.ENDLESS_HEADS
@@ -52,17 +50,8 @@
         DynamicTest.dynamicTest(case.name) {
             val flood = Flood()
             FakeBackend { flood.send(this, case.start) { case.next } }.use { engine ->
-                val address = "127.0.0.1:${engine.port}"
-                val orderResult = CompletableFuture<OrderResult>()
-                val probeResult = CompletableFuture<ProbeResult>()
-                loops.control.execute {
-                    sender.send(EngineOrder("e", address, 1, EngineCommand.Stage("m"))) { result, _ ->
-                        orderResult.complete(result)
-                    }
-                    sender.probe(address) { result, _ -> probeResult.complete(result) }
-                }
-                expectThat(orderResult.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo(OrderResult.UNANSWERED)
-                expectThat(probeResult.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo(ProbeResult.Unanswered)
+                expectThat(sender.orderAndProbe(engine, loops))
+                    .isEqualTo(OrderResult.UNANSWERED to ProbeResult.Unanswered)
                 awaitTrue(CLOSE_LIMIT_MS, "the end of the connections") { flood.open.get() == 0 }
             }
         }
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/MalformedEngineResponseTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/orders/MalformedEngineResponseTest.kt
@@ -1,8 +1,6 @@
 package org.bramleyspur.daemon.orders
 
 import com.github.michaelbull.result.Ok
-import org.bramleyspur.control.group.EngineCommand
-import org.bramleyspur.control.group.EngineOrder
 import org.bramleyspur.control.group.EngineReport
 import org.bramleyspur.control.group.OrderResult
 import org.bramleyspur.control.group.ProbeResult
@@ -14,8 +12,6 @@
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
-import java.util.concurrent.CompletableFuture
-import java.util.concurrent.TimeUnit
 
 /** Guards against a malformed response of an engine that control takes for the result of an order or a probe. */
 class MalformedEngineResponseTest {
@@ -38,22 +34,9 @@
                 write(head.response("{}"))
             }
             server.use { engine ->
-                val address = "127.0.0.1:${engine.port}"
-                val orderResult = CompletableFuture<OrderResult>()
-                val probeResult = CompletableFuture<ProbeResult>()
-                loops.control.execute {
-                    sender.send(EngineOrder("e", address, 1, EngineCommand.Stage("m"))) { result, _ ->
-                        orderResult.complete(result)
-                    }
-                    sender.probe(address) { result, _ -> probeResult.complete(result) }
-                }
-                expectThat(orderResult.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo(OrderResult.UNANSWERED)
-                expectThat(probeResult.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo(ProbeResult.Unanswered)
+                expectThat(sender.orderAndProbe(engine, loops))
+                    .isEqualTo(OrderResult.UNANSWERED to ProbeResult.Unanswered)
             }
         }
     }
-
-    private companion object {
-        const val WAIT_S = 5L
-    }
 }
