--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/ResponseDecoderTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/ResponseDecoderTest.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.util.ReferenceCountUtil
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
@@ -26,15 +27,17 @@
         parts.forEach { channel.writeInbound(Unpooled.copiedBuffer(it, Charsets.ISO_8859_1)) }
         channel.finish()
         return generateSequence { channel.readInbound<HttpObject>() }.joinToString("") { message ->
-            when {
-                message.decoderResult().isFailure -> "[failed]"
-                message is HttpResponse -> "[${message.status().code()}]"
-                message is HttpContent -> message.content().toString(Charsets.ISO_8859_1)
-                else -> "[unknown]"
-            }
+            textOf(message).also { ReferenceCountUtil.release(message) }
         }
     }
 
+    private fun textOf(message: HttpObject): String = when {
+        message.decoderResult().isFailure -> "[failed]"
+        message is HttpResponse -> "[${message.status().code()}]"
+        message is HttpContent -> message.content().toString(Charsets.ISO_8859_1)
+        else -> "[unknown]"
+    }
+
     private fun splitsOf(text: String): List<List<String>> =
         text.indices.map { listOf(text.take(it), text.drop(it)) } + listOf(text.map { "$it" })
 
