Take the ports of two tests from below the range of outgoing connections

Traced: the test took a free port of the range 32768 to 60999, closed it, and listened on it later. Outgoing connections and listeners without a fixed port, such as the relay that the test opens in between, get theirs from the same range. The line that failed is the bind, before anything is checked.

Change: the port comes from freePort(), which other tests use for the same reason; so does that of ControlPlaneServerTest, which had the same lines. No check changes. Which socket had taken the port was not recorded.

--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServerTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/controlplane/ControlPlaneServerTest.kt
@@ -2,12 +2,12 @@
 
 import io.netty.channel.nio.NioEventLoopGroup
 import org.bramleyspur.core.settings.Address
+import org.bramleyspur.daemon.freePort
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
 import java.io.IOException
-import java.net.ServerSocket
 import java.net.Socket
 import java.net.URI
 import java.net.http.HttpClient
@@ -27,7 +27,7 @@
             if (path == "/fails") throw StackOverflowError("too deep") else ControlPlaneCall.Read
         }
         val group = NioEventLoopGroup(1)
-        val address = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
+        val address = Address("127.0.0.1", freePort())
         ControlPlaneServer(decode, { failures += it.message }) { _, respond -> respond(ControlPlaneResponse.Accepted) }
             .use { server ->
                 server.start(address, group)
@@ -45,7 +45,7 @@
         val dropped = CopyOnWriteArrayList<ControlPlaneCall>()
         val call = ControlPlaneCall.Evacuate("a", evacuated = true)
         val group = NioEventLoopGroup(1)
-        val address = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
+        val address = Address("127.0.0.1", freePort())
         val server =
             ControlPlaneServer({ _, _, _ -> call }, { failures += it.message }, { dropped += it }) { next, respond ->
                 handled += next
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/directory/DirectoryExchangeTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/directory/DirectoryExchangeTest.kt
@@ -12,6 +12,7 @@
 import org.bramleyspur.core.wire.renewAll
 import org.bramleyspur.core.wire.toModel
 import org.bramleyspur.daemon.ResettableRelay
+import org.bramleyspur.daemon.freePort
 import org.bramleyspur.daemon.http.listen
 import org.bramleyspur.daemon.process.EventLoops
 import org.bramleyspur.daemon.process.buildServer
@@ -23,8 +24,6 @@
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
-import java.net.InetAddress
-import java.net.ServerSocket
 
 /** Guards against a watcher that keeps outdated content, because it received only renewals of what it has missed. */
 class DirectoryExchangeTest {
@@ -174,8 +173,7 @@
     knownVersion: Long = 0,
 ) : AutoCloseable {
     private val loops = EventLoops()
-    private val address =
-        Address("127.0.0.1", ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort })
+    private val address = Address("127.0.0.1", freePort())
     private var known = BackendDirectory()
     private val directoryServer = DirectoryServer(
         loops.controlTimers,
