Log why a domain lacks a wanted group

A record group-gap now tells whether a missing group forms, or its engines are in groups across domains, lack the weights, or are too few. No decision changes.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -45,6 +45,7 @@
     moveGroups(service, wanted)
     replaceSlowMembers(service)
     warmSpares(service)
+    if (input.trafficStarted && part == EnginePart.OPEN) gaps += groupGaps(service, wanted)
 }
 
 /**
@@ -158,7 +159,7 @@
 private fun Planning.isUsable(incarnation: EngineIncarnation, inGroup: Boolean): Boolean =
     if (inGroup) lossOf(incarnation) == null else !isUnreachable(incarnation)
 
-private fun Planning.spansDomains(group: PlannedGroup): Boolean =
+internal fun Planning.spansDomains(group: PlannedGroup): Boolean =
     group.members.mapNotNull { member -> announcement(member.id)?.let { domainOf(it) } }.distinct().size > 1
 
 /** Forms a group in a domain that has fewer groups of the model than wanted, preferring the fastest joins. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupPlanner.kt
@@ -21,5 +21,5 @@
     input.document.services.values.filter { it.costs != null && it.models.isNotEmpty() }.forEach {
         planning.formGroups(it.withDemand(input.demand[it.name]))
     }
-    return PlanStep(planning.state, planning.orders, planning.probes)
+    return PlanStep(planning.state, planning.orders, planning.probes, planning.gaps)
 }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -159,5 +159,14 @@
 /** A probe of the state of the engine [incarnation] at [address]. */
 data class EngineProbe(val incarnation: EngineIncarnation, val address: String)
 
-/** Result of a planning run: the next state, and the orders and probes to send. */
-data class PlanStep(val state: PlannerState, val orders: List<EngineOrder>, val probes: List<EngineProbe>)
+/**
+ * Result of a planning run: the next state, and the orders and probes to send.
+ *
+ * @property gaps the wanted groups that are missing once traffic has started
+ */
+data class PlanStep(
+    val state: PlannerState,
+    val orders: List<EngineOrder>,
+    val probes: List<EngineProbe>,
+    val gaps: List<GroupGap>,
+)
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
@@ -13,10 +13,11 @@
 import org.bramleyspur.core.document.DocumentService
 import org.bramleyspur.core.document.ModelSpec
 
-/** One planning run: the state being updated, and the orders and probes collected so far. */
+/** One planning run: the state being updated, and the orders, probes and gaps collected so far. */
 internal class Planning(var state: PlannerState, val input: PlannerInput) {
     val orders = ArrayList<EngineOrder>()
     val probes = ArrayList<EngineProbe>()
+    val gaps = ArrayList<GroupGap>()
     private val freeEnginesMemo = HashMap<Pair<String, EnginePart>, FreeEngines>()
     private val assignedMemo = AssignedMembers()
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/orders/GroupDriver.kt
@@ -9,7 +9,9 @@
 import org.bramleyspur.control.group.EngineIncarnation
 import org.bramleyspur.control.group.EngineOrder
 import org.bramleyspur.control.group.EngineProbe
+import org.bramleyspur.control.group.GroupGap
 import org.bramleyspur.control.group.GroupPhase
+import org.bramleyspur.control.group.ModelInDomain
 import org.bramleyspur.control.group.OrderResult
 import org.bramleyspur.control.group.PhaseCause
 import org.bramleyspur.control.group.PlannedGroup
@@ -69,6 +71,7 @@
     private var evidence: PersistentMap<String, EngineEvidence> = persistentMapOf()
     private var trafficStarted = false
     private var engines: Map<String, KnownBackend> = emptyMap()
+    private var gaps: Map<ModelInDomain, GroupGap> = emptyMap()
     private var decodedDocument: Pair<StoredDocument, Document>? = null
 
     /** Records which engines an entry found responding or unresponsive. */
@@ -128,6 +131,7 @@
         val step = planGroups(state, input)
         state = step.state
         logGroups(before, engines)
+        logGaps(step.gaps)
         logRecoveries(before)
         this.engines = engines
         step.probes.forEach { sendProbe(it) }
@@ -197,6 +201,26 @@
         }
     }
 
+    /** Logs why a domain lacks a wanted group, and that it has it again. */
+    private fun logGaps(next: List<GroupGap>) {
+        val before = gaps
+        gaps = next.associateBy { it.place }
+        for ((place, gap) in gaps) {
+            if (before[place]?.cause != gap.cause) logGap(place, gap.cause.name, gap)
+        }
+        for ((place, gap) in before - gaps.keys) logGap(place, "NONE", gap)
+    }
+
+    private fun logGap(place: ModelInDomain, cause: String, gap: GroupGap) = log.write(
+        "group-gap",
+        "model" to place.model,
+        "domain" to place.domain,
+        "cause" to cause,
+        "joining" to gap.joining,
+        "across_domains" to gap.acrossDomains,
+        "unprepared" to gap.unprepared,
+    )
+
     /** Why each member was free to join; the reasons of the first [MAX_LOGGED_REASONS] members, in their order. */
     private fun freeReasons(group: PlannedGroup, engines: Map<String, KnownBackend>): String =
         group.members.take(MAX_LOGGED_REASONS).joinToString(",") { member ->
