Keep the last model of an engine in the directory

A new leader took each spare for one that holds what is staged on its host.

Change: the directory, which every control member has, records the model of the last group in which an engine announced itself ready since its start. RenewalTest compares with that record as well.

--- a/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/BackendDirectory.kt
+++ b/bramleyspur-core/src/main/kotlin/org/bramleyspur/core/backend/BackendDirectory.kt
@@ -7,8 +7,13 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 
-/** A backend server; [receivedAtMs] is when its last announcement reached a control instance, in milliseconds. */
-data class KnownBackend(val announcement: Announcement, val receivedAtMs: Long) {
+/**
+ * A backend server.
+ *
+ * @property receivedAtMs when its last announcement reached a control instance, in milliseconds
+ * @property lastModel model of the last group in which it announced itself ready since its start; null for none
+ */
+data class KnownBackend(val announcement: Announcement, val receivedAtMs: Long, val lastModel: String? = null) {
     /** Checksum of what the announcement says, apart from its sequence number. */
     val contentChecksum: Int by lazy(LazyThreadSafetyMode.NONE) { announcement.contentChecksum() }
 }
@@ -66,7 +71,8 @@
         if (successor != null && announcement.state != BackendState.GONE) return this
         val replaced = if (announcement.state == BackendState.GONE) emptyList() else sameAddress
         val remaining = replaced.fold(backends) { map, superseded -> map.remove(superseded.announcement.id) }
-        return BackendDirectory(remaining.put(announcement.id, KnownBackend(announcement, receivedAtMs)).bounded())
+        val known = KnownBackend(announcement, receivedAtMs, lastModelAfter(current, announcement))
+        return BackendDirectory(remaining.put(announcement.id, known).bounded())
     }
 
     /** Applies [renewal], received at [receivedAtMs]. */
@@ -98,8 +104,17 @@
     }
 
     private fun withSequence(current: KnownBackend, sequence: Long, receivedAtMs: Long): BackendDirectory {
-        val announcement = current.announcement.copy(sequence = sequence)
-        return BackendDirectory(backends.put(announcement.id, KnownBackend(announcement, receivedAtMs)), index)
+        val renewed = current.copy(
+            announcement = current.announcement.copy(sequence = sequence),
+            receivedAtMs = receivedAtMs,
+        )
+        return BackendDirectory(backends.put(renewed.announcement.id, renewed), index)
+    }
+
+    private fun lastModelAfter(current: KnownBackend?, announcement: Announcement): String? {
+        val membership = announcement.groupMembership?.takeIf { it.state != GroupState.JOINING }
+        return membership?.model
+            ?: current?.takeIf { it.announcement.startedAtMs == announcement.startedAtMs }?.lastModel
     }
 
     /** Without the backend server that was announced the longest time ago, if there are too many. */
--- a/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/backend/RenewalTest.kt
+++ b/bramleyspur-core/src/test/kotlin/org/bramleyspur/core/backend/RenewalTest.kt
@@ -62,7 +62,7 @@
     fun `a renewal moves the sequence and the time of receipt`() {
         val outcome = directory.renew(renewalOf(next), 1_000)
         expectThat(outcome).isA<RenewalOutcome.Renewed>().get { directory.backends["a"] }
-            .isEqualTo(KnownBackend(next, 1_000))
+            .isEqualTo(KnownBackend(next, 1_000, lastModel = group.model))
     }
 
     @Test
