Let spares hold the weights of a second model

Cause: each spare served one model. The second member that a large group lost in a domain had no replacement, although a spare of the small model waited there: its group was gone for the 12 to 16 s of a load.

Change: an engine rejoins its last model without staged weights, so the host of a spare loads those of the model whose losses cost most in the domain: before traffic, when loads are fast, and later while no group is missing. An engine counts for its last model, not for what is staged on its host. A loaded engine is not ordered to load what it can already join. In the simulation, a rejoin leaves the staged weights as they are, as in the description of the engines, and engines announce themselves over 1.2 s after an outage.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -42,6 +42,7 @@
     }
     formFromSurplus(service, wanted)
     stageWeights(service, wanted)
+    stageSecondModels(service, wanted)
     moveGroups(service, wanted)
     replaceSlowMembers(service)
     warmSpares(service)
@@ -150,7 +151,7 @@
         .filter { isUsable(it.incarnation, inGroup = it.incarnation in groupModels) }
         .groupBy { domainOf(it) }
         .mapValues { (_, engines) ->
-            val models = engines.mapNotNull { groupModels[it.incarnation] ?: stagedModel(service, it) }
+            val models = engines.mapNotNull { groupModels[it.incarnation] ?: heldModel(service, it) }
             DomainEngines(engines.size, models.groupingBy { it }.eachCount())
         }
 }
@@ -211,7 +212,7 @@
 ): List<Announcement> = free.filter { joinTimeMs(it, model) < model.loadMs }
     .sortedWith(
         compareBy(
-            { if (stagedModel(service, it) == model.name) 0 else 1 },
+            { if (pendingLoad(service, it) in setOf(null, model.name)) 0 else 1 },
             { slowFactor(it) },
             { joinTimeMs(it, model) },
         ),
@@ -260,7 +261,7 @@
 private fun Planning.warmSpares(service: DocumentService) {
     for (spare in freeEngines(service.name)) {
         val model = service.models.firstOrNull { it.name in spare.stagedModels } ?: continue
-        val isCold = joinTimeMs(spare, model) == model.stagedLoadMs && stagedModel(service, spare) == model.name
+        val isCold = joinTimeMs(spare, model) == model.stagedLoadMs && heldModel(service, spare) == model.name
         if (isCold && verifyOrders(spare.incarnation)) createGroup(service, model, listOf(spare), GroupPhase.WARMING)
     }
 }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupMoves.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupMoves.kt
@@ -88,7 +88,7 @@
 /** Whether free engines form the group, or may still be ordered to load its weights. */
 private fun Planning.sparesSuffice(service: DocumentService, model: ModelSpec, domain: String): Boolean =
     !isShortageLasting(service, model, domain) ||
-        freeEngines(service.name).count { it.fabricDomain == domain && stagedModel(service, it) == model.name } >=
+        freeEngines(service.name).count { it.fabricDomain == domain && heldModel(service, it) == model.name } >=
         model.groupSize
 
 /** As many of [donors] as a group of [model] needs; null if they are too few. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupTargets.kt
@@ -30,7 +30,7 @@
 }
 
 /** The members of the model in the domain, which may be lost, times the part of the work that a group carries. */
-private fun DomainTargets.costOfLosses(domain: String, model: ModelSpec): Double =
+internal fun DomainTargets.costOfLosses(domain: String, model: ModelSpec): Double =
     groups(domain, model) * model.groupSize * model.workShare / keys.sumOf { groups(it, model) }
 
 /** Number of spares that a domain has for the groups of the model; larger groups lose members more often. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerResults.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerResults.kt
@@ -89,8 +89,11 @@
 private fun PlannerState.withMemberLeft(group: GroupId, incarnation: EngineIncarnation) =
     copy(leftMembers = leftMembers.put(group, (leftMembers[group] ?: persistentSetOf()).add(incarnation)))
 
-private fun PlannerState.withRefusal(sent: SentOrder, nowMs: Long) =
-    copy(sentMs = sentMs.remove(sent), stageRefusedMs = stageRefusedMs.put(sent.incarnation, nowMs))
+private fun PlannerState.withRefusal(sent: SentOrder, nowMs: Long) = copy(
+    sentMs = sentMs.remove(sent),
+    stageRefusedMs = stageRefusedMs.put(sent.incarnation, nowMs),
+    reassigned = reassigned.remove(sent.incarnation),
+)
 
 /** A load takes 12 to 16 s, and longer while several run concurrently. */
 internal const val STAGE_REPEAT_MS = 40_000L
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/PlannerState.kt
@@ -59,6 +59,7 @@
  *
  * @property issuedEpochs number of group epochs issued in this term
  * @property lastModel model of the last group in which an engine was ready; it rejoins a group of that model in 0.2 s
+ * @property reassigned models for which engines were ordered to replace the weights of another one
  * @property loadStartsMs start times of recent loads from the weight store
  * @property sentMs when each order was last sent, to time its repetition
  * @property stageRefusedMs when each engine last refused, or did not respond to, an order to stage weights
@@ -79,6 +80,7 @@
     val groups: PersistentMap<GroupId, PlannedGroup> = persistentMapOf(),
     val issuedEpochs: Int = 0,
     val lastModel: PersistentMap<EngineIncarnation, String> = persistentMapOf(),
+    val reassigned: PersistentMap<EngineIncarnation, String> = persistentMapOf(),
     val loadStartsMs: PersistentList<Long> = persistentListOf(),
     val sentMs: PersistentMap<SentOrder, Long> = persistentMapOf(),
     val stageRefusedMs: PersistentMap<EngineIncarnation, Long> = persistentMapOf(),
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/Planning.kt
@@ -10,6 +10,7 @@
 import org.bramleyspur.core.backend.BackendState
 import org.bramleyspur.core.backend.GroupId
 import org.bramleyspur.core.backend.GroupState
+import org.bramleyspur.core.backend.KnownBackend
 import org.bramleyspur.core.document.DocumentService
 import org.bramleyspur.core.document.ModelSpec
 
@@ -108,13 +109,14 @@
 
     /** Removes state of engine incarnations that have ended, and records the models of engines that are in groups. */
     fun pruneEndedIncarnations() {
-        input.engines.values.forEach { recordLastModel(it.announcement) }
+        input.engines.values.forEach { recordLastModel(it) }
         val windowStartMs = input.nowMs - LOAD_WINDOW_MS
         state = state.copy(
             absent = state.absent
                 .filter { (id, startedAtMs) -> announcement(id)?.startedAtMs == startedAtMs }
                 .toPersistentMap(),
             lastModel = state.lastModel.withoutEnded(),
+            reassigned = state.reassigned.withoutEnded(),
             pendingJoins = state.pendingJoins.withoutEnded(),
             knownOrders = state.knownOrders.withoutEnded(),
             lastOrderMs = state.lastOrderMs.withoutEnded(),
@@ -127,11 +129,15 @@
         )
     }
 
-    private fun recordLastModel(engine: Announcement) {
-        val membership = engine.groupMembership ?: return
-        val model = membership.model ?: return
-        if (membership.state == GroupState.JOINING || state.lastModel[engine.incarnation] == model) return
-        state = state.copy(lastModel = state.lastModel.put(engine.incarnation, model))
+    private fun recordLastModel(engine: KnownBackend) {
+        val incarnation = engine.announcement.incarnation
+        val membership = engine.announcement.groupMembership?.takeIf { it.state != GroupState.JOINING }
+        val model = membership?.model ?: engine.lastModel
+        if (model == null || state.lastModel[incarnation] == model) return
+        state = state.copy(
+            lastModel = state.lastModel.put(incarnation, model),
+            reassigned = state.reassigned.remove(incarnation),
+        )
     }
 
     /** Removes ended incarnations in batches, so that most planning runs copy nothing. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/SlowMembers.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/SlowMembers.kt
@@ -27,7 +27,7 @@
     val costs = service.costs ?: return emptyList()
     val serving = activeGroups(service, model).filter { it.phase == GroupPhase.SERVING }
     if (serving.size < 2) return emptyList()
-    val spares = fastJoiningEngines(service, model).filter { stagedModel(service, it) == model.name }
+    val spares = fastJoiningEngines(service, model).filter { heldModel(service, it) == model.name }
     return serving.mapNotNull { group ->
         val members = group.members.mapNotNull { announcementOf(it) }
         val domain = members.map { domainOf(it) }.distinct().singleOrNull()
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightReplacement.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightReplacement.kt
@@ -11,8 +11,9 @@
 
 /**
  * A model whose groups in the domain have lacked engines for some time, even without spares, if it has fewer engines
- * for its work than [staged] and the groups of [staged] in the domain can spare one; else null. A missing spare is not
- * enough: an engine serves no requests while it loads, and targets change with every loss.
+ * for its work than [staged], the groups of [staged] in the domain can spare one, and the engine cannot join it yet;
+ * else null. A missing spare is not enough: an engine serves no requests while it loads, and targets change with every
+ * loss.
  */
 internal fun Planning.modelToRestage(
     service: DocumentService,
@@ -31,6 +32,7 @@
     }
     return service.models
         .filter { it.name != staged && isShort(it, surplus, wantedSpares) && isShortageLasting(service, it, domain) }
+        .filter { joinTimeMs(engine, it) >= it.loadMs }
         .filter { enginesPerWork(it, engineCounts) < enginesPerWork(current, engineCounts) }
         .minByOrNull { surplus.getValue(it.name) }
 }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
@@ -22,7 +22,7 @@
             .toMutableMap()
         val wantedSpares = service.models.associate { it.name to wanted.spares(domain, it, service.models) }
         for (spare in spares.filterNot { hasRecentlyRefusedStage(it.incarnation) }.sortedBy { it.id }) {
-            val staged = stagedModel(service, spare)
+            val staged = heldModel(service, spare)
             val model = if (staged == null) {
                 modelToStage(service, domain, wanted, surplus, engineCounts)
             } else {
@@ -34,6 +34,7 @@
             surplus.merge(model.name, 1, Int::plus)
             engineCounts.merge(model.name, 1, Int::plus)
             staged?.let {
+                state = state.copy(reassigned = state.reassigned.put(spare.incarnation, model.name))
                 surplus.merge(it, -1, Int::plus)
                 engineCounts.merge(it, -1, Int::plus)
             }
@@ -77,7 +78,7 @@
 /** Number of engines that are in groups of the model or staged for it. */
 private fun Planning.enginesOf(service: DocumentService, model: ModelSpec, free: List<Announcement>): Int =
     assignedByDomain(service.name, model.name).filterKeys { isOfPart(it, part) }.values.sumOf { it.size } +
-        free.count { stagedModel(service, it) == model.name }
+        free.count { heldModel(service, it) == model.name }
 
 internal fun Planning.enginesPerWork(model: ModelSpec, engineCounts: Map<String, Int>): Double =
     engineCounts.getValue(model.name) / model.workShare.coerceAtLeast(MIN_WORK_SHARE)
@@ -91,18 +92,34 @@
     spares: List<Announcement>,
 ): Int {
     val members = assignedIn(service, model, domain)
-    val staged = spares.count { stagedModel(service, it) == model.name }
+    val staged = spares.count { heldModel(service, it) == model.name }
     return members + staged - wantedEngines(service, model, domain, wanted)
 }
 
-/** The model whose weights are on the engine's host or being loaded there; null for none. */
-internal fun Planning.stagedModel(service: DocumentService, engine: Announcement): String? {
-    val pending = service.models.mapNotNull { model ->
-        state.sentMs[SentOrder(engine.incarnation, EngineCommand.Stage(model.name))]?.let { model to it }
-    }.filter { (_, sentMs) -> input.nowMs - sentMs < STAGE_REPEAT_MS }.maxByOrNull { (_, sentMs) -> sentMs }?.first
-    return (pending ?: service.models.firstOrNull { it.name in engine.stagedModels })?.name
+/**
+ * The model whose groups count on the engine: the one for which its weights were replaced, else its last one, else the
+ * one that its host holds or loads; null for none.
+ */
+internal fun Planning.heldModel(service: DocumentService, engine: Announcement): String? {
+    val models = service.models.map { it.name }
+    val known = listOf(
+        state.reassigned[engine.incarnation],
+        state.lastModel[engine.incarnation],
+        orderedLoad(service, engine),
+    )
+    return known.firstOrNull { it in models } ?: models.firstOrNull { it in engine.stagedModels }
 }
 
+/** The model whose weights the engine's host has been ordered to load and has not announced; null for none. */
+internal fun Planning.pendingLoad(service: DocumentService, engine: Announcement): String? =
+    orderedLoad(service, engine)?.takeIf { it !in engine.stagedModels }
+
+/** The model whose weights the engine's host was last ordered to load, unless that has failed. */
+private fun Planning.orderedLoad(service: DocumentService, engine: Announcement): String? =
+    service.models.mapNotNull { model ->
+        state.sentMs[SentOrder(engine.incarnation, EngineCommand.Stage(model.name))]?.let { model.name to it }
+    }.filter { (_, sentMs) -> input.nowMs - sentMs < STAGE_REPEAT_MS }.maxByOrNull { (_, sentMs) -> sentMs }?.first
+
 /** Whether the host has recently refused to stage, as it does while it loads other weights. */
 internal fun Planning.hasRecentlyRefusedStage(incarnation: EngineIncarnation): Boolean =
     state.stageRefusedMs[incarnation]?.let { input.nowMs - it < STAGE_RETRY_MS } == true
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
@@ -76,6 +76,9 @@
     var model: String? = null
     var members: List<String> = emptyList()
     var readyAtMs = 0L
+
+    /** Whether its last join takes a load, which stages the weights; a rejoin leaves the host as it is. */
+    var joinsWithLoad = false
     var brokenAtMs: Long? = null
     var staged: String? = null
     var stagedAtMs = 0L
@@ -147,6 +150,10 @@
     /** How late the leader reads what arrives, and plans; 0 for at once. */
     var leaderDelayMs = 0L
     private var nextPlanMs = 0L
+
+    /** The missing groups of the last planning run. */
+    var gaps: List<GroupGap> = emptyList()
+        private set
     private val unread = ArrayList<() -> Unit>()
 
     /** What the measured demand asks of the planner. */
@@ -319,7 +326,7 @@
         val group = engine.group
         if (group != null && engine.state == GroupState.JOINING && engine.readyAtMs <= nowMs) {
             engine.state = GroupState.READY
-            engine.staged = engine.model
+            if (engine.joinsWithLoad) engine.staged = engine.model
             engine.lastModel = engine.model
             engine.nextAnnouncementMs = nowMs
             readyMembers += Triple(engine.id, group, engine.members)
@@ -408,6 +415,7 @@
         plans++
         probesSent += step.probes.size
         state = step.state
+        gaps = step.gaps
         (before.groups.keys - state.groups.keys).forEach { history += "$nowMs leader $term ends $it" }
         state.groups.values.filter { it != before.groups[it.id] }.forEach { history += "$nowMs leader $term $it" }
         step.probes.forEach { answer(it) }
@@ -512,6 +520,7 @@
         engine.model = model.name
         engine.state = GroupState.JOINING
         engine.readyAtMs = nowMs + costMs
+        engine.joinsWithLoad = engine.lastModel != model.name && engine.staged != model.name
     }
 
     private fun loadMs(model: ModelSpec) = if (trafficStarted) model.loadMs else model.loadMs / 10
--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/GroupPolicyMeasurement.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/GroupPolicyMeasurement.kt
@@ -1,8 +1,8 @@
 /*
  * Compares policies for groups and spares by simulation: engines that are in groups are lost permanently, in each
  * domain in turn, and each is replaced by an engine without weights; a domain may fail for some seconds. Prints for
- * each model the share of its work that the groups can carry, as mean and minimum over the seeds. Run it with
- * -Dtest=GroupPolicyMeasurement.
+ * each model the share of its work that the groups can carry, as mean and minimum over the seeds, and for how many
+ * seconds of a run a wanted group was missing, by cause. Run it with -Dtest=GroupPolicyMeasurement.
  */
 package org.bramleyspur.control.group
 
@@ -53,17 +53,25 @@
     @Test
     fun `work that the groups can carry`() {
         for (scenario in scenarios) {
-            val results = (1L..SEEDS).map { simulate(scenario, it) }
+            val gapMs = HashMap<Pair<String, GapCause>, Long>()
+            val results = (1L..SEEDS).map { simulate(scenario, it, gapMs) }
             val line = scenario.models.joinToString("  ") { model ->
                 val shares = results.map { it.getValue(model.name) }
-                "%s %.3f (worst seed %.3f)".format(model.name, shares.average(), shares.min())
+                val gaps = GapCause.entries.joinToString { cause ->
+                    "%s %.1f".format(cause, (gapMs[model.name to cause] ?: 0L) / 1_000.0 / SEEDS)
+                }
+                "%s %.3f (worst seed %.3f, %s)".format(model.name, shares.average(), shares.min(), gaps)
             }
             val mean = results.map { it.values.average() }.average()
             println("${scenario.name}${if (scenario.outage) " with an outage" else ""}: %.3f $line".format(mean))
         }
     }
 
-    private fun simulate(scenario: Scenario, seed: Long): Map<String, Double> {
+    private fun simulate(
+        scenario: Scenario,
+        seed: Long,
+        gapMs: MutableMap<Pair<String, GapCause>, Long>,
+    ): Map<String, Double> {
         val random = Random(seed)
         val simulation = simulationOf(scenario, random)
         simulation.trafficStarted = false
@@ -71,13 +79,14 @@
         simulation.trafficStarted = true
         val startMs = simulation.nowMs
         var faults = lossesOf(scenario, simulation, random)
-        if (scenario.outage) faults = faults + outageOf("d" + random.nextInt(scenario.domains), simulation)
+        if (scenario.outage) faults = faults + outageOf("d" + random.nextInt(scenario.domains), simulation, random)
         val carriedWork = HashMap<String, Double>()
         while (simulation.nowMs < startMs + SCENARIO_MS) {
             simulation.run(STEP_MS)
             val (due, later) = faults.partition { it.atMs <= simulation.nowMs }
             due.forEach { it.happen() }
             faults = later
+            simulation.gaps.forEach { gapMs.merge(it.place.model to it.cause, STEP_MS, Long::plus) }
             for (model in scenario.models) {
                 val groups = simulation.servingHeads()
                     .filter { it.model == model.name }
@@ -120,14 +129,20 @@
         simulation.engines.first { !it.up && it.sequence == 0L && it.fabricDomain == domain }.restart(simulation.nowMs)
     }
 
-    private fun outageOf(domain: String, simulation: EngineSimulation): List<Fault> {
+    private fun outageOf(domain: String, simulation: EngineSimulation, random: Random): List<Fault> {
         val startMs = simulation.nowMs + OUTAGE_START_MS
         var failed = emptyList<SimulatedEngine>()
         val start = Fault(startMs) {
             failed = simulation.engines.filter { it.up && it.fabricDomain == domain }
             failed.forEach { it.up = false }
         }
-        return listOf(start, Fault(startMs + OUTAGE_MS) { failed.forEach { it.restart(simulation.nowMs) } })
+        val end = Fault(startMs + OUTAGE_MS) {
+            for (engine in failed) {
+                engine.restart(simulation.nowMs)
+                engine.nextAnnouncementMs += random.nextInt(ANNOUNCEMENTS_MS)
+            }
+        }
+        return listOf(start, end)
     }
 
     private fun documentOf(scenario: Scenario): Document {
@@ -150,6 +165,9 @@
         const val OUTAGE_START_MS = 11_000L
         const val OUTAGE_MS = 7_400L
 
+        /** Time over which the engines of a domain announce themselves after its outage. */
+        const val ANNOUNCEMENTS_MS = 1_200
+
         /** Time from the loss of an engine to the announcement of a new one. */
         const val REPLACEMENT_MS = 5_500L
         const val STEP_MS = 100L
