Let a rejoin stage the weights in the simulated engines again

Change: the simulation is as it was. A spare that has replaced a member of its own model's group so loses its second model.

--- a/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
+++ b/bramleyspur-control/src/test/kotlin/org/bramleyspur/control/group/EngineSimulation.kt
@@ -76,9 +76,6 @@
     var model: String? = null
     var members: List<String> = emptyList()
     var readyAtMs = 0L
-
-    /** Whether its last join takes a load, which stages the weights; a rejoin leaves the host as it is. */
-    var joinsWithLoad = false
     var brokenAtMs: Long? = null
     var staged: String? = null
     var stagedAtMs = 0L
@@ -326,7 +323,7 @@
         val group = engine.group
         if (group != null && engine.state == GroupState.JOINING && engine.readyAtMs <= nowMs) {
             engine.state = GroupState.READY
-            if (engine.joinsWithLoad) engine.staged = engine.model
+            engine.staged = engine.model
             engine.lastModel = engine.model
             engine.nextAnnouncementMs = nowMs
             readyMembers += Triple(engine.id, group, engine.members)
@@ -520,7 +517,6 @@
         engine.model = model.name
         engine.state = GroupState.JOINING
         engine.readyAtMs = nowMs + costMs
-        engine.joinsWithLoad = engine.lastModel != model.name && engine.staged != model.name
     }
 
     private fun loadMs(model: ModelSpec) = if (trafficStarted) model.loadMs else model.loadMs / 10
