Compute the missing groups once for each plan

Change: one computation, with the domains of each group looked up once. No decision changes: GroupPolicyMeasurement carries the same work in all eight scenarios.

--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupFormation.kt
@@ -42,11 +42,12 @@
     }
     formFromSurplus(service, wanted)
     stageWeights(service, wanted)
-    stageSecondModels(service, wanted)
+    val missing = groupGaps(service, wanted)
+    if (missing.isEmpty()) stageSecondModels(service, wanted)
     moveGroups(service, wanted)
     replaceSlowMembers(service)
     warmSpares(service)
-    if (input.trafficStarted && part == EnginePart.OPEN) gaps += groupGaps(service, wanted)
+    if (input.trafficStarted && part == EnginePart.OPEN) gaps += missing
 }
 
 /**
@@ -160,7 +161,7 @@
 private fun Planning.isUsable(incarnation: EngineIncarnation, inGroup: Boolean): Boolean =
     if (inGroup) lossOf(incarnation) == null else !isUnreachable(incarnation)
 
-internal fun Planning.spansDomains(group: PlannedGroup): Boolean =
+private fun Planning.spansDomains(group: PlannedGroup): Boolean =
     group.members.mapNotNull { member -> announcement(member.id)?.let { domainOf(it) } }.distinct().size > 1
 
 /** Forms a group in a domain that has fewer groups of the model than wanted, preferring the fastest joins. */
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupGaps.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/GroupGaps.kt
@@ -39,21 +39,28 @@
 /** The gaps between the groups that serve and those [wanted]. */
 internal fun Planning.groupGaps(service: DocumentService, wanted: DomainTargets): List<GroupGap> =
     service.models.flatMap { model ->
-        wanted.keys.mapNotNull { domain -> groupGap(service, model, domain, wanted.groups(domain, model)) }
+        val domains = state.groups.values.filter { it.service == service.name && it.model == model.name }
+            .associateWith { group -> group.members.mapNotNull { domainOf(it) }.toSet() }
+        wanted.keys.filter { wanted.groups(it, model) > 0 }.mapNotNull { domain ->
+            val (within, across) = domains.filterValues { domain in it }.entries.partition { it.value.size == 1 }
+            val groups = within.map { it.key }
+            val isMissing = groups.count { it.phase == GroupPhase.SERVING } < wanted.groups(domain, model)
+            if (isMissing) groupGap(service, model, domain, groups, across.map { it.key }) else null
+        }
     }
 
-private fun Planning.groupGap(service: DocumentService, model: ModelSpec, domain: String, wanted: Int): GroupGap? {
-    if (wanted == 0) return null
-    val inDomain = state.groups.values.filter { group ->
-        group.service == service.name && group.model == model.name && group.members.any { isIn(domain, it) }
-    }
-    val (across, within) = inDomain.partition { spansDomains(it) }
-    if (within.count { it.phase == GroupPhase.SERVING } >= wanted) return null
+private fun Planning.groupGap(
+    service: DocumentService,
+    model: ModelSpec,
+    domain: String,
+    within: List<PlannedGroup>,
+    across: List<PlannedGroup>,
+): GroupGap {
     val free = freeEngines(service.name).filter { domainOf(it) == domain }
     val (prepared, unprepared) = free.partition { joinTimeMs(it, model) < model.loadMs }
     val freeNow = free.map { it.incarnation }.toSet()
-    fun soundMembers(groups: List<PlannedGroup>): Int =
-        groups.flatMap { it.members }.count { it !in freeNow && isSoundIn(domain, it) }
+    fun soundMembers(groups: List<PlannedGroup>): Int = groups.flatMap { it.members }
+        .count { it !in freeNow && domainOf(it) == domain && !isUnreachable(it, failures = 1) }
     val joining = prepared.size + soundMembers(within.filter { it.phase != GroupPhase.SERVING })
     val acrossDomains = soundMembers(across)
     val cause = when {
@@ -65,8 +72,5 @@
     return GroupGap(ModelInDomain(service.name, model.name, domain), cause, joining, acrossDomains, unprepared.size)
 }
 
-private fun Planning.isIn(domain: String, incarnation: EngineIncarnation): Boolean =
-    announcementOf(incarnation)?.let { domainOf(it) } == domain
-
-private fun Planning.isSoundIn(domain: String, incarnation: EngineIncarnation): Boolean =
-    isIn(domain, incarnation) && !isUnreachable(incarnation, failures = 1)
+private fun Planning.domainOf(incarnation: EngineIncarnation): String? =
+    announcementOf(incarnation)?.let { domainOf(it) }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/SpareWeights.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/SpareWeights.kt
@@ -9,11 +9,10 @@
 import org.bramleyspur.core.document.ModelSpec
 
 /**
- * Orders spares that rejoin their last model at once to load the weights of another model of their domain. While a group
- * is missing, free engines may be its members, whose hosts keep the weights for a restart.
+ * Orders spares that rejoin their last model at once to load the weights of another model of their domain. Not for use
+ * while a group is missing: free engines may be its members then, whose hosts keep the weights for a restart.
  */
 internal fun Planning.stageSecondModels(service: DocumentService, wanted: DomainTargets) {
-    if (groupGaps(service, wanted).isNotEmpty()) return
     for (spare in freeEngines(service.name).sortedBy { it.id }) {
         val model = secondModelFor(service, spare, wanted) ?: continue
         if (!reserveLoad(service)) return
