--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightReplacement.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightReplacement.kt
@@ -11,7 +11,7 @@
 
 /**
  * A model whose groups in the domain have lacked engines for some time, even without spares, if it has fewer engines
- * for its work than [staged], the groups of [staged] in the domain can spare one, and the engine cannot join it yet;
+ * for its work than [held], the groups of [held] in the domain can spare one, and the engine cannot join it yet;
  * else null. A missing spare is not enough: an engine serves no requests while it loads, and targets change with every
  * loss.
  */
@@ -19,19 +19,19 @@
     service: DocumentService,
     domain: String,
     engine: Announcement,
-    staged: String,
+    held: String,
     surplus: Map<String, Int>,
     wantedSpares: Map<String, Int>,
     engineCounts: Map<String, Int>,
 ): ModelSpec? {
-    val current = service.models.firstOrNull { it.name == staged } ?: return null
-    if (surplus.getValue(staged) + wantedSpares.getValue(staged) <= 0 ||
+    val current = service.models.firstOrNull { it.name == held } ?: return null
+    if (surplus.getValue(held) + wantedSpares.getValue(held) <= 0 ||
         isLoading(service, engine.incarnation)
     ) {
         return null
     }
     return service.models
-        .filter { it.name != staged && isShort(it, surplus, wantedSpares) && isShortageLasting(service, it, domain) }
+        .filter { it.name != held && isShort(it, surplus, wantedSpares) && isShortageLasting(service, it, domain) }
         .filter { joinTimeMs(engine, it) >= it.loadMs }
         .filter { enginesPerWork(it, engineCounts) < enginesPerWork(current, engineCounts) }
         .minByOrNull { surplus.getValue(it.name) }
--- a/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
+++ b/bramleyspur-control/src/main/kotlin/org/bramleyspur/control/group/WeightStaging.kt
@@ -22,18 +22,18 @@
             .toMutableMap()
         val wantedSpares = service.models.associate { it.name to wanted.spares(domain, it, service.models) }
         for (spare in spares.filterNot { hasRecentlyRefusedStage(it.incarnation) }.sortedBy { it.id }) {
-            val staged = heldModel(service, spare)
-            val model = if (staged == null) {
+            val held = heldModel(service, spare)
+            val model = if (held == null) {
                 modelToStage(service, domain, wanted, surplus, engineCounts)
             } else {
-                modelToRestage(service, domain, spare, staged, surplus, wantedSpares, countsBefore)
+                modelToRestage(service, domain, spare, held, surplus, wantedSpares, countsBefore)
             }
             if (model == null) continue
             if (!reserveLoad(service)) return
             order(spare.incarnation, EngineCommand.Stage(model.name))
             surplus.merge(model.name, 1, Int::plus)
             engineCounts.merge(model.name, 1, Int::plus)
-            staged?.let {
+            held?.let {
                 state = state.copy(reassigned = state.reassigned.put(spare.incarnation, model.name))
                 surplus.merge(it, -1, Int::plus)
                 engineCounts.merge(it, -1, Int::plus)
@@ -75,7 +75,7 @@
 private fun Planning.assignedIn(service: DocumentService, model: ModelSpec, domain: String): Int =
     assignedByDomain(service.name, model.name)[domain]?.size ?: 0
 
-/** Number of engines that are in groups of the model or staged for it. */
+/** Number of engines that are in groups of the model or held for it. */
 private fun Planning.enginesOf(service: DocumentService, model: ModelSpec, free: List<Announcement>): Int =
     assignedByDomain(service.name, model.name).filterKeys { isOfPart(it, part) }.values.sumOf { it.size } +
         free.count { heldModel(service, it) == model.name }
@@ -83,7 +83,7 @@
 internal fun Planning.enginesPerWork(model: ModelSpec, engineCounts: Map<String, Int>): Double =
     engineCounts.getValue(model.name) / model.workShare.coerceAtLeast(MIN_WORK_SHARE)
 
-/** Number of engines of the domain in groups of the model or staged for it, minus the number that its groups need. */
+/** Number of engines of the domain in groups of the model or held for it, minus the number that its groups need. */
 internal fun Planning.surplus(
     service: DocumentService,
     model: ModelSpec,
@@ -92,8 +92,8 @@
     spares: List<Announcement>,
 ): Int {
     val members = assignedIn(service, model, domain)
-    val staged = spares.count { heldModel(service, it) == model.name }
-    return members + staged - wantedEngines(service, model, domain, wanted)
+    val held = spares.count { heldModel(service, it) == model.name }
+    return members + held - wantedEngines(service, model, domain, wanted)
 }
 
 /**
