Log what begins an attempt after the first

The decision log told how attempts end, and of those that begin only the ones beside silent attempts.

The new record attempt-repeated names the cause, the attempts that run and the last event.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -48,7 +48,7 @@
         context.demand?.onRequest(request.service, request.model, request.tokens)
         if (request.streaming) context.onStreamRequest(request)
         deadlineTimer = context.timers.after(maxOf(0, request.remainingMs())) { guarded(faultHandler) { onDeadline() } }
-        send(countsAgainstBudget = false)
+        send(countsAgainstBudget = false, AttemptCause.FIRST)
     }
 
     /** Cancels the attempts after the caller disconnected; closing their connections tells the backend servers. */
@@ -90,18 +90,20 @@
     /** Pauses reading from the backend servers while the caller's connection accepts no more data. */
     fun onCallerWritable(writable: Boolean) = running.attempts.forEach { it.pauseReading(!writable) }
 
-    private fun send(countsAgainstBudget: Boolean, toSuperseded: Boolean = false) {
+    private fun send(countsAgainstBudget: Boolean, cause: AttemptCause, toSuperseded: Boolean = false) {
         if (isKeptFromEngines()) return
         val choice = if (toSuperseded) selection.takeSuperseded() else selection.chooseUntried()
         val nothingSent = sends == 0 && unsentAttempts == 0
-        val sendAgain = { if (!done) guarded(faultHandler) { send(countsAgainstBudget, toSuperseded) } }
-        if (choice == null && !toSuperseded && isHeld(sendAgain)) return
+        val sendAfter = { wait: AttemptCause ->
+            { if (!done) guarded(faultHandler) { send(countsAgainstBudget, wait, toSuperseded) } }
+        }
+        if (choice == null && !toSuperseded && isHeld(sendAfter(AttemptCause.COLD))) return
         when (val decision = selection.decide(choice, nothingSent)) {
-            null -> sendWithoutCompeting(choice, nothingSent, countsAgainstBudget, sendAgain)
-            is PressureDecision.Wait -> selection.awaitRoom(decision.delayMs, sendAgain)
+            null -> sendWithoutCompeting(choice, nothingSent, countsAgainstBudget, cause, sendAfter)
+            is PressureDecision.Wait -> selection.awaitRoom(decision.delayMs, sendAfter(AttemptCause.ROOM))
             is PressureDecision.Refuse ->
                 onNotSendable(AttemptEnd.Pressed(decision.retryAfterMs), "requests compete: ${decision.reason}")
-            is PressureDecision.Start -> choice?.let { start(it, countsAgainstBudget) }
+            is PressureDecision.Start -> choice?.let { start(it, countsAgainstBudget, cause) }
         }
     }
 
@@ -110,17 +112,18 @@
         choice: BackendChoice?,
         nothingSent: Boolean,
         countsAgainstBudget: Boolean,
-        sendAgain: () -> Unit,
+        cause: AttemptCause,
+        sendAfter: (AttemptCause) -> () -> Unit,
     ) {
         val decision = if (nothingSent) release.decide(choice) else null
         when {
-            choice == null && selection.waits(nothingSent) -> selection.awaitBackend(sendAgain)
+            choice == null && selection.waits(nothingSent) -> selection.awaitBackend(sendAfter(AttemptCause.BACKEND))
             choice == null -> onNotSendable(selection.endWithoutServer(), selection.noServerText())
-            decision is ReleaseDecision.Hold -> release.hold(sendAgain)
+            decision is ReleaseDecision.Hold -> release.hold(sendAfter(AttemptCause.RETURN))
             decision is ReleaseDecision.Refuse ->
                 onNotSendable(AttemptEnd.Pressed(decision.retryAfterMs), "no room for it after an outage")
             !selection.isSoonEnough(choice) -> onNotSendable(AttemptEnd.NoCandidate, selection.tooLateText(choice))
-            else -> start(choice, countsAgainstBudget)
+            else -> start(choice, countsAgainstBudget, cause)
         }
     }
 
@@ -139,7 +142,7 @@
         return true
     }
 
-    private fun start(choice: BackendChoice, countsAgainstBudget: Boolean) {
+    private fun start(choice: BackendChoice, countsAgainstBudget: Boolean, cause: AttemptCause) {
         selection.leaveRoom()
         release.onSent()
         // Built before the attempt counts as sent, since it may throw.
@@ -152,6 +155,11 @@
         if (!repeated) sentAttempts++
         predictedMs = choice.expectedMs
         sends++
+        if (sends + unsentAttempts >
+            1
+        ) {
+            log.onRepeat(cause, choice.load.id, response.lastEventId, sends, running.attempts)
+        }
         val attempt = Attempt(context, request, choice, repeated, response, this)
         running = running.withSent(attempt)
         attempt.start(head)
@@ -186,7 +194,7 @@
         running.attempts.forEach { it.markUnresponsive() }
         context.metrics.onAttemptBeside(request.service.name)
         log.onBeside(running.attempts, silentMs, choice.load.id, response.lastEventId, sends + 1)
-        start(choice, countsAgainstBudget = true)
+        start(choice, countsAgainstBudget = true, AttemptCause.SILENCE)
     }
 
     override fun takeOver(attempt: Attempt) {
@@ -241,7 +249,7 @@
         if (end is AttemptEnd.NoAnswer || end is AttemptEnd.BrokenOff || end is AttemptEnd.Failed) mayHaveRun = true
         log.onAttemptEnd(step, end, detail, backend, sends, running.attempts.size)
         when (step) {
-            is NextStep.SendAgain -> send(step.countsAgainstBudget, step.toSuperseded)
+            is NextStep.SendAgain -> send(step.countsAgainstBudget, AttemptCause.END, step.toSuperseded)
             NextStep.AwaitRunning -> Unit
             NextStep.RefuseNotRun -> refuse(end, detail)
             NextStep.FailUnknown -> fail(STATUS_OUTCOME_UNKNOWN, "may-have-run", detail)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestLog.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/RequestLog.kt
@@ -22,6 +22,20 @@
             "remaining_ms" to request.remainingMs(),
         )
 
+    /** An attempt begins on [backend] that is not the first one; it is number [sends], beside the [running] ones. */
+    fun onRepeat(cause: AttemptCause, backend: String, lastEventId: Long?, sends: Int, running: List<Attempt>) =
+        context.log.write(
+            "attempt-repeated",
+            "request" to request.id,
+            "route" to request.route.name,
+            "cause" to cause.name,
+            "backend" to backend,
+            "last_event" to lastEventId,
+            "sends" to sends,
+            "running" to running.joinToString(",") { it.backendId },
+            "ms" to request.elapsedMs(),
+        )
+
     /** The request waits for a backend server of [target], a model or a plain service. */
     fun onWait(target: String) = context.log.write(
         "request-waits",
