Give a request one wait, and begin attempts only when one is due

Streams that may be resumed were sent to more engines than maxAttempts allows.

Cause: several places wake a waiting request up, each with a closure that begins an attempt, and nobody owned the next step. A request in the room of the pacing or of the competition set another timer for a cold engine at each wake-up, and no start of an attempt cancelled them.

Change: RequestWait is the one wait of a request; a wait that begins ends the one before, and each change of the request's state ends it. The pure RequestAttempts holds what runs and whether an attempt is due. So a late or repeated wake-up finds nothing due.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/Attempt.kt
@@ -37,10 +37,10 @@
     fun hasOthers(attempt: Attempt): Boolean
 
     /** What would follow if the attempt ended with [end]. */
-    fun stepAfter(attempt: Attempt, end: AttemptEnd): NextStep
+    fun stepAfter(attempt: Attempt, end: AttemptEnd): NextStep?
 
-    /** The attempt ended without a complete response; [step] follows, or what [stepAfter] returns if it is null. */
-    fun onEnded(attempt: Attempt, end: AttemptEnd, detail: String, step: NextStep? = null)
+    /** The attempt ended without a complete response. */
+    fun onEnded(attempt: Attempt, end: AttemptEnd, detail: String)
 
     /** The attempt ended with a complete response, which was forwarded. */
     fun onComplete(attempt: Attempt, status: Int)
@@ -138,14 +138,13 @@
 
     private fun onServerError(status: Int, headers: HttpHeaders) {
         load.onFailure(context.timers.nowMs())
-        val step = owner.stepAfter(this, AttemptEnd.Failed)
-        if (step is NextStep.PassFailure) {
+        if (owner.stepAfter(this, AttemptEnd.Failed) is NextStep.PassFailure) {
             responseHead = status to headers.copyEndToEndHeaders()
             forwardHead()
         } else {
             call?.discard()
             release()
-            owner.onEnded(this, AttemptEnd.Failed, "$status of ${load.id}", step)
+            owner.onEnded(this, AttemptEnd.Failed, "$status of ${load.id}")
         }
     }
 
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendSelection.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/BackendSelection.kt
@@ -44,8 +44,13 @@
     /** Number of the backend servers that can be asked again for the rest of a stream. */
     val supersededServers: Int get() = supersededBackends.size
 
-    /** Records an attempt on the backend server of [choice]; returns whether it is the first one there. */
-    fun onSent(choice: BackendChoice): Boolean = triedBackends.add(choice.load.id)
+    /** Whether there was an attempt on the backend server of [choice]. */
+    fun wasAsked(choice: BackendChoice): Boolean = choice.load.id in triedBackends
+
+    /** Records an attempt on the backend server of [choice]. */
+    fun onSent(choice: BackendChoice) {
+        triedBackends += choice.load.id
+    }
 
     /** Records that attempts on [backends] were cancelled because another one took over. */
     fun onSuperseded(backends: List<String>) {
@@ -133,7 +138,6 @@
 
     /** Records the end of the request. */
     fun onEnd() {
-        leaveRoom()
         overdue?.cancel()
         overdue = null
         if (counted) context.pressure?.onEnded(context.poolOf(request))
@@ -142,16 +146,11 @@
 
     private fun serverCount() = context.serverCount(request.service, request.model)
 
-    /** Runs [decideAgain] after [delayMs] or more, when the requests before this one were decided on. */
-    fun awaitRoom(delayMs: Long, decideAgain: () -> Unit) {
+    /** Runs [over] after [delayMs] or more, when the requests before this one were decided on. */
+    fun awaitRoom(delayMs: Long, over: () -> Unit): TimerHandle {
         if (!waiting) context.metrics.onWait(request.route.name, "room")
         waiting = true
-        context.pressure?.await(request, delayMs, decideAgain)
-    }
-
-    /** Records that the request starts or ends, and waits no more. */
-    fun leaveRoom() {
-        if (waiting) context.pressure?.leave(request)
+        return context.pressure?.await(request, delayMs, over) ?: context.timers.after(delayMs, over)
     }
 
     /** Records that a backend server rejected the request. */
@@ -168,19 +167,16 @@
 
     private fun returnMs(): Long = context.pressure?.retryAfterMs(context.poolOf(request), request) ?: RETRY_AFTER_MS
 
-    /** Runs [sendAgain] when the request is to be tried again. */
-    fun awaitBackend(sendAgain: () -> Unit) {
-        val pressure = context.pressure
+    /** Runs [over] when a backend server is to be looked for again. */
+    fun awaitBackend(over: () -> Unit): TimerHandle {
         if (!waiting) {
             waiting = true
             context.metrics.onWait(request.route.name, "backend")
             log.onWait(request.model ?: request.service.name)
         }
-        if (pressure != null) {
-            pressure.await(request, OUTAGE_POLL_INTERVAL_MS, sendAgain)
-        } else if (!release.awaitsBackend(sendAgain)) {
-            context.timers.after(OUTAGE_POLL_INTERVAL_MS) { sendAgain() }
-        }
+        return context.pressure?.await(request, OUTAGE_POLL_INTERVAL_MS, over)
+            ?: release.awaitBackend(over)
+            ?: context.timers.after(OUTAGE_POLL_INTERVAL_MS, over)
     }
 
     /** How an attempt ends for which there is no backend server. */
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ForwardedRequest.kt
@@ -6,13 +6,11 @@
 
 import org.bramleyspur.core.time.TimerHandle
 import org.bramleyspur.traffic.cold.waitsForAllowance
+import org.bramleyspur.traffic.forward.AttemptConditions
 import org.bramleyspur.traffic.forward.AttemptEnd
 import org.bramleyspur.traffic.forward.NextStep
 import org.bramleyspur.traffic.forward.OtherAttempts
-import org.bramleyspur.traffic.forward.RequestProgress
-import org.bramleyspur.traffic.forward.RunningAttempts
-import org.bramleyspur.traffic.forward.maySendBesideSilent
-import org.bramleyspur.traffic.forward.nextStep
+import org.bramleyspur.traffic.forward.RequestAttempts
 import org.bramleyspur.traffic.outage.ReleaseDecision
 import org.bramleyspur.traffic.pressure.PressureDecision
 import org.bramleyspur.traffic.quarantine.PartVerdict
@@ -32,11 +30,9 @@
     private val release = StreamRelease(context, request, log)
     private val selection = BackendSelection(context, request, log, release, responseStarted = { response.started })
     private var deadlineTimer: TimerHandle? = null
-    private var running = RunningAttempts<Attempt>()
-    private var sends = 0
-    private var sentAttempts = 0
-    private var unsentAttempts = 0
-    private var mayHaveRun = false
+    private val wait = RequestWait { cause -> guarded(faultHandler) { sendDue(cause) } }
+    private var attempts = RequestAttempts<Attempt>()
+    private var lastEnd = EndedAttempt(AttemptEnd.NoCandidate, "", null)
     private var done = false
 
     private var predictedMs: Double? = null
@@ -48,7 +44,7 @@
         context.demand?.onRequest(request.service, request.model, request.tokens)
         if (request.streaming) context.onStreamRequest(request)
         deadlineTimer = context.timers.after(maxOf(0, request.remainingMs())) { guarded(faultHandler) { onDeadline() } }
-        send(countsAgainstBudget = false, AttemptCause.FIRST)
+        sendDue(AttemptCause.FIRST)
     }
 
     /** Cancels the attempts after the caller disconnected; closing their connections tells the backend servers. */
@@ -61,14 +57,14 @@
     val stage: String
         get() = when {
             response.started -> "responding"
-            mayHaveRun || running.attempts.isNotEmpty() -> "running"
+            attempts.mayHaveBegun -> "running"
             else -> "waiting"
         }
 
     /** Ends the request before its deadline, with the answer that its stage allows. */
     fun endEarly(detail: String) {
         if (done) return
-        if (mayHaveRun || running.attempts.isNotEmpty() || response.started) {
+        if (attempts.mayHaveBegun || response.started) {
             fail(STATUS_OUTCOME_UNKNOWN, "may-have-run", detail)
         } else {
             refuse(AttemptEnd.NoCandidate, detail)
@@ -88,54 +84,51 @@
     override fun onFault(cause: Throwable) = faultHandler(cause)
 
     /** Pauses reading from the backend servers while the caller's connection accepts no more data. */
-    fun onCallerWritable(writable: Boolean) = running.attempts.forEach { it.pauseReading(!writable) }
+    fun onCallerWritable(writable: Boolean) = attempts.running.forEach { it.pauseReading(!writable) }
 
-    private fun send(countsAgainstBudget: Boolean, cause: AttemptCause, toSuperseded: Boolean = false) {
+    /** Sends the attempt that is due, if one is and its rules still allow it. */
+    private fun sendDue(cause: AttemptCause) {
+        val step = attempts.nextStep(conditions()) ?: return
+        if (step is NextStep.SendAgain) send(step, cause) else apply(step)
+    }
+
+    private fun send(step: NextStep.SendAgain, cause: AttemptCause) {
         if (isKeptFromEngines()) return
-        val choice = if (toSuperseded) selection.takeSuperseded() else selection.chooseUntried()
-        val nothingSent = sends == 0 && unsentAttempts == 0
-        val sendAfter = { wait: AttemptCause ->
-            { if (!done) guarded(faultHandler) { send(countsAgainstBudget, wait, toSuperseded) } }
-        }
-        if (choice == null && !toSuperseded && isHeld(sendAfter(AttemptCause.COLD))) return
-        when (val decision = selection.decide(choice, nothingSent)) {
-            null -> sendWithoutCompeting(choice, nothingSent, countsAgainstBudget, cause, sendAfter)
-            is PressureDecision.Wait -> selection.awaitRoom(decision.delayMs, sendAfter(AttemptCause.ROOM))
+        val choice = if (step.toSuperseded) selection.takeSuperseded() else selection.chooseUntried()
+        if (choice == null && !step.toSuperseded && isHeld()) return
+        when (val decision = selection.decide(choice, attempts.isUntouched)) {
+            null -> sendWithoutCompeting(choice, step, cause)
+            is PressureDecision.Wait -> wait.begin(AttemptCause.ROOM) { selection.awaitRoom(decision.delayMs, it) }
             is PressureDecision.Refuse ->
                 onNotSendable(AttemptEnd.Pressed(decision.retryAfterMs), "requests compete: ${decision.reason}")
-            is PressureDecision.Start -> choice?.let { start(it, countsAgainstBudget, cause) }
+            is PressureDecision.Start -> choice?.let { start(it, step.countsAgainstBudget, cause) }
         }
     }
 
     /** Sends a request on which its competitors have no effect. */
-    private fun sendWithoutCompeting(
-        choice: BackendChoice?,
-        nothingSent: Boolean,
-        countsAgainstBudget: Boolean,
-        cause: AttemptCause,
-        sendAfter: (AttemptCause) -> () -> Unit,
-    ) {
-        val decision = if (nothingSent) release.decide(choice) else null
+    private fun sendWithoutCompeting(choice: BackendChoice?, step: NextStep.SendAgain, cause: AttemptCause) {
+        val untouched = attempts.isUntouched
+        val decision = if (untouched) release.decide(choice) else null
         when {
-            choice == null && selection.waits(nothingSent) -> selection.awaitBackend(sendAfter(AttemptCause.BACKEND))
+            choice == null && selection.waits(untouched) -> wait.begin(AttemptCause.BACKEND, selection::awaitBackend)
             choice == null -> onNotSendable(selection.endWithoutServer(), selection.noServerText())
-            decision is ReleaseDecision.Hold -> release.hold(sendAfter(AttemptCause.RETURN))
+            decision is ReleaseDecision.Hold -> wait.begin(AttemptCause.RETURN, release::hold)
             decision is ReleaseDecision.Refuse ->
                 onNotSendable(AttemptEnd.Pressed(decision.retryAfterMs), "no room for it after an outage")
             !selection.isSoonEnough(choice) -> onNotSendable(AttemptEnd.NoCandidate, selection.tooLateText(choice))
-            else -> start(choice, countsAgainstBudget, cause)
+            else -> start(choice, step.countsAgainstBudget, cause)
         }
     }
 
     /** Handles a request that is kept from cold backend servers only: it waits shortly or is refused. */
-    private fun isHeld(sendAgain: () -> Unit): Boolean {
+    private fun isHeld(): Boolean {
         val (backend, held) = selection.firstHeld() ?: return false
         val waitMs = maxOf(1, held.untilMs - context.timers.nowMs())
         val waits = waitsForAllowance(request.elapsedMs() + waitMs, request.remainingMs(), route.targetLatencyMs)
         context.metrics.onColdHeld(route.name, held.reason.name, waits)
         log.onColdHeld(backend, held.reason, waitMs, waits)
         if (waits) {
-            context.timers.after(waitMs, sendAgain)
+            wait.begin(AttemptCause.COLD) { context.timers.after(waitMs, it) }
         } else {
             onNotSendable(AttemptEnd.BackingOff(waitMs), "all backend servers are cold: ${held.reason.text}")
         }
@@ -143,31 +136,28 @@
     }
 
     private fun start(choice: BackendChoice, countsAgainstBudget: Boolean, cause: AttemptCause) {
-        selection.leaveRoom()
+        wait.end()
         release.onSent()
         // Built before the attempt counts as sent, since it may throw.
         val head = request.head(choice.load.id, response.lastEventId)
+        val repeated = selection.wasAsked(choice)
+        val attempt = Attempt(context, request, choice, repeated, response, this)
+        val others = attempts.running
+        val isFirst = attempts.isUntouched
+        attempts = attempts.withBegun(attempt, repeated, conditions())
         if (countsAgainstBudget) {
             budget.onRetry(context.timers.nowMs())
             context.metrics.onRetry(request.service.name)
         }
-        val repeated = !selection.onSent(choice)
-        if (!repeated) sentAttempts++
+        selection.onSent(choice)
         predictedMs = choice.expectedMs
-        sends++
-        if (sends + unsentAttempts >
-            1
-        ) {
-            log.onRepeat(cause, choice.load.id, response.lastEventId, sends, running.attempts)
-        }
-        val attempt = Attempt(context, request, choice, repeated, response, this)
-        running = running.withSent(attempt)
+        if (!isFirst) log.onRepeat(cause, choice.load.id, response.lastEventId, attempts.sends, others)
         attempt.start(head)
     }
 
     /** Ends the request if a part of its prompt crashes engines, or may have crashed one under this request. */
     private fun isKeptFromEngines(): Boolean {
-        if (sentAttempts > 0) {
+        if (attempts.wasSent) {
             if (context.promptParts.allowsRetry(request.parts)) return false
             context.metrics.onPartBlocked(route.name, sentBefore = true)
             onNotSendable(
@@ -183,74 +173,73 @@
     }
 
     override fun onData(attempt: Attempt) {
-        running = running.withData(attempt)
+        attempts = attempts.withData(attempt)
     }
 
     override fun onSilent(attempt: Attempt, silentMs: Long) {
-        running = running.withSilent(attempt)
-        if (!maySendBesideSilent(progress(without = null), budgetAllows())) return
+        attempts = attempts.withSilent(attempt)
+        if (!attempts.maySendBesideSilent(conditions())) return
         if (!context.promptParts.allowsRetry(request.parts)) return
         val choice = selection.chooseUntried()?.takeIf { selection.isSound(it) && selection.isSoonEnough(it) } ?: return
-        running.attempts.forEach { it.markUnresponsive() }
+        attempts.running.forEach { it.markUnresponsive() }
         context.metrics.onAttemptBeside(request.service.name)
-        log.onBeside(running.attempts, silentMs, choice.load.id, response.lastEventId, sends + 1)
+        log.onBeside(attempts.running, silentMs, choice.load.id, response.lastEventId, attempts.sends + 1)
         start(choice, countsAgainstBudget = true, AttemptCause.SILENCE)
     }
 
     override fun takeOver(attempt: Attempt) {
         deliveringBackend = attempt.backendId
         selection.onFirstEvent()
-        if (running.attempts.size <= 1) return
-        val superseded = running.attempts.filter { it != attempt }
-        running = running.withTakeOver(attempt)
+        wait.end()
+        val superseded = attempts.running.filter { it != attempt }
+        attempts = attempts.withTakeOver(attempt)
+        if (superseded.isEmpty()) return
         superseded.forEach { it.cancel() }
         selection.onSuperseded(superseded.map { it.backendId })
         context.metrics.onTakeOver(request.service.name)
         log.onTakeOver(attempt, superseded, response.lastEventId)
     }
 
-    override fun hasOthers(attempt: Attempt): Boolean = running.besides(attempt) != OtherAttempts.NONE
+    override fun hasOthers(attempt: Attempt): Boolean = attempts.besides(attempt) != OtherAttempts.NONE
 
-    override fun stepAfter(attempt: Attempt, end: AttemptEnd): NextStep =
-        nextStep(progress(without = attempt), end, budgetAllows())
+    override fun stepAfter(attempt: Attempt, end: AttemptEnd): NextStep? =
+        attempts.withEnded(attempt, attempt.repeated, end).nextStep(conditions())
 
-    private fun budgetAllows(): Boolean = budget.allows(context.timers.nowMs())
-
-    private fun progress(without: Attempt?) = RequestProgress(
+    private fun conditions() = AttemptConditions(
         idempotent = route.idempotent,
         resumable = request.streaming && route.resumable && (response.isStream || !response.started),
-        otherAttempts = running.besides(without),
         maxAttempts = route.maxAttempts,
-        sentAttempts = sentAttempts,
-        unsentAttempts = unsentAttempts,
         supersededServers = selection.supersededServers,
-        mayHaveRun = mayHaveRun,
         responseStarted = response.started,
         remainingMs = request.remainingMs(),
+        budgetLeft = budget.allows(context.timers.nowMs()),
     )
 
-    override fun onEnded(attempt: Attempt, end: AttemptEnd, detail: String, step: NextStep?) {
+    override fun onEnded(attempt: Attempt, end: AttemptEnd, detail: String) {
         if (done) return
         if (end is AttemptEnd.Rejected) selection.onRejected()
-        if (end is AttemptEnd.NotSent) {
-            sends--
-            unsentAttempts++
-            if (!attempt.repeated) sentAttempts--
-        }
-        running = running.without(attempt)
-        apply(step ?: stepAfter(attempt, end), end, detail, attempt.backendId)
+        attempts = attempts.withEnded(attempt, attempt.repeated, end)
+        onEnd(EndedAttempt(end, detail, attempt.backendId))
     }
 
     /** Handles that a further attempt cannot be sent. */
-    private fun onNotSendable(end: AttemptEnd, detail: String) =
-        apply(nextStep(progress(without = null), end, budgetAllows()), end, detail, selection.lastTried)
+    private fun onNotSendable(end: AttemptEnd, detail: String) {
+        attempts = attempts.withoutServer(end)
+        onEnd(EndedAttempt(end, detail, selection.lastTried))
+    }
 
-    private fun apply(step: NextStep, end: AttemptEnd, detail: String, backend: String?) {
-        if (end is AttemptEnd.NoAnswer || end is AttemptEnd.BrokenOff || end is AttemptEnd.Failed) mayHaveRun = true
-        log.onAttemptEnd(step, end, detail, backend, sends, running.attempts.size)
+    private fun onEnd(ended: EndedAttempt) {
+        wait.end()
+        lastEnd = ended
+        attempts.nextStep(conditions())?.let(::apply)
+    }
+
+    private fun apply(step: NextStep) {
+        val (end, detail, backend) = lastEnd
+        log.onAttemptEnd(step, end, detail, backend, attempts.sends, attempts.running.size)
         when (step) {
-            is NextStep.SendAgain -> send(step.countsAgainstBudget, AttemptCause.END, step.toSuperseded)
-            NextStep.AwaitRunning -> Unit
+            is NextStep.SendAgain -> send(step, AttemptCause.END)
+            NextStep.AwaitRunning -> attempts = attempts.awaitingRunning()
             NextStep.RefuseNotRun -> refuse(end, detail)
             NextStep.FailUnknown -> fail(STATUS_OUTCOME_UNKNOWN, "may-have-run", detail)
             NextStep.PassFailure -> fail(STATUS_OUTCOME_UNKNOWN, "ran-and-failed", detail)
@@ -278,7 +267,7 @@
 
     private fun onDeadline() {
         if (done) return
-        if (mayHaveRun || running.attempts.isNotEmpty() || response.started) {
+        if (attempts.mayHaveBegun || response.started) {
             fail(STATUS_TIMEOUT, "timed-out", "no complete answer in time")
         } else {
             refuse(AttemptEnd.NoCandidate, "no backend server took it in time")
@@ -286,24 +275,29 @@
     }
 
     override fun onComplete(attempt: Attempt, status: Int) {
-        running = running.without(attempt)
+        attempts = attempts.withCompleted(attempt)
         response.finish()
         end(if (status < STATUS_SERVER_ERROR) "served" else "ran-and-failed", "status $status")
     }
 
     private fun end(outcome: String, detail: String) {
         done = true
+        wait.end()
         selection.onEnd()
         release.onEnd()
         deadlineTimer?.cancel()
-        running.attempts.forEach { it.cancel() }
-        running = RunningAttempts()
+        val running = attempts.running
+        attempts = attempts.ended()
+        running.forEach { it.cancel() }
         context.metrics.onRequestEnd(route.name, outcome)
         val backend = deliveringBackend ?: selection.lastTried
-        log.onEnd(outcome, backend, sends, response, predictedMs, detail)
+        log.onEnd(outcome, backend, attempts.sends, response, predictedMs, detail)
         onDone()
     }
 
+    /** Why the last attempt ended at [backend], or why none could be sent. */
+    private data class EndedAttempt(val end: AttemptEnd, val detail: String, val backend: String?)
+
     private companion object {
         const val STATUS_SERVER_ERROR = 500
         const val STATUS_OUTCOME_UNKNOWN = 502
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/PressureAdmission.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/PressureAdmission.kt
@@ -134,8 +134,8 @@
         return stateOf(pool).retryAfterMs(inputOf(request), null, fraction(), nowMs)
     }
 
-    /** Runs [decideAgain] after about [delayMs], unless [request] leaves before. */
-    fun await(request: AdmittedRequest, delayMs: Long, decideAgain: () -> Unit) {
+    /** Runs [decideAgain] after about [delayMs]; [request] is in the room until the returned handle is cancelled. */
+    fun await(request: AdmittedRequest, delayMs: Long, decideAgain: () -> Unit): TimerHandle {
         val nowMs = timers.nowMs()
         // Requests that wait for the same time are due together, so that the newest of them is decided on first.
         val dueAtMs = (nowMs / delayMs + 1) * delayMs
@@ -144,13 +144,13 @@
         actions[request] = Waiting(dueAtMs, decideAgain)
         metrics.onWaiting(room.count, room.bytes)
         schedule()
+        return TimerHandle { leave(request) }
     }
 
     /** Whether [request] may wait for the end of an outage. */
     fun hasRoom(request: AdmittedRequest): Boolean = room.hasRoom(request, request.caller.body.size)
 
-    /** Removes [request], which starts or ends, from those that wait. */
-    fun leave(request: AdmittedRequest) {
+    private fun leave(request: AdmittedRequest) {
         if (actions.remove(request) == null) return
         room = room.without(request)
         metrics.onWaiting(room.count, room.bytes)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ReturnPacing.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/ReturnPacing.kt
@@ -67,16 +67,16 @@
     /** Whether [request] may be held. */
     fun hasRoom(request: AdmittedRequest): Boolean = room.hasRoom(request, request.caller.body.size)
 
-    /** Holds [request] and runs [sendAgain] when its turn has come, unless it leaves before. */
-    fun hold(request: AdmittedRequest, stream: PacedStream, sendAgain: () -> Unit) {
+    /** Holds [request] until the returned handle is cancelled, and runs [sendAgain] when its turn has come. */
+    fun hold(request: AdmittedRequest, stream: PacedStream, sendAgain: () -> Unit): TimerHandle {
         room = room.with(request, request.route.priority, stream.receivedAtMs, request.caller.body.size)
         held[request] = Held(stream, sendAgain)
         metrics.onWaiting(room.count, room.bytes)
         schedule()
+        return TimerHandle { leave(request) }
     }
 
-    /** Removes [request], which was sent or has ended, from those that are held. */
-    fun leave(request: AdmittedRequest) {
+    private fun leave(request: AdmittedRequest) {
         if (held.remove(request) == null) return
         room = room.without(request)
         metrics.onWaiting(room.count, room.bytes)
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/StreamRelease.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/forward/StreamRelease.kt
@@ -3,6 +3,7 @@
  */
 package org.bramleyspur.daemon.forward
 
+import org.bramleyspur.core.time.TimerHandle
 import org.bramleyspur.traffic.outage.PacedStream
 import org.bramleyspur.traffic.outage.ReleaseDecision
 import org.bramleyspur.traffic.outage.StreamTimes
@@ -48,28 +49,24 @@
         return decision.takeIf { it !is ReleaseDecision.Hold || pacing.hasRoom(request) }
     }
 
-    /** Holds the stream until there is room for it; [sendAgain] decides on it again. */
-    fun hold(sendAgain: () -> Unit) {
+    /** Runs [over] when the stream, for which there was no room, is to be decided on again. */
+    fun hold(over: () -> Unit): TimerHandle {
         if (!held) {
             context.metrics.onWait(request.route.name, "return")
             log.onHeld(servers(), pacing?.heldCount ?: 0)
         }
         held = true
-        pacing?.hold(request, stream, sendAgain)
+        return checkNotNull(pacing) { "the stream is not paced" }.hold(request, stream, over)
     }
 
     /** Whether the stream may wait for a backend server. */
     fun hasRoom(): Boolean = pacing?.hasRoom(request) != false
 
-    /** Runs [sendAgain] when a backend server is to be looked for again; returns false if the stream is not paced. */
-    fun awaitsBackend(sendAgain: () -> Unit): Boolean {
-        pacing?.hold(request, stream, sendAgain)
-        return pacing != null
-    }
+    /** Runs [over] when a backend server is to be looked for again; null if the stream is not paced. */
+    fun awaitBackend(over: () -> Unit): TimerHandle? = pacing?.hold(request, stream, over)
 
     /** Records that the stream is sent. */
     fun onSent() {
-        pacing?.leave(request)
         val times = predicted ?: return
         predicted = null
         pacing?.onSent(pool, times, servers(), slots)
@@ -79,7 +76,6 @@
 
     /** Records the end of the request. */
     fun onEnd() {
-        pacing?.leave(request)
         if (running) pacing?.onEnded(pool)
         running = false
     }
