Take a cut success for complete only if its request has arrived

Callers saw: an engine answered a long request early, without a length, read on and crashed in the middle of its answer while the entry was late.

Cause: the host of a process that has read all that has arrived ends its connection in order when it crashes; only the rest of the upload is answered by a reset. The end of the peer's data was taken for the end of the answer, and nothing asked whether the request had arrived.

Change: for a request that is sent in pieces or has more than 32 KB, the channel stays open at the end of the peer's data. A success that only the end of the connection ends is complete if, 100 ms later, the whole request was written and no reset has come. A host answers data for a closed connection by a reset within a round trip, so the rest of the request shows the crash. Small requests and refusals end as before.

Measured: 6 new cases of ResetUploadTest and one of HttpClientTest red before, green now.

--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/ConnectionHandler.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/ConnectionHandler.kt
@@ -3,7 +3,9 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.util.ReferenceCountUtil
+import java.util.concurrent.TimeUnit
 
 /** The exchange that uses a connection. */
 internal interface ConnectionUser {
@@ -15,6 +17,12 @@
 
     fun onWritable(writable: Boolean)
 
+    /** Whether the response is complete only if the peer has received the whole request. */
+    val needsWholeRequest: Boolean
+
+    /** Whether the whole request was written to the network. */
+    val requestWritten: Boolean
+
     /** The connection has closed or failed. */
     fun onDisconnected()
 }
@@ -44,9 +52,29 @@
 
         override fun channelInactive(context: ChannelHandlerContext) {
             // The decoder takes any closed connection for the end of a response without a length.
-            if ((context.channel() as? ClientChannel)?.inputEnded != true) disconnect()
+            if ((context.channel() as? ClientChannel)?.endedInOrder != true) disconnect()
             context.fireChannelInactive()
         }
+
+        override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+            if (event is ChannelInputShutdownEvent) onInputEnd(context) else context.fireUserEventTriggered(event)
+        }
+    }
+
+    /** Closes the channel, but leaves time for a reset if the response needs a request that was received as a whole. */
+    private fun onInputEnd(context: ChannelHandlerContext) {
+        val user = exchange
+        val channel = context.channel() as? ClientChannel
+        val close = { inOrder: Boolean ->
+            if (inOrder) channel?.acceptEnd()
+            context.close()
+        }
+        if (user?.needsWholeRequest != true) {
+            close(true)
+        } else {
+            val decide = { close(user.requestWritten && channel?.hasError == false) }
+            context.executor().schedule(decide, RESET_DELAY_MS, TimeUnit.MILLISECONDS)
+        }
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
@@ -79,5 +107,8 @@
     private companion object {
         /** Several times the decoder's limits for a head. */
         const val MAX_UNDECODED_BYTES = 64 * 1024L
+
+        /** Many times the round trip in which a host answers data for a connection that has ended by a reset. */
+        const val RESET_DELAY_MS = 100L
     }
 }
--- a/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
+++ b/bramleyspur-daemon/src/main/kotlin/org/bramleyspur/daemon/http/HttpClient.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.SocketChannelConfig
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
@@ -107,6 +108,9 @@
         private var keepAlive = false
         private var requestComplete = false
 
+        /** Whether the response is a success that only the end of the connection ends. */
+        private var endsWithConnection = false
+
         /** Whether the request may be retried; the body is retained for that. */
         private var retryable = false
 
@@ -136,6 +140,9 @@
             channel = connection
             attachedAtMs = monotonicMs()
             retryable = reused
+            // A small request that is sent at once has arrived as a whole before the response to it.
+            val isSmall = body != null && body.readableBytes() <= MAX_SMALL_BODY_BYTES
+            connection.allowHalfClosure(!isSmall)
             connection.handler.exchange = this
             connection.decoder.requestMethod = request.method()
             connection.write(request)
@@ -228,6 +235,8 @@
             }
             releaseBody()
             keepAlive = HttpUtil.isKeepAlive(message)
+            endsWithConnection = message.status().codeClass() == HttpStatusClass.SUCCESS &&
+                !HttpUtil.isContentLengthSet(message) && !HttpUtil.isTransferEncodingChunked(message)
             idleMs = minOf(idleLimitMs, declaredIdleMs(message.headers()) ?: idleLimitMs)
             listener.onHead(message.status().code(), message.headers())
         }
@@ -257,6 +266,12 @@
             finish { listener.onFailure(HttpFailure.BROKEN, "$address did not answer in HTTP/1.1: $cause") }
         }
 
+        /** A peer may refuse a request that it does not read; a response with a length shows by itself if it is cut. */
+        override val needsWholeRequest: Boolean get() = endsWithConnection
+
+        override val requestWritten: Boolean
+            get() = requestComplete && channel?.unsafe()?.outboundBuffer()?.isEmpty == true
+
         override fun onDisconnected() {
             val stale = monotonicMs() - attachedAtMs <= STALE_CONNECTION_LIMIT_MS
             if (done || !retryable || !stale) return failAsBroken()
@@ -271,6 +286,7 @@
             val connection = channel
             connection?.handler?.exchange = null
             connection?.config()?.isAutoRead = true
+            connection?.allowHalfClosure(false)
             // Bytes after a complete response belong to no request.
             val reusable = keepAlive && requestComplete && connection?.decoder?.hasUndecodedBytes == false
             if (reusable && connection != null) {
@@ -314,6 +330,9 @@
          */
         const val STALE_CONNECTION_LIMIT_MS = 200L
 
+        /** Fits into the buffers of any host. */
+        const val MAX_SMALL_BODY_BYTES = 32 * 1024
+
         /** Time in which the rest of an unused response arrives if its connection is worth reusing. */
         const val DISCARD_TIMEOUT_MS = 500L
     }
@@ -322,3 +341,7 @@
 private val Channel.handler: ConnectionHandler get() = pipeline().get(ConnectionHandler::class.java)
 
 private val Channel.decoder: ResponseDecoder get() = pipeline().get(ResponseDecoder::class.java)
+
+private fun Channel.allowHalfClosure(allowed: Boolean) {
+    (config() as? SocketChannelConfig)?.isAllowHalfClosure = allowed
+}
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/FakeBackend.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/caller/FakeBackend.kt
@@ -127,6 +127,9 @@
 
     fun close() = socket.close()
 
+    /** Ends what is sent in order, and leaves the rest of the request unread. */
+    fun endOutput() = socket.shutdownOutput()
+
     /** Resets the connection. */
     fun reset() {
         socket.setSoLinger(true, 0)
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ResetUploadTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/forward/ResetUploadTest.kt
@@ -40,6 +40,13 @@
         reset()
     }
 
+    private fun FakeCall.answerAndEnd(text: String) {
+        write(text)
+        Thread.sleep(PAUSE_MS)
+        endOutput()
+        Thread.sleep(PAUSE_MS)
+    }
+
     private class Framing(val name: String, val header: String)
 
     private val framings = listOf(
@@ -77,6 +84,35 @@
         }
     }
 
+    /**
+     * Guards against a cut response that looks complete: if an engine crashes when it has read all that has arrived,
+     * its host ends the connection in order, although the rest of the request is still on its way.
+     */
+    @TestFactory
+    fun `a success that ends before the request is sent is not complete`() = framings.flatMap { framing ->
+        listOf("/once/", "/again/", "/stream/").map { path ->
+            DynamicTest.dynamicTest("${framing.name}, $path") {
+                startEngines({ answerAndEnd(head(framing.header) + events[0]) }) {
+                    val response = post(path, body = body)
+                    expectThat(response?.status == 200 && response.complete).isEqualTo(false)
+                }
+            }
+        }
+    }
+
+    /** Guards against a rule that breaks off a refusal since the engine does not read a request that it refuses. */
+    @TestFactory
+    fun `a failure that ends before the request is sent is complete`() = listOf(400, 413).map { status ->
+        DynamicTest.dynamicTest("$status") {
+            startEngines({ answerAndEnd(head("").replace("200 OK", "$status Any") + "too large") }) {
+                val response = post("/once/", body = body)
+                expectThat(response?.status).isEqualTo(status)
+                expectThat(response?.body).isEqualTo("too large")
+                expectThat(response?.complete).isEqualTo(true)
+            }
+        }
+    }
+
     /** Guards against a rule that breaks off what an engine has ended in order. */
     @TestFactory
     fun `a response without a length that ends in order is complete`() = framings.flatMap { framing ->
--- a/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/HttpClientTest.kt
+++ b/bramleyspur-daemon/src/test/kotlin/org/bramleyspur/daemon/http/HttpClientTest.kt
@@ -197,7 +197,28 @@
         server.close()
     }
 
+    /** Guards against a response that a crash cuts during the upload, if the peer had read all that had arrived. */
+    @Test
+    fun `a success whose connection is reset after its end is not complete`() {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+            val client = HttpClient(Address("127.0.0.1", server.localPort), loops.trafficGroup)
+            val request = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/")
+            request.headers().setInt("Content-Length", 2 * REQUEST_BYTES)
+            val part = "a".repeat(REQUEST_BYTES - 1) + END_OF_PART
+            val body = CompletableFuture<String?>()
+            val call = loops.traffic.submit<HttpCall> { client.call(request, null, true, Reader(body::complete)) }.get()
+            server.accept().use { socket ->
+                loops.traffic.submit { call.send(Unpooled.wrappedBuffer(part.toByteArray()), last = false) }.get()
+                while (socket.getInputStream().read() != END_OF_PART.code) Unit
+                socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\npart".toByteArray())
+            }
+            loops.traffic.submit { call.send(Unpooled.wrappedBuffer(part.toByteArray()), last = true) }.get()
+            expectThat(body.get(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo(null)
+        }
+    }
+
     private companion object {
+        const val END_OF_PART = 'z'
         const val PAUSE_MS = 100L
         const val REQUEST_BYTES = 1_024
         const val WAIT_SECONDS = 5L
