Choose the best backend server if its predicted cost is negative

Cause: a cost includes the average excess of recent first events, so it can be negative. The limit up to which candidates count as equal was 1.05 times the lowest cost plus 1 ms, which is below the lowest cost from -20 ms on, and one of no candidates was chosen.

Change: the tolerance is relative to the absolute value; costs from 0 on are compared as before.

Measured: 2 of 5 new cases of BackendChoiceTest threw IndexOutOfBoundsException before; all pass now.

--- a/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/BackendChoice.kt
+++ b/bramleyspur-traffic/src/main/kotlin/org/bramleyspur/traffic/forward/BackendChoice.kt
@@ -4,6 +4,7 @@
 package org.bramleyspur.traffic.forward
 
 import org.bramleyspur.core.document.EngineCosts
+import kotlin.math.abs
 
 /** Returns the predicted time in milliseconds to the first event of a request with [promptTokens]. */
 fun firstEventMs(candidate: Candidate, promptTokens: Long, costs: EngineCosts): Double {
@@ -60,14 +61,15 @@
 /**
  * Returns the candidate with the lowest [predictedMs]; a suspect one only when there is no other. Candidates within
  * [TIE_SHARE] and [TIE_MS] of the best count as equal, and [fraction] (uniform in 0 until 1) chooses among them, so
- * that entries with the same view do not all send to one backend server.
+ * that entries with the same view do not all send to one backend server. A prediction is negative where first events
+ * came earlier than predicted.
  */
 fun chooseBackend(candidates: List<Candidate>, fraction: Double, predictedMs: (Candidate) -> Double): Candidate? {
     val usable = candidates.filter { !it.suspect }.ifEmpty { candidates }
     if (usable.isEmpty()) return null
     val predicted = usable.map { it to predictedMs(it) }
     val best = predicted.minOf { it.second }
-    val tied = predicted.filter { it.second <= best * (1 + TIE_SHARE) + TIE_MS }.map { it.first }
+    val tied = predicted.filter { it.second <= best + abs(best) * TIE_SHARE + TIE_MS }.map { it.first }
     return tied[(fraction * tied.size).toInt().coerceAtMost(tied.size - 1)]
 }
 
--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/BackendChoiceTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/BackendChoiceTest.kt
@@ -71,6 +71,16 @@
         expectThat(chosen).isEqualTo(listOf("a", "b"))
     }
 
+    /** Guards against requests that are refused with an internal error since no candidate is as good as the best one. */
+    @TestFactory
+    fun `the best candidate is chosen whatever its cost`() = listOf(-500.0, -21.0, -1.0, 0.0, 40.0).map { bestMs ->
+        DynamicTest.dynamicTest("$bestMs ms") {
+            val candidates = listOf(idle, idle.copy(id = "b"))
+            val chosen = chooseBackend(candidates, 0.99) { if (it.id == "a") bestMs else bestMs + 100 }
+            expectThat(chosen?.id).isEqualTo("a")
+        }
+    }
+
     @Test
     fun `no candidate`() {
         expectThat(chooseBackend(emptyList(), 0.5) { 1.0 }).isNull()
