--- a/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/BackendChoiceTest.kt
+++ b/bramleyspur-traffic/src/test/kotlin/org/bramleyspur/traffic/forward/BackendChoiceTest.kt
@@ -71,7 +71,7 @@
         expectThat(chosen).isEqualTo(listOf("a", "b"))
     }
 
-    /** Guards against requests that are refused with an internal error since no candidate is as good as the best one. */
+    /** Guards against requests that are refused with an internal error since no candidate counts as the best one. */
     @TestFactory
     fun `the best candidate is chosen whatever its cost`() = listOf(-500.0, -21.0, -1.0, 0.0, 40.0).map { bestMs ->
         DynamicTest.dynamicTest("$bestMs ms") {
